--- /dev/null
+++ b/cmd/foxtailward/main.go
@@ -0,0 +1,22 @@
+// Command foxtailward serves long generations on engines that fail. One binary
+// holds the daemons and the operators' command line.
+//
+// # Usage
+//
+//	foxtailward dev                    all of it on this machine
+//	foxtailward entry --config FILE    an entry process
+//	foxtailward target --config FILE   a process beside a target
+//	foxtailward contract|config|status|explain|check …
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if err := newRoot().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "foxtailward:", err)
+		os.Exit(exitCode(err))
+	}
+}
--- /dev/null
+++ b/internal/state/conf/conf.go
@@ -0,0 +1,182 @@
+// Package conf holds the configuration of a deployment: the contracts and
+// what the operators set for all processes, under one rising revision.
+//
+// # Usage
+//
+//	var s conf.Snapshot
+//	next, err := s.Apply(change)
+//	c, ok := next.ContractOfKey(contract.HashKey(bearer))
+//
+// A Snapshot is never changed once it is in force; Apply returns a new one.
+package conf
+
+import (
+	"encoding/json"
+	"maps"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Invalid means that a value breaks a rule.
+	Invalid Kind = "invalid"
+	// Gap means that a change does not follow the snapshot's revision.
+	Gap Kind = "gap"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// Object says what a change is about.
+type Object string
+
+// Objects of changes.
+const (
+	// ContractObject is a contract; the change's name is the contract's.
+	ContractObject Object = "contract"
+	// DeploymentObject is the deployment's configuration; it has no name.
+	DeploymentObject Object = "deployment"
+)
+
+// Change is one accepted change of the configuration.
+type Change struct {
+	// Revision is one more than that of the change before.
+	Revision id.Revision `json:"revision"`
+	Object   Object      `json:"object"`
+	Name     id.Contract `json:"name,omitempty"`
+	// Value is the new contract or deployment; null when it was deleted.
+	Value  json.RawMessage `json:"value"`
+	Author string          `json:"author"`
+	At     time.Time       `json:"at"`
+}
+
+// Deleted reports whether the change deletes its object.
+func (c *Change) Deleted() bool {
+	return len(c.Value) == 0 || string(c.Value) == "null"
+}
+
+// Snapshot is the whole configuration at one revision.
+type Snapshot struct {
+	Revision   id.Revision                        `json:"revision"`
+	Deployment Deployment                         `json:"deployment"`
+	Contracts  map[id.Contract]*contract.Contract `json:"contracts"`
+	byKey      map[contract.KeyHash]*contract.Contract
+}
+
+// Empty returns the snapshot of revision 0, with default settings and no
+// contract.
+func Empty() *Snapshot {
+	s := &Snapshot{}
+	s.Deployment.Defaults()
+	return s
+}
+
+// Decode reads a snapshot from JSON and checks it.
+func Decode(data []byte) (*Snapshot, error) {
+	s := &Snapshot{}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fault.Wrap("conf.Decode", Invalid, err)
+	}
+	s.Deployment.Defaults()
+	if err := s.Deployment.Validate(); err != nil {
+		return nil, err
+	}
+	for _, c := range s.Contracts {
+		c.Defaults()
+		if err := c.Validate(); err != nil {
+			return nil, fault.Wrap("conf.Decode", Invalid, err)
+		}
+	}
+	s.index()
+	return s, nil
+}
+
+// Apply returns the snapshot that change leads to; s stays as it is.
+func (s *Snapshot) Apply(change Change) (*Snapshot, error) {
+	const op = "Snapshot.Apply"
+	if change.Revision != s.Revision+1 {
+		return nil, fault.New(op, Gap, "change %d does not follow revision %d", change.Revision, s.Revision)
+	}
+	next := &Snapshot{
+		Revision:   change.Revision,
+		Deployment: s.Deployment,
+		Contracts:  maps.Clone(s.Contracts),
+	}
+	if next.Contracts == nil {
+		next.Contracts = map[id.Contract]*contract.Contract{}
+	}
+	if err := next.set(change); err != nil {
+		return nil, fault.Wrap(op, Invalid, err)
+	}
+	next.index()
+	return next, nil
+}
+
+func (s *Snapshot) set(change Change) error {
+	switch change.Object {
+	case ContractObject:
+		return s.setContract(change)
+	case DeploymentObject:
+		return s.setDeployment(change)
+	default:
+		return fault.New("Snapshot.set", Invalid, "object is %q, want contract or deployment", change.Object)
+	}
+}
+
+func (s *Snapshot) setContract(change Change) error {
+	if change.Deleted() {
+		delete(s.Contracts, change.Name)
+		return nil
+	}
+	c := &contract.Contract{}
+	if err := json.Unmarshal(change.Value, c); err != nil {
+		return err
+	}
+	c.Defaults()
+	if c.Name != change.Name {
+		return fault.New("Snapshot.setContract", Invalid, "name is %q in a change of %q", c.Name, change.Name)
+	}
+	if err := c.Validate(); err != nil {
+		return err
+	}
+	s.Contracts[change.Name] = c
+	return nil
+}
+
+func (s *Snapshot) setDeployment(change Change) error {
+	d := Deployment{}
+	if !change.Deleted() {
+		if err := json.Unmarshal(change.Value, &d); err != nil {
+			return err
+		}
+	}
+	d.Defaults()
+	if err := d.Validate(); err != nil {
+		return err
+	}
+	s.Deployment = d
+	return nil
+}
+
+// index fills the map from key hashes to contracts.
+func (s *Snapshot) index() {
+	s.byKey = make(map[contract.KeyHash]*contract.Contract, len(s.Contracts))
+	for _, c := range s.Contracts {
+		for _, k := range c.Keys {
+			s.byKey[k] = c
+		}
+	}
+}
+
+// ContractOfKey returns the contract whose customer holds the key.
+func (s *Snapshot) ContractOfKey(key contract.KeyHash) (*contract.Contract, bool) {
+	c, ok := s.byKey[key]
+	return c, ok
+}
