Add the stand-in engine

Cause: every other part needs an engine whose right answer can be computed apart, and which fails on command.

Change: internal/standin/engine speaks internal/protocol/engine. Token i depends on model, version, adapter, prompt and all tokens before it. One scheduler goroutine steps the batch; prefill, decode steps and the prefix cache have costs and limits; faults come by method or POST /faults. internal/protocol/engine gains the block hash of the prefix cache, so that a reader of cache events can tell which prompts they mean.

--- /dev/null
+++ b/internal/protocol/engine/block.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes of the prefix cache's units.
+const (
+	// BytesPerToken is the length of prompt text that one token covers.
+	BytesPerToken = 4
+	// BlockTokens is the number of tokens in one block of the cache.
+	BlockTokens = 16
+)
+
+// Blocks hashes a prompt and an answer into the blocks of the prefix cache.
+// The hash of a block covers all blocks before it. The zero value is not
+// ready; use NewBlocks.
+type Blocks struct {
+	parent uint64
+	// pending holds the tokens of the block that is not full yet.
+	pending [BlockTokens]uint32
+	count   int
+}
+
+// NewBlocks returns the hasher of a model's version with an adapter. Blocks of
+// different weights never have the same hash.
+func NewBlocks(model, version, adapter string) Blocks {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{model, version, adapter} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return Blocks{parent: d.Sum64()}
+}
+
+// Add adds a token of the answer. It returns the hash of the block that the
+// token filled, if it filled one.
+func (b *Blocks) Add(token uint32) (uint64, bool) {
+	b.pending[b.count] = token
+	b.count++
+	if b.count < BlockTokens {
+		return 0, false
+	}
+	var buf [8 + 4*BlockTokens]byte
+	binary.LittleEndian.PutUint64(buf[:], b.parent)
+	for i, t := range b.pending {
+		binary.LittleEndian.PutUint32(buf[8+4*i:], t)
+	}
+	b.parent, b.count = xxhash.Sum64(buf[:]), 0
+	return b.parent, true
+}
+
+// AddPrompt adds a whole prompt and appends the hashes of the blocks that it
+// filled to hashes.
+func (b *Blocks) AddPrompt(hashes []uint64, prompt string) []uint64 {
+	for len(prompt) > 0 {
+		var unit [BytesPerToken]byte
+		prompt = prompt[copy(unit[:], prompt):]
+		if hash, full := b.Add(binary.LittleEndian.Uint32(unit[:])); full {
+			hashes = append(hashes, hash)
+		}
+	}
+	return hashes
+}
+
+// PromptTokens returns the number of tokens in a prompt.
+func PromptTokens(prompt string) int {
+	return (len(prompt) + BytesPerToken - 1) / BytesPerToken
+}
--- /dev/null
+++ b/internal/protocol/engine/block_test.go
@@ -0,0 +1,32 @@
+package engine_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/protocol/engine"
+)
+
+func TestBlocks(t *testing.T) {
+	is := is.New(t)
+	prompt := strings.Repeat("abcd", 3*engine.BlockTokens) + "rest"
+	whole := engine.NewBlocks("report", "v1", "")
+	hashes := whole.AddPrompt(nil, prompt)
+	is.Equal(len(hashes), 3)
+	is.True(hashes[0] != hashes[1]) // a block's hash covers those before it
+
+	other := engine.NewBlocks("report", "v2", "")
+	is.True(other.AddPrompt(nil, prompt)[0] != hashes[0])
+
+	filled := 0
+	for token := range uint32(engine.BlockTokens) {
+		if _, full := whole.Add(token); full {
+			filled++
+			is.Equal(token, uint32(engine.BlockTokens-2)) // "rest" is the first token of the block
+		}
+	}
+	is.Equal(filled, 1)
+	is.Equal(engine.PromptTokens("abcde"), 2)
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,337 @@
+package engine_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	protocol "foxtailward.example/foxtailward/internal/protocol/engine"
+	"foxtailward.example/foxtailward/internal/standin/engine"
+	"foxtailward.example/foxtailward/internal/state/generation"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func ask(prompt string, maxTokens int) protocol.Completion {
+	return protocol.Completion{Model: "report", Version: "v1", Prompt: prompt, MaxTokens: maxTokens}
+}
+
+func TestExpect(t *testing.T) {
+	is := is.New(t)
+	base := engine.Expect("report", "v1", "", "Truck 14", 64)
+	is.Equal(len(base), 64)
+	is.Equal(engine.Expect("report", "v1", "", "Truck 14", 32), base[:32])
+	seen := map[string]bool{engine.Join(base): true}
+	for _, other := range [][4]string{
+		{"easyread", "v1", "", "Truck 14"},
+		{"report", "v2", "", "Truck 14"},
+		{"report", "v1", "fleet", "Truck 14"},
+		{"report", "v1", "", "Truck 15"},
+	} {
+		text := engine.Join(engine.Expect(other[0], other[1], other[2], other[3], 64))
+		is.True(!seen[text]) // every part of the request changes the text
+		seen[text] = true
+	}
+	for _, token := range base {
+		is.True(strings.HasPrefix(token.Text, " "))
+	}
+	_, reason := engine.ExpectLength("report", "v1", "", "Truck 14", 4_000, engine.DefaultLength)
+	is.Equal(reason, generation.Length)
+	short, reason := engine.ExpectLength("report", "v1", "", "Truck 14", 4_000, engine.Length{Min: 5, Max: 9})
+	is.Equal(reason, generation.Stop)
+	is.True(len(short) >= 5 && len(short) <= 9)
+}
+
+func TestFlatten(t *testing.T) {
+	is := is.New(t)
+	plain, err := engine.Flatten(json.RawMessage(`[{"role":"user","content":"Truck 14"}]`))
+	is.NoErr(err)
+	parts, err := engine.Flatten(json.RawMessage(`[ {"content":[{"type":"text","text":"Truck 14"}], "role":"user"} ]`))
+	is.NoErr(err)
+	is.Equal(plain, "user: Truck 14\n")
+	is.Equal(parts, plain)
+	_, err = engine.Flatten(json.RawMessage(`[{"role":"user","content":5}]`))
+	is.True(err != nil)
+}
+
+func TestCompletion(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	got, err := run(s.URL(), ask("Truck 14", 300))
+	is.NoErr(err)
+	is.Equal(got.tokens, engine.Expect("report", "v1", "", "Truck 14", 300))
+	is.Equal(got.reason, "length")
+	is.Equal(got.usage, protocol.Usage{PromptTokens: 2, CompletionTokens: 300})
+
+	chat := ask("", 40)
+	chat.Messages = json.RawMessage(`[{"role":"user","content":"Truck 14"}]`)
+	got, err = run(s.URL(), chat)
+	is.NoErr(err)
+	is.Equal(got.tokens, engine.Expect("report", "v1", "", "user: Truck 14\n", 40))
+
+	resp, err := post(t.Context(), s.URL()+"/v1/completions", ask("Truck 14", 40))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var whole protocol.Chunk
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&whole))
+	is.Equal(whole.Choices[0].Text, engine.Join(engine.Expect("report", "v1", "", "Truck 14", 40)))
+	is.Equal(*whole.Choices[0].FinishReason, "length")
+}
+
+func TestCompletionPrefix(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	want := engine.Expect("report", "v1", "", "Truck 14", 100)
+	for _, k := range []int{0, 1, 16, 50, 99, 100} {
+		c := ask("Truck 14", 100)
+		c.PrefixTokenIDs = ids(want[:k])
+		got, err := run(s.URL(), c)
+		is.NoErr(err)
+		is.Equal(len(got.tokens), 100-k)
+		is.Equal(append(want[:k:k], got.tokens...), want) // the answer goes on after the prefix
+		is.Equal(got.usage.CompletionTokens, 100-k)
+	}
+	foreign := ask("Truck 14", 100)
+	foreign.PrefixTokenIDs = []uint32{want[0].ID, want[1].ID + 1}
+	got, err := run(s.URL(), foreign)
+	is.NoErr(err)
+	is.True(got.tokens[0] != want[2]) // a foreign token changes the rest
+}
+
+func TestCompletionStop(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	want := engine.Expect("report", "v1", "", "Truck 14", 50)
+	c := ask("Truck 14", 50)
+	c.Stop = []string{want[20].Text + want[21].Text}
+	got, err := run(s.URL(), c)
+	is.NoErr(err)
+	is.Equal(got.tokens, want[:22])
+	is.Equal(got.reason, "stop")
+}
+
+func TestCompletionRefusals(t *testing.T) {
+	s := listen(t, engine.Options{Adapters: []string{"fleet"}})
+	tests := []struct {
+		name   string
+		change func(*protocol.Completion)
+		status int
+	}{
+		{"another model", func(c *protocol.Completion) { c.Model = "other" }, http.StatusNotFound},
+		{"another version", func(c *protocol.Completion) { c.Version = "v2" }, http.StatusNotFound},
+		{"another adapter", func(c *protocol.Completion) { c.Adapter = "none" }, http.StatusNotFound},
+		{"a known adapter", func(c *protocol.Completion) { c.Adapter = "fleet" }, http.StatusOK},
+		{"no tokens", func(c *protocol.Completion) { c.MaxTokens = 0 }, http.StatusBadRequest},
+		{"no prompt", func(c *protocol.Completion) { c.Prompt = "" }, http.StatusBadRequest},
+		{"an unknown token", func(c *protocol.Completion) { c.PrefixTokenIDs = []uint32{1 << 30} }, http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := ask("Truck 14", 5)
+			tt.change(&c)
+			resp, err := post(t.Context(), s.URL()+"/v1/completions", c)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, tt.status)
+		})
+	}
+}
+
+// TestSchedulerCosts holds the times of the batch on a clock of its own.
+func TestSchedulerCosts(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	s := listen(t, engine.Options{
+		Clock: clock,
+		Costs: engine.Costs{Prefill: time.Millisecond, Step: 10 * time.Millisecond, StepPerRunning: 2 * time.Millisecond},
+	})
+	r, err := open(s.URL(), ask(strings.Repeat("abcd", 100), 3))
+	is.NoErr(err)
+	for i, step := range []time.Duration{112 * time.Millisecond, 12 * time.Millisecond, 12 * time.Millisecond} {
+		is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(step - time.Nanosecond)
+		is.Equal(s.Stats().Decoded, int64(i)) // not before the step's time
+		clock.Advance(time.Nanosecond)
+		_, err := r.next()
+		is.NoErr(err)
+		is.Equal(len(r.tokens), i+1)
+	}
+	is.NoErr(r.rest())
+	is.Equal(s.Stats().Prefilled, int64(100))
+}
+
+func TestSchedulerPriority(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{Slots: 1})
+	s.Stall("first")
+	first := ask("first", 5)
+	first.RequestID = "first"
+	blocking, err := open(s.URL(), first)
+	is.NoErr(err)
+	waitFor(t, s, func(stats engine.Stats) bool { return stats.Running == 1 })
+	var readers sync.WaitGroup
+	names := []string{"long", "standard", "short"}
+	for i, name := range names {
+		c := ask("later", 5)
+		c.RequestID, c.Priority = name, len(names)-1-i
+		s.Stall(name)
+		readers.Go(func() {
+			_, err := run(s.URL(), c)
+			is.NoErr(err)
+		})
+		waitFor(t, s, func(stats engine.Stats) bool { return stats.Waiting == i+1 })
+	}
+	s.Unstall("first")
+	is.NoErr(blocking.rest())
+	for _, name := range []string{"short", "standard", "long"} {
+		waitFor(t, s, func(stats engine.Stats) bool {
+			return len(stats.Requests) == 1 && stats.Requests[0].Request == name
+		})
+		s.Unstall(name)
+	}
+	readers.Wait()
+}
+
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	s.Stall("")
+	r, err := open(s.URL(), ask("Truck 14", 100))
+	is.NoErr(err)
+	waitFor(t, s, func(stats engine.Stats) bool { return stats.Running == 1 })
+	r.cancel()
+	waitFor(t, s, func(stats engine.Stats) bool { return stats.Running == 0 })
+	is.Equal(s.Stats().Cancelled, int64(1))
+}
+
+func TestCache(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{CacheBlocks: 8})
+	prompt := strings.Repeat("abcd", 4*protocol.BlockTokens)
+	_, err := run(s.URL(), ask(prompt, 1))
+	is.NoErr(err)
+	again, err := run(s.URL(), ask(prompt, 1))
+	is.NoErr(err)
+	is.Equal(again.usage.CachedTokens, 4*protocol.BlockTokens-1) // the last token is computed
+	is.Equal(s.Stats().Prefilled, int64(4*protocol.BlockTokens+1))
+
+	blocks := protocol.NewBlocks("report", "v1", "")
+	hashes := blocks.AddPrompt(nil, prompt)
+	page := events(t, s, 1)
+	is.Equal(len(page.Events), 4)
+	for i, e := range page.Events {
+		is.Equal(e, protocol.CacheEvent{Number: uint64(i + 2), Kind: "stored", Block: hashes[i], Tokens: protocol.BlockTokens})
+	}
+	s.LoseCacheEvents(2)
+	_, err = run(s.URL(), ask(strings.Repeat("efgh", 8*protocol.BlockTokens), 1))
+	is.NoErr(err)
+	lossy := events(t, s, page.Next)
+	is.Equal(lossy.Events[0].Number, page.Next+3) // the gap shows the loss
+	third, err := run(s.URL(), ask(prompt, 1))
+	is.NoErr(err)
+	is.Equal(third.usage.CachedTokens, 0) // the least recently used blocks went
+	is.Equal(events(t, s, 1_000_000).Events[0].Kind, "cleared")
+}
+
+func TestCacheEventLag(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	s := listen(t, engine.Options{Clock: clock, CacheEventLag: time.Second})
+	_, err := run(s.URL(), ask(strings.Repeat("abcd", protocol.BlockTokens), 1))
+	is.NoErr(err)
+	is.Equal(len(events(t, s, 0).Events), 0)
+	clock.Advance(time.Second)
+	is.Equal(len(events(t, s, 0).Events), 2)
+}
+
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{Slots: 1})
+	s.Stall("")
+	r, err := open(s.URL(), ask("Truck 14", 10))
+	is.NoErr(err)
+	queued, err := open(s.URL(), ask("Truck 15", 10))
+	is.NoErr(err)
+	waitFor(t, s, func(stats engine.Stats) bool { return stats.Waiting == 1 })
+	resp, err := http.Get(s.URL() + "/metrics")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	for _, line := range []string{
+		protocol.MetricRunning + `{model_name="report"} 1`,
+		protocol.MetricWaiting + `{model_name="report"} 1`,
+		protocol.MetricWaitingPrefill + `{model_name="report"} 4`,
+		protocol.MetricTokenInterval + `{model_name="report"} 0`,
+		protocol.MetricPrefillCost + `{model_name="report"} 0`,
+	} {
+		is.True(strings.Contains(string(page), line+"\n")) // line is served
+	}
+	s.Unstall("")
+	is.NoErr(r.rest())
+	is.NoErr(queued.rest())
+}
+
+func TestOrders(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	s.Stall("")
+	running, err := open(s.URL(), ask("Truck 14", 20))
+	is.NoErr(err)
+	waitFor(t, s, func(stats engine.Stats) bool { return stats.Running == 1 })
+	load := protocol.Order{ID: "o1", Fence: 5, Kind: "load_model", Model: "report", Version: "v2"}
+	is.Equal(order(t, s, load), http.StatusOK)
+	is.Equal(order(t, s, load), http.StatusOK) // idempotent
+	old := protocol.Order{ID: "o2", Fence: 4, Kind: "load_model", Model: "report", Version: "v0"}
+	is.Equal(order(t, s, old), http.StatusConflict)
+	_, version, _ := s.Serving()
+	is.Equal(version, "v2")
+	s.Unstall("")
+	is.NoErr(running.rest())
+	is.Equal(running.tokens, engine.Expect("report", "v1", "", "Truck 14", 20)) // the version stays to the end
+	s.IgnoreFence(true)
+	is.Equal(order(t, s, old), http.StatusOK)
+	is.Equal(order(t, s, protocol.Order{ID: "o3", Kind: "unknown"}), http.StatusBadRequest)
+}
+
+func order(t *testing.T, s *engine.Server, o protocol.Order) int {
+	t.Helper()
+	resp, err := post(t.Context(), s.URL()+"/orders", o)
+	is.New(t).NoErr(err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func events(t *testing.T, s *engine.Server, after uint64) protocol.CacheEvents {
+	t.Helper()
+	is := is.New(t)
+	number, err := json.Marshal(after)
+	is.NoErr(err)
+	resp, err := http.Get(s.URL() + "/cache_events?after=" + string(number))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var page protocol.CacheEvents
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&page))
+	return page
+}
+
+// waitFor waits until the counters fulfil a condition; the test's own timeout
+// bounds it.
+func waitFor(t *testing.T, s *engine.Server, holds func(engine.Stats) bool) {
+	t.Helper()
+	for !holds(s.Stats()) {
+		if t.Context().Err() != nil {
+			t.Fatal("the condition never held")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/faults_test.go
@@ -0,0 +1,141 @@
+package engine_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/standin/engine"
+)
+
+func TestDieAfter(t *testing.T) {
+	want := engine.Expect("report", "v1", "", "Truck 14", 100)
+	for _, k := range []int{0, 1, 50, 99, 100} {
+		is := is.New(t)
+		s := listen(t, engine.Options{})
+		s.DieAfter(k)
+		got, err := run(s.URL(), ask("Truck 14", 100))
+		is.Equal(err, errCut)
+		is.Equal(len(got.tokens), k) // exactly that many tokens left the engine
+		for i, token := range got.tokens {
+			is.Equal(token, want[i])
+		}
+		is.True(s.Dead())
+		_, err = open(s.URL(), ask("Truck 14", 100))
+		is.True(err != nil) // nothing listens
+		is.NoErr(s.Revive())
+		got, err = run(s.URL(), ask("Truck 14", 100))
+		is.NoErr(err)
+		is.Equal(got.tokens, want)
+		is.Equal(got.usage.CachedTokens, 0) // the cache died too
+	}
+}
+
+func TestDieAfterManyStreams(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	s.DieAfter(1_000)
+	var total int
+	var mu sync.Mutex
+	var readers sync.WaitGroup
+	for range 20 {
+		readers.Go(func() {
+			// Streams that end before the death are whole; the others are cut.
+			got, _ := run(s.URL(), ask("Truck 14", 100))
+			mu.Lock()
+			defer mu.Unlock()
+			if got != nil {
+				total += len(got.tokens)
+			}
+		})
+	}
+	readers.Wait()
+	// Death cuts connections in the middle of a write, so fewer may arrive.
+	is.True(total > 0 && total <= 1_000)
+	is.True(s.Stats().Sent <= 1_000)
+	is.Equal(s.Stats().Deaths, int64(1))
+}
+
+func TestDieOn(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	s.DieOn("CRASH")
+	_, err := run(s.URL(), ask("Truck 14", 10))
+	is.NoErr(err)
+	_, err = run(s.URL(), ask("please CRASH now", 10))
+	is.True(err != nil)
+	is.True(s.Dead())
+}
+
+func TestPause(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	s := listen(t, engine.Options{Clock: clock, Costs: engine.Costs{Step: time.Second}})
+	r, err := open(s.URL(), ask("Truck 14", 2))
+	is.NoErr(err)
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+	s.Pause()
+	clock.Advance(time.Second)
+	is.Equal(s.Stats().Decoded, int64(0)) // a paused engine computes nothing
+	s.Resume()
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(time.Second)
+	is.NoErr(r.rest()) // and goes on with its streams afterwards
+	is.Equal(r.tokens, engine.Expect("report", "v1", "", "Truck 14", 2))
+}
+
+func TestStall(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	s.Stall("one")
+	one, two := ask("Truck 14", 10), ask("Truck 15", 10)
+	one.RequestID, two.RequestID = "one", "two"
+	stalled, err := open(s.URL(), one)
+	is.NoErr(err)
+	_, err = run(s.URL(), two)
+	is.NoErr(err) // the other stream is not held up
+	is.Equal(s.Stats().Decoded, int64(10))
+	s.Unstall("")
+	is.NoErr(stalled.rest())
+}
+
+func TestSlow(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	s := listen(t, engine.Options{Clock: clock, Costs: engine.Costs{Step: time.Second}})
+	s.Slow(3)
+	r, err := open(s.URL(), ask("Truck 14", 1))
+	is.NoErr(err)
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(3*time.Second - 1)
+	is.Equal(s.Stats().Decoded, int64(0))
+	clock.Advance(1)
+	is.NoErr(r.rest())
+}
+
+func TestFaultCommands(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, engine.Options{})
+	send := func(c engine.Command) int {
+		resp, err := post(t.Context(), s.URL()+"/faults", c)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	is.Equal(send(engine.Command{Kind: "refuse"}), http.StatusNoContent)
+	_, err := open(s.URL(), ask("Truck 14", 1))
+	is.Equal(err.Error(), "status 503")
+	is.Equal(send(engine.Command{Kind: "accept"}), http.StatusNoContent)
+	_, err = run(s.URL(), ask("Truck 14", 1))
+	is.NoErr(err)
+	is.Equal(send(engine.Command{Kind: "explode"}), http.StatusBadRequest)
+	is.Equal(send(engine.Command{Kind: "slow"}), http.StatusBadRequest)
+	is.Equal(send(engine.Command{Kind: "die"}), http.StatusNoContent)
+	waitFor(t, s, func(stats engine.Stats) bool { return stats.Deaths == 1 })
+	_, err = open(s.URL(), ask("Truck 14", 1))
+	is.True(err != nil)
+}
