Add the key-value service's client and stand-in

Cause: configuration, claims and leases go through the platform's key-value service, whose answers get lost and which has outages.

Change: internal/transport/etcd returns a store.Store over the etcd v3 JSON gateway. A write is sent to a second endpoint only when the first was surely not reached; an answer that did not come makes it unknown. Calls keep to a budget and to a jittered backoff; watches share connections. internal/standin/store is the service in memory, over HTTP or direct, with faults on command. internal/standin/server keeps a stand-in's port while it is down: in one of three race runs the kernel had given the port away and the service could not come back.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -43,13 +43,8 @@
 // Kind is the kind of this package's errors.
 type Kind string
 
-// Kinds of errors.
-const (
-	// Invalid means that an option or a message breaks a rule.
-	Invalid Kind = "invalid"
-	// Unreachable means that an address could not be listened on.
-	Unreachable Kind = "unreachable"
-)
+// Invalid means that an option or a message breaks a rule.
+const Invalid Kind = "invalid"
 
 // Error is this package's error.
 type Error = fault.Error[Kind]
@@ -161,11 +156,11 @@
 	// loading lets one order at a time read weights.
 	loading sync.Mutex
 	counts  counters
+
+	mu sync.Mutex
 	// onDeath and onRevival are set by a Server.
 	onDeath   func()
 	onRevival func() error
-
-	mu sync.Mutex
 	// serving is what new generations get.
 	model, version string
 	adapters       map[string]bool
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -71,6 +71,7 @@
 	e.mu.Lock()
 	died := !e.faults.dead
 	e.faults.dead = true
+	onDeath := e.onDeath
 	e.mu.Unlock()
 	if !died {
 		return
@@ -80,8 +81,8 @@
 	e.sendBudget.Store(0)
 	e.abortAll()
 	e.gate.open()
-	if e.onDeath != nil {
-		e.onDeath()
+	if onDeath != nil {
+		onDeath()
 	}
 }
 
@@ -100,10 +101,11 @@
 	if revived {
 		e.boot()
 	}
+	onRevival := e.onRevival
 	e.mu.Unlock()
 	e.signal()
-	if revived && e.onRevival != nil {
-		return e.onRevival()
+	if revived && onRevival != nil {
+		return onRevival()
 	}
 	return nil
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -1,28 +1,14 @@
 package engine
 
 import (
-	"io"
-	"log"
-	"net"
-	"net/http"
-	"sync"
-	"time"
-
-	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/standin/server"
 )
 
-// headerTimeout bounds the time to read a request's header.
-const headerTimeout = 10 * time.Second
-
-// Server is an engine on a listener of its own. Its death closes the listener
+// Server is an engine on an address of its own. Its death closes the listener
 // and all connections; its revival listens on the same address again.
 type Server struct {
 	*Engine
-	address string
-
-	mu      sync.Mutex
-	http    *http.Server
-	serving sync.WaitGroup
+	http *server.Server
 }
 
 // Listen starts an engine that serves addr; port 0 takes a free one.
@@ -31,57 +17,25 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{Engine: e, address: addr}
-	e.onDeath, e.onRevival = s.stop, s.start
-	if err := s.start(); err != nil {
+	http, err := server.New(addr, e)
+	if err != nil {
 		e.Close()
 		return nil, err
 	}
-	return s, nil
+	e.mu.Lock()
+	e.onDeath, e.onRevival = http.Stop, http.Start
+	e.mu.Unlock()
+	return &Server{Engine: e, http: http}, nil
 }
 
 // Address returns the engine's address as host:port.
-func (s *Server) Address() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.address
-}
+func (s *Server) Address() string { return s.http.Address() }
 
 // URL returns the engine's base URL.
-func (s *Server) URL() string { return "http://" + s.Address() }
+func (s *Server) URL() string { return s.http.URL() }
 
 // Close ends the engine and closes the listener.
 func (s *Server) Close() {
-	s.stop()
 	s.Engine.Close()
-	s.serving.Wait()
-}
-
-func (s *Server) start() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	listener, err := net.Listen("tcp", s.address)
-	if err != nil {
-		return fault.Wrap("Server.start", Unreachable, err)
-	}
-	s.address = listener.Addr().String()
-	server := &http.Server{
-		Handler:           s.Engine,
-		ReadHeaderTimeout: headerTimeout,
-		ErrorLog:          log.New(io.Discard, "", 0),
-	}
-	s.http = server
-	s.serving.Go(func() { _ = server.Serve(listener) })
-	return nil
-}
-
-func (s *Server) stop() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.http == nil {
-		return
-	}
-	// The listener and the connections are closed whatever this returns.
-	_ = s.http.Close()
-	s.http = nil
+	s.http.Close()
 }
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,257 @@
+// Package store is a small stand-in for the platform's key-value service. It
+// keeps keys in memory, with revisions, compare-and-swap, watches and leases,
+// and it fails on command: latency, outages, lost answers, cut watches and
+// compaction.
+//
+// # Usage
+//
+// In a test, directly:
+//
+//	service := store.New(store.Options{})
+//	defer service.Close()
+//	s := service.Direct()
+//	service.LoseAnswers(1)
+//
+// Over HTTP, as the etcd v3 JSON gateway:
+//
+//	server, err := store.Listen("127.0.0.1:0", store.Options{})
+//	defer server.Close()
+//	server.SetOutage(true)
+package store
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	kv "foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/state/fault"
+)
+
+// Kind is the kind of this package's own errors; those of calls are
+// kv.Error, as callers of a kv.Store expect.
+type Kind string
+
+// Invalid means that a fault command breaks a rule.
+const Invalid Kind = "invalid"
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// historyKept bounds the changes that a watch can ask for; the service
+// compacts itself beyond it.
+const historyKept = 1 << 16
+
+// Options sets up a service.
+type Options struct {
+	// Clock is the time; the real one when nil.
+	Clock clockwork.Clock
+	// Latency is the time of each call.
+	Latency time.Duration
+}
+
+// Service is a stand-in key-value service. All methods are safe for concurrent
+// use.
+type Service struct {
+	clock  clockwork.Clock
+	faults faults
+	counts counts
+
+	mu       sync.Mutex
+	closed   bool
+	revision int64
+	// compacted is the oldest revision that a watch may start from.
+	compacted int64
+	items     map[string]entry
+	// history holds the changes in the order of their revisions.
+	history []kv.Change
+	leases  map[kv.LeaseID]*lease
+	// nextLease names the next lease.
+	nextLease kv.LeaseID
+	// nextLapse is when the next lease lapses; zero when there is none.
+	nextLapse time.Time
+	timer     clockwork.Timer
+	// changed is closed when the history grows or the watches are cut.
+	changed chan struct{}
+	// cuts counts how often the watches were cut.
+	cuts int
+}
+
+type entry struct {
+	item    kv.Item
+	created int64
+	version int64
+}
+
+// New returns an empty service; Close ends it.
+func New(opts Options) *Service {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	s := &Service{
+		clock: opts.Clock,
+		// The first write of an etcd has revision 2.
+		revision:  1,
+		items:     map[string]entry{},
+		leases:    map[kv.LeaseID]*lease{},
+		nextLease: 1,
+		changed:   make(chan struct{}),
+	}
+	s.faults.latency = opts.Latency
+	return s
+}
+
+// Close ends all watches and stops the leases' timer.
+func (s *Service) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.stopTimer()
+	s.cutLocked()
+}
+
+// Revision returns the newest revision.
+func (s *Service) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+func (s *Service) get(key string) kv.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse()
+	return s.item(key)
+}
+
+// item returns the key's item, also when it does not exist.
+func (s *Service) item(key string) kv.Item {
+	e, ok := s.items[key]
+	if !ok {
+		return kv.Item{Key: key}
+	}
+	item := e.item
+	item.Value = slices.Clone(item.Value)
+	return item
+}
+
+func (s *Service) list(prefix string) kv.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse()
+	page := kv.Page{Revision: s.revision}
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			page.Items = append(page.Items, s.item(key))
+		}
+	}
+	slices.SortFunc(page.Items, func(a, b kv.Item) int { return strings.Compare(a.Key, b.Key) })
+	return page
+}
+
+func (s *Service) commit(txn kv.Txn) (kv.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse()
+	if err := s.checkTxn(&txn); err != nil {
+		return kv.Result{}, err
+	}
+	for _, c := range txn.Compares {
+		if s.items[c.Key].item.ModRevision != c.ModRevision {
+			return kv.Result{Revision: s.revision, Current: s.compared(&txn)}, nil
+		}
+	}
+	if s.writes(&txn) {
+		s.revision++
+	}
+	for _, p := range txn.Puts {
+		s.put(p)
+	}
+	for _, key := range txn.Deletes {
+		s.remove(key)
+	}
+	s.notify()
+	return kv.Result{Succeeded: true, Revision: s.revision}, nil
+}
+
+// checkTxn refuses what the service would refuse.
+func (s *Service) checkTxn(txn *kv.Txn) error {
+	const op = "Service.commit"
+	seen := map[string]bool{}
+	for _, p := range txn.Puts {
+		if p.Key == "" || seen[p.Key] {
+			return fault.New(op, kv.Invalid, "key %q is empty or written twice", p.Key)
+		}
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return fault.New(op, kv.Invalid, "requested lease %d not found", p.Lease)
+		}
+		seen[p.Key] = true
+	}
+	for _, key := range txn.Deletes {
+		if key == "" || seen[key] {
+			return fault.New(op, kv.Invalid, "key %q is empty or written twice", key)
+		}
+		seen[key] = true
+	}
+	return nil
+}
+
+// writes reports whether txn changes anything; a deletion of a key that does
+// not exist makes no revision.
+func (s *Service) writes(txn *kv.Txn) bool {
+	return len(txn.Puts) > 0 || slices.ContainsFunc(txn.Deletes, func(key string) bool {
+		_, ok := s.items[key]
+		return ok
+	})
+}
+
+// compared returns the keys of txn's compares as they stand.
+func (s *Service) compared(txn *kv.Txn) []kv.Item {
+	out := make([]kv.Item, len(txn.Compares))
+	for i, c := range txn.Compares {
+		out[i] = s.item(c.Key)
+	}
+	return out
+}
+
+func (s *Service) put(p kv.Put) {
+	e, ok := s.items[p.Key]
+	if !ok {
+		e.created = s.revision
+	}
+	s.unbind(e.item)
+	e.version++
+	e.item = kv.Item{Key: p.Key, Value: slices.Clone(p.Value), ModRevision: s.revision, Lease: p.Lease}
+	s.items[p.Key] = e
+	if p.Lease != 0 {
+		s.leases[p.Lease].keys[p.Key] = true
+	}
+	s.record(kv.Change{Item: s.item(p.Key)})
+}
+
+func (s *Service) remove(key string) {
+	e, ok := s.items[key]
+	if !ok {
+		return
+	}
+	s.unbind(e.item)
+	delete(s.items, key)
+	s.record(kv.Change{Item: kv.Item{Key: key, ModRevision: s.revision}, Deleted: true})
+}
+
+// unbind takes the key of item from its lease.
+func (s *Service) unbind(item kv.Item) {
+	if l := s.leases[item.Lease]; l != nil {
+		delete(l.keys, item.Key)
+	}
+}
+
+func (s *Service) record(c kv.Change) {
+	s.history = append(s.history, c)
+	if len(s.history) > 2*historyKept {
+		s.compactLocked(s.history[len(s.history)-historyKept].Item.ModRevision)
+	}
+}
