Close a stopped stand-in's listener at once

Change: Stop closes the listener itself.

Conclusion: a stop refuses from the moment that it returns.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -43,9 +43,10 @@
 	// hold is a socket that is bound to the address and does not listen.
 	hold int
 
-	mu      sync.Mutex
-	http    *http.Server
-	serving sync.WaitGroup
+	mu       sync.Mutex
+	http     *http.Server
+	listener net.Listener
+	serving  sync.WaitGroup
 }
 
 // New holds addr and serves it; port 0 takes a free port.
@@ -84,7 +85,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
-	s.http = server
+	s.http, s.listener = server, listener
 	s.serving.Go(func() { _ = server.Serve(listener) })
 	return nil
 }
@@ -94,7 +95,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.http != nil {
-		// The listener and the connections are closed whatever this returns.
+		// The listener is closed apart, as the server does not know it until its
+		// goroutine runs. Both are closed whatever the calls return.
+		_ = s.listener.Close()
 		_ = s.http.Close()
 		s.http = nil
 	}
