--- a/internal/coordination/answer/answer.go
+++ b/internal/coordination/answer/answer.go
@@ -117,6 +117,9 @@
 	Contract *contract.Contract
 	// Key is the idempotency key; empty when the caller sent none.
 	Key string
+	// Whole says that the caller gets the answer in one piece, at its end. The
+	// reader then gives one part.
+	Whole bool
 	// Spec is what the caller wants. Request, Version, Lineage, Class and
 	// Prefer are filled in by the entry.
 	Spec generation.Spec
@@ -130,14 +133,18 @@
 	// an empty Lineage means that it has seen nothing.
 	Lineage id.Lineage
 	From    id.Index
+	// Whole says that the caller gets the rest in one piece, at its end.
+	Whole bool
 }
 
 // Part is a piece of an answer. Tokens may be empty; Finish is set in the last
-// part alone.
+// part alone. When Lineage differs from the one before, the answer was
+// restarted: what came before is void, and First is 0.
 type Part struct {
-	First  id.Index
-	Tokens []generation.Token
-	Finish *generation.Finish
+	Lineage id.Lineage
+	First   id.Index
+	Tokens  []generation.Token
+	Finish  *generation.Finish
 }
 
 // Reader reads one answer for one caller.
--- /dev/null
+++ b/internal/coordination/request/inherit.go
@@ -0,0 +1,111 @@
+package request
+
+import (
+	"context"
+	"sync"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// inherit looks for what an earlier owner has of the request. It returns a
+// reader when that owner lives, what its attempts left when it is gone, and
+// neither when there was none.
+func (d *Desk) inherit(ctx context.Context, c *contract.Contract, relay Relay) (*answer.Reader, *Found, error) {
+	previous, lives := d.peers.Previous(relay.Request)
+	unkeyed := relay.Spec != nil && relay.From == 0 && !relay.Request.Keyed()
+	if unkeyed || previous == d.cfg.Self {
+		return nil, nil, nil
+	}
+	if lives && previous != d.cfg.Self && relay.Via.open(previous) {
+		reader, err := d.ask(ctx, c, previous, relay)
+		if !fault.Is(err, Lost) && !isRefusal(err, answer.CauseNotFound) {
+			return reader, nil, err
+		}
+	}
+	found, silent := d.search(ctx, c.Models, relay.Request)
+	if found != nil && found.Spec.Contract != c.Name {
+		return nil, nil, notFound(relay.Request)
+	}
+	if found == nil && silent > 0 && relay.Spec == nil {
+		return nil, nil, &answer.Refusal{
+			Outcome: answer.Unknown, Cause: answer.CauseLost, Request: relay.Request, RetryAfter: findTimeout,
+			Detail: "not every process that may hold the answer could be asked",
+		}
+	}
+	if found != nil {
+		d.cfg.Log.Emit(event.RequestAdopted, "request", relay.Request, "target", found.Target.Target,
+			"tokens", len(found.Tokens), "running", found.Running)
+	}
+	return nil, found, nil
+}
+
+// ask reads the answer at the entry that owned it before, without starting it.
+func (d *Desk) ask(ctx context.Context, c *contract.Contract, e id.Entry, relay Relay) (*answer.Reader, error) {
+	readOnly := relay
+	readOnly.Spec = nil
+	return d.pass(ctx, c, e, readOnly)
+}
+
+// search asks the target processes of the models what they hold of a request.
+// It returns the best and the number of those that did not answer.
+func (d *Desk) search(ctx context.Context, models []id.Model, r id.Request) (*Found, int) {
+	var mu sync.Mutex
+	var best *Found
+	silent := 0
+	var wait sync.WaitGroup
+	room := make(chan struct{}, findAtOnce)
+	for _, t := range d.policy.Candidates(models) {
+		wait.Add(1)
+		room <- struct{}{}
+		go func() {
+			defer wait.Done()
+			defer func() { <-room }()
+			found, err := d.findAt(ctx, &t, r)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				silent++
+			}
+			for i := range found {
+				best = better(best, &found[i])
+			}
+		}()
+	}
+	wait.Wait()
+	return best, silent
+}
+
+func (d *Desk) findAt(ctx context.Context, t *member.TargetReport, r id.Request) ([]Found, error) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	return d.link.Find(ctx, t, r, 0)
+}
+
+// better returns the attempt to go on with: of the newest owner, whole before
+// running, the newest attempt, the longest.
+func better(a, b *Found) *Found {
+	switch {
+	case a == nil:
+		return b
+	case a.Epoch != b.Epoch:
+		return pick(a.Epoch > b.Epoch, a, b)
+	case (a.Finish != nil) != (b.Finish != nil):
+		return pick(a.Finish != nil, a, b)
+	case a.Attempt != b.Attempt:
+		return pick(a.Attempt > b.Attempt, a, b)
+	default:
+		return pick(len(a.Tokens) >= len(b.Tokens), a, b)
+	}
+}
+
+func pick(first bool, a, b *Found) *Found {
+	if first {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/coordination/request/open.go
@@ -0,0 +1,218 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// leavingRetry is when a caller that met a leaving entry may come back; the
+// platform's balancer has another one by then.
+const leavingRetry = time.Second
+
+// open finds the request's home and opens the answer there.
+func (d *Desk) open(ctx context.Context, c *contract.Contract, relay Relay) (*answer.Reader, error) {
+	var silent []id.Entry
+	for {
+		home := id.Home(relay.Request, without(d.peers.Live(), silent))
+		if home == "" || home == d.cfg.Self || !relay.Via.open(home) {
+			return d.openHere(ctx, c, relay)
+		}
+		reader, err := d.pass(ctx, c, home, relay)
+		if !fault.Is(err, Lost) {
+			return reader, err
+		}
+		d.peers.Lost(home)
+		silent = append(silent, home)
+	}
+}
+
+// pass opens the answer at its home and goes on elsewhere when that is lost.
+func (d *Desk) pass(ctx context.Context, c *contract.Contract, home id.Entry, relay Relay) (*answer.Reader, error) {
+	next := relay
+	next.Via = append(append(Via(nil), relay.Via...), d.cfg.Self)
+	reader, err := d.peers.Relay(ctx, home, next)
+	if err != nil {
+		return nil, err
+	}
+	d.cfg.Log.Emit(event.RequestForwarded, "request", relay.Request, "contract", c.Name, "home", home)
+	p := &passed{desk: d, contract: c, relay: relay, home: home, reader: reader}
+	p.relay.Lineage = reader.Lineage
+	return &answer.Reader{
+		Request: reader.Request, Lineage: reader.Lineage, Spec: reader.Spec,
+		Next: p.next, Close: p.close,
+	}, nil
+}
+
+// passed reads an answer that another entry owns.
+type passed struct {
+	desk     *Desk
+	contract *contract.Contract
+	relay    Relay
+	home     id.Entry
+	reader   *answer.Reader
+}
+
+func (p *passed) next(ctx context.Context) (answer.Part, error) {
+	for {
+		part, err := p.reader.Next(ctx)
+		if err == nil {
+			p.relay.Lineage = part.Lineage
+			p.relay.From = part.First + id.Index(len(part.Tokens))
+			return part, nil
+		}
+		if !fault.Is(err, Lost) || ctx.Err() != nil {
+			return part, err
+		}
+		if err := p.reopen(ctx); err != nil {
+			return answer.Part{}, err
+		}
+	}
+}
+
+// reopen goes on at the next home after the present one was lost.
+func (p *passed) reopen(ctx context.Context) error {
+	p.reader.Close()
+	p.desk.peers.Lost(p.home)
+	reader, err := p.desk.open(ctx, p.contract, p.relay)
+	if err != nil {
+		return err
+	}
+	p.reader = reader
+	return nil
+}
+
+func (p *passed) close() { p.reader.Close() }
+
+// openHere opens the answer as its home.
+func (d *Desk) openHere(ctx context.Context, c *contract.Contract, relay Relay) (*answer.Reader, error) {
+	if a := d.answers.find(relay.Request); a != nil && (relay.Spec == nil || a.State() != Ended) {
+		return d.join(a, relay)
+	}
+	reader, found, err := d.inherit(ctx, c, relay)
+	if err != nil || reader != nil {
+		return reader, err
+	}
+	if found == nil && relay.Spec == nil {
+		return nil, notFound(relay.Request)
+	}
+	if found == nil && relay.From > 0 {
+		return nil, lost(relay.Request)
+	}
+	return d.begin(c, relay, found)
+}
+
+// begin starts a new answer, or goes on with what another owner left.
+func (d *Desk) begin(c *contract.Contract, relay Relay, found *Found) (*answer.Reader, error) {
+	if found == nil && d.leaving.Load() {
+		refusal := answer.Refuse(answer.CauseLeaving, "this entry is leaving")
+		refusal.RetryAfter = leavingRetry
+		return nil, refusal
+	}
+	now := d.cfg.Clock.Now()
+	fresh := d.fresh(relay, found, now)
+	a, taken := d.answers.reserve(relay.Request, fresh)
+	if !taken {
+		return d.join(a, relay)
+	}
+	ticket, refusal := d.admit(c, a, found)
+	if refusal != nil {
+		a.end(refusal, now)
+		d.answers.remove(relay.Request, a)
+		return nil, refusal
+	}
+	d.start(a, c, ticket, found)
+	return d.join(a, relay)
+}
+
+// fresh returns the record of a new answer or of one that was found.
+func (d *Desk) fresh(relay Relay, found *Found, now time.Time) *Answer {
+	epoch := id.Epoch(now.UnixMilli())
+	if found == nil {
+		return newAnswer(*relay.Spec, relay.Request.Keyed(), epoch, now)
+	}
+	a := newAnswer(*found.Spec, true, max(epoch, found.Epoch+1), now)
+	a.seed(found)
+	return a
+}
+
+// admit takes a place within the contract's limits. An answer that was under
+// way when its owner died was admitted there and is not refused.
+func (d *Desk) admit(c *contract.Contract, a *Answer, found *Found) (Ticket, *answer.Refusal) {
+	if found != nil {
+		return Ticket{Done: func(int) {}}, nil
+	}
+	if refusal := d.gate.Screen(&a.spec); refusal != nil {
+		return Ticket{}, refusal
+	}
+	return d.gate.Admit(c, cost(&a.spec))
+}
+
+// join returns a reader of an answer that this entry owns.
+func (d *Desk) join(a *Answer, relay Relay) (*answer.Reader, error) {
+	spec := a.Spec()
+	switch {
+	case spec.Contract != relay.Contract:
+		return nil, notFound(relay.Request)
+	case relay.Spec != nil && relay.Spec.Fingerprint() != spec.Fingerprint():
+		return nil, conflict(relay.Request, "the idempotency key belongs to another request")
+	case relay.Lineage != "" && relay.From > 0 && relay.Lineage != spec.Lineage:
+		return nil, conflict(relay.Request, "the answer was generated anew; what was read before is void")
+	case relay.From > a.next():
+		return nil, answer.Refuse(answer.CauseInvalid, "the answer has %d tokens so far, not %d", a.next(), relay.From)
+	}
+	if relay.Spec != nil && relay.Spec.Lineage != spec.Lineage {
+		d.cfg.Log.Emit(event.RequestJoined, "request", spec.Request, "contract", spec.Contract)
+	}
+	r := a.open(relay.From, relay.Whole)
+	return &answer.Reader{
+		Request: spec.Request, Lineage: spec.Lineage, Spec: spec,
+		Next:  r.read,
+		Close: func() { r.close(d.cfg.Clock.Now()) },
+	}, nil
+}
+
+func conflict(r id.Request, detail string) *answer.Refusal {
+	return &answer.Refusal{Outcome: answer.Failed, Cause: answer.CauseConflict, Detail: detail, Request: r}
+}
+
+func lost(r id.Request) *answer.Refusal {
+	return &answer.Refusal{
+		Outcome: answer.Failed, Cause: answer.CauseLost, Request: r,
+		Detail: "the processes that held the answer are gone; ask again under a new key",
+	}
+}
+
+// isRefusal reports whether err is a refusal with the cause.
+func isRefusal(err error, cause answer.Cause) bool {
+	var refusal *answer.Refusal
+	return errors.As(err, &refusal) && refusal.Cause == cause
+}
+
+func without(entries, silent []id.Entry) []id.Entry {
+	if len(silent) == 0 {
+		return entries
+	}
+	var out []id.Entry
+	for _, e := range entries {
+		if !contains(silent, e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func contains(entries []id.Entry, e id.Entry) bool {
+	for _, v := range entries {
+		if v == e {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/request/request.go
@@ -0,0 +1,131 @@
+// Package request carries a request at its owning entry from its acceptance to
+// the end of its answer.
+//
+// An Answer is the record of one request: what was asked for, the tokens that
+// came and how it ended. Readers read it by index, any number of them, at
+// their own speed. A runner drives the attempts: it asks for a target, joins
+// the target's frames to the answer, and goes on elsewhere after a loss. The
+// Desk puts it together for the callers' API.
+//
+// The package does no I/O. It reaches target processes and other entries
+// through the function fields of Link and Peers, and it decides by the function
+// fields of Policy.
+//
+// # Usage
+//
+//	desk := request.NewDesk(request.Config{…}, link, peers, policy)
+//	server := caller.NewServer(cfg, desk.Callers(), …)
+//	defer desk.Close()
+package request
+
+import (
+	"context"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Kind is the kind of this package's errors, as a target process or another
+// entry gives it.
+type Kind string
+
+// Kinds of errors of attempts.
+const (
+	// Lost means that the connection to the target process ended.
+	Lost Kind = "lost"
+	// Busy means that the target has no room.
+	Busy Kind = "busy"
+	// Leaving means that the target takes no new work.
+	Leaving Kind = "leaving"
+	// Fenced means that a newer owner has the request.
+	Fenced Kind = "fenced"
+	// NoAttempt means that the target process does not hold the attempt.
+	NoAttempt Kind = "unknown"
+	// Mismatch means that the target serves another version or adapter.
+	Mismatch Kind = "mismatch"
+	// Invalid means that the engine refused the request itself.
+	Invalid Kind = "invalid"
+	// Engine means that the engine failed while it ran the attempt.
+	Engine Kind = "engine"
+	// Deadline means that the request's deadline has passed.
+	Deadline Kind = "deadline"
+	// Failed means that the target process could not serve the attempt.
+	Failed Kind = "failed"
+	// Stalled means that the tokens stopped coming.
+	Stalled Kind = "stalled"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// Start asks a target process for an attempt.
+type Start struct {
+	Spec    *generation.Spec
+	Epoch   id.Epoch
+	Attempt id.Attempt
+	// Prefix holds the answer's tokens so far.
+	Prefix []generation.Token
+}
+
+// Adopt asks a target process for an attempt that it holds.
+type Adopt struct {
+	Request id.Request
+	Epoch   id.Epoch
+	Attempt id.Attempt
+	// From is the first token that is wanted.
+	From id.Index
+}
+
+// Frame is one message of an attempt. Finish is set in the last one alone.
+type Frame struct {
+	Attempt id.Attempt
+	First   id.Index
+	Tokens  []generation.Token
+	Finish  *generation.Finish
+}
+
+// Stream is a running attempt.
+type Stream struct {
+	// Next waits for the next frame. Its errors have this package's kinds.
+	Next func() (Frame, error)
+	// Close ends the stream; the target process keeps the attempt for a while.
+	Close func()
+}
+
+// Found is what a target process holds of a request.
+type Found struct {
+	Target  member.TargetReport
+	Spec    *generation.Spec
+	Epoch   id.Epoch
+	Attempt id.Attempt
+	// Running says that the engine still works on it.
+	Running bool
+	Tokens  []generation.Token
+	Finish  *generation.Finish
+}
+
+// Link reaches target processes.
+type Link struct {
+	// Start opens a new attempt.
+	Start func(ctx context.Context, t *member.TargetReport, s Start) (*Stream, error)
+	// Adopt opens a running or finished attempt.
+	Adopt func(ctx context.Context, t *member.TargetReport, a Adopt) (*Stream, error)
+	// Find asks what a target process holds. An epoch that is not 0 fences
+	// older owners.
+	Find func(ctx context.Context, t *member.TargetReport, r id.Request, epoch id.Epoch) ([]Found, error)
+	// Cancel ends the attempts below a number.
+	Cancel func(ctx context.Context, t *member.TargetReport, r id.Request, epoch id.Epoch, below id.Attempt) error
+}
+
+// Loss is the end of an attempt before the answer was whole.
+type Loss struct {
+	Target member.TargetReport
+	Kind   Kind
+	// Started says that the engine may have seen the attempt.
+	Started bool
+	Detail  string
+	At      time.Time
+}
--- a/internal/state/id/id.go
+++ b/internal/state/id/id.go
@@ -112,6 +112,9 @@
 	return len(rest) <= homePartDigits+1+2*16
 }
 
+// Keyed reports whether r was made from an idempotency key.
+func (r Request) Keyed() bool { return r.Valid() && r.homePart() == noHomePart }
+
 // homePart returns r's home part.
 func (r Request) homePart() string {
 	if !r.Valid() {
--- /dev/null
+++ b/internal/transport/peer/entry_server.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/request"
+	"foxtailward.example/foxtailward/internal/protocol/peer"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// EntryServer serves other entries. Its fields are set before it serves.
+type EntryServer struct {
+	peerpb.UnimplementedEntryServer
+
+	// Stamp returns the stamp of each reply, and Stamped takes the sender's.
+	Stamp   func() *peerpb.Stamp
+	Stamped func(s *peerpb.Stamp)
+	// Open opens an answer that this entry owns.
+	Open func(ctx context.Context, relay request.Relay) (*answer.Reader, error)
+	// Call carries out a call that was passed on.
+	Call func(ctx context.Context, m *peerpb.RelayCallRequest) (*peerpb.CallReply, error)
+	// Shares answers for the limits that this entry owns.
+	Shares func(from id.Entry, m *peerpb.ShareRequest) *peerpb.ShareReply
+	// Decisions returns what is known of a request.
+	Decisions func(r id.Request) *peerpb.ExplainReply
+}
+
+// Relay serves an answer to another entry.
+func (s *EntryServer) Relay(m *peerpb.RelayRequest, stream peerpb.Entry_RelayServer) error {
+	s.Stamped(m.GetStamp())
+	relay, err := toRelay(m)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	reader, err := s.Open(stream.Context(), relay)
+	if err != nil {
+		return s.refuse(stream, err)
+	}
+	defer reader.Close()
+	if err := s.accept(stream, reader.Lineage); err != nil {
+		return err
+	}
+	lineage := reader.Lineage
+	for {
+		part, err := reader.Next(stream.Context())
+		if err != nil {
+			return s.refuse(stream, err)
+		}
+		if part.Lineage != lineage && part.Lineage != "" {
+			lineage = part.Lineage
+			if err := s.accept(stream, lineage); err != nil {
+				return err
+			}
+		}
+		if err := s.send(stream, &part); err != nil || part.Finish != nil {
+			return err
+		}
+	}
+}
+
+func (s *EntryServer) accept(stream peerpb.Entry_RelayServer, lineage id.Lineage) error {
+	return stream.Send(&peerpb.RelayReply{
+		Stamp:   s.Stamp(),
+		Message: &peerpb.RelayReply_Accepted{Accepted: &peerpb.Accepted{Lineage: string(lineage)}},
+	})
+}
+
+// send sends a part as one or two messages.
+func (s *EntryServer) send(stream peerpb.Entry_RelayServer, part *answer.Part) error {
+	if len(part.Tokens) > 0 {
+		m := &peerpb.RelayReply{Message: &peerpb.RelayReply_Tokens{Tokens: tokensOf(0, part.First, part.Tokens)}}
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+	}
+	if part.Finish == nil {
+		return nil
+	}
+	return stream.Send(&peerpb.RelayReply{
+		Message: &peerpb.RelayReply_Finish{Finish: peer.FromFinish(0, part.Finish)},
+	})
+}
+
+// refuse tells a refusal as a message, so that it is not taken for a loss.
+func (s *EntryServer) refuse(stream peerpb.Entry_RelayServer, err error) error {
+	var refusal *answer.Refusal
+	if !errors.As(err, &refusal) {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	return stream.Send(&peerpb.RelayReply{
+		Stamp:   s.Stamp(),
+		Message: &peerpb.RelayReply_Refused{Refused: fromRefusal(refusal)},
+	})
+}
+
+// RelayCall carries out a call to a plain service for another entry.
+func (s *EntryServer) RelayCall(ctx context.Context, m *peerpb.RelayCallRequest) (*peerpb.CallReply, error) {
+	s.Stamped(m.GetStamp())
+	return s.Call(ctx, m)
+}
+
+// Share answers for limits.
+func (s *EntryServer) Share(_ context.Context, m *peerpb.ShareRequest) (*peerpb.ShareReply, error) {
+	s.Stamped(m.GetStamp())
+	reply := s.Shares(id.Entry(m.GetStamp().GetSender()), m)
+	reply.Stamp = s.Stamp()
+	return reply, nil
+}
+
+// Explain returns what is known of a request.
+func (s *EntryServer) Explain(_ context.Context, m *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	reply := s.Decisions(id.Request(m.GetRequest()))
+	reply.Stamp = s.Stamp()
+	return reply, nil
+}
--- /dev/null
+++ b/internal/transport/peer/pool.go
@@ -0,0 +1,117 @@
+// Package peer connects foxtailward's own processes over gRPC: the client side
+// of target processes and entries, and the server side of entries.
+//
+// # Usage
+//
+//	pool := peer.NewPool(stamp)
+//	defer pool.Close()
+//	link := peer.NewLink(pool, clock, onLoad)
+//	peers := peer.NewPeers(pool, addressOf)
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/fault"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Unreachable means that no connection could be made.
+	Unreachable Kind = "unreachable"
+	// Closed means that the pool was closed.
+	Closed Kind = "closed"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// Keepalive finds connections that are open on one side alone. Both together
+// stay below the six seconds within which an answer must go on.
+const (
+	keepaliveEvery   = 2 * time.Second
+	keepaliveTimeout = 2 * time.Second
+)
+
+// minKeepalive is the shortest interval of pings that servers accept.
+const minKeepalive = time.Second
+
+// maxMessageBytes bounds one message; a whole answer of the longest kind fits.
+const maxMessageBytes = 16 << 20
+
+// ServerOptions returns the options that every process's server uses.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveEvery, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepalive, PermitWithoutStream: true}),
+	}
+}
+
+// Pool holds one connection for each address.
+type Pool struct {
+	// Stamp returns the stamp of each message that is sent.
+	Stamp func() *peerpb.Stamp
+
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	closed bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(stamp func() *peerpb.Stamp) *Pool {
+	return &Pool{Stamp: stamp, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Conn returns the connection to an address. It connects when it is used.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, fault.New("Pool.Conn", Closed, "the pool is closed")
+	}
+	if c, ok := p.conns[address]; ok {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveEvery, Timeout: keepaliveTimeout}))
+	if err != nil {
+		return nil, fault.Wrap("Pool.Conn", Unreachable, err)
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// Keep closes the connections to addresses that are not listed.
+func (p *Pool) Keep(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		if !addresses[address] {
+			// Closing fails only when it is closed already.
+			_ = c.Close()
+			delete(p.conns, address)
+		}
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.Keep(nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
