Combine reports, host list and silence into one member view

A report lets its target take work for 2.5 s, so a leaving target is left alone within 3 s with 500 ms on the wire, also where nothing of it is heard.

--- /dev/null
+++ b/internal/coordination/member/config.go
@@ -0,0 +1,74 @@
+package member
+
+import "time"
+
+// Defaults of Config.
+const (
+	// DefaultReportEvery is the time between two reports of a target.
+	DefaultReportEvery = time.Second
+	// DefaultReportLife is how long a report lets its target take work. It
+	// leaves 500 ms of the 3 s within which a leaving target must be left
+	// alone for a report's time on the wire.
+	DefaultReportLife = 2500 * time.Millisecond
+	// DefaultEntryLife is how long an entry's report makes it a live entry.
+	DefaultEntryLife = 8 * time.Second
+	// DefaultGoneAfter is the silence after which a member counts as gone.
+	DefaultGoneAfter = 45 * time.Second
+	// DefaultForgetAfter is how long a gone member's numbers are kept, so that
+	// old reports do not revive it.
+	DefaultForgetAfter = 15 * time.Minute
+	// DefaultFlapWindow is the time within which silences count as flapping.
+	DefaultFlapWindow = time.Minute
+	// DefaultFlapHold is the first time that a flapping target is held back.
+	DefaultFlapHold = 5 * time.Second
+	// DefaultFlapHoldMax is the longest time.
+	DefaultFlapHoldMax = time.Minute
+	// DefaultFlapLimit is the number of silences that start damping.
+	DefaultFlapLimit = 3
+	// DefaultZoneShare is the part of a zone's members whose silence is the
+	// zone's loss.
+	DefaultZoneShare = 0.6
+	// DefaultZoneWindow is how long a silence waits to be seen as part of its
+	// zone's loss before it is told on its own.
+	DefaultZoneWindow = 1500 * time.Millisecond
+	// DefaultZoneMembers is the smallest number of members of a zone that may
+	// be lost as one.
+	DefaultZoneMembers = 3
+)
+
+// Config sets how a view judges silence. A zero field means its default.
+type Config struct {
+	ReportLife  time.Duration
+	EntryLife   time.Duration
+	GoneAfter   time.Duration
+	ForgetAfter time.Duration
+	FlapWindow  time.Duration
+	FlapHold    time.Duration
+	FlapHoldMax time.Duration
+	FlapLimit   int
+	ZoneShare   float64
+	ZoneWindow  time.Duration
+	ZoneMembers int
+}
+
+// Defaults fills in what c leaves out.
+func (c *Config) Defaults() {
+	setDefault(&c.ReportLife, DefaultReportLife)
+	setDefault(&c.EntryLife, DefaultEntryLife)
+	setDefault(&c.GoneAfter, DefaultGoneAfter)
+	setDefault(&c.ForgetAfter, DefaultForgetAfter)
+	setDefault(&c.FlapWindow, DefaultFlapWindow)
+	setDefault(&c.FlapHold, DefaultFlapHold)
+	setDefault(&c.FlapHoldMax, DefaultFlapHoldMax)
+	setDefault(&c.FlapLimit, DefaultFlapLimit)
+	setDefault(&c.ZoneShare, DefaultZoneShare)
+	setDefault(&c.ZoneWindow, DefaultZoneWindow)
+	setDefault(&c.ZoneMembers, DefaultZoneMembers)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
