Take calls to plain services, and follow a request that moved

Cause: plain services stand beside the engines, and two entries may own one request for a while. Change: calls join by key at their home entry and are tried elsewhere only when that is allowed; an owner that was fenced reads on without fencing back.

--- a/internal/coordination/request/desk.go
+++ b/internal/coordination/request/desk.go
@@ -207,7 +207,11 @@
 	go func() {
 		defer d.running.Done()
 		defer cancel()
-		r.run(ctx)
+		refusal := r.run(ctx)
+		if refusal != nil && refusal.Cause == answer.CauseConflict {
+			refusal = d.follow(ctx, a, c.Models)
+		}
+		r.finish(refusal)
 		ticket.Done(spec.PromptTokens() + int(a.next()))
 	}()
 }
--- a/internal/coordination/request/runner.go
+++ b/internal/coordination/request/runner.go
@@ -39,30 +39,28 @@
 	lostAt time.Time
 }
 
-// run drives attempts until the answer is whole or given up.
-func (r *runner) run(ctx context.Context) {
+// run drives attempts until the answer is whole, which gives nil, or given up.
+func (r *runner) run(ctx context.Context) *answer.Refusal {
 	for {
 		if r.answer.whole() {
-			r.finish(nil)
-			return
+			return nil
 		}
 		choice, refusal := r.place(ctx)
 		if refusal != nil {
-			r.finish(refusal)
-			return
+			return refusal
 		}
 		loss := r.attempt(ctx, &choice)
 		if loss == nil {
 			continue
 		}
 		if refusal := r.terminal(ctx, loss); refusal != nil {
-			r.finish(refusal)
-			return
+			return refusal
 		}
 		r.losses = append(r.losses, *loss)
 	}
 }
 
+// finish closes the answer and logs its end.
 func (r *runner) finish(refusal *answer.Refusal) {
 	r.answer.end(refusal, r.clock.Now())
 	spec := r.answer.Spec()
--- /dev/null
+++ b/internal/transport/peer/calls.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/request"
+	"foxtailward.example/foxtailward/internal/protocol/peer"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Calls is the client of target processes beside plain services.
+type Calls struct {
+	link link
+}
+
+// NewCalls returns a client over pool.
+func NewCalls(pool *Pool, clock clockwork.Clock, reports Reports) *Calls {
+	return &Calls{link: link{pool: pool, clock: clock, reports: reports}}
+}
+
+// Call sends a call that needs no claim. Its errors are Busy when the service
+// surely did not see it, else Lost.
+func (c *Calls) Call(ctx context.Context, t *member.TargetReport, r id.Request, call *answer.Call) (*answer.Reply, error) {
+	reply, err := c.Send(ctx, t, r, call, 0)
+	if err != nil {
+		return nil, err
+	}
+	switch reply.GetOutcome() {
+	case peer.OutcomeDone:
+		return peer.ToReply(r, reply), nil
+	case peer.OutcomeNotRun:
+		return nil, fault.New("Calls.Call", request.Busy, "%s", reply.GetDetail())
+	default:
+		return nil, fault.New("Calls.Call", request.Lost, "%s", reply.GetDetail())
+	}
+}
+
+// Send sends a call and returns the target process's word on it. A claim's
+// incarnation is 0 for calls that need no claim.
+func (c *Calls) Send(ctx context.Context, t *member.TargetReport, r id.Request, call *answer.Call,
+	claimed id.Incarnation,
+) (*peerpb.CallReply, error) {
+	client, err := c.link.client(t)
+	if err != nil {
+		return nil, fault.Wrap("Calls.Send", request.Busy, err)
+	}
+	m := peer.FromCall(r, call)
+	m.Stamp = c.link.pool.Stamp()
+	m.ClaimedIncarnation = int64(claimed)
+	reply, err := client.Call(ctx, m)
+	if err != nil {
+		c.link.reports.Broken(t.Target)
+		return nil, fault.Wrap("Calls.Send", request.Lost, err)
+	}
+	c.link.take(reply.GetStamp(), reply.GetLoad())
+	return reply, nil
+}
+
+// Fence asks what became of a claimed call and forbids it if it has not run.
+func (c *Calls) Fence(ctx context.Context, t *member.TargetReport, r id.Request, claimed id.Incarnation) (*peerpb.CallReply, error) {
+	client, err := c.link.client(t)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.FenceCall(ctx, &peerpb.FenceCallRequest{
+		Stamp: c.link.pool.Stamp(), Request: string(r), ClaimedIncarnation: int64(claimed),
+	})
+	if err != nil {
+		return nil, fault.Wrap("Calls.Fence", request.Lost, err)
+	}
+	c.link.take(reply.GetStamp(), reply.GetLoad())
+	return reply, nil
+}
+
+// Call passes a call on to another entry.
+func (r *Relays) Call(ctx context.Context, e id.Entry, call answer.Call, via request.Via) (*answer.Reply, error) {
+	client, err := r.client(e)
+	if err != nil {
+		return nil, err
+	}
+	m := &peerpb.RelayCallRequest{Stamp: r.pool.Stamp(), Call: peer.FromCall("", &call), Via: joinVia(via)}
+	reply, err := client.RelayCall(ctx, m)
+	if err != nil {
+		return nil, fault.Wrap("Relays.Call", request.Lost, err)
+	}
+	if s := reply.GetStamp(); s != nil {
+		r.Stamp(s)
+	}
+	if refused := reply.GetRefused(); refused != nil {
+		return nil, toRefusal(refused)
+	}
+	return peer.ToReply(id.Request(reply.GetRequest()), reply), nil
+}
+
+// ReplyOf returns the message for the outcome of a call that was passed on. A
+// refusal is told as a message, so that it is not taken for a loss.
+func ReplyOf(reply *answer.Reply, err error) (*peerpb.CallReply, error) {
+	if refusal, ok := asRefusal(err); ok {
+		return &peerpb.CallReply{Refused: fromRefusal(refusal)}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	m := peer.FromReply(reply)
+	m.Request = string(reply.Request)
+	return m, nil
+}
+
+// CallOf returns the call in m and the way it came.
+func CallOf(m *peerpb.RelayCallRequest) (answer.Call, request.Via) {
+	return peer.ToCall(m.GetCall()), splitVia(m.GetVia())
+}
--- a/internal/transport/peer/entry_server.go
+++ b/internal/transport/peer/entry_server.go
@@ -89,8 +89,8 @@
 
 // refuse tells a refusal as a message, so that it is not taken for a loss.
 func (s *EntryServer) refuse(stream peerpb.Entry_RelayServer, err error) error {
-	var refusal *answer.Refusal
-	if !errors.As(err, &refusal) {
+	refusal, ok := asRefusal(err)
+	if !ok {
 		return status.Error(codes.Unavailable, err.Error())
 	}
 	return stream.Send(&peerpb.RelayReply{
@@ -99,6 +99,12 @@
 	})
 }
 
+func asRefusal(err error) (*answer.Refusal, bool) {
+	var refusal *answer.Refusal
+	ok := errors.As(err, &refusal)
+	return refusal, ok
+}
+
 // RelayCall carries out a call to a plain service for another entry.
 func (s *EntryServer) RelayCall(ctx context.Context, m *peerpb.RelayCallRequest) (*peerpb.CallReply, error) {
 	s.Stamped(m.GetStamp())
--- a/internal/transport/peer/link.go
+++ b/internal/transport/peer/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -153,6 +152,10 @@
 	default:
 		kind = request.Failed
 	}
+	if !m.GetStarted() && (kind == request.Failed || kind == request.Engine || kind == request.Deadline) {
+		// The engine was not reached, so another target may be asked.
+		kind = request.Busy
+	}
 	return fault.New("Target.Run", kind, "%s", m.GetDetail())
 }
 
@@ -211,14 +214,6 @@
 	return fault.Wrap("link.cancel", request.Lost, err)
 }
 
-// deadlineOf returns the deadline of ctx, or now plus the limit.
-func deadlineOf(ctx context.Context, now time.Time, limit time.Duration) time.Time {
-	if at, ok := ctx.Deadline(); ok {
-		return at
-	}
-	return now.Add(limit)
-}
-
 // tokensOf returns the message for tokens of an attempt.
 func tokensOf(attempt id.Attempt, first id.Index, tokens []generation.Token) *peerpb.Tokens {
 	return &peerpb.Tokens{Attempt: uint32(attempt), First: uint32(first), Tokens: peer.FromTokens(tokens)}
