--- a/internal/coordination/request/answer.go
+++ b/internal/coordination/request/answer.go
@@ -311,27 +311,28 @@
 	}
 }
 
-// poll returns what there is now.
+// poll returns what there is now. The tokens of an answer that failed are
+// given before its refusal.
 func (r *reader) poll() (answer.Part, bool, error) {
 	a := r.answer
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.refusal != nil {
-		return answer.Part{}, false, a.refusal
-	}
-	done := a.state == Finished
-	if r.whole && !done {
+	if r.whole && a.state == Running {
 		return answer.Part{}, false, nil
 	}
-	log := a.joiner.Log()
 	part := answer.Part{Lineage: a.spec.Lineage, First: r.next}
-	if int(r.next) < len(log) {
+	log := a.joiner.Log()
+	if int(r.next) < len(log) && !(r.whole && a.refusal != nil) {
 		part.Tokens = log[r.next:]
 		r.next = id.Index(len(log))
 		a.joiner.Saw()
 	}
-	if done {
+	if a.state == Finished {
 		part.Finish = a.joiner.Finished()
+		return part, true, nil
+	}
+	if len(part.Tokens) == 0 && a.refusal != nil {
+		return answer.Part{}, false, a.refusal
 	}
-	return part, done || len(part.Tokens) > 0, nil
+	return part, len(part.Tokens) > 0, nil
 }
--- a/internal/coordination/request/desk.go
+++ b/internal/coordination/request/desk.go
@@ -192,7 +192,10 @@
 func (d *Desk) start(a *Answer, c *contract.Contract, ticket Ticket, found *Found) {
 	ctx, cancel := context.WithCancel(d.ctx)
 	a.setCancel(cancel)
-	r := &runner{answer: a, link: &d.link, policy: &d.policy, clock: d.cfg.Clock, log: d.cfg.Log, meter: d.cfg.Meter}
+	r := &runner{
+		answer: a, link: &d.link, policy: &d.policy, clock: d.cfg.Clock, log: d.cfg.Log, meter: d.cfg.Meter,
+		maxAttempts: d.gate.Conf().Deployment.Recovery.MaxAttempts,
+	}
 	if found != nil {
 		r.touched = true
 		if found.Running {
--- a/internal/coordination/request/leg.go
+++ b/internal/coordination/request/leg.go
@@ -151,6 +151,7 @@
 	added, verdict := r.answer.take(f)
 	if added > 0 {
 		l.decoded += added
+		r.idle = 0
 		r.flowing(l, now)
 	}
 	switch verdict {
@@ -160,7 +161,7 @@
 		r.meter.Dropped(len(f.Tokens))
 		return false, nil
 	default:
-		return false, fault.New("runner.join", Engine, "frame at %d does not fit: %v", f.First, verdict)
+		return false, fault.New("runner.join", Corrupt, "frame at %d: %v", f.First, verdict)
 	}
 }
 
@@ -218,6 +219,9 @@
 	}
 	loss := &Loss{Target: l.target, Kind: kind, Started: started(kind), Detail: err.Error(), At: r.clock.Now()}
 	r.touched = r.touched || loss.Started
+	if loss.Started {
+		r.idle++
+	}
 	if loss.Started && r.lostAt.IsZero() {
 		r.lostAt = loss.At
 	}
--- a/internal/coordination/request/request.go
+++ b/internal/coordination/request/request.go
@@ -56,6 +56,9 @@
 	Failed Kind = "failed"
 	// Stalled means that the tokens stopped coming.
 	Stalled Kind = "stalled"
+	// Corrupt means that the tokens contradict the text that is held, or its
+	// end does.
+	Corrupt Kind = "corrupt"
 )
 
 // Error is this package's error.
--- a/internal/coordination/request/runner.go
+++ b/internal/coordination/request/runner.go
@@ -28,7 +28,14 @@
 	log    *event.Log
 	meter  *Meter
 
+	// maxAttempts bounds the attempts in a row that add nothing.
+	maxAttempts int
+
 	losses []Loss
+	// idle counts the attempts since the last token came.
+	idle int
+	// corrupt says that the text held cannot be trusted.
+	corrupt bool
 	// found is set when another owner left an attempt that runs.
 	found *member.TargetReport
 	// touched says that an engine may have seen the request.
@@ -79,7 +86,14 @@
 		r.found = nil
 		return Choice{Action: Rejoin, Target: *t, Reason: "found"}, nil
 	}
+	if r.corrupt && !r.answer.restart(newLineage(), r.answer.Spec().Version) {
+		return Choice{}, r.refusal(answer.CauseLost, "the text held does not agree with its checksum", 0)
+	}
+	r.corrupt = false
 	for {
+		if r.idle >= r.maxAttempts {
+			return Choice{}, r.refusal(answer.CauseLost, "too many attempts in a row gave no token", 0)
+		}
 		spec := r.answer.Spec()
 		choice := r.policy.Place(Placement{
 			Spec:       &spec,
@@ -159,6 +173,9 @@
 		return r.refusal(answer.CauseInvalid, loss.Detail, 0)
 	case loss.Kind == Fenced:
 		return r.refusal(answer.CauseConflict, "another entry owns the request", 0)
+	case loss.Kind == Corrupt:
+		r.corrupt = true
+		return nil
 	case loss.Kind == Deadline:
 		return r.refusal(answer.CauseDeadline, "the deadline passed", 0)
 	}
