--- a/internal/coordination/request/desk_test.go
+++ b/internal/coordination/request/desk_test.go
@@ -421,7 +421,7 @@
 	f := newTargets(2)
 	f.scripts = []script{{dieAfter: 4, stallAfter: -1, garble: -1}}
 	clock := clockwork.NewRealClock()
-	policy := f.policy(clock)
+	policy := f.policy()
 	place := policy.Place
 	policy.Place = func(p request.Placement, now time.Time) request.Choice {
 		choice := place(p, now)
--- a/internal/coordination/request/fake_test.go
+++ b/internal/coordination/request/fake_test.go
@@ -25,8 +25,8 @@
 func expected(version id.Version, prompt string, n int) []generation.Token {
 	out := make([]generation.Token, n)
 	for i := range out {
-		print := id.FingerprintOf(string(version), prompt, strconv.Itoa(i))
-		out[i] = generation.Token{ID: uint32(print), Text: " " + print.String()[:4]}
+		sum := id.FingerprintOf(string(version), prompt, strconv.Itoa(i))
+		out[i] = generation.Token{ID: uint32(sum), Text: " " + sum.String()[:4]}
 	}
 	return out
 }
@@ -161,7 +161,7 @@
 }
 
 // policy goes through the targets in turn and holds when there is none.
-func (f *fakeTargets) policy(clock clockwork.Clock) request.Policy {
+func (f *fakeTargets) policy() request.Policy {
 	return request.Policy{
 		Place: func(p request.Placement, _ time.Time) request.Choice {
 			f.mu.Lock()
@@ -231,7 +231,7 @@
 func newDesk(t *testing.T, f *fakeTargets, clock clockwork.Clock, peers request.Peers) *request.Desk {
 	t.Helper()
 	cfg := request.Config{Self: "e1", Clock: clock, Log: event.NewWriter(io.Discard, clock), RetainedTokens: 1 << 20}
-	d := request.NewDesk(cfg, f.link(), peers, f.policy(clock), openGate())
+	d := request.NewDesk(cfg, f.link(), peers, f.policy(), openGate())
 	t.Cleanup(d.Close)
 	return d
 }
--- a/internal/coordination/request/leg.go
+++ b/internal/coordination/request/leg.go
@@ -49,7 +49,7 @@
 	}
 	defer func() { r.retire(legs, nil) }()
 	for len(legs) > 0 {
-		lost, reason, done := r.step(ctx, legs, events)
+		lost, done, reason := r.step(ctx, legs, events)
 		if done {
 			return nil
 		}
@@ -116,31 +116,31 @@
 
 // step waits for one event. It returns the leg that was lost with the reason,
 // or done when the answer is whole.
-func (r *runner) step(ctx context.Context, legs legs, events <-chan legEvent) (*leg, error, bool) {
+func (r *runner) step(ctx context.Context, legs legs, events <-chan legEvent) (lost *leg, done bool, reason error) {
 	now := r.clock.Now()
 	stalled, check := legs.check(now)
 	if stalled != nil {
-		return stalled, fault.New("runner.step", Stalled, "no token came in time"), false
+		return stalled, false, fault.New("runner.step", Stalled, "no token came in time")
 	}
 	timer := r.clock.NewTimer(check.Sub(now))
 	defer timer.Stop()
 	select {
 	case e := <-events:
 		if !legs.has(e.leg) {
-			return nil, nil, false
+			return nil, false, nil
 		}
 		if e.err != nil {
-			return e.leg, e.err, false
+			return e.leg, false, e.err
 		}
 		done, err := r.join(e.leg, &e.frame)
 		if err != nil {
-			return e.leg, err, false
+			return e.leg, false, err
 		}
-		return nil, nil, done
+		return nil, done, nil
 	case <-timer.Chan():
-		return nil, nil, false
+		return nil, false, nil
 	case <-ctx.Done():
-		return legs[0], fault.Wrap("runner.step", Lost, ctx.Err()), false
+		return legs[0], false, fault.Wrap("runner.step", Lost, ctx.Err())
 	}
 }
 
