Run attempts beside an engine, from gRPC to the engine and back

Cause: the process beside each target is the only road to it; entries need a stream with Start, Adopt, Tokens and Finish. Change: package attempt holds attempts, epochs, logs and admission as a state machine without I/O; transport/engine reads the engine's streams and metrics; transport/target serves peerpb.Target.Run, Find and Cancel. settings gets LoadEntry and LoadTarget, and Engine what it is set up for: model, version, adapters, role, queue, logBytes.

--- /dev/null
+++ b/internal/coordination/attempt/log.go
@@ -0,0 +1,95 @@
+package attempt
+
+import (
+	"strings"
+	"unsafe"
+
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// pageTokens is the number of tokens of a page. A page's unused part is the
+// only memory of a log that holds nothing.
+const pageTokens = 64
+
+// usualTokenBytes is the length of the text of most tokens. Longer ones make
+// a page's text grow.
+const usualTokenBytes = 5
+
+// Log is the tokens of an answer, numbered from 0. It grows in pages, each
+// with one text for all its tokens, so that a token costs its text and eight
+// bytes, and reading it costs no allocation.
+type Log struct {
+	pages []*page
+	next  id.Index
+	sum   generation.Checksum
+	bytes int
+}
+
+type page struct {
+	ids  [pageTokens]uint32
+	ends [pageTokens]uint32
+	// text is only ever appended to, so the strings that were cut from it stay
+	// as they are.
+	text strings.Builder
+}
+
+const pageBytes = int(unsafe.Sizeof(page{})) + int(unsafe.Sizeof((*page)(nil)))
+
+// Append adds a token.
+func (l *Log) Append(t generation.Token) {
+	slot := int(l.next) % pageTokens
+	if slot == 0 {
+		l.addPage()
+	}
+	p := l.pages[len(l.pages)-1]
+	before := p.text.Cap()
+	p.text.WriteString(t.Text)
+	l.bytes += p.text.Cap() - before
+	p.ids[slot] = t.ID
+	p.ends[slot] = uint32(p.text.Len())
+	l.sum = l.sum.Add(t)
+	l.next++
+}
+
+func (l *Log) addPage() {
+	p := &page{}
+	p.text.Grow(pageTokens * usualTokenBytes)
+	l.pages = append(l.pages, p)
+	l.bytes += pageBytes + p.text.Cap()
+}
+
+// Next returns the number of tokens.
+func (l *Log) Next() id.Index { return l.next }
+
+// Checksum returns the checksum of all tokens.
+func (l *Log) Checksum() generation.Checksum { return l.sum }
+
+// Bytes returns the memory that the log takes.
+func (l *Log) Bytes() int { return l.bytes }
+
+// Read appends the tokens from index from on to buf, until buf is full.
+func (l *Log) Read(from id.Index, buf []generation.Token) []generation.Token {
+	for i := from; i < l.next && len(buf) < cap(buf); i++ {
+		buf = append(buf, l.at(i))
+	}
+	return buf
+}
+
+func (l *Log) at(i id.Index) generation.Token {
+	p, slot := l.pages[int(i)/pageTokens], int(i)%pageTokens
+	var start uint32
+	if slot > 0 {
+		start = p.ends[slot-1]
+	}
+	return generation.Token{ID: p.ids[slot], Text: p.text.String()[start:p.ends[slot]]}
+}
+
+// IDs returns the ids of all tokens, for an engine that goes on after them.
+func (l *Log) IDs() []uint32 {
+	ids := make([]uint32, 0, l.next)
+	for i := range l.next {
+		ids = append(ids, l.pages[int(i)/pageTokens].ids[int(i)%pageTokens])
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/state/settings/load.go
@@ -0,0 +1,270 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/tomlfile"
+)
+
+// Defaults of what a file leaves out.
+const (
+	defaultHostListEvery   = conf.Duration(2 * time.Second)
+	defaultWritesPerSecond = 5
+	defaultReadsPerSecond  = 20
+	defaultEngineSlots     = 64
+	defaultServiceSlots    = 16
+	defaultLogBytes        = 256 << 20
+	defaultReplyBytes      = 64 << 20
+	defaultRole            = "mixed"
+)
+
+// Limits of what a file may say.
+const (
+	maxSlots = 4096
+	maxQueue = 65536
+)
+
+// KeyError says which key of the settings breaks a rule, and what was
+// expected.
+type KeyError struct {
+	// Key is the dotted key, as it is written in the file.
+	Key string
+	// Detail says what the value is and what was expected.
+	Detail string
+}
+
+// Error returns the key and the detail.
+func (e *KeyError) Error() string { return e.Key + ": " + e.Detail }
+
+func refuse(key, format string, args ...any) error {
+	return &KeyError{Key: key, Detail: fmt.Sprintf(format, args...)}
+}
+
+// LoadEntry reads, completes and checks the settings of an entry process. The
+// error is an *Error that names the file, the line, the key and what was
+// expected.
+func LoadEntry(path string) (*Entry, error) {
+	s := &Entry{}
+	return s, load(path, s, func() error { s.Defaults(); return s.Validate() })
+}
+
+// LoadTarget reads, completes and checks the settings of a target process. The
+// error is an *Error that names the file, the line, the key and what was
+// expected.
+func LoadTarget(path string) (*Target, error) {
+	s := &Target{}
+	return s, load(path, s, func() error { s.Defaults(); return s.Validate() })
+}
+
+func load(path string, into any, check func() error) error {
+	const op = "settings.load"
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(op, Unreadable, err)
+	}
+	if err := tomlfile.Decode(path, data, into); err != nil {
+		return fault.Wrap(op, Unreadable, err)
+	}
+	err = check()
+	var key *KeyError
+	if errors.As(err, &key) {
+		err = tomlfile.Refuse(path, data, key.Key, key.Detail)
+	}
+	return fault.Wrap(op, Invalid, err)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Defaults fills in what p leaves out.
+func (p *Platform) Defaults() {
+	setDefault(&p.HostListEvery, defaultHostListEvery)
+	setDefault(&p.StoreWritesPerSecond, defaultWritesPerSecond)
+	setDefault(&p.StoreReadsPerSecond, defaultReadsPerSecond)
+}
+
+// Validate returns a *KeyError for the first key that breaks a rule.
+func (p *Platform) Validate() error {
+	for i, s := range p.Stores {
+		if err := checkURL("platform.stores", s); err != nil {
+			return refuse("platform.stores", "element %d: %s", i, err.(*KeyError).Detail)
+		}
+	}
+	if p.HostList != "" {
+		if err := checkURL("platform.hostList", p.HostList); err != nil {
+			return err
+		}
+	}
+	switch {
+	case p.HostListEvery < 0:
+		return refuse("platform.hostListEvery", "is %v, want a duration above 0", p.HostListEvery.Std())
+	case p.StoreWritesPerSecond < 0:
+		return refuse("platform.storeWritesPerSecond", "is %v, want a number above 0", p.StoreWritesPerSecond)
+	case p.StoreReadsPerSecond < 0:
+		return refuse("platform.storeReadsPerSecond", "is %v, want a number above 0", p.StoreReadsPerSecond)
+	}
+	return nil
+}
+
+// Validate returns a *KeyError for the first key that breaks a rule.
+func (p *Place) Validate() error {
+	switch {
+	case p.Host == "":
+		return refuse("place.host", "is empty, want the host's name")
+	case p.Zone == "":
+		return refuse("place.zone", "is empty, want the availability zone's name")
+	case p.Region == "":
+		return refuse("place.region", "is empty, want the region's name")
+	}
+	return nil
+}
+
+// Defaults fills in what s leaves out.
+func (s *Entry) Defaults() { s.Platform.Defaults() }
+
+// Validate returns a *KeyError for the first key that breaks a rule.
+func (s *Entry) Validate() error {
+	if s.Name == "" {
+		return refuse("name", "is empty, want the entry's name")
+	}
+	if err := s.Place.Validate(); err != nil {
+		return err
+	}
+	if err := s.Platform.Validate(); err != nil {
+		return err
+	}
+	return checkAddresses(
+		address{"callers", s.Callers}, address{"peers", s.Peers}, address{"operators", s.Operators})
+}
+
+// Defaults fills in what s leaves out.
+func (s *Target) Defaults() {
+	s.Platform.Defaults()
+	if s.Engine != nil {
+		s.Engine.Defaults()
+	}
+	if s.Service != nil {
+		s.Service.Defaults()
+	}
+}
+
+// Validate returns a *KeyError for the first key that breaks a rule.
+func (s *Target) Validate() error {
+	if s.Name == "" {
+		return refuse("name", "is empty, want the target's name")
+	}
+	if err := s.Place.Validate(); err != nil {
+		return err
+	}
+	if err := s.Platform.Validate(); err != nil {
+		return err
+	}
+	if err := checkAddresses(address{"peers", s.Peers}, address{"operators", s.Operators}); err != nil {
+		return err
+	}
+	switch {
+	case s.Engine == nil && s.Service == nil:
+		return refuse("engine", "is missing, want either a table engine or a table service")
+	case s.Engine != nil && s.Service != nil:
+		return refuse("service", "is there beside engine, want just one of the two")
+	case s.Engine != nil:
+		return s.Engine.Validate()
+	}
+	return s.Service.Validate()
+}
+
+// Defaults fills in what e leaves out.
+func (e *Engine) Defaults() {
+	setDefault(&e.Slots, defaultEngineSlots)
+	setDefault(&e.Queue, e.Slots)
+	setDefault(&e.LogBytes, defaultLogBytes)
+	setDefault(&e.Role, defaultRole)
+}
+
+// Validate returns a *KeyError for the first key that breaks a rule.
+func (e *Engine) Validate() error {
+	if err := checkURL("engine.url", e.URL); err != nil {
+		return err
+	}
+	switch {
+	case e.Model == "":
+		return refuse("engine.model", "is empty, want the model that the engine serves")
+	case e.Version == "":
+		return refuse("engine.version", "is empty, want the version of the model's weights")
+	case e.Slots < 1 || e.Slots > maxSlots:
+		return refuse("engine.slots", "is %d, want 1 to %d", e.Slots, maxSlots)
+	case e.Queue < 0 || e.Queue > maxQueue:
+		return refuse("engine.queue", "is %d, want 0 to %d", e.Queue, maxQueue)
+	case e.LogBytes < 1<<20:
+		return refuse("engine.logBytes", "is %d, want at least %d", e.LogBytes, 1<<20)
+	case e.Role != "mixed" && e.Role != "prefill" && e.Role != "decode":
+		return refuse("engine.role", "is %q, want mixed, prefill or decode", e.Role)
+	}
+	return nil
+}
+
+// Defaults fills in what v leaves out.
+func (v *Service) Defaults() {
+	setDefault(&v.Slots, defaultServiceSlots)
+	setDefault(&v.Queue, v.Slots)
+	setDefault(&v.ReplyBytes, defaultReplyBytes)
+}
+
+// Validate returns a *KeyError for the first key that breaks a rule.
+func (v *Service) Validate() error {
+	if err := checkURL("service.url", v.URL); err != nil {
+		return err
+	}
+	switch {
+	case v.Name == "":
+		return refuse("service.name", "is empty, want the service's name")
+	case v.Slots < 1 || v.Slots > maxSlots:
+		return refuse("service.slots", "is %d, want 1 to %d", v.Slots, maxSlots)
+	case v.Queue < 0 || v.Queue > maxQueue:
+		return refuse("service.queue", "is %d, want 0 to %d", v.Queue, maxQueue)
+	case v.ReplyBytes < 1<<20:
+		return refuse("service.replyBytes", "is %d, want at least %d", v.ReplyBytes, 1<<20)
+	}
+	return nil
+}
+
+type address struct{ key, value string }
+
+func checkAddresses(addresses ...address) error {
+	for _, a := range addresses {
+		if a.value == "" {
+			return refuse(a.key, "is empty, want host:port")
+		}
+		_, port, err := net.SplitHostPort(a.value)
+		if err != nil {
+			return refuse(a.key, "is %q, want host:port", a.value)
+		}
+		if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+			return refuse(a.key, "has port %q, want 0 to 65535", port)
+		}
+	}
+	return nil
+}
+
+func checkURL(key, text string) error {
+	if text == "" {
+		return refuse(key, "is empty, want a URL such as http://127.0.0.1:8000")
+	}
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return refuse(key, "is %q, want a URL such as http://127.0.0.1:8000", text)
+	}
+	return nil
+}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -84,6 +84,17 @@
 	Fences bool `toml:"fences"`
 	// Slots is how many generations the engine runs at once.
 	Slots int `toml:"slots"`
+	// Queue is how many more generations may wait for a slot.
+	Queue int `toml:"queue"`
+	// LogBytes bounds the memory of the attempts and their logs.
+	LogBytes int `toml:"logBytes"`
+	// Model, Version, Adapters and Role are what the engine is set up for when
+	// the process starts; orders change them.
+	Model    id.Model     `toml:"model"`
+	Version  id.Version   `toml:"version"`
+	Adapters []id.Adapter `toml:"adapters"`
+	// Role is mixed, prefill or decode.
+	Role string `toml:"role"`
 }
 
 // Service is the plain service beside a target process.
@@ -93,4 +104,8 @@
 	URL string `toml:"url"`
 	// Slots is how many calls the service runs at once.
 	Slots int `toml:"slots"`
+	// Queue is how many more calls may wait for a slot.
+	Queue int `toml:"queue"`
+	// ReplyBytes bounds the memory of the kept replies.
+	ReplyBytes int `toml:"replyBytes"`
 }
--- /dev/null
+++ b/internal/transport/engine/poll.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/protocol/engine"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Health returns nil while the engine takes work.
+func (c *Client) Health(ctx context.Context) error {
+	_, err := c.get(ctx, "/health")
+	return err
+}
+
+// Metrics is what an engine says of its load. It lags.
+type Metrics struct {
+	Running int
+	Waiting int
+	// WaitingPrefill is the number of prompt tokens that wait.
+	WaitingPrefill int
+	// Pace is the time between two tokens of one generation.
+	Pace time.Duration
+	// PrefillPerToken is the cost of one prompt token.
+	PrefillPerToken time.Duration
+}
+
+// Metrics reads the engine's load.
+func (c *Client) Metrics(ctx context.Context) (Metrics, error) {
+	body, err := c.get(ctx, "/metrics")
+	if err != nil {
+		return Metrics{}, err
+	}
+	return ParseMetrics(body), nil
+}
+
+// ParseMetrics reads the named metrics out of a page in Prometheus' text
+// format. Others, and lines that cannot be read, are left out.
+func ParseMetrics(page []byte) Metrics {
+	var m Metrics
+	for line := range bytes.Lines(page) {
+		name, value, ok := sample(line)
+		if !ok {
+			continue
+		}
+		switch name {
+		case engine.MetricRunning:
+			m.Running = int(value)
+		case engine.MetricWaiting:
+			m.Waiting = int(value)
+		case engine.MetricWaitingPrefill:
+			m.WaitingPrefill = int(value)
+		case engine.MetricTokenInterval:
+			m.Pace = seconds(value)
+		case engine.MetricPrefillCost:
+			m.PrefillPerToken = seconds(value)
+		}
+	}
+	return m
+}
+
+// sample takes apart a line such as `name{label="a"} 1.5`.
+func sample(line []byte) (string, float64, bool) {
+	line = bytes.TrimSpace(line)
+	if len(line) == 0 || line[0] == '#' {
+		return "", 0, false
+	}
+	end := bytes.IndexAny(line, "{ \t")
+	if end < 0 {
+		return "", 0, false
+	}
+	rest := line[end:]
+	if rest[0] == '{' {
+		_, after, ok := bytes.Cut(rest, []byte("}"))
+		if !ok {
+			return "", 0, false
+		}
+		rest = after
+	}
+	fields := bytes.Fields(rest)
+	if len(fields) == 0 {
+		return "", 0, false
+	}
+	value, err := strconv.ParseFloat(string(fields[0]), 64)
+	// NaN and negative values say nothing about a load.
+	return string(line[:end]), value, err == nil && value >= 0
+}
+
+func seconds(v float64) time.Duration {
+	return time.Duration(v * float64(time.Second))
+}
+
+// CacheEvents reads the changes of the prefix cache after a number.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) (*engine.CacheEvents, error) {
+	body, err := c.get(ctx, fmt.Sprintf("/cache_events?after=%d", after))
+	if err != nil {
+		return nil, err
+	}
+	var events engine.CacheEvents
+	if err := json.Unmarshal(body, &events); err != nil {
+		return nil, fault.Wrap("Client.CacheEvents", Malformed, err)
+	}
+	return &events, nil
+}
+
+// Order gives the engine an order. An engine that checks fences refuses an
+// old one with an error of kind Fenced.
+func (c *Client) Order(ctx context.Context, order engine.Order) (id.Fence, error) {
+	resp, err := c.post(ctx, "/orders", &order)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var result engine.OrderResult
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxDocumentBytes)).Decode(&result); err != nil {
+		return 0, fault.Wrap("Client.Order", Malformed, err)
+	}
+	if !result.Applied {
+		return id.Fence(result.Fence), fault.New("Client.Order", Refused, "the engine did not apply order %s", order.ID)
+	}
+	return id.Fence(result.Fence), nil
+}
--- /dev/null
+++ b/internal/transport/engine/stream.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"foxtailward.example/foxtailward/internal/protocol/engine"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/generation"
+)
+
+// Stream is a running generation. It is not safe for concurrent use, but for
+// Close.
+type Stream struct {
+	// Reason and Usage are set once Next has returned io.EOF.
+	Reason generation.Reason
+	Usage  engine.Usage
+
+	body   io.ReadCloser
+	cancel context.CancelFunc
+	reader *bufio.Reader
+	line   []byte
+	chunk  chunk
+	tokens []generation.Token
+	// usage tells a stream without usage from one that counted nothing.
+	usage bool
+}
+
+// chunk has the fields of engine.Chunk that a target process needs. Its slices
+// are used again for each event, so that a token costs few allocations.
+type chunk struct {
+	Choices []choice      `json:"choices"`
+	Usage   *engine.Usage `json:"usage"`
+}
+
+type choice struct {
+	TokenIDs     []uint32 `json:"token_ids"`
+	TokenTexts   []string `json:"token_texts"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+func (c *chunk) reset() {
+	c.Usage = nil
+	for i := range c.Choices {
+		v := &c.Choices[i]
+		v.TokenIDs, v.TokenTexts, v.FinishReason = v.TokenIDs[:0], v.TokenTexts[:0], ""
+	}
+	c.Choices = c.Choices[:0]
+}
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc) *Stream {
+	return &Stream{body: body, cancel: cancel, reader: bufio.NewReaderSize(body, readBufferBytes)}
+}
+
+// Close cancels the generation if it still runs.
+func (s *Stream) Close() {
+	s.cancel()
+	_ = s.body.Close()
+}
+
+// Next waits for the next tokens. They are valid until the next call. At the
+// end of a whole answer it returns io.EOF; any other error is an *Error, of
+// kind Cut when the stream ended before its end.
+func (s *Stream) Next() ([]generation.Token, error) {
+	for {
+		data, err := s.event()
+		if err != nil {
+			return nil, err
+		}
+		if string(data) == engine.Done {
+			return nil, s.end()
+		}
+		if err := s.read(data); err != nil {
+			return nil, err
+		}
+		if len(s.tokens) > 0 {
+			return s.tokens, nil
+		}
+	}
+}
+
+// end checks that a stream that says it is whole has said how it ended.
+func (s *Stream) end() error {
+	if !s.Reason.Valid() {
+		return fault.New("Stream.end", Malformed, "the stream ended with reason %q, want stop or length", s.Reason)
+	}
+	if !s.usage {
+		return fault.New("Stream.end", Malformed, "the stream ended without usage")
+	}
+	return io.EOF
+}
+
+var dataField = []byte("data:")
+
+// event returns the data of the next event.
+func (s *Stream) event() ([]byte, error) {
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return nil, err
+		}
+		if data, ok := bytes.CutPrefix(line, dataField); ok {
+			return bytes.TrimSpace(data), nil
+		}
+	}
+}
+
+// readLine returns the next line. A line that fits the buffer is not copied.
+func (s *Stream) readLine() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if err == nil {
+		return line, nil
+	}
+	s.line = append(s.line[:0], line...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(s.line) > maxEventBytes {
+			return nil, fault.New("Stream.readLine", Malformed, "an event is longer than %d bytes", maxEventBytes)
+		}
+		line, err = s.reader.ReadSlice('\n')
+		s.line = append(s.line, line...)
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return s.line, fault.Wrap("Stream.readLine", Cut, err)
+}
+
+// read takes the tokens of one event.
+func (s *Stream) read(data []byte) error {
+	const op = "Stream.read"
+	s.tokens = s.tokens[:0]
+	s.chunk.reset()
+	if err := json.Unmarshal(data, &s.chunk); err != nil {
+		return fault.Wrap(op, Malformed, err)
+	}
+	if s.chunk.Usage != nil {
+		s.Usage, s.usage = *s.chunk.Usage, true
+	}
+	for i := range s.chunk.Choices {
+		c := &s.chunk.Choices[i]
+		if len(c.TokenIDs) != len(c.TokenTexts) {
+			return fault.New(op, Malformed, "an event has %d token ids and %d texts", len(c.TokenIDs), len(c.TokenTexts))
+		}
+		for j, number := range c.TokenIDs {
+			s.tokens = append(s.tokens, generation.Token{ID: number, Text: c.TokenTexts[j]})
+		}
+		if c.FinishReason != "" {
+			s.Reason = generation.Reason(c.FinishReason)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/target/bench_test.go
@@ -0,0 +1,280 @@
+package target_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/protocol/engine"
+	"foxtailward.example/foxtailward/internal/protocol/peer"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/target"
+)
+
+// fakeEngine streams the tokens "t0 ", "t1 ", … as far as steps allow.
+type fakeEngine struct {
+	*httptest.Server
+	// steps lets one token pass for each value; nil lets all pass.
+	steps chan struct{}
+	// cutAt ends a stream before that token; 0 cuts none.
+	cutAt     atomic.Int64
+	starts    atomic.Int64
+	cancelled atomic.Int64
+	orders    chan engine.Order
+}
+
+func newFakeEngine(t testing.TB, steps chan struct{}) *fakeEngine {
+	e := &fakeEngine{steps: steps, orders: make(chan engine.Order, 16)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, "# HELP x y\n%s{model=\"report\"} 0.031\n%s 7\n", engine.MetricTokenInterval, engine.MetricWaitingPrefill)
+	})
+	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
+		var order engine.Order
+		_ = json.NewDecoder(r.Body).Decode(&order)
+		e.orders <- order
+		_ = json.NewEncoder(w).Encode(engine.OrderResult{Applied: true, Fence: order.Fence})
+	})
+	e.Server = httptest.NewServer(mux)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func tokenAt(i int) generation.Token {
+	return generation.Token{ID: uint32(1000 + i), Text: fmt.Sprintf("t%d ", i)}
+}
+
+func tokensTo(n int) []generation.Token {
+	var tokens []generation.Token
+	for i := range n {
+		tokens = append(tokens, tokenAt(i))
+	}
+	return tokens
+}
+
+func (e *fakeEngine) complete(w http.ResponseWriter, r *http.Request) {
+	e.starts.Add(1)
+	var c engine.Completion
+	if json.NewDecoder(r.Body).Decode(&c) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	flush := w.(http.Flusher).Flush
+	flush()
+	for i := len(c.PrefixTokenIDs); i < c.MaxTokens; i++ {
+		if !e.step(r) {
+			return
+		}
+		if at := e.cutAt.Load(); at != 0 && int64(i) == at {
+			panic(http.ErrAbortHandler)
+		}
+		token := tokenAt(i)
+		send(w, engine.Chunk{ID: "x", Model: "report", Choices: []engine.Choice{{
+			Text: token.Text, TokenIDs: []uint32{token.ID}, TokenTexts: []string{token.Text},
+		}}})
+		flush()
+	}
+	reason := "length"
+	send(w, engine.Chunk{
+		Choices: []engine.Choice{{FinishReason: &reason}},
+		Usage:   &engine.Usage{PromptTokens: 5, CompletionTokens: c.MaxTokens - len(c.PrefixTokenIDs), CachedTokens: 2},
+	})
+	fmt.Fprintf(w, "data: %s\n\n", engine.Done)
+}
+
+// step waits until the next token may leave, and reports whether the caller
+// is still there.
+func (e *fakeEngine) step(r *http.Request) bool {
+	if e.steps == nil {
+		return true
+	}
+	select {
+	case <-e.steps:
+		return true
+	case <-r.Context().Done():
+		e.cancelled.Add(1)
+		return false
+	}
+}
+
+func send(w http.ResponseWriter, chunk engine.Chunk) {
+	data, _ := json.Marshal(chunk)
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
+
+// bench is a running process beside a fake engine or service.
+type bench struct {
+	t       testing.TB
+	clock   *clockwork.FakeClock
+	process *target.Process
+	conn    *grpc.ClientConn
+	client  peerpb.TargetClient
+	stop    context.CancelFunc
+	done    chan error
+}
+
+const (
+	testRequest = "ans-00000000-0123456789abcdef"
+	benchStart  = 1_800_000_000
+)
+
+func engineSettings(url string) settings.Target {
+	s := settings.Target{
+		Name: "t1", Place: settings.Place{Host: "h1", Zone: "olten", Region: "ch-mittelland"},
+		Peers: "127.0.0.1:0", Operators: "127.0.0.1:0",
+		Engine: &settings.Engine{URL: url, Model: "report", Version: "v1", Slots: 4},
+	}
+	s.Defaults()
+	return s
+}
+
+// newBench starts a process and waits until it is ready.
+func newBench(t testing.TB, s settings.Target, deps target.Deps) *bench {
+	is := is.New(t)
+	is.Helper()
+	b := &bench{t: t, clock: clockwork.NewFakeClockAt(time.Unix(benchStart, 0)), done: make(chan error, 1)}
+	deps.Clock = b.clock
+	b.process = target.New(s, deps)
+	is.NoErr(b.process.Listen())
+	ctx, stop := context.WithCancel(context.Background())
+	b.stop = stop
+	go func() { b.done <- b.process.Run(ctx) }()
+	options := append(target.DialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient(b.process.Address(), options...)
+	is.NoErr(err)
+	b.conn, b.client = conn, peerpb.NewTargetClient(conn)
+	b.eventually(func() bool { return b.process.Report().State == member.Ready })
+	var once sync.Once
+	t.Cleanup(func() {
+		once.Do(func() {
+			stop()
+			b.process.Cut()
+			select {
+			case <-b.done:
+			default:
+				<-b.done
+			}
+			_ = conn.Close()
+		})
+	})
+	return b
+}
+
+// eventually waits until a condition holds. It moves no clock.
+func (b *bench) eventually(condition func() bool) {
+	b.t.Helper()
+	for range 20_000 {
+		if condition() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	b.t.Fatal("the condition never held")
+}
+
+func testSpec(maxTokens int) *generation.Spec {
+	return &generation.Spec{
+		Request: testRequest, Contract: "c", Model: "report", Version: "v1", Lineage: "l1",
+		Class: generation.Standard, Prefer: generation.PreferLatency, MaxTokens: maxTokens, Prompt: "a prompt",
+	}
+}
+
+type runClient = grpc.BidiStreamingClient[peerpb.RunRequest, peerpb.RunReply]
+
+// run opens a stream with its first message.
+func (b *bench) run(ctx context.Context, first *peerpb.RunRequest) runClient {
+	is := is.New(b.t)
+	is.Helper()
+	stream, err := b.client.Run(ctx)
+	is.NoErr(err)
+	is.NoErr(stream.Send(first))
+	return stream
+}
+
+func start(epoch id.Epoch, attempt id.Attempt, spec *generation.Spec, prefix ...generation.Token) *peerpb.RunRequest {
+	return &peerpb.RunRequest{Message: &peerpb.RunRequest_Start{Start: &peerpb.Start{
+		Spec: peer.FromSpec(spec), Epoch: uint64(epoch), Attempt: uint32(attempt), Prefix: peer.FromTokens(prefix),
+	}}}
+}
+
+func adopt(epoch id.Epoch, attempt id.Attempt, from id.Index) *peerpb.RunRequest {
+	return &peerpb.RunRequest{Message: &peerpb.RunRequest_Adopt{Adopt: &peerpb.Adopt{
+		Request: testRequest, Epoch: uint64(epoch), Attempt: uint32(attempt), From: uint32(from),
+	}}}
+}
+
+// answer is what a stream brought.
+type answer struct {
+	accepted *peerpb.Accepted
+	first    int
+	tokens   []generation.Token
+	finish   *peerpb.Finish
+	refused  *peerpb.Refused
+	loads    []*peerpb.Load
+	messages int
+	err      error
+}
+
+// next takes one message into a and reports whether more can come.
+func (a *answer) next(t testing.TB, stream runClient) bool {
+	reply, err := stream.Recv()
+	if err != nil {
+		a.err = err
+		return false
+	}
+	a.messages++
+	if reply.Load != nil {
+		a.loads = append(a.loads, reply.Load)
+	}
+	switch m := reply.Message.(type) {
+	case *peerpb.RunReply_Accepted:
+		a.accepted = m.Accepted
+	case *peerpb.RunReply_Tokens:
+		if len(a.tokens) == 0 {
+			a.first = int(m.Tokens.First)
+		}
+		if int(m.Tokens.First) != a.first+len(a.tokens) {
+			t.Fatalf("tokens from %d, want %d", m.Tokens.First, a.first+len(a.tokens))
+		}
+		a.tokens = append(a.tokens, peer.ToTokens(m.Tokens.Tokens)...)
+	case *peerpb.RunReply_Finish:
+		a.finish = m.Finish
+	case *peerpb.RunReply_Refused:
+		a.refused = m.Refused
+	}
+	return true
+}
+
+// all reads a stream to its end.
+func all(t testing.TB, stream runClient) *answer {
+	a := &answer{}
+	for a.next(t, stream) {
+	}
+	return a
+}
+
+// until reads a stream until it has brought n tokens.
+func until(t testing.TB, stream runClient, n int) *answer {
+	a := &answer{}
+	for len(a.tokens) < n && a.next(t, stream) {
+	}
+	return a
+}
--- /dev/null
+++ b/internal/transport/target/orders.go
@@ -0,0 +1,5 @@
+package target
+
+type orders struct{}
+
+func newOrders(*Process) *orders { return &orders{} }
--- /dev/null
+++ b/internal/transport/target/server.go
@@ -0,0 +1,84 @@
+package target
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"foxtailward.example/foxtailward/internal/coordination/attempt"
+	"foxtailward.example/foxtailward/internal/protocol/peer"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// maxFoundTokens bounds the tokens of one Find reply, so that it stays below
+// MaxMessageBytes. The rest is read with Adopt.
+const maxFoundTokens = 400_000
+
+// server answers the calls of other processes.
+type server struct {
+	peerpb.UnimplementedTargetServer
+	peerpb.UnimplementedExchangeServer
+	p *Process
+}
+
+func newServer(p *Process) *grpc.Server {
+	s := grpc.NewServer(ServerOptions()...)
+	peerpb.RegisterTargetServer(s, &server{p: p})
+	peerpb.RegisterExchangeServer(s, &server{p: p})
+	return s
+}
+
+// noEngine answers what only a process beside an engine can do.
+func noEngine() error {
+	return status.Error(codes.Unimplemented, "this target is a plain service")
+}
+
+// Find returns the attempts of a request that this process holds.
+func (s *server) Find(_ context.Context, req *peerpb.FindRequest) (*peerpb.FindReply, error) {
+	if s.p.runner == nil {
+		return nil, noEngine()
+	}
+	found, epoch := s.p.runner.find(id.Request(req.GetRequest()), id.Epoch(req.GetEpoch()))
+	reply := &peerpb.FindReply{Stamp: s.p.stamp(), Epoch: uint64(epoch)}
+	for i := range found {
+		reply.Attempts = append(reply.Attempts, fromFound(&found[i]))
+	}
+	return reply, nil
+}
+
+func fromFound(f *attempt.Found) *peerpb.FoundAttempt {
+	return &peerpb.FoundAttempt{
+		Spec:    peer.FromSpec(f.Spec),
+		Epoch:   uint64(f.Epoch),
+		Attempt: uint32(f.Attempt),
+		State:   string(f.State),
+		Next:    uint32(f.Next),
+		Tokens:  peer.FromTokens(f.Tokens),
+		Finish:  peer.FromFinish(f.Attempt, f.Finish),
+	}
+}
+
+// Cancel ends attempts of a request. An epoch that is fenced gets
+// FailedPrecondition.
+func (s *server) Cancel(_ context.Context, req *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	if s.p.runner == nil {
+		return nil, noEngine()
+	}
+	n, err := s.p.runner.cancel(id.Request(req.GetRequest()), id.Epoch(req.GetEpoch()), id.Attempt(req.GetBelow()))
+	if err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &peerpb.CancelReply{Stamp: s.p.stamp(), Cancelled: uint32(n)}, nil
+}
+
+// Swap answers a round of spreading news; without a hook it tells this
+// target's load.
+func (s *server) Swap(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	if s.p.deps.Swap != nil {
+		return s.p.deps.Swap(ctx, req)
+	}
+	return &peerpb.ExchangeReply{Stamp: s.p.stamp(), Loads: []*peerpb.Load{s.p.reporter.load()}}, nil
+}
