Serve the callers' API over HTTP

Cause: callers need completions, chats, models, answers and plain services over one answer.Desk, and an answer has to be whole or clearly not.

Change: protocol/openai holds requests that check themselves and name the wrong field, and responses; protocol/problem holds problem details with outcome, cause and the published error member; transport/caller serves both with bounds on headers, bodies, the memory of bodies and the time of each read and write. Event ids are LINEAGE:NEXT. The delivery checks each part's index, the length and the checksum before a caller gets its end. answer.Ask and answer.Call carry a fingerprint of all that was asked for, and contract.Service can allow reads to run again.

--- a/internal/coordination/answer/answer.go
+++ b/internal/coordination/answer/answer.go
@@ -117,6 +117,9 @@
 	Contract *contract.Contract
 	// Key is the idempotency key; empty when the caller sent none.
 	Key string
+	// Fingerprint covers all that the caller asked for. A key that comes back
+	// with another fingerprint is a conflict.
+	Fingerprint id.Fingerprint
 	// Spec is what the caller wants. Request, Version, Lineage, Class and
 	// Prefer are filled in by the entry.
 	Spec generation.Spec
@@ -154,11 +157,14 @@
 
 // Call is a caller's call to a plain service.
 type Call struct {
-	Contract   *contract.Contract
-	Key        string
-	Service    id.Service
-	Repeatable bool
-	Method     string
+	Contract *contract.Contract
+	Key      string
+	// Fingerprint covers service, method, path and body. A key that comes back
+	// with another fingerprint is a conflict.
+	Fingerprint id.Fingerprint
+	Service     id.Service
+	Repeatable  bool
+	Method      string
 	// Path is the part of the URL after the service's name, with its query.
 	Path   string
 	Header http.Header
--- /dev/null
+++ b/internal/protocol/problem/problem.go
@@ -0,0 +1,117 @@
+// Package problem holds the problem details (RFC 9457) that a caller gets for
+// a request without a whole answer.
+//
+// The member outcome says whether the request ran: notRun only when that is
+// proved. The member error repeats the problem in the published form of the
+// OpenAI-compatible API, so that its client libraries can read it.
+//
+// # Usage
+//
+//	problem.From(refusal).Write(w)
+package problem
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// ContentType is the media type of problem details.
+const ContentType = "application/problem+json"
+
+// typePrefix comes before the cause in a problem's type.
+const typePrefix = "urn:foxtailward:problem:"
+
+// Problem is a problem document.
+type Problem struct {
+	Type    string         `json:"type"`
+	Title   string         `json:"title"`
+	Status  int            `json:"status"`
+	Detail  string         `json:"detail"`
+	Outcome answer.Outcome `json:"outcome"`
+	Cause   answer.Cause   `json:"cause"`
+	// Request is the answer's id, when it has one.
+	Request id.Request `json:"request,omitempty"`
+	// Field is the field of the request that is wrong.
+	Field string `json:"field,omitempty"`
+	// RetryAfterMs is when to come back, in milliseconds.
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
+	// Error repeats the problem for OpenAI client libraries.
+	Error Published `json:"error"`
+}
+
+// Published is an error as the OpenAI-compatible API publishes it.
+type Published struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+// From returns the problem that a refusal describes.
+func From(r *answer.Refusal) *Problem {
+	status := r.Cause.Status()
+	return &Problem{
+		Type:         typePrefix + string(r.Cause),
+		Title:        http.StatusText(status),
+		Status:       status,
+		Detail:       r.Detail,
+		Outcome:      r.Outcome,
+		Cause:        r.Cause,
+		Request:      r.Request,
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+		Error: Published{
+			Message: r.Detail,
+			Type:    publishedType(status),
+			Code:    string(r.Cause),
+		},
+	}
+}
+
+// WithField returns p with the field of the request that is wrong.
+func (p *Problem) WithField(field string) *Problem {
+	p.Field = field
+	if field != "" {
+		p.Error.Param = &field
+	}
+	return p
+}
+
+// RetryAfter returns when to come back; zero when coming back does not help.
+func (p *Problem) RetryAfter() time.Duration {
+	return time.Duration(p.RetryAfterMs) * time.Millisecond
+}
+
+// Write sends p as the whole response. An error of w is the connection's and
+// is returned.
+func (p *Problem) Write(w http.ResponseWriter) error {
+	h := w.Header()
+	h.Set("Content-Type", ContentType)
+	h.Set("Cache-Control", "no-store")
+	if p.RetryAfterMs > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter().Seconds()))))
+	}
+	if p.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(p.Status)
+	return json.NewEncoder(w).Encode(p)
+}
+
+func publishedType(status int) string {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
--- a/internal/state/contract/contract.go
+++ b/internal/state/contract/contract.go
@@ -93,6 +93,9 @@
 	// Repeatable says that a call may be run again. A call that is not
 	// repeatable runs at most once.
 	Repeatable bool `json:"repeatable" toml:"repeatable"`
+	// RepeatableReads says that GET and HEAD may be run again although other
+	// calls may not.
+	RepeatableReads bool `json:"repeatableReads,omitempty" toml:"repeatableReads"`
 }
 
 // Services is a list of services.
--- /dev/null
+++ b/internal/transport/caller/config.go
@@ -0,0 +1,90 @@
+package caller
+
+import (
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/fault"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Invalid means that a limit breaks a rule.
+	Invalid Kind = "invalid"
+	// Broken means that an answer broke a rule on its way to the caller.
+	Broken Kind = "broken"
+	// Disconnected means that the caller took no more bytes.
+	Disconnected Kind = "disconnected"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// Defaults of the limits.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 8 << 20
+	defaultBodyMemory    = 256 << 20
+	defaultHeaderTimeout = 5 * time.Second
+	defaultBodyTimeout   = 30 * time.Second
+	defaultWriteTimeout  = 20 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	defaultMaxTimeout    = 24 * time.Hour
+)
+
+// Config bounds what one caller, and all of them together, may take.
+type Config struct {
+	// Address is where the server listens, as host:port.
+	Address string
+	// HeaderBytes is the largest header of a request.
+	HeaderBytes int
+	// BodyBytes is the largest body of any request; a contract's promptBytes
+	// can make it smaller.
+	BodyBytes int64
+	// BodyMemory is the largest sum of the bodies that are being read.
+	BodyMemory int64
+	// HeaderTimeout and BodyTimeout bound the time to read a request.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	// WriteTimeout is how long one write may wait for the caller.
+	WriteTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for its next request.
+	IdleTimeout time.Duration
+	// MaxTimeout is the longest time a caller may ask to wait.
+	MaxTimeout time.Duration
+}
+
+// Defaults fills in what c leaves out.
+func (c *Config) Defaults() {
+	setDefault(&c.HeaderBytes, defaultHeaderBytes)
+	setDefault(&c.BodyBytes, defaultBodyBytes)
+	setDefault(&c.BodyMemory, defaultBodyMemory)
+	setDefault(&c.HeaderTimeout, defaultHeaderTimeout)
+	setDefault(&c.BodyTimeout, defaultBodyTimeout)
+	setDefault(&c.WriteTimeout, defaultWriteTimeout)
+	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	setDefault(&c.MaxTimeout, defaultMaxTimeout)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate returns an error that names the first limit that breaks a rule.
+func (c *Config) Validate() error {
+	const op = "Config.Validate"
+	switch {
+	case c.HeaderBytes < 1:
+		return fault.New(op, Invalid, "header bytes are %d, want at least 1", c.HeaderBytes)
+	case c.BodyBytes < 1 || c.BodyMemory < c.BodyBytes:
+		return fault.New(op, Invalid, "body memory is %d, want at least the body bytes, %d", c.BodyMemory, c.BodyBytes)
+	case min(c.HeaderTimeout, c.BodyTimeout, c.WriteTimeout, c.IdleTimeout, c.MaxTimeout) <= 0:
+		return fault.New(op, Invalid, "a timeout is not positive")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/caller/delivery.go
@@ -0,0 +1,117 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/protocol/openai"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// delivery brings one answer to one caller.
+type delivery struct {
+	api     *api
+	reader  *answer.Reader
+	started time.Time
+
+	// lineage, next and sum follow what was read. sum is kept only when the
+	// reading began with the first token.
+	lineage id.Lineage
+	next    id.Index
+	sum     generation.Checksum
+	whole0  bool
+	// last is when the last tokens came.
+	last time.Time
+}
+
+// begin sets where the reading starts.
+func (d *delivery) begin(from id.Index) {
+	d.lineage = d.reader.Lineage
+	d.next = from
+	d.sum = 0
+	d.whole0 = from == 0
+}
+
+// read returns the next part, checked against all that came before, so that no
+// token is missing, none is repeated and no text of another generation follows.
+// restarted says that the part begins a new text.
+func (d *delivery) read(ctx context.Context) (part answer.Part, restarted bool, err error) {
+	part, err = d.reader.Next(ctx)
+	if err != nil {
+		return part, false, err
+	}
+	if d.reader.Lineage != d.lineage {
+		d.begin(0)
+		restarted = true
+	}
+	if part.First != d.next {
+		return part, restarted, d.broken("token %d came where %d was due", part.First, d.next)
+	}
+	d.count(part.Tokens)
+	return part, restarted, d.checkFinish(part.Finish)
+}
+
+func (d *delivery) count(tokens []generation.Token) {
+	if len(tokens) == 0 {
+		return
+	}
+	d.next += id.Index(len(tokens))
+	if d.whole0 {
+		for _, t := range tokens {
+			d.sum = d.sum.Add(t)
+		}
+	}
+	d.measure(len(tokens))
+}
+
+// measure records when tokens came. The time between two parts is spread over
+// the tokens of the later one.
+func (d *delivery) measure(n int) {
+	now := d.api.tools.Clock.Now()
+	g := d.api.gauges
+	g.tokens.Mark(int64(n))
+	if d.last.IsZero() {
+		g.firstToken.Update(now.Sub(d.started).Microseconds())
+	} else {
+		g.betweenTokens.Update(now.Sub(d.last).Microseconds() / int64(n))
+	}
+	d.last = now
+}
+
+func (d *delivery) checkFinish(f *generation.Finish) error {
+	switch {
+	case f == nil:
+		return nil
+	case f.Count != d.next:
+		return d.broken("the answer ended at token %d, and its length is %d", d.next, f.Count)
+	case d.whole0 && f.Checksum != d.sum:
+		return d.broken("the answer's checksum differs from its end's")
+	}
+	return nil
+}
+
+// broken returns the refusal of an answer that is not whole.
+func (d *delivery) broken(format string, args ...any) error {
+	cause := fault.New("delivery.read", Broken, format, args...)
+	return &answer.Refusal{
+		Outcome: answer.Failed,
+		Cause:   answer.CauseInternal,
+		Detail:  cause.Err.Error(),
+		Request: d.reader.Request,
+	}
+}
+
+// isChat reports whether the answer is a chat's.
+func (d *delivery) isChat() bool { return len(d.reader.Spec.Messages) != 0 }
+
+func usageOf(f *generation.Finish) *openai.Usage {
+	return &openai.Usage{
+		PromptTokens:     f.PromptTokens,
+		CompletionTokens: int(f.Count),
+		TotalTokens:      f.PromptTokens + int(f.Count),
+		Details:          openai.PromptDetails{CachedTokens: min(f.Cached, f.PromptTokens)},
+	}
+}
--- /dev/null
+++ b/internal/transport/caller/desk_test.go
@@ -0,0 +1,179 @@
+package caller_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/caller"
+)
+
+const (
+	testKey     = "key-of-staplerdienst"
+	testLineage = id.Lineage("lin-1")
+)
+
+// fakeDesk answers each request with the same tokens.
+type fakeDesk struct {
+	tokens []generation.Token
+	// failAfter ends each answer with failure once that many tokens are out;
+	// negative is never.
+	failAfter int
+	failure   error
+	// corrupt changes a part before it is read.
+	corrupt func(*answer.Part)
+	// wait blocks Next before it gives the token with that index.
+	wait   id.Index
+	waits  bool
+	closed chan struct{}
+
+	mu    sync.Mutex
+	asks  []answer.Ask
+	calls []answer.Call
+	known map[id.Request]answer.Ask
+}
+
+func newFakeDesk(texts ...string) *fakeDesk {
+	f := &fakeDesk{failAfter: -1, closed: make(chan struct{}, 16), known: map[id.Request]answer.Ask{}}
+	for i, text := range texts {
+		f.tokens = append(f.tokens, generation.Token{ID: uint32(i + 1), Text: text})
+	}
+	return f
+}
+
+func testContract() *contract.Contract {
+	c := &contract.Contract{
+		Name:   "staplerdienst",
+		Models: []id.Model{"report"},
+		Services: contract.Services{
+			{Name: "parts", Repeatable: true}, {Name: "orders"}, {Name: "floor", RepeatableReads: true},
+		},
+		Keys: []contract.KeyHash{contract.HashKey(testKey)},
+	}
+	c.Defaults()
+	c.Limits.PromptBytes = 1000
+	return c
+}
+
+func (f *fakeDesk) desk() *answer.Desk {
+	c := testContract()
+	return &answer.Desk{
+		Authenticate: func(key string) (*contract.Contract, bool) {
+			return c, contract.HashKey(key) == c.Keys[0]
+		},
+		Models: func(*contract.Contract) []id.Model { return []id.Model{"report"} },
+		Open:   f.open,
+		Reopen: f.reopen,
+		Call:   f.call,
+	}
+}
+
+func (f *fakeDesk) open(_ context.Context, ask answer.Ask) (*answer.Reader, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asks = append(f.asks, ask)
+	if ask.Spec.Model != "report" {
+		return nil, answer.Refuse(answer.CauseForbidden, "the contract does not allow model %s", ask.Spec.Model)
+	}
+	request := id.NewRequest("entry-1")
+	if ask.Key != "" {
+		request = id.ForKey(ask.Contract.Name, ask.Key)
+	}
+	if old, ok := f.known[request]; ok && old.Fingerprint != ask.Fingerprint {
+		return nil, answer.Refuse(answer.CauseConflict, "the key belongs to another request")
+	}
+	f.known[request] = ask
+	return f.reader(request, ask.Spec, 0), nil
+}
+
+func (f *fakeDesk) reopen(_ context.Context, resume answer.Resume) (*answer.Reader, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ask, ok := f.known[resume.Request]
+	if !ok {
+		return nil, answer.Refuse(answer.CauseNotFound, "no answer %s", resume.Request)
+	}
+	from := resume.From
+	if resume.Lineage != testLineage {
+		from = 0
+	}
+	return f.reader(resume.Request, ask.Spec, from), nil
+}
+
+func (f *fakeDesk) call(_ context.Context, call answer.Call) (*answer.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, call)
+	return &answer.Reply{
+		Request: id.NewRequest("entry-1"),
+		Status:  http.StatusAccepted,
+		Header:  http.Header{"X-Part": {"7"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body:    []byte("done"),
+	}, nil
+}
+
+func (f *fakeDesk) reader(request id.Request, spec generation.Spec, from id.Index) *answer.Reader {
+	next := from
+	var once sync.Once
+	return &answer.Reader{
+		Request: request,
+		Lineage: testLineage,
+		Spec:    spec,
+		Next: func(ctx context.Context) (answer.Part, error) {
+			if f.waits && next == f.wait {
+				<-ctx.Done()
+				return answer.Part{}, ctx.Err()
+			}
+			if f.failAfter >= 0 && int(next) >= f.failAfter {
+				return answer.Part{}, f.failure
+			}
+			part := f.part(next)
+			next += id.Index(len(part.Tokens))
+			if f.corrupt != nil {
+				f.corrupt(&part)
+			}
+			return part, nil
+		},
+		Close: func() { once.Do(func() { f.closed <- struct{}{} }) },
+	}
+}
+
+// part gives one token at a time and then the end.
+func (f *fakeDesk) part(next id.Index) answer.Part {
+	if int(next) < len(f.tokens) {
+		return answer.Part{First: next, Tokens: f.tokens[next : next+1]}
+	}
+	return answer.Part{First: next, Finish: &generation.Finish{
+		Reason:       generation.Stop,
+		Count:        id.Index(len(f.tokens)),
+		Checksum:     generation.ChecksumOf(f.tokens),
+		PromptTokens: 5,
+	}}
+}
+
+func testConfig() caller.Config {
+	var cfg caller.Config
+	cfg.Defaults()
+	return cfg
+}
+
+// serve starts a server for desk as NewServer sets it up.
+func serve(t testing.TB, cfg caller.Config, f *fakeDesk) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = caller.NewServer(cfg, f.desk(), caller.Tools{
+		Metrics: metrics.NewRegistry(),
+		Seed:    func() int64 { return 42 },
+	})
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
