--- a/internal/transport/caller/answers.go
+++ b/internal/transport/caller/answers.go
@@ -25,7 +25,7 @@
 		a.refuse(w, r, refusal)
 		return
 	}
-	resume := answer.Resume{Contract: contractOf(r), Request: request}
+	resume := answer.Resume{Contract: contractOf(r), Request: request, Whole: !wantsStream}
 	if wantsStream {
 		resume.Lineage, resume.From = from.lineage, from.next
 	}
@@ -49,12 +49,11 @@
 }
 
 // checkLineage holds what the caller has seen against what the answer is now.
-// A caller that allowed restarts begins again.
 func checkLineage(reader *answer.Reader, from *position) *answer.Refusal {
 	if from.lineage == "" || from.lineage == reader.Lineage {
 		return nil
 	}
-	if from.next == 0 || reader.Spec.RestartAllowed {
+	if from.next == 0 {
 		*from = position{}
 		return nil
 	}
--- a/internal/transport/caller/delivery.go
+++ b/internal/transport/caller/delivery.go
@@ -19,20 +19,20 @@
 
 	// lineage, next and sum follow what was read. sum is kept only when the
 	// reading began with the first token.
-	lineage id.Lineage
-	next    id.Index
-	sum     generation.Checksum
-	whole0  bool
+	lineage   id.Lineage
+	next      id.Index
+	sum       generation.Checksum
+	fromStart bool
 	// last is when the last tokens came.
 	last time.Time
 }
 
 // begin sets where the reading starts.
-func (d *delivery) begin(from id.Index) {
-	d.lineage = d.reader.Lineage
+func (d *delivery) begin(lineage id.Lineage, from id.Index) {
+	d.lineage = lineage
 	d.next = from
 	d.sum = 0
-	d.whole0 = from == 0
+	d.fromStart = from == 0
 }
 
 // read returns the next part, checked against all that came before, so that no
@@ -43,8 +43,8 @@
 	if err != nil {
 		return part, false, err
 	}
-	if d.reader.Lineage != d.lineage {
-		d.begin(0)
+	if part.Lineage != d.lineage {
+		d.begin(part.Lineage, 0)
 		restarted = true
 	}
 	if part.First != d.next {
@@ -59,7 +59,7 @@
 		return
 	}
 	d.next += id.Index(len(tokens))
-	if d.whole0 {
+	if d.fromStart {
 		for _, t := range tokens {
 			d.sum = d.sum.Add(t)
 		}
@@ -87,7 +87,7 @@
 		return nil
 	case f.Count != d.next:
 		return d.broken("the answer ended at token %d, and its length is %d", d.next, f.Count)
-	case d.whole0 && f.Checksum != d.sum:
+	case d.fromStart && f.Checksum != d.sum:
 		return d.broken("the answer's checksum differs from its end's")
 	}
 	return nil
--- a/internal/transport/caller/desk_test.go
+++ b/internal/transport/caller/desk_test.go
@@ -87,7 +87,7 @@
 	if ask.Key != "" {
 		request = id.ForKey(ask.Contract.Name, ask.Key)
 	}
-	if old, ok := f.known[request]; ok && old.Fingerprint != ask.Fingerprint {
+	if old, ok := f.known[request]; ok && old.Spec.Asked != ask.Spec.Asked {
 		return nil, answer.Refuse(answer.CauseConflict, "the key belongs to another request")
 	}
 	f.known[request] = ask
@@ -149,9 +149,9 @@
 // part gives one token at a time and then the end.
 func (f *fakeDesk) part(next id.Index) answer.Part {
 	if int(next) < len(f.tokens) {
-		return answer.Part{First: next, Tokens: f.tokens[next : next+1]}
+		return answer.Part{Lineage: testLineage, First: next, Tokens: f.tokens[next : next+1]}
 	}
-	return answer.Part{First: next, Finish: &generation.Finish{
+	return answer.Part{Lineage: testLineage, First: next, Finish: &generation.Finish{
 		Reason:       generation.Stop,
 		Count:        id.Index(len(f.tokens)),
 		Checksum:     generation.ChecksumOf(f.tokens),
--- a/internal/transport/caller/generate.go
+++ b/internal/transport/caller/generate.go
@@ -74,8 +74,9 @@
 	spec.Stop = s.Stop
 	spec.RestartAllowed = o.restartAllowed
 	spec.Deadline = o.deadline
-	ask := answer.Ask{Contract: c, Key: o.key, Fingerprint: fingerprint(s, &spec), Spec: spec}
-	ask.Spec.Seed = a.seed(s)
+	spec.Seed = a.seed(s)
+	spec.Asked = fingerprint(s, &spec)
+	ask := answer.Ask{Contract: c, Key: o.key, Whole: !s.Stream, Spec: spec}
 
 	started := a.tools.Clock.Now()
 	reader, err := a.desk.Open(r.Context(), ask)
--- a/internal/transport/caller/services.go
+++ b/internal/transport/caller/services.go
@@ -50,16 +50,15 @@
 		return answer.Call{}, refusal
 	}
 	return answer.Call{
-		Contract:    c,
-		Key:         o.key,
-		Fingerprint: id.FingerprintOf(string(name), r.Method, path, string(body)),
-		Service:     name,
-		Repeatable:  repeatable(&service, r.Method) && !o.onceOnly,
-		Method:      r.Method,
-		Path:        path,
-		Header:      passedOn(r.Header),
-		Body:        body,
-		Deadline:    o.deadline,
+		Contract:   c,
+		Key:        o.key,
+		Service:    name,
+		Repeatable: repeatable(&service, r.Method) && !o.onceOnly,
+		Method:     r.Method,
+		Path:       path,
+		Header:     passedOn(r.Header),
+		Body:       body,
+		Deadline:   o.deadline,
 	}, nil
 }
 
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -22,7 +22,7 @@
 	g.openAnswers.Inc(1)
 	defer g.openAnswers.Dec(1)
 
-	d.begin(from.next)
+	d.begin(d.reader.Lineage, from.next)
 	s := newEvents(w, d, from.next == 0)
 	if err := s.open(); err != nil {
 		return
@@ -217,7 +217,7 @@
 // have allowed it.
 func (s *events) restart() error {
 	s.role = openai.Assistant
-	if !s.sent && s.d.whole0 {
+	if !s.sent && s.d.fromStart {
 		return nil
 	}
 	if !s.d.reader.Spec.RestartAllowed {
--- a/internal/transport/caller/whole.go
+++ b/internal/transport/caller/whole.go
@@ -29,7 +29,7 @@
 // collect reads the answer to its end. The contract bounds its length.
 func (d *delivery) collect(r *http.Request) (string, *generation.Finish, error) {
 	var text strings.Builder
-	d.begin(0)
+	d.begin(d.reader.Lineage, 0)
 	for {
 		part, restarted, err := d.read(r.Context())
 		if err != nil {
