Run the whole path in one process: caller, entry, target process, engine

Cause: the parts had not met. Change: the entry process, the policy that joins routing to the owner, a deployment of stand-ins in one process, and foxtailward dev. A hold was logged every 200 ms; it is now logged once for each reason.

--- a/cmd/foxtailward/root.go
+++ b/cmd/foxtailward/root.go
@@ -18,7 +18,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newVersion())
+	root.AddCommand(newDev(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/internal/coordination/policy/call.go
@@ -0,0 +1,20 @@
+package policy
+
+import (
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/request"
+	"foxtailward.example/foxtailward/internal/coordination/route"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// PlaceCall decides on the target of a call to a plain service.
+func (p *Policy) PlaceCall(call *answer.Call, exclude []id.Target, now time.Time) request.Choice {
+	ask := route.Ask{Service: call.Service, Class: call.Contract.Class, Exclude: exclude}
+	decision, ok := p.choose(ask, now)
+	if !ok {
+		return request.Choice{Action: request.GiveUp, Wait: comeBack, Reason: string(decision.Reason)}
+	}
+	return p.goTo(decision)
+}
--- a/internal/coordination/request/runner.go
+++ b/internal/coordination/request/runner.go
@@ -34,6 +34,8 @@
 	losses []Loss
 	// idle counts the attempts since the last token came.
 	idle int
+	// held is the reason of the last decision when it was to hold.
+	held string
 	// corrupt says that the text held cannot be trusted.
 	corrupt bool
 	// found is set when another owner left an attempt that runs.
@@ -120,7 +122,16 @@
 	}
 }
 
+// noteChoice logs a decision; one to go on holding is not logged again.
 func (r *runner) noteChoice(spec *generation.Spec, choice *Choice) {
+	again := choice.Action == Hold && r.held == choice.Reason
+	r.held = ""
+	if choice.Action == Hold {
+		r.held = choice.Reason
+	}
+	if again {
+		return
+	}
 	now := r.clock.Now()
 	r.answer.note(Decision{At: now, Step: string(choice.Action), Target: choice.Target.Target, Reason: choice.Reason})
 	e := event.RouteChosen
--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,295 @@
+// Package deployment starts a whole small deployment in one process, on
+// loopback: stand-in engines and services with the target processes beside
+// them, and entries. `foxtailward dev`, the experiments of foxtailward-lab and
+// the tests of the whole path use it.
+//
+// # Usage
+//
+//	d, err := deployment.Start(deployment.Options{Engines: …, Entries: …})
+//	defer d.Close()
+//	d.Engines[0].Stand.Engine.Die()
+//	url := d.Entries[0].URL()
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"foxtailward.example/foxtailward/internal/standin/engine"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/entry"
+	"foxtailward.example/foxtailward/internal/transport/target"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// NotStarted means that a part could not be started.
+const NotStarted Kind = "notStarted"
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// anyPort lets the machine choose a free port of loopback.
+const anyPort = "127.0.0.1:0"
+
+// Options says what to start.
+type Options struct {
+	Engines []EngineOptions
+	Entries []EntryOptions
+	// Configuration is in force when the deployment starts.
+	Deployment conf.Deployment
+	Contracts  []contract.Contract
+	Log        *event.Log
+	Clock      clockwork.Clock
+	// Seed seeds the entries' choices.
+	Seed uint64
+}
+
+// EngineOptions sets up one engine with its target process.
+type EngineOptions struct {
+	Name   id.Target
+	Place  settings.Place
+	Engine engine.Options
+	Slots  int
+}
+
+// EntryOptions sets up one entry.
+type EntryOptions struct {
+	Name  id.Entry
+	Place settings.Place
+	// Callers is where it listens for callers; empty means any free port.
+	Callers string
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Engines []*Engine
+	Entries []*Entry
+	Current *conf.Current
+
+	opts    Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu    sync.Mutex
+	peers []string
+}
+
+// Engine is a stand-in engine with the process beside it.
+type Engine struct {
+	Stand   *engine.Server
+	Process *target.Process
+	stop    context.CancelFunc
+	done    chan error
+}
+
+// Entry is a running entry.
+type Entry struct {
+	Process *entry.Process
+	stop    context.CancelFunc
+	done    chan error
+}
+
+// URL returns the base URL of the callers' API.
+func (e *Entry) URL() string { return "http://" + e.Process.CallersAddress() }
+
+// Stop makes the entry leave and waits until it has.
+func (e *Entry) Stop() error {
+	e.stop()
+	return <-e.done
+}
+
+// Kill ends the entry without letting its work finish.
+func (e *Entry) Kill() {
+	e.Process.Cut()
+	<-e.done
+}
+
+// Stop makes the target process leave and waits until it has.
+func (e *Engine) Stop() error {
+	e.stop()
+	return <-e.done
+}
+
+// Kill ends the target process and its engine without letting work finish.
+func (e *Engine) Kill() {
+	e.Stand.Engine.Die()
+	e.Process.Cut()
+	<-e.done
+}
+
+// Start starts a deployment.
+func Start(opts Options) (*Deployment, error) {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	d := &Deployment{opts: opts, Current: conf.NewCurrent()}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	if err := d.configure(); err != nil {
+		return nil, err
+	}
+	for _, o := range opts.Engines {
+		if err := d.startEngine(o); err != nil {
+			d.Close()
+			return nil, err
+		}
+	}
+	for _, o := range opts.Entries {
+		if err := d.startEntry(o); err != nil {
+			d.Close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// configure puts the options' configuration in force.
+func (d *Deployment) configure() error {
+	s := conf.Empty()
+	apply := func(object conf.Object, name id.Contract, value any) error {
+		data, err := json.Marshal(value)
+		if err != nil {
+			return fault.Wrap("Deployment.configure", NotStarted, err)
+		}
+		s, err = s.Apply(conf.Change{Revision: s.Revision + 1, Object: object, Name: name, Value: data, At: d.opts.Clock.Now()})
+		return fault.Wrap("Deployment.configure", NotStarted, err)
+	}
+	if err := apply(conf.DeploymentObject, "", &d.opts.Deployment); err != nil {
+		return err
+	}
+	for i := range d.opts.Contracts {
+		c := &d.opts.Contracts[i]
+		if err := apply(conf.ContractObject, c.Name, c); err != nil {
+			return err
+		}
+	}
+	d.Current.Put(s)
+	return nil
+}
+
+func (d *Deployment) startEngine(o EngineOptions) error {
+	o.Engine.Defaults()
+	if o.Slots != 0 {
+		o.Engine.Slots = o.Slots
+	}
+	stand, err := engine.Listen(anyPort, o.Engine)
+	if err != nil {
+		return fault.Wrap("Deployment.startEngine", NotStarted, err)
+	}
+	s := settings.Target{
+		Name: o.Name, Place: o.Place, Peers: anyPort, Operators: anyPort,
+		Engine: &settings.Engine{
+			URL: stand.URL(), Slots: o.Engine.Slots, Model: id.Model(o.Engine.Model), Version: id.Version(o.Engine.Version),
+			Fences: !o.Engine.IgnoresFence,
+		},
+	}
+	s.Defaults()
+	e := &Engine{Stand: stand, done: make(chan error, 1)}
+	e.Process = target.New(s, target.Deps{Clock: d.opts.Clock, Log: d.opts.Log, Snapshot: d.Current.Snapshot})
+	if err := e.Process.Listen(); err != nil {
+		return err
+	}
+	d.Engines = append(d.Engines, e)
+	d.reach(e.Process.Address())
+	e.stop = d.run(e.Process.Run, e.done)
+	return nil
+}
+
+func (d *Deployment) startEntry(o EntryOptions) error {
+	s := settings.Entry{Name: o.Name, Place: o.Place, Callers: o.Callers, Peers: anyPort, Operators: anyPort}
+	if s.Callers == "" {
+		s.Callers = anyPort
+	}
+	s.Defaults()
+	seed := d.opts.Seed + uint64(len(d.Entries))
+	e := &Entry{done: make(chan error, 1)}
+	e.Process = entry.New(s, entry.Deps{
+		Clock: d.opts.Clock, Log: d.opts.Log, Current: d.Current, Seeds: d.addresses,
+		Random: rand.New(rand.NewPCG(seed, seed)),
+	})
+	if err := e.Process.Listen(); err != nil {
+		return err
+	}
+	d.Entries = append(d.Entries, e)
+	d.reach(e.Process.Address())
+	e.stop = d.run(e.Process.Run, e.done)
+	return nil
+}
+
+// run runs a process until it is stopped.
+func (d *Deployment) run(run func(context.Context) error, done chan<- error) context.CancelFunc {
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.running.Go(func() {
+		defer cancel()
+		done <- run(ctx)
+	})
+	return cancel
+}
+
+// reach adds a process to those that are asked for news.
+func (d *Deployment) reach(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers = append(d.peers, address)
+}
+
+// addresses returns where the processes listen for each other.
+func (d *Deployment) addresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.peers)
+}
+
+// Ready waits until every entry sees every target ready, or ctx ends.
+func (d *Deployment) Ready(ctx context.Context) error {
+	for {
+		if d.seesAll() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fault.Wrap("Deployment.Ready", NotStarted, ctx.Err())
+		case <-time.After(readyLook):
+		}
+	}
+}
+
+// readyLook is the time between two looks whether all is ready.
+const readyLook = 10 * time.Millisecond
+
+func (d *Deployment) seesAll() bool {
+	for _, e := range d.Entries {
+		if e.Process.Sees() < len(d.Engines) {
+			return false
+		}
+	}
+	return true
+}
+
+// Close cuts all work and waits for the processes.
+func (d *Deployment) Close() {
+	for _, e := range d.Entries {
+		e.Process.Cut()
+	}
+	for _, e := range d.Engines {
+		e.Process.Cut()
+	}
+	d.cancel()
+	d.running.Wait()
+	for _, e := range d.Engines {
+		e.Stand.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/deployment/sample.go
@@ -0,0 +1,113 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/standin/engine"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/settings"
+)
+
+// SampleModel is the model whose answers are long.
+const SampleModel = "report"
+
+// Costs of the sample's engines: a pace of about 31 ms.
+var sampleCosts = engine.Costs{
+	Prefill:        200 * time.Microsecond,
+	Step:           30 * time.Millisecond,
+	StepPerRunning: 250 * time.Microsecond,
+	Load:           2 * time.Second,
+}
+
+// Sample returns the options of a deployment for a newcomer: the brief's two
+// customers, small.
+func Sample(callers, callers2 string) Options {
+	opts := Options{
+		Deployment: conf.Deployment{Models: conf.Models{
+			{Name: SampleModel, Version: "v1", Replicas: 2},
+			{Name: "easy-read", Version: "v1", Replicas: 1},
+		}},
+		Contracts: []contract.Contract{
+			{
+				Name: "staplerdienst", Class: generation.Long, Models: []id.Model{SampleModel},
+				Services: contract.Services{{Name: "floor"}},
+				Recovery: contract.Recovery{Prefer: generation.PreferLatency},
+				Keys:     []contract.KeyHash{contract.HashKey("dev-staplerdienst")},
+			},
+			{
+				Name: "belediye", Class: generation.Long, Models: []id.Model{"easy-read"},
+				Services: contract.Services{{Name: "kiosk", Repeatable: true}},
+				Recovery: contract.Recovery{Prefer: generation.PreferCost},
+				Keys:     []contract.KeyHash{contract.HashKey("dev-belediye")},
+			},
+		},
+		Entries: []EntryOptions{
+			{Name: "entry-1", Place: place("olten", "ch-mittelland", 1), Callers: callers},
+			{Name: "entry-2", Place: place("cankaya", "ankara", 2), Callers: callers2},
+		},
+	}
+	zones := []id.Zone{"olten", "aarau", "bern"}
+	for i, zone := range zones {
+		opts.Engines = append(opts.Engines, sampleEngine(SampleModel, i, place(zone, "ch-mittelland", 10+i)))
+	}
+	for i, zone := range []id.Zone{"cankaya", "yenimahalle"} {
+		opts.Engines = append(opts.Engines, sampleEngine("easy-read", i, place(zone, "ankara", 20+i)))
+	}
+	return opts
+}
+
+func sampleEngine(model string, i int, p settings.Place) EngineOptions {
+	return EngineOptions{
+		Name:   id.Target(fmt.Sprintf("%s-%d", model, i+1)),
+		Place:  p,
+		Engine: engine.Options{Model: model, Version: "v1", Costs: sampleCosts, Slots: 16},
+	}
+}
+
+func place(zone id.Zone, region id.Region, host int) settings.Place {
+	return settings.Place{Host: id.Host(fmt.Sprintf("host-%d", host)), Zone: zone, Region: region}
+}
+
+// watchEvery is the time between two looks for a dead engine.
+const watchEvery = 20 * time.Millisecond
+
+// KillFirst kills the first engine of the model from which so many tokens have
+// left, and leaves the others alone.
+func (d *Deployment) KillFirst(ctx context.Context, model string, tokens int) {
+	var armed []*Engine
+	for _, e := range d.Engines {
+		if served, _, _ := e.Stand.Engine.Serving(); served == model {
+			e.Stand.Engine.DieAfter(tokens)
+			armed = append(armed, e)
+		}
+	}
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for !anyDead(armed) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	for _, e := range armed {
+		e.Stand.Engine.DieAfter(never)
+	}
+}
+
+// never disarms DieAfter.
+const never = -1
+
+func anyDead(engines []*Engine) bool {
+	for _, e := range engines {
+		if e.Stand.Engine.Dead() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/transport/entry/entry.go
@@ -0,0 +1,331 @@
+// Package entry is the entry process: the callers' API, the owner of requests,
+// and the exchange with other processes.
+//
+// # Usage
+//
+//	p := entry.New(settings, entry.Deps{Clock: clock, Log: log, …})
+//	if err := p.Listen(); err != nil { … }
+//	err := p.Run(ctx) // returns once ctx has ended and all work is done
+//	names := p.Cut()  // ends Run at once; names is what was cut
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/policy"
+	"foxtailward.example/foxtailward/internal/coordination/request"
+	"foxtailward.example/foxtailward/internal/coordination/route"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/caller"
+	"foxtailward.example/foxtailward/internal/transport/operator"
+	"foxtailward.example/foxtailward/internal/transport/peer"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Address means that the process cannot listen.
+	Address Kind = "address"
+	// WorkCut means that work was cut by a forced stop.
+	WorkCut Kind = "workCut"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// retainedTokens bounds the tokens of ended answers that an entry keeps.
+const retainedTokens = 500_000
+
+// Deps is what a process works with. Clock must be set.
+type Deps struct {
+	Clock   clockwork.Clock
+	Log     *event.Log
+	Metrics metrics.Registry
+	// Current holds the configuration in force.
+	Current *conf.Current
+	// Seeds returns the addresses of processes that may be asked for news.
+	Seeds func() []string
+	// Random seeds the process's choices.
+	Random *rand.Rand
+}
+
+// Process is one entry process.
+type Process struct {
+	settings    settings.Entry
+	deps        Deps
+	incarnation id.Incarnation
+	sequence    atomic.Uint64
+	leaving     atomic.Bool
+
+	view    *member.View
+	router  *route.Router
+	pool    *peer.Pool
+	desk    *request.Desk
+	counter *request.Counter
+
+	peersListener     net.Listener
+	callersListener   net.Listener
+	operatorsListener *operator.Server
+	grpcServer        *grpc.Server
+	callers           *http.Server
+
+	// life ends when the process has nothing more to do, or is cut.
+	life context.Context
+	end  context.CancelFunc
+
+	mu  sync.Mutex
+	cut []string
+}
+
+// New returns a process for settings that have been completed and checked.
+func New(s settings.Entry, deps Deps) *Process {
+	if deps.Metrics == nil {
+		deps.Metrics = metrics.NewRegistry()
+	}
+	p := &Process{settings: s, deps: deps, incarnation: id.Incarnation(deps.Clock.Now().UnixMilli())}
+	p.life, p.end = context.WithCancel(context.Background())
+	p.view = member.NewView(member.Config{}, s.Name)
+	p.router = route.New(route.Config{Zone: s.Place.Zone, Region: s.Place.Region}, p.view)
+	p.pool = peer.NewPool(p.stamp)
+	reports := peer.Reports{Load: p.takeLoad, Stamp: p.takeStamp, Broken: p.takeBroken}
+	link := peer.NewLink(p.pool, deps.Clock, reports)
+	relays := peer.NewRelays(p.pool, p.addressOf, p.takeStamp)
+	owner := policy.New(p.view, p.router, deps.Clock, deps.Random)
+	p.desk = request.NewDesk(request.Config{
+		Self: s.Name, Clock: deps.Clock, Log: deps.Log.With("entry", s.Name),
+		Meter: request.NewMeter(deps.Metrics), RetainedTokens: retainedTokens,
+	}, link, p.peers(relays), owner.Owner(), p.gate())
+	calls := peer.NewCalls(p.pool, deps.Clock, reports)
+	p.counter = request.NewCounter(p.desk, request.Services{Place: owner.PlaceCall, Call: calls.Call})
+	p.serveEntries()
+	p.serveCallers()
+	return p
+}
+
+func (p *Process) peers(relays *peer.Relays) request.Peers {
+	return request.Peers{
+		Live:     func() []id.Entry { return p.view.Snapshot().LiveEntries() },
+		Previous: p.previous,
+		Relay:    relays.Open,
+		Call:     relays.Call,
+		Lost:     func(e id.Entry) { p.view.LostEntry(e, p.deps.Clock.Now()) },
+	}
+}
+
+// previous returns the entry that owned r before the changes within the
+// retention.
+func (p *Process) previous(r id.Request) (id.Entry, bool) {
+	return p.settings.Name, true
+}
+
+func (p *Process) gate() request.Gate {
+	return request.Gate{
+		Admit: func(*contract.Contract, int) (request.Ticket, *answer.Refusal) {
+			return request.Ticket{Done: func(int) {}}, nil
+		},
+		Screen: func(*generation.Spec) *answer.Refusal { return nil },
+		Conf:   p.deps.Current.Snapshot,
+	}
+}
+
+func (p *Process) stamp() *peerpb.Stamp {
+	return &peerpb.Stamp{
+		Sender:         string(p.settings.Name),
+		ConfigRevision: int64(p.deps.Current.Revision()),
+		Incarnation:    int64(p.incarnation),
+	}
+}
+
+func (p *Process) takeLoad(r *member.TargetReport) {
+	now := p.deps.Clock.Now()
+	p.view.Target(*r, now)
+	p.view.Heard(r.Target, now)
+}
+
+func (p *Process) takeStamp(*peerpb.Stamp) {}
+
+func (p *Process) takeBroken(t id.Target) { p.view.Lost(t, p.deps.Clock.Now()) }
+
+// addressOf returns where an entry listens for other processes.
+func (p *Process) addressOf(e id.Entry) (string, bool) {
+	for _, known := range p.view.Entries() {
+		if known.Report.Entry == e {
+			return known.Report.Address, true
+		}
+	}
+	return "", false
+}
+
+// self returns what this entry says of itself.
+func (p *Process) self() *member.EntryReport {
+	state := member.Ready
+	if p.leaving.Load() {
+		state = member.Leaving
+	}
+	return &member.EntryReport{
+		Entry:       p.settings.Name,
+		Incarnation: p.incarnation,
+		Sequence:    id.Sequence(p.sequence.Add(1)),
+		State:       state,
+		Place:       member.Place(p.settings.Place),
+		Address:     p.Address(),
+		Revision:    p.deps.Current.Revision(),
+		At:          p.deps.Clock.Now(),
+	}
+}
+
+func (p *Process) serveCallers() {
+	cfg := caller.Config{}
+	cfg.Defaults()
+	tools := caller.Tools{Clock: p.deps.Clock, Log: p.deps.Log, Metrics: p.deps.Metrics}
+	p.callers = caller.NewServer(cfg, &answer.Desk{
+		Authenticate: p.authenticate,
+		Models:       p.models,
+		Open:         p.desk.Open,
+		Reopen:       p.desk.Reopen,
+		Call:         p.counter.Open,
+	}, tools)
+}
+
+func (p *Process) authenticate(key string) (*contract.Contract, bool) {
+	return p.deps.Current.Snapshot().ContractOfKey(contract.HashKey(key))
+}
+
+// models returns the models that a contract includes and that are served.
+func (p *Process) models(c *contract.Contract) []id.Model {
+	now := p.deps.Clock.Now()
+	var out []id.Model
+	for _, m := range c.Models {
+		if p.router.Serves(m, now) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Listen opens the process's addresses. Run does it when it has not been done.
+func (p *Process) Listen() error {
+	var err error
+	if p.peersListener, err = net.Listen("tcp", p.settings.Peers); err != nil {
+		return fault.Wrap("Process.Listen", Address, err)
+	}
+	if p.callersListener, err = net.Listen("tcp", p.settings.Callers); err != nil {
+		return fault.Wrap("Process.Listen", Address, err)
+	}
+	p.operatorsListener = operator.New(operator.Source{
+		Ready: p.ready, Status: func() any { return p.status() }, Metrics: p.deps.Metrics,
+	})
+	return fault.Wrap("Process.Listen", Address, p.operatorsListener.Listen(p.settings.Operators))
+}
+
+// Address returns where other processes reach this one, once it listens.
+func (p *Process) Address() string { return p.peersListener.Addr().String() }
+
+// CallersAddress returns where callers reach this process, once it listens.
+func (p *Process) CallersAddress() string { return p.callersListener.Addr().String() }
+
+// OperatorsAddress returns where operators reach this process, once it listens.
+func (p *Process) OperatorsAddress() string { return p.operatorsListener.Address() }
+
+// ready returns why the process takes no work; nil when it does.
+func (p *Process) ready() error {
+	switch {
+	case p.leaving.Load():
+		return fault.New("Process.ready", WorkCut, "leaving")
+	case p.deps.Current.Revision() == 0:
+		return fault.New("Process.ready", Address, "no configuration yet")
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then drains: it takes no new work and returns
+// once the running work is done, however long that takes, or once Cut was
+// called.
+func (p *Process) Run(ctx context.Context) error {
+	if p.peersListener == nil {
+		if err := p.Listen(); err != nil {
+			return err
+		}
+	}
+	p.emit(event.ProcessStarted, "callers", p.CallersAddress(), "peers", p.Address(), "operators", p.OperatorsAddress())
+	var duties sync.WaitGroup
+	duties.Go(func() { p.serve("peers", func() error { return p.grpcServer.Serve(p.peersListener) }) })
+	duties.Go(func() { p.serve("callers", func() error { return ignoreClosed(p.callers.Serve(p.callersListener)) }) })
+	duties.Go(func() {
+		p.serve("operators", func() error { return p.operatorsListener.Run(p.life, p.settings.Operators) })
+	})
+	duties.Go(p.tick)
+	duties.Go(p.exchange)
+	select {
+	case <-ctx.Done():
+	case <-p.life.Done():
+	}
+	p.drain()
+	p.end()
+	p.stop()
+	duties.Wait()
+	p.emit(event.DrainEnded)
+	return p.cutError()
+}
+
+// serve runs a listener's duty and ends the process when it fails.
+func (p *Process) serve(duty string, run func() error) {
+	if err := run(); err != nil && p.life.Err() == nil {
+		p.emit(event.LoopFailed, "duty", duty, "error", err)
+		p.end()
+	}
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// tickEvery is the time between two judgements of silence.
+const tickEvery = 200 * time.Millisecond
+
+// tick judges silence and tells of changes.
+func (p *Process) tick() {
+	ticker := p.deps.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.life.Done():
+			return
+		case <-ticker.Chan():
+		}
+		now := p.deps.Clock.Now()
+		p.view.Entry(*p.self(), now)
+		for _, c := range p.view.Tick(now) {
+			p.tell(&c)
+		}
+		p.counter.Sweep(now, p.deps.Current.Snapshot().Deployment.Retention.Std())
+	}
+}
+
+func (p *Process) emit(e event.Event, fields ...any) {
+	p.deps.Log.Emit(e, append([]any{"entry", p.settings.Name}, fields...)...)
+}
