Give admission a package of its own

Cause: plain services need the same queue as attempts: class, deadline, headroom, early refusal. Change: package admission holds the queue over tickets; attempt uses it. The server uses transport/peer's connection options, which entries use too.

--- a/internal/coordination/attempt/record.go
+++ b/internal/coordination/attempt/record.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/admission"
 	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -24,11 +25,11 @@
 	// Stop ends the engine's work on the attempt. It must not block.
 	Stop func()
 
-	arrival  uint64
-	admitted time.Time
-	ended    time.Time
+	ticket admission.Ticket[*Record]
+	ended  time.Time
 	// alone is when the last reader went; zero while there is one.
-	alone   time.Time
+	alone time.Time
+	// taken says that a reader has had the end.
 	taken   bool
 	readers []*Reader
 }
@@ -41,8 +42,8 @@
 	return recordBytes + len(r.Spec.Prompt) + len(r.Spec.Messages) + r.Log.Bytes()
 }
 
-// Admitted returns when the attempt got its slot; zero while it waits.
-func (r *Record) Admitted() time.Time { return r.admitted }
+// started reports whether the attempt was given to the engine.
+func (r *Record) started() bool { return !r.ticket.Admitted().IsZero() }
 
 // Orphan reports whether the attempt runs without a reader.
 func (r *Record) Orphan() bool {
--- a/internal/coordination/attempt/run.go
+++ b/internal/coordination/attempt/run.go
@@ -23,11 +23,11 @@
 func (t *Table) Admit(now time.Time) []*Record {
 	var admitted []*Record
 	for {
-		r, ok := t.queue.admit(now)
+		ticket, ok := t.queue.Admit(now)
 		if !ok {
 			return admitted
 		}
-		admitted = append(admitted, r)
+		admitted = append(admitted, ticket.Owner)
 	}
 }
 
@@ -77,7 +77,7 @@
 // end gives the slot back and keeps the log for its retention.
 func (t *Table) end(now time.Time, r *Record) {
 	r.ended = now
-	t.queue.release(now, r)
+	t.queue.Release(now, &r.ticket)
 	t.ended.PushBack(r)
 	r.wakeReaders()
 	t.evict()
@@ -88,7 +88,7 @@
 	if r.Stop != nil {
 		r.Stop()
 	}
-	t.Fail(now, r, Refusal{Kind: kind, Detail: why, Started: !r.admitted.IsZero()})
+	t.Fail(now, r, Refusal{Kind: kind, Detail: why, Started: r.started()})
 }
 
 // stopAll stops the running attempts that match and returns their number.
@@ -155,11 +155,10 @@
 	if r.State != Running {
 		return false
 	}
-	deadline := r.Spec.Deadline
 	switch {
 	case r.Orphan() && now.Sub(r.alone) >= t.limits.OrphanGrace:
 		t.stop(now, r, Cancelled, "nobody read it")
-	case r.admitted.IsZero() && !deadline.IsZero() && now.After(deadline):
+	case r.ticket.Late(now):
 		t.stop(now, r, Deadline, "it waited for a slot until its deadline")
 	default:
 		return false
--- a/internal/coordination/attempt/table.go
+++ b/internal/coordination/attempt/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/admission"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -13,7 +14,7 @@
 
 // Limits bound what a table holds and for how long.
 type Limits struct {
-	Capacity Capacity
+	Capacity admission.Capacity
 	// Retention is how long the log of an ended attempt and the epoch of a
 	// request are kept.
 	Retention time.Duration
@@ -28,6 +29,9 @@
 // came first gives way: its connection is the most likely to be dead.
 const maxReaders = 4
 
+// Queue is the queue of a target's attempts.
+type Queue = admission.Queue[*Record]
+
 // Table holds the attempts of a target process. It is not safe for concurrent
 // use.
 type Table struct {
@@ -38,7 +42,6 @@
 	limits   Limits
 	queue    Queue
 	leaving  bool
-	arrivals uint64
 	requests map[id.Request]*request
 	// ended lists the records that have ended, the first one first.
 	ended *list.List
@@ -60,7 +63,7 @@
 func NewTable(limits Limits) *Table {
 	return &Table{
 		limits:   limits,
-		queue:    Queue{capacity: limits.Capacity},
+		queue:    admission.NewQueue[*Record](limits.Capacity),
 		requests: map[id.Request]*request{},
 		ended:    list.New(),
 	}
@@ -69,7 +72,7 @@
 // SetLimits puts new limits in force; running attempts stay.
 func (t *Table) SetLimits(limits Limits) {
 	t.limits = limits
-	t.queue.capacity = limits.Capacity
+	t.queue.SetCapacity(limits.Capacity)
 }
 
 // Drain makes the table refuse new attempts. Those that wait still run.
@@ -136,10 +139,12 @@
 	if t.bytes >= t.limits.LogBytes {
 		return nil, fault.New("Table.add", Busy, "attempts that run or are read take %d bytes", t.bytes)
 	}
-	t.arrivals++
-	r := &Record{Spec: s.Spec, Epoch: s.Epoch, Attempt: s.Attempt, State: Running, arrival: t.arrivals}
-	if err := t.queue.offer(now, r); err != nil {
-		return nil, err
+	r := &Record{Spec: s.Spec, Epoch: s.Epoch, Attempt: s.Attempt, State: Running}
+	r.ticket = admission.Ticket[*Record]{
+		Owner: r, Class: s.Spec.Class, Deadline: s.Spec.Deadline, Tokens: s.Spec.PromptTokens() + len(s.Prefix),
+	}
+	if err := t.queue.Offer(now, &r.ticket); err != nil {
+		return nil, fault.Wrap("Table.add", refusalKind(err), err)
 	}
 	for _, token := range s.Prefix {
 		r.Log.Append(token)
@@ -151,6 +156,14 @@
 	return r, nil
 }
 
+// refusalKind returns the kind for why the queue refused.
+func refusalKind(err error) Kind {
+	if fault.Is(err, admission.Deadline) {
+		return Deadline
+	}
+	return Busy
+}
+
 func (t *Table) attach(now time.Time, r *Record, epoch id.Epoch, from id.Index, wake func()) *Reader {
 	if len(r.readers) >= maxReaders {
 		t.cut(now, r.readers[0], "too many readers of one attempt")
@@ -257,7 +270,7 @@
 // cut ends a reader.
 func (t *Table) cut(now time.Time, reader *Reader, why string) {
 	r := reader.record
-	reader.cut = &Refusal{Kind: Fenced, Detail: why, Started: !r.admitted.IsZero()}
+	reader.cut = &Refusal{Kind: Fenced, Detail: why, Started: r.started()}
 	r.detach(now, reader)
 	reader.wake()
 }
--- a/internal/coordination/attempt/table_test.go
+++ b/internal/coordination/attempt/table_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"foxtailward.example/foxtailward/internal/coordination/admission"
 	"foxtailward.example/foxtailward/internal/coordination/attempt"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/generation"
@@ -18,7 +19,7 @@
 
 func limits() attempt.Limits {
 	return attempt.Limits{
-		Capacity:    attempt.Capacity{Slots: 4, Queue: 4, HeadroomShare: 0.1},
+		Capacity:    admission.Capacity{Slots: 4, Queue: 4, HeadroomShare: 0.1},
 		Retention:   10 * time.Minute,
 		OrphanGrace: 30 * time.Second,
 		LogBytes:    1 << 20,
@@ -330,3 +331,24 @@
 	f3.is.Equal(part.Refusal.Kind, attempt.Cancelled) // the reader is told
 	f3.is.True(part.Refusal.Started)
 }
+
+func TestSweepDeadline(t *testing.T) {
+	l := limits()
+	l.Capacity = admission.Capacity{Slots: 1, Queue: 4}
+	f := newFixture(t, l)
+	f.start(begin, 1, 1)
+	late := spec()
+	late.Request, late.Deadline = "ans-00000000-aa", begin.Add(time.Second)
+	reader, err := f.Start(begin, attempt.Start{Spec: late, Epoch: 1, Attempt: 1}, func() {})
+	f.is.NoErr(err)
+	f.is.Equal(len(f.Sweep(begin.Add(time.Second))), 0)
+	f.is.Equal(len(f.Sweep(begin.Add(time.Second+1))), 1)
+	_, part := f.read(reader)
+	f.is.Equal(part.Refusal.Kind, attempt.Deadline)
+	f.is.True(!part.Refusal.Started) // which proves that it was not run
+	f.is.Equal(f.Queue().Waiting(), 0)
+	late = spec()
+	late.Request, late.Deadline = "ans-00000000-bb", begin
+	_, err = f.Start(begin, attempt.Start{Spec: late, Epoch: 1, Attempt: 1}, func() {})
+	f.refused(err, attempt.Deadline)
+}
--- a/internal/transport/target/bench_test.go
+++ b/internal/transport/target/bench_test.go
@@ -14,7 +14,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/protocol/engine"
@@ -23,6 +22,7 @@
 	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
+	peertransport "foxtailward.example/foxtailward/internal/transport/peer"
 	"foxtailward.example/foxtailward/internal/transport/target"
 )
 
@@ -157,8 +157,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
 	go func() { b.done <- b.process.Run(ctx) }()
-	options := append(target.DialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))
-	conn, err := grpc.NewClient(b.process.Address(), options...)
+	pool := peertransport.NewPool(func() *peerpb.Stamp { return &peerpb.Stamp{Sender: "e1"} })
+	conn, err := pool.Conn(b.process.Address())
 	is.NoErr(err)
 	b.conn, b.client = conn, peerpb.NewTargetClient(conn)
 	b.eventually(func() bool { return b.process.Report().State == member.Ready })
@@ -172,7 +172,7 @@
 			default:
 				<-b.done
 			}
-			_ = conn.Close()
+			pool.Close()
 		})
 	})
 	return b
--- a/internal/transport/target/runner.go
+++ b/internal/transport/target/runner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/admission"
 	"foxtailward.example/foxtailward/internal/coordination/attempt"
 	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/state/conf"
@@ -48,7 +49,7 @@
 func (r *runner) limits(s *conf.Snapshot) attempt.Limits {
 	e := r.p.settings.Engine
 	return attempt.Limits{
-		Capacity: attempt.Capacity{
+		Capacity: admission.Capacity{
 			Slots: e.Slots, Queue: e.Queue, HeadroomShare: s.Deployment.Routing.HeadroomShare,
 		},
 		Retention:   s.Deployment.Retention.Std(),
@@ -184,7 +185,7 @@
 		running:         q.Running(),
 		short:           q.ShortRunning(),
 		queued:          q.Waiting() + r.metrics.Waiting,
-		queuedPrefill:   q.WaitingPrompt() + r.metrics.WaitingPrefill,
+		queuedPrefill:   q.WaitingTokens() + r.metrics.WaitingPrefill,
 		pace:            r.pace.mean,
 		prefillPerToken: r.metrics.PrefillPerToken,
 	}
--- a/internal/transport/target/server.go
+++ b/internal/transport/target/server.go
@@ -11,10 +11,11 @@
 	"foxtailward.example/foxtailward/internal/protocol/peer"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
 	"foxtailward.example/foxtailward/internal/state/id"
+	peertransport "foxtailward.example/foxtailward/internal/transport/peer"
 )
 
 // maxFoundTokens bounds the tokens of one Find reply, so that it stays below
-// MaxMessageBytes. The rest is read with Adopt.
+// the largest message. The rest is read with Adopt.
 const maxFoundTokens = 400_000
 
 // server answers the calls of other processes.
@@ -25,7 +26,7 @@
 }
 
 func newServer(p *Process) *grpc.Server {
-	s := grpc.NewServer(ServerOptions()...)
+	s := grpc.NewServer(peertransport.ServerOptions()...)
 	peerpb.RegisterTargetServer(s, &server{p: p})
 	peerpb.RegisterExchangeServer(s, &server{p: p})
 	return s
