--- /dev/null
+++ b/internal/coordination/confstore/wait.go
@@ -0,0 +1,82 @@
+package confstore
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// waitEvery is the time between two questions for the nodes' revisions.
+const waitEvery = 200 * time.Millisecond
+
+// NodeRevision is the configuration in force at one node.
+type NodeRevision struct {
+	Node     string      `json:"node"`
+	Revision id.Revision `json:"revision"`
+}
+
+// Waiter waits until a revision is in force everywhere.
+type Waiter struct {
+	Clock clockwork.Clock
+	// Revisions asks for the revision of all nodes that are there.
+	Revisions func(ctx context.Context) ([]NodeRevision, error)
+}
+
+// Missing names the nodes where a revision is not in force.
+type Missing struct {
+	Revision id.Revision
+	Nodes    []NodeRevision
+	// Last is the error of the last question; nil when it was answered.
+	Last error
+}
+
+// Error names the nodes with their revisions.
+func (m *Missing) Error() string {
+	if m.Last != nil {
+		return fmt.Sprintf("it is not known where revision %d is in force: %v", m.Revision, m.Last)
+	}
+	names := make([]string, len(m.Nodes))
+	for i, n := range m.Nodes {
+		names[i] = fmt.Sprintf("%s (%d)", n.Node, n.Revision)
+	}
+	return fmt.Sprintf("revision %d is not in force at %s", m.Revision, strings.Join(names, ", "))
+}
+
+// Wait returns the number of nodes once all of them have the revision. When
+// timeout or ctx ends first, the error's kind is NotInForce and its cause a
+// *Missing. No node at all is not everywhere.
+func (w *Waiter) Wait(ctx context.Context, revision id.Revision, timeout time.Duration) (int, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, w.Clock, timeout)
+	defer cancel()
+	for {
+		nodes, err := w.Revisions(ctx)
+		behind := behind(nodes, revision)
+		if err == nil && len(nodes) > 0 && len(behind) == 0 {
+			return len(nodes), nil
+		}
+		if err == nil && len(nodes) == 0 {
+			err = fmt.Errorf("no node is known")
+		}
+		select {
+		case <-w.Clock.After(waitEvery):
+		case <-ctx.Done():
+			missing := &Missing{Revision: revision, Nodes: behind, Last: err}
+			return len(nodes), &Error{Op: "Waiter.Wait", Kind: NotInForce, Err: missing}
+		}
+	}
+}
+
+func behind(nodes []NodeRevision, revision id.Revision) []NodeRevision {
+	var out []NodeRevision
+	for _, n := range nodes {
+		if n.Revision < revision {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/internal/state/conf/conf.go
+++ b/internal/state/conf/conf.go
@@ -47,6 +47,9 @@
 
 // Change is one accepted change of the configuration.
 type Change struct {
+	// ID is random, so that an operator whose answer was lost finds out
+	// whether this change is the one it asked for.
+	ID string `json:"id,omitempty"`
 	// Revision is one more than that of the change before.
 	Revision id.Revision `json:"revision"`
 	Object   Object      `json:"object"`
