--- a/internal/coordination/request/leg.go
+++ b/internal/coordination/request/leg.go
@@ -49,7 +49,7 @@
 	}
 	defer func() { r.retire(legs, nil) }()
 	for len(legs) > 0 {
-		lost, reason, done := r.step(ctx, legs, events)
+		lost, done, reason := r.step(ctx, legs, events)
 		if done {
 			return nil
 		}
@@ -116,31 +116,31 @@
 
 // step waits for one event. It returns the leg that was lost with the reason,
 // or done when the answer is whole.
-func (r *runner) step(ctx context.Context, legs legs, events <-chan legEvent) (*leg, error, bool) {
+func (r *runner) step(ctx context.Context, legs legs, events <-chan legEvent) (lost *leg, done bool, reason error) {
 	now := r.clock.Now()
 	stalled, check := legs.check(now)
 	if stalled != nil {
-		return stalled, fault.New("runner.step", Stalled, "no token came in time"), false
+		return stalled, false, fault.New("runner.step", Stalled, "no token came in time")
 	}
 	timer := r.clock.NewTimer(check.Sub(now))
 	defer timer.Stop()
 	select {
 	case e := <-events:
 		if !legs.has(e.leg) {
-			return nil, nil, false
+			return nil, false, nil
 		}
 		if e.err != nil {
-			return e.leg, e.err, false
+			return e.leg, false, e.err
 		}
 		done, err := r.join(e.leg, &e.frame)
 		if err != nil {
-			return e.leg, err, false
+			return e.leg, false, err
 		}
-		return nil, nil, done
+		return nil, done, nil
 	case <-timer.Chan():
-		return nil, nil, false
+		return nil, false, nil
 	case <-ctx.Done():
-		return legs[0], fault.Wrap("runner.step", Lost, ctx.Err()), false
+		return legs[0], false, fault.Wrap("runner.step", Lost, ctx.Err())
 	}
 }
 
@@ -151,6 +151,7 @@
 	added, verdict := r.answer.take(f)
 	if added > 0 {
 		l.decoded += added
+		r.idle = 0
 		r.flowing(l, now)
 	}
 	switch verdict {
@@ -160,7 +161,7 @@
 		r.meter.Dropped(len(f.Tokens))
 		return false, nil
 	default:
-		return false, fault.New("runner.join", Engine, "frame at %d does not fit: %v", f.First, verdict)
+		return false, fault.New("runner.join", Corrupt, "frame at %d: %v", f.First, verdict)
 	}
 }
 
@@ -218,6 +219,9 @@
 	}
 	loss := &Loss{Target: l.target, Kind: kind, Started: started(kind), Detail: err.Error(), At: r.clock.Now()}
 	r.touched = r.touched || loss.Started
+	if loss.Started {
+		r.idle++
+	}
 	if loss.Started && r.lostAt.IsZero() {
 		r.lostAt = loss.At
 	}
