Read operators' files with file, line, key and what was expected

Cause: a wrong contract has to be refused before it reaches the store, and the operator has to find the place.

--- a/internal/state/conf/deployment.go
+++ b/internal/state/conf/deployment.go
@@ -20,7 +20,7 @@
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil {
-		return fault.Wrap("Duration.UnmarshalText", Invalid, err)
+		return fault.New("Duration.UnmarshalText", Invalid, "is %q, want a time such as 30s", text)
 	}
 	*d = Duration(v)
 	return nil
--- /dev/null
+++ b/internal/state/conffile/check.go
@@ -0,0 +1,114 @@
+package conffile
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/settings"
+)
+
+// Form is what a file describes.
+type Form string
+
+// Forms of files.
+const (
+	ContractForm   Form = "contract"
+	DeploymentForm Form = "config"
+	EntryForm      Form = "entry"
+	TargetForm     Form = "target"
+)
+
+// forms lists the types of all forms; of two that fit equally well the first
+// is taken.
+var forms = []struct {
+	form Form
+	t    reflect.Type
+}{
+	{ContractForm, reflect.TypeFor[contract.Contract]()},
+	{DeploymentForm, reflect.TypeFor[conf.Deployment]()},
+	{EntryForm, reflect.TypeFor[settings.Entry]()},
+	{TargetForm, reflect.TypeFor[settings.Target]()},
+}
+
+// FormOf guesses what a file describes by the keys that it has.
+func FormOf(data []byte) Form {
+	var raw map[string]any
+	// What could be read before an error is enough for a guess.
+	_, _ = toml.Decode(string(data), &raw)
+	best, bestFit := ContractForm, 0
+	for _, f := range forms {
+		fit := known(f.t, raw)
+		if fit > bestFit {
+			best, bestFit = f.form, fit
+		}
+	}
+	return best
+}
+
+// known counts the keys of a table, and of the tables in it, for which t has a
+// field of the same broad type.
+func known(t reflect.Type, table map[string]any) int {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct {
+		return 0
+	}
+	count := 0
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("toml"), ",")
+		value, ok := table[name]
+		if !ok || broadType(t.Field(i).Type) != broadType(reflect.TypeOf(value)) {
+			continue
+		}
+		count++
+		if inner, ok := value.(map[string]any); ok {
+			count += known(t.Field(i).Type, inner)
+		}
+	}
+	return count
+}
+
+// broadType tells tables, arrays of tables, arrays and single values apart.
+func broadType(t reflect.Type) string {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "table"
+	case reflect.Slice:
+		if broadType(t.Elem()) == "table" {
+			return "tables"
+		}
+		return "array"
+	default:
+		return "value"
+	}
+}
+
+// Check checks a file of any form. It returns the form that it was taken for.
+func Check(path string, data []byte) (Form, error) {
+	form := FormOf(data)
+	return form, CheckAs(form, path, data)
+}
+
+// CheckAs checks a file of a given form.
+func CheckAs(form Form, path string, data []byte) error {
+	var err error
+	switch form {
+	case DeploymentForm:
+		_, err = DecodeDeployment(path, data)
+	case EntryForm:
+		_, err = settings.LoadEntry(path)
+	case TargetForm:
+		_, err = settings.LoadTarget(path)
+	default:
+		_, err = DecodeContract(path, data)
+	}
+	return err
+}
