Give operators a command line

Cause: operators drive the system only through contracts and configuration, and need to see what is in force where and why a request went where it went.

Waiter keeps the last answered question, so that a late timeout still names nodes.

Conclusion: the whole life of a contract with two racing operators, the exit codes and the waiting are tested over the real command tree with a key-value service in memory; the platform's client is not wired yet.

--- /dev/null
+++ b/cmd/foxtailward/contract.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"foxtailward.example/foxtailward/internal/coordination/confstore"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/conffile"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+const usageContract = `A contract states what one customer may ask for, how urgently and how much.
+
+To change one, edit what "contract get" prints and put it back. The file says at
+which revision it was read, so that a change by somebody else is noticed:
+
+  foxtailward contract get staplerdienst > staplerdienst.toml
+  foxtailward contract put staplerdienst.toml --wait --entry 10.0.0.7:8702`
+
+const usageContractPut = `Write a contract from a TOML file; "-" is the standard input.
+
+The change is accepted whole or not at all. When somebody else changed the
+contract since it was read, nothing is changed, the differences are shown, and
+the exit code is 4.`
+
+func newContract(o *operator) *cobra.Command {
+	return group("contract", "Write and read contracts", usageContract,
+		newContractPut(o), newContractGet(o), newContractList(o), newContractDelete(o), newContractKey(o))
+}
+
+func newContractPut(o *operator) *cobra.Command {
+	var f putFlags
+	cmd := &cobra.Command{
+		Use:   "put FILE",
+		Short: "Write a contract from a file",
+		Long:  usageContractPut,
+		Args:  args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			data, err := readFile(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			c, err := conffile.DecodeContract(args[0], data)
+			if err != nil {
+				return err
+			}
+			value, err := json.Marshal(c)
+			if err != nil {
+				return fault.Wrap("contract put", invalid, err)
+			}
+			return o.apply(cmd, &f, confstore.Edit{
+				Object: conf.ContractObject, Name: c.Name, Value: value, Based: f.based(data),
+			})
+		},
+	}
+	f.add(cmd)
+	return cmd
+}
+
+func newContractDelete(o *operator) *cobra.Command {
+	var f putFlags
+	cmd := &cobra.Command{
+		Use:   "delete NAME",
+		Short: "Delete a contract; its requests under way end as they are",
+		Args:  args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.apply(cmd, &f, confstore.Edit{
+				Object: conf.ContractObject, Name: id.Contract(args[0]), Based: f.based(nil),
+			})
+		},
+	}
+	f.add(cmd)
+	return cmd
+}
+
+func newContractGet(o *operator) *cobra.Command {
+	return &cobra.Command{
+		Use:   "get NAME",
+		Short: "Print a contract as the file to edit",
+		Args:  args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			repository, err := o.repository()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := o.deadline(cmd)
+			defer cancel()
+			change, err := repository.Get(ctx, conf.ContractObject, id.Contract(args[0]))
+			if err != nil {
+				return err
+			}
+			c, err := contractOf(change)
+			if err != nil {
+				return err
+			}
+			file, err := conffile.EncodeContract(c, change.Revision)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), change, func(w io.Writer) { fmt.Fprint(w, string(file)) })
+		},
+	}
+}
+
+func contractOf(change *conf.Change) (*contract.Contract, error) {
+	c := &contract.Contract{}
+	if err := json.Unmarshal(change.Value, c); err != nil {
+		return nil, fault.Wrap("contractOf", invalid, err)
+	}
+	return c, nil
+}
+
+// contractRow is a line of the list of contracts.
+type contractRow struct {
+	Name     id.Contract       `json:"name"`
+	Revision id.Revision       `json:"revision"`
+	Contract contract.Contract `json:"contract"`
+}
+
+func newContractList(o *operator) *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the contracts",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			repository, err := o.repository()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := o.deadline(cmd)
+			defer cancel()
+			changes, err := repository.Contracts(ctx)
+			if err != nil {
+				return err
+			}
+			rows := make([]contractRow, 0, len(changes))
+			for i := range changes {
+				c, err := contractOf(&changes[i])
+				if err != nil {
+					return err
+				}
+				rows = append(rows, contractRow{Name: c.Name, Revision: changes[i].Revision, Contract: *c})
+			}
+			return o.print(cmd.OutOrStdout(), rows, contractTable(rows))
+		},
+	}
+}
+
+func contractTable(rows []contractRow) func(io.Writer) {
+	return func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tREVISION\tCLASS\tMODELS\tSERVICES\tTOKENS/S\tREQUESTS/S\tCONCURRENCY\tANSWER TOKENS\tPREFER")
+		for _, r := range rows {
+			c := &r.Contract
+			fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", r.Name, r.Revision, c.Class,
+				list(c.Models, func(m id.Model) string { return string(m) }),
+				list(c.Services, func(s contract.Service) string { return string(s.Name) }),
+				c.Limits.TokensPerSecond, c.Limits.RequestsPerSecond, c.Limits.Concurrency,
+				c.Limits.AnswerTokens, c.Recovery.Prefer)
+		}
+	}
+}
+
+func list[T any](values []T, name func(T) string) string {
+	names := make([]string, len(values))
+	for i, v := range values {
+		names[i] = name(v)
+	}
+	return orDash(strings.Join(names, ","))
+}
--- a/cmd/foxtailward/main.go
+++ b/cmd/foxtailward/main.go
@@ -10,13 +10,9 @@
 package main
 
 import (
-	"fmt"
 	"os"
 )
 
 func main() {
-	if err := newRoot().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "foxtailward:", err)
-		os.Exit(exitCode(err))
-	}
+	os.Exit(run(newRoot(), os.Stderr))
 }
--- /dev/null
+++ b/cmd/foxtailward/operator.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"foxtailward.example/foxtailward/internal/coordination/confstore"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/transport/entry"
+)
+
+// Flags that all operators' subcommands share, and the variables that stand in
+// for them.
+const (
+	flagOutput  = "output"
+	flagStore   = "store"
+	flagEntry   = "entry"
+	flagTimeout = "timeout"
+	envStore    = "FOXTAILWARD_STORE"
+	envEntry    = "FOXTAILWARD_ENTRY"
+)
+
+// Values of --output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+const (
+	defaultTimeout     = 10 * time.Second
+	defaultWaitTimeout = 30 * time.Second
+)
+
+// operator holds what the operators' subcommands share. The function fields
+// are set for the platform and by tests.
+type operator struct {
+	output  string
+	stores  []string
+	entries []string
+	timeout time.Duration
+	clock   clockwork.Clock
+	// openStore returns the key-value service at the URLs.
+	openStore func(urls []string) (*store.Store, error)
+	// newClient returns the client of the entries at the addresses.
+	newClient func(addresses []string) *entry.Client
+}
+
+func newOperator() *operator {
+	return &operator{
+		clock:     clockwork.NewRealClock(),
+		openStore: openStore,
+		newClient: func(addresses []string) *entry.Client {
+			return &entry.Client{Addresses: addresses, HTTP: &http.Client{}}
+		},
+	}
+}
+
+// addOperatorCommands adds the operators' subcommands, each with the flags that
+// all of them share.
+func addOperatorCommands(root *cobra.Command, o *operator) {
+	commands := []*cobra.Command{newContract(o), newConfig(o), newCheck(o), newStatus(o), newExplain(o)}
+	for _, cmd := range commands {
+		o.addFlags(cmd)
+		cmd.PersistentPreRunE = func(*cobra.Command, []string) error { return o.checkOutput() }
+	}
+	root.AddCommand(commands...)
+}
+
+func (o *operator) addFlags(cmd *cobra.Command) {
+	flags := cmd.PersistentFlags()
+	flags.StringVar(&o.output, flagOutput, outputTable, "form of the output: table or json")
+	flags.StringSliceVar(&o.stores, flagStore, fromEnv(envStore), "URLs of the key-value service ("+envStore+")")
+	flags.StringSliceVar(&o.entries, flagEntry, fromEnv(envEntry), "operators' addresses of entries ("+envEntry+")")
+	flags.DurationVar(&o.timeout, flagTimeout, defaultTimeout, "longest time for the service or an entry to answer")
+}
+
+func (o *operator) checkOutput() error {
+	if o.output != outputTable && o.output != outputJSON {
+		return fault.New("operator", usage, "--output is %q, want table or json", o.output)
+	}
+	return nil
+}
+
+func fromEnv(name string) []string {
+	value := os.Getenv(name)
+	if value == "" {
+		return nil
+	}
+	return strings.Split(value, ",")
+}
+
+// repository returns the configuration in the key-value service.
+func (o *operator) repository() (*confstore.Repository, error) {
+	if len(o.stores) == 0 {
+		return nil, fault.New("operator.repository", usage, "no key-value service is given; want --%s URL or %s", flagStore, envStore)
+	}
+	s, err := o.openStore(o.stores)
+	if err != nil {
+		return nil, err
+	}
+	return confstore.New(s, o.clock), nil
+}
+
+// client returns the client of the entries.
+func (o *operator) client() (*entry.Client, error) {
+	if len(o.entries) == 0 {
+		return nil, fault.New("operator.client", usage, "no entry is given; want --%s ADDR or %s", flagEntry, envEntry)
+	}
+	return o.newClient(o.entries), nil
+}
+
+// deadline bounds a command by --timeout. An interrupt ends it too, so that it
+// still says what it knows.
+func (o *operator) deadline(cmd *cobra.Command) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt)
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	return ctx, func() {
+		cancel()
+		stop()
+	}
+}
+
+// print writes v as JSON, or the rows of a table.
+func (o *operator) print(w io.Writer, v any, table func(w io.Writer)) error {
+	if o.output == outputJSON {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	rows := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	table(rows)
+	return rows.Flush()
+}
+
+// group returns a command that only holds others.
+func group(use, short, long string, commands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Long:  long,
+		RunE: func(cmd *cobra.Command, rest []string) error {
+			names := make([]string, 0, len(cmd.Commands()))
+			for _, c := range cmd.Commands() {
+				names = append(names, c.Name())
+			}
+			return fault.New("group", usage, "%s: %q is no subcommand, want one of %s",
+				cmd.CommandPath(), strings.Join(rest, " "), strings.Join(names, ", "))
+		},
+	}
+	cmd.AddCommand(commands...)
+	return cmd
+}
+
+// readFile reads a file that an operator edits; "-" is the standard input.
+func readFile(cmd *cobra.Command, path string) ([]byte, error) {
+	const op = "readFile"
+	in := cmd.InOrStdin()
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, fault.New(op, unreadable, "%v", err)
+		}
+		defer file.Close()
+		in = file
+	}
+	data, err := io.ReadAll(io.LimitReader(in, confstore.MaxValueBytes+1))
+	if err != nil {
+		return nil, fault.New(op, unreadable, "%s: %v", path, err)
+	}
+	if len(data) > confstore.MaxValueBytes {
+		return nil, fault.New(op, invalid, "%s has more than %d bytes", path, confstore.MaxValueBytes)
+	}
+	return data, nil
+}
--- a/internal/coordination/confstore/wait.go
+++ b/internal/coordination/confstore/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -30,14 +31,15 @@
 // Missing names the nodes where a revision is not in force.
 type Missing struct {
 	Revision id.Revision
-	Nodes    []NodeRevision
+	// Nodes come from the last question that was answered.
+	Nodes []NodeRevision
 	// Last is the error of the last question; nil when it was answered.
 	Last error
 }
 
 // Error names the nodes with their revisions.
 func (m *Missing) Error() string {
-	if m.Last != nil {
+	if len(m.Nodes) == 0 {
 		return fmt.Sprintf("it is not known where revision %d is in force: %v", m.Revision, m.Last)
 	}
 	names := make([]string, len(m.Nodes))
@@ -47,30 +49,41 @@
 	return fmt.Sprintf("revision %d is not in force at %s", m.Revision, strings.Join(names, ", "))
 }
 
+// errNoNode says that an entry knows of nobody, not even of itself.
+var errNoNode = errors.New("no node is known")
+
 // Wait returns the number of nodes once all of them have the revision. When
 // timeout or ctx ends first, the error's kind is NotInForce and its cause a
 // *Missing. No node at all is not everywhere.
 func (w *Waiter) Wait(ctx context.Context, revision id.Revision, timeout time.Duration) (int, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, w.Clock, timeout)
 	defer cancel()
+	missing := &Missing{Revision: revision}
 	for {
-		nodes, err := w.Revisions(ctx)
-		behind := behind(nodes, revision)
-		if err == nil && len(nodes) > 0 && len(behind) == 0 {
-			return len(nodes), nil
+		nodes, err := w.ask(ctx)
+		if err == nil {
+			missing.Nodes = behind(nodes, revision)
 		}
-		if err == nil && len(nodes) == 0 {
-			err = fmt.Errorf("no node is known")
+		if err == nil && len(missing.Nodes) == 0 {
+			return len(nodes), nil
 		}
+		missing.Last = err
 		select {
 		case <-w.Clock.After(waitEvery):
 		case <-ctx.Done():
-			missing := &Missing{Revision: revision, Nodes: behind, Last: err}
-			return len(nodes), &Error{Op: "Waiter.Wait", Kind: NotInForce, Err: missing}
+			return 0, &Error{Op: "Waiter.Wait", Kind: NotInForce, Err: missing}
 		}
 	}
 }
 
+func (w *Waiter) ask(ctx context.Context) ([]NodeRevision, error) {
+	nodes, err := w.Revisions(ctx)
+	if err == nil && len(nodes) == 0 {
+		err = errNoNode
+	}
+	return nodes, err
+}
+
 func behind(nodes []NodeRevision, revision id.Revision) []NodeRevision {
 	var out []NodeRevision
 	for _, n := range nodes {
--- a/internal/state/conffile/check.go
+++ b/internal/state/conffile/check.go
@@ -112,3 +112,13 @@
 	}
 	return err
 }
+
+// Valid reports whether f is a known form.
+func (f Form) Valid() bool {
+	for i := range forms {
+		if forms[i].form == f {
+			return true
+		}
+	}
+	return false
+}
