Choose how an answer goes on, and bound the extra work

Cause: after a loss an answer may wait, read on, go on elsewhere, race or start anew; each has another time and another cost, and many losses at once must not crowd out the work that still runs.

--- /dev/null
+++ b/internal/coordination/recovery/recovery_test.go
@@ -0,0 +1,184 @@
+package recovery_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/recovery"
+	"foxtailward.example/foxtailward/internal/state/generation"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// report returns an idle engine that serves version 1, each on a host of its
+// own.
+func report(name id.Target, zone id.Zone) member.TargetReport {
+	return member.TargetReport{
+		Target: name, Incarnation: 1, State: member.Ready, Model: "report", Version: "1",
+		Place: member.Place{Host: id.Host("h-" + name), Zone: zone},
+		Slots: 16, Pace: 31 * time.Millisecond, PrefillPerToken: time.Millisecond, At: start,
+	}
+}
+
+func loss() recovery.Loss {
+	return recovery.Loss{
+		Spec: &generation.Spec{
+			Model: "report", Version: "1", Prompt: "truck 7", MaxTokens: 1000,
+			Class: generation.Standard, Deadline: start.Add(5 * time.Minute),
+		},
+		Kind: recovery.Died, Target: "a", Incarnation: 1, Attempts: 1, Held: 600, Seen: true, At: start,
+		Place: member.Place{Host: "h-a", Zone: "olten"},
+	}
+}
+
+// scene is one call of Choose; change alters it.
+type scene struct {
+	view   recovery.View
+	loss   recovery.Loss
+	policy recovery.Policy
+	now    time.Time
+}
+
+func newScene() *scene {
+	return &scene{
+		view: recovery.View{Targets: []member.TargetReport{
+			report("a", "olten"), report("b", "olten"), report("c", "aarau"),
+		}},
+		loss:   loss(),
+		policy: recovery.Policy{Prefer: generation.PreferLatency, Retry: true, Headroom: 0.25},
+		now:    start,
+	}
+}
+
+func (s *scene) choose(seed uint64) recovery.Decision {
+	return recovery.Choose(s.view, s.loss, s.policy, s.now, rand.New(rand.NewPCG(seed, 0)))
+}
+
+func TestChoose(t *testing.T) {
+	cost := func(s *scene) { s.policy.Prefer = generation.PreferCost }
+	onlyOld := func(s *scene) {
+		for i := range s.view.Targets {
+			s.view.Targets[i].Version = "2"
+		}
+	}
+	tests := []struct {
+		name   string
+		change func(*scene)
+		choice recovery.Choice
+		reason recovery.Reason
+		// target is checked unless it is empty.
+		target id.Target
+	}{
+		{"the connection broke, the attempt runs", func(s *scene) {
+			s.loss.Kind, s.loss.Runs = recovery.Disconnected, true
+		}, recovery.Adopt, recovery.ReasonStillRuns, ""},
+		{"its zone lost others too", func(s *scene) { s.loss.ZoneDeaths = 2 }, recovery.GoOn, recovery.ReasonLeastTime, "c"},
+		{"the prefix is cached", func(s *scene) {
+			s.view.Cached = func(t id.Target) int { return map[id.Target]int{"b": 500}[t] }
+		}, recovery.GoOn, recovery.ReasonLeastTime, "b"},
+		{"the cached one has a long queue", func(s *scene) {
+			s.view.Cached = func(t id.Target) int { return map[id.Target]int{"b": 500}[t] }
+			s.view.Targets[1].Queued = 8
+		}, recovery.GoOn, recovery.ReasonLeastTime, "c"},
+		{"the cached one has a long queue, cost", func(s *scene) {
+			cost(s)
+			s.view.Cached = func(t id.Target) int { return map[id.Target]int{"b": 500}[t] }
+			s.view.Targets[1].Queued = 8
+		}, recovery.GoOn, recovery.ReasonLeastRecompute, "b"},
+		{"headroom is left to others, cost", func(s *scene) {
+			cost(s)
+			s.view.Targets[1].Running = 15
+		}, recovery.GoOn, recovery.ReasonLeastRecompute, "c"},
+		{"a target on the dead one's host", func(s *scene) {
+			s.view.Targets[1].Place.Host = "h-a"
+		}, recovery.GoOn, recovery.ReasonLeastTime, "c"},
+		{"only the dead one's host is left", func(s *scene) {
+			s.view.Targets[1].Place.Host = "h-a"
+			s.view.Targets = s.view.Targets[:2]
+		}, recovery.GoOn, recovery.ReasonLeastTime, "b"},
+		{"the dead one is back", func(s *scene) {
+			s.view.Targets[0].Incarnation = 2
+			s.view.Targets = s.view.Targets[:1]
+		}, recovery.GoOn, recovery.ReasonLeastTime, "a"},
+		{"races where the budget allows", func(s *scene) { s.policy.Hedge = true }, recovery.Race, recovery.ReasonHedged, ""},
+		{"no race for cost", func(s *scene) {
+			cost(s)
+			s.policy.Hedge = true
+		}, recovery.GoOn, recovery.ReasonLeastRecompute, ""},
+		{"a stall is raced", func(s *scene) {
+			s.policy.Hedge, s.loss.Kind = true, recovery.Stalled
+		}, recovery.Race, recovery.ReasonHedged, ""},
+		{"a stall is waited for, cost", func(s *scene) {
+			cost(s)
+			s.loss.Kind = recovery.Stalled
+		}, recovery.WaitTarget, recovery.ReasonMayReturn, ""},
+		{"a stall that lasts, cost", func(s *scene) {
+			cost(s)
+			s.loss.Kind, s.loss.At = recovery.Stalled, start.Add(-10*time.Second)
+		}, recovery.GoOn, recovery.ReasonLeastRecompute, ""},
+		{"a stall near the deadline, cost", func(s *scene) {
+			cost(s)
+			s.loss.Kind, s.loss.Spec.Deadline = recovery.Stalled, start.Add(20*time.Second)
+		}, recovery.GoOn, recovery.ReasonLeastRecompute, ""},
+		{"the budget is used up", func(s *scene) { s.policy.Retry = false }, recovery.WaitBudget, recovery.ReasonBudget, ""},
+		{"no target has the version", onlyOld, recovery.WaitVersion, recovery.ReasonNoVersion, ""},
+		{"no target has the adapter", func(s *scene) { s.loss.Spec.Adapter = "easy" }, recovery.WaitVersion, recovery.ReasonNoVersion, ""},
+		{"no version, nothing seen", func(s *scene) {
+			onlyOld(s)
+			s.loss.Seen = false
+		}, recovery.Restart, recovery.ReasonNoVersion, ""},
+		{"no version, restarts allowed", func(s *scene) {
+			onlyOld(s)
+			s.loss.Spec.RestartAllowed = true
+		}, recovery.Restart, recovery.ReasonNoVersion, ""},
+		{"no version, nothing seen, no budget", func(s *scene) {
+			onlyOld(s)
+			s.loss.Seen, s.policy.Retry = false, false
+		}, recovery.WaitBudget, recovery.ReasonBudget, ""},
+		{"reports are old", func(s *scene) { s.now = start.Add(4 * time.Second) }, recovery.WaitVersion, recovery.ReasonNoVersion, ""},
+		{"all targets are leaving", func(s *scene) {
+			for i := range s.view.Targets {
+				s.view.Targets[i].State = member.Leaving
+			}
+		}, recovery.WaitVersion, recovery.ReasonNoVersion, ""},
+		{"the deadline is over", func(s *scene) { s.now = start.Add(5 * time.Minute) }, recovery.Fail, recovery.ReasonDeadline, ""},
+		{"the attempts are used up", func(s *scene) { s.loss.Attempts = 8 }, recovery.Fail, recovery.ReasonAttempts, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScene()
+			tt.change(s)
+			for seed := range uint64(20) {
+				d := s.choose(seed)
+				is.Equal(d.Choice, tt.choice)
+				is.Equal(d.Reason, tt.reason)
+				if tt.target != "" {
+					is.Equal(d.Target, tt.target)
+				}
+				is.Equal(d.Until.IsZero(), d.Choice[:4] != "wait")
+				is.True(d.Target != "a" || s.view.Targets[0].Incarnation > 1)
+				is.True(d.Second == "" || d.Second != d.Target)
+			}
+		})
+	}
+}
+
+// TestChooseSpreads: many losses at once don't all go to one target.
+func TestChooseSpreads(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.view.Targets = append(s.view.Targets, report("d", "bern"), report("e", "bern"))
+	count := map[id.Target]int{}
+	for seed := range uint64(400) {
+		count[s.choose(seed).Target]++
+	}
+	for _, name := range []id.Target{"b", "c", "d", "e"} {
+		is.True(count[name] >= 50) // an even share is 100
+	}
+}
