Quarantine requests that crash their targets

Cause: now and then one request crashes each target that runs it, and its caller sends it again under new keys. Change: quarantine.List suspects what ran at an isolated death, keeps suspects of one death apart, clears what ran to its end, and refuses a fingerprint after three isolated deaths. Deaths of one host, or several at once in a zone, blame nobody.

--- /dev/null
+++ b/internal/coordination/quarantine/quarantine.go
@@ -0,0 +1,294 @@
+// Package quarantine finds requests that crash the targets that run them.
+//
+// Callers send such a request again under new keys, so it is known by its
+// fingerprint. When a target dies alone, all that ran there is suspected; what
+// was there at several such deaths, and never ran to its end in between, is
+// refused for a time. A target that dies together with others of its host or
+// zone blames nobody.
+//
+// # Usage
+//
+//	l := quarantine.New(quarantine.Config{KillThreshold: 3, QuarantineTime: 15 * time.Minute})
+//	switch j := l.Judge(now, fingerprint); j.State {
+//	case quarantine.Refused:
+//		// Refuse the request until j.Until.
+//	case quarantine.Suspected:
+//		// Run it where no other suspect runs, alone if j.Alone.
+//	}
+//	l.Died(quarantine.Death{…})
+//	l.Finished(fingerprint)
+//
+// Each process keeps a List. Records of one are merged into others; merging is
+// commutative, associative and idempotent, so lists that exchange records
+// agree whatever the order. A List is not safe for concurrent use.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// State is what is held of a fingerprint.
+type State string
+
+// States.
+const (
+	// Clear fingerprints run like any other.
+	Clear State = "clear"
+	// Suspected fingerprints ran where a target died alone.
+	Suspected State = "suspected"
+	// Refused fingerprints are in quarantine.
+	Refused State = "refused"
+)
+
+// Config sets when a fingerprint is refused and for how long.
+type Config struct {
+	// KillThreshold is the number of isolated deaths within QuarantineTime
+	// that refuse a fingerprint.
+	KillThreshold int
+	// QuarantineTime is how long it stays refused after the last of them.
+	QuarantineTime time.Duration
+	// Window is the time within which deaths of one place belong together.
+	Window time.Duration
+}
+
+const (
+	defaultKillThreshold  = 3
+	defaultQuarantineTime = 15 * time.Minute
+	defaultWindow         = 3 * time.Second
+	// maxDeaths bounds what a List keeps; the oldest go first.
+	maxDeaths = 1024
+	// correlatedDeaths is how many other deaths of a zone within the window
+	// make a death part of a larger loss, whatever ran there.
+	correlatedDeaths = 2
+)
+
+// Defaults fills in what c leaves out.
+func (c *Config) Defaults() {
+	c.KillThreshold = cmp.Or(c.KillThreshold, defaultKillThreshold)
+	c.QuarantineTime = cmp.Or(c.QuarantineTime, defaultQuarantineTime)
+	c.Window = cmp.Or(c.Window, defaultWindow)
+}
+
+// DeathID names one death: a target dies once in each incarnation.
+type DeathID struct {
+	Target      id.Target
+	Incarnation id.Incarnation
+}
+
+// Death is the death of a target. What is known to have run there may be only
+// a part; the other entries know the rest.
+type Death struct {
+	DeathID
+	Place member.Place
+	// At is by the observer's clock.
+	At time.Time
+	// Running are the fingerprints that ran there; empty counts too, since it
+	// tells a larger loss from a death alone.
+	Running []id.Fingerprint
+}
+
+// death is what a List keeps of one death.
+type death struct {
+	DeathID
+	place member.Place
+	at    time.Time
+	// suspects maps what ran there to whether it was cleared since.
+	suspects map[id.Fingerprint]bool
+}
+
+// List is what one process knows of deaths and suspects.
+type List struct {
+	cfg    Config
+	deaths map[DeathID]*death
+	// alone holds the suspects that run here and must run one at a time.
+	alone map[id.Fingerprint]bool
+}
+
+// New returns an empty List.
+func New(cfg Config) *List {
+	cfg.Defaults()
+	return &List{cfg: cfg, deaths: map[DeathID]*death{}, alone: map[id.Fingerprint]bool{}}
+}
+
+// Configure puts another configuration in force.
+func (l *List) Configure(cfg Config) {
+	cfg.Defaults()
+	l.cfg = cfg
+}
+
+// Died notes a death that this process saw.
+func (l *List) Died(d Death) {
+	kept := l.death(d.DeathID, d.Place, d.At)
+	for _, f := range d.Running {
+		if _, known := kept.suspects[f]; !known {
+			kept.suspects[f] = false
+		}
+	}
+}
+
+// death returns the entry for a death. Of two times the earlier one counts,
+// since news only ever arrives later.
+func (l *List) death(who DeathID, place member.Place, at time.Time) *death {
+	d := l.deaths[who]
+	if d == nil {
+		l.bound()
+		d = &death{DeathID: who, place: place, at: at, suspects: map[id.Fingerprint]bool{}}
+		l.deaths[who] = d
+	}
+	if at.Before(d.at) {
+		d.at = at
+	}
+	return d
+}
+
+// Finished notes that a request ran to its end, which clears it of the deaths
+// known so far.
+func (l *List) Finished(f id.Fingerprint) {
+	for _, d := range l.deaths {
+		if _, ran := d.suspects[f]; ran {
+			d.suspects[f] = true
+		}
+	}
+}
+
+// Judgement is what a List holds of a fingerprint.
+type Judgement struct {
+	State State
+	// Deaths counts the isolated deaths that it is suspected of.
+	Deaths int
+	// Alone says that one more death refuses it: it must run one at a time,
+	// on a target that runs little else.
+	Alone bool
+	// Until is when the quarantine ends.
+	Until time.Time
+}
+
+// Judge returns what is held of f at now.
+func (l *List) Judge(now time.Time, f id.Fingerprint) Judgement {
+	times := l.blames(f)
+	var j Judgement
+	var until time.Time
+	for i, at := range times {
+		first := i + 1 - l.cfg.KillThreshold
+		again := !until.IsZero()
+		if again || (first >= 0 && at.Sub(times[first]) <= l.cfg.QuarantineTime) {
+			// What was refused before is refused again at its next death.
+			until = at.Add(l.cfg.QuarantineTime)
+		}
+		if now.Sub(at) < l.cfg.QuarantineTime {
+			j.Deaths++
+		}
+	}
+	switch {
+	case now.Before(until):
+		j.State, j.Until = Refused, until
+	case j.Deaths > 0:
+		j.State = Suspected
+		j.Alone = j.Deaths >= l.cfg.KillThreshold-1 || !until.IsZero()
+	default:
+		j.State, j.Alone = Clear, !until.IsZero()
+	}
+	return j
+}
+
+// blames returns the times of the isolated deaths that f is suspected of.
+func (l *List) blames(f id.Fingerprint) []time.Time {
+	var times []time.Time
+	for _, d := range l.deaths {
+		if cleared, ran := d.suspects[f]; ran && !cleared && l.isolated(d) {
+			times = append(times, d.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// isolated reports whether d died alone. Another death on its host speaks
+// against it. So does one in its zone at the same time, unless the two share a
+// suspect, which may have killed both; a third death does in any case.
+func (l *List) isolated(d *death) bool {
+	near := 0
+	for _, other := range l.deaths {
+		if other.Target == d.Target || other.place.Zone != d.place.Zone {
+			continue
+		}
+		if apart := other.at.Sub(d.at).Abs(); apart > l.cfg.Window {
+			continue
+		}
+		sameHost := d.place.Host != "" && other.place.Host == d.place.Host
+		if sameHost || !shareSuspect(d, other) {
+			return false
+		}
+		near++
+	}
+	return near < correlatedDeaths
+}
+
+func shareSuspect(a, b *death) bool {
+	for f, cleared := range a.suspects {
+		if otherCleared, ran := b.suspects[f]; ran && !cleared && !otherCleared {
+			return true
+		}
+	}
+	return false
+}
+
+// Start reports whether a request may start here. A suspect that must run
+// alone waits while another request with its fingerprint runs.
+func (l *List) Start(now time.Time, f id.Fingerprint) bool {
+	j := l.Judge(now, f)
+	switch {
+	case j.State == Refused || (j.Alone && l.alone[f]):
+		return false
+	case j.Alone:
+		l.alone[f] = true
+	}
+	return true
+}
+
+// End notes that a request that started here runs no more.
+func (l *List) End(f id.Fingerprint) { delete(l.alone, f) }
+
+// Apart reports whether f and other must not share a target, because both are
+// suspected of one death: the next death tells them apart.
+func (l *List) Apart(f, other id.Fingerprint) bool {
+	if f == other {
+		return false
+	}
+	for _, d := range l.deaths {
+		cleared, ran := d.suspects[f]
+		otherCleared, otherRan := d.suspects[other]
+		if ran && otherRan && !cleared && !otherCleared && l.isolated(d) {
+			return true
+		}
+	}
+	return false
+}
+
+// Expire forgets deaths that no longer matter at now.
+func (l *List) Expire(now time.Time) {
+	for who, d := range l.deaths {
+		if now.Sub(d.at) > 2*l.cfg.QuarantineTime {
+			delete(l.deaths, who)
+		}
+	}
+}
+
+// bound makes room for one more death.
+func (l *List) bound() {
+	if len(l.deaths) < maxDeaths {
+		return
+	}
+	var oldest *death
+	for _, d := range l.deaths {
+		if oldest == nil || d.at.Before(oldest.at) {
+			oldest = d
+		}
+	}
+	delete(l.deaths, oldest.DeathID)
+}
