Add foxtailward-lab: stand-ins as processes, expected text, bench

Cause: newcomers and drills need the stand-ins as processes of their own, and the entry's cost must be measured against the engine itself in one run.

Change: foxtailward-lab engine, service, store and hosts print "listening on ADDR" and serve until interrupted; expect prints the exact text of an answer; bench (internal/standin/load) reads many answers at once from an engine and through an entry in alternating rounds, checks each text, and prints JSON.

Conclusion: the ratio of through to direct comes out of one command.

--- /dev/null
+++ b/cmd/foxtailward-lab/engine.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"foxtailward.example/foxtailward/internal/standin/engine"
+)
+
+const usageEngine = `engine runs a deterministic stand-in for a model engine until it is interrupted.
+The first line that it prints is "listening on ADDR".
+
+Faults come over HTTP, for instance:
+  curl -d '{"kind":"dieAfter","count":100}' http://ADDR/faults
+Kinds: die, dieAfter (count), dieOn (marker), pause, resume, stall and unstall
+(request; empty means all), slow (factor), refuse, accept, ignoreFence,
+honourFence, loseCacheEvents (count), clearCache. GET /stats shows the counters.`
+
+func newEngine() *cobra.Command {
+	var opts engine.Options
+	var listen string
+	cmd := &cobra.Command{
+		Use:   "engine",
+		Short: "Run a stand-in model engine",
+		Long:  usageEngine,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := engine.Listen(listen, opts)
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			return serveUntilStopped(cmd, s.Address())
+		},
+	}
+	f := cmd.Flags()
+	addListen(cmd, &listen)
+	f.StringVar(&opts.Model, "model", "report", "the model to serve")
+	f.StringVar(&opts.Version, "version", "v1", "the model's version")
+	f.StringSliceVar(&opts.Adapters, "adapter", nil, "an adapter that is loaded; may be given several times")
+	f.IntVar(&opts.Slots, "slots", 64, "how many generations run at once")
+	f.IntVar(&opts.CacheBlocks, "cache-blocks", 4096, "size of the prefix cache in blocks of 16 tokens; -1 for none")
+	f.IntVar(&opts.PrefillChunk, "prefill-chunk", 2048, "the largest number of tokens prefilled in one step")
+	f.IntVar(&opts.ChunkTokens, "chunk-tokens", 16, "the largest number of tokens in one event")
+	f.IntVar(&opts.Length.Min, "length-min", engine.DefaultLength.Min, "the shortest natural answer, in tokens")
+	f.IntVar(&opts.Length.Max, "length-max", engine.DefaultLength.Max, "the longest natural answer, in tokens")
+	f.DurationVar(&opts.Costs.Prefill, "prefill-cost", 0, "time for one uncached prompt token")
+	f.DurationVar(&opts.Costs.Step, "step-cost", 0, "time of one decode step")
+	f.DurationVar(&opts.Costs.StepPerRunning, "step-cost-per-running", 0, "time added to a step for each running generation")
+	f.DurationVar(&opts.Costs.Load, "load-cost", 0, "time to carry out an order")
+	f.DurationVar(&opts.CacheEventLag, "cache-event-lag", 0, "how long a cache event stays hidden")
+	f.DurationVar(&opts.MetricsLag, "metrics-lag", 0, "the age that served metrics may reach")
+	f.BoolVar(&opts.IgnoresFence, "ignores-fence", false, "carry out orders with an old fencing number")
+	return cmd
+}
--- /dev/null
+++ b/cmd/foxtailward-lab/main.go
@@ -0,0 +1,27 @@
+// Command foxtailward-lab runs the stand-ins of the platform as processes, and
+// experiments with them.
+//
+// # Usage
+//
+//	foxtailward-lab engine|service|store|hosts   run a stand-in
+//	foxtailward-lab expect                       print the exact text of an answer
+//	foxtailward-lab bench                        measure an engine and an entry
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newRoot().ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "foxtailward-lab:", err)
+		os.Exit(exitCode(err))
+	}
+}
