Decide on recovery, stalls and killers by their packages

Cause: the owner used a fixed stall limit and the router alone. Change: the policy weighs losses by package recovery with retry and hedge budgets, watches attempts by package detect, and refuses fingerprints by package quarantine. The runner keeps a stalled attempt to wait for it or to race it, and reads on where the target process outlived its connection. Conclusion: one place joins the decisions; each stays pure.

--- a/internal/coordination/policy/policy.go
+++ b/internal/coordination/policy/policy.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	p := policy.New(policy.Config{…}, view, router, clock, rng)
+//	p := policy.New(policy.Tools{View: view, Router: router, …})
 //	desk := request.NewDesk(cfg, link, peers, p.Owner(), gate)
 package policy
 
@@ -17,8 +17,12 @@
 	"github.com/jonboulle/clockwork"
 
 	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/quarantine"
+	"foxtailward.example/foxtailward/internal/coordination/recovery"
 	"foxtailward.example/foxtailward/internal/coordination/request"
 	"foxtailward.example/foxtailward/internal/coordination/route"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -32,39 +36,98 @@
 	// holdLimit is how long a request that has begun waits for a target when
 	// it has no deadline.
 	holdLimit = 2 * time.Minute
+	// excludeFor is how long a target that lost or refused a request is not
+	// asked again for it.
+	excludeFor = 2 * time.Second
 )
 
+// Reasons that only this package gives.
+const (
+	// reasonQuarantined means that the request kills targets.
+	reasonQuarantined = "quarantined"
+	// reasonSuspect means that another suspect must end first.
+	reasonSuspect = "suspect"
+	// reasonTargetGone means that the chosen target left meanwhile.
+	reasonTargetGone = "targetGone"
+	// reasonTooLong means that no target came within the time to wait.
+	reasonTooLong = "tooLong"
+)
+
+// Tools is what a policy works with. All are set.
+type Tools struct {
+	View   *member.View
+	Router *route.Router
+	Clock  clockwork.Clock
+	// Conf returns the configuration in force.
+	Conf func() *conf.Snapshot
+	// Random is owned by the policy.
+	Random *rand.Rand
+	Log    *event.Log
+}
+
 // Policy decides for the owner of requests. It is safe for concurrent use.
 type Policy struct {
-	view   *member.View
-	router *route.Router
-	clock  clockwork.Clock
+	tools Tools
+
+	mu    sync.Mutex
+	retry *recovery.Budget
+	hedge *recovery.Budget
+	kills *quarantine.List
+	// running counts the fingerprints that run at each target.
+	running map[id.Target]map[id.Fingerprint]int
+}
 
-	mu  sync.Mutex
-	rng *rand.Rand
+// New returns a policy.
+func New(tools Tools) *Policy {
+	now := tools.Clock.Now()
+	r := &tools.Conf().Deployment.Recovery
+	return &Policy{
+		tools:   tools,
+		retry:   recovery.NewBudget(recovery.RetryBudget(r.RetryShare), now),
+		hedge:   recovery.NewBudget(recovery.HedgeBudget(r.HedgeShare), now),
+		kills:   quarantine.New(quarantineConfig(r)),
+		running: map[id.Target]map[id.Fingerprint]int{},
+	}
 }
 
-// New returns a policy over the view and the router. It owns rng.
-func New(view *member.View, router *route.Router, clock clockwork.Clock, rng *rand.Rand) *Policy {
-	return &Policy{view: view, router: router, clock: clock, rng: rng}
+// Configure takes over a new configuration.
+func (p *Policy) Configure(d *conf.Deployment) {
+	p.tools.Router.SetHeadroom(d.Routing.HeadroomShare)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retry.SetShare(d.Recovery.RetryShare)
+	p.hedge.SetShare(d.Recovery.HedgeShare)
+	p.kills.Configure(quarantineConfig(&d.Recovery))
+}
+
+func quarantineConfig(r *conf.Recovery) quarantine.Config {
+	return quarantine.Config{KillThreshold: r.KillThreshold, QuarantineTime: r.QuarantineTime.Std()}
 }
 
 // Owner returns the policy as the owner of requests calls it.
 func (p *Policy) Owner() request.Policy {
-	return request.Policy{Place: p.Place, Begin: p.Begin, Watch: p.Watch, Candidates: p.Candidates}
+	return request.Policy{Place: p.Place, Begin: p.Begin, Watch: p.Watch, Candidates: p.Candidates, End: p.End}
 }
 
 // Place decides on the next attempt of a generation.
 func (p *Policy) Place(place request.Placement, now time.Time) request.Choice {
+	if choice, stop := p.judge(&place, now); stop {
+		return choice
+	}
+	if loss := place.LastStarted(); loss != nil {
+		return p.recover(&place, loss, now)
+	}
+	return p.first(&place, now)
+}
+
+// first decides on a target of a request that no engine has seen.
+func (p *Policy) first(place *request.Placement, now time.Time) request.Choice {
 	spec := place.Spec
 	ask := route.Ask{
 		Model: spec.Model, Version: spec.Version, Adapter: spec.Adapter, Class: spec.Class,
 		Prompt:  spec.PromptTokens() + int(place.Prefix),
 		Tokens:  spec.MaxTokens - int(place.Prefix),
-		Exclude: excluded(place.Losses, now),
-	}
-	if n := len(place.Losses); n > 0 && place.Losses[n-1].Started {
-		ask.AvoidZone = place.Losses[n-1].Target.Place.Zone
+		Exclude: append(excluded(place.Losses, now), p.apart(spec.Fingerprint())...),
 	}
 	decision, ok := p.choose(ask, now)
 	if ok {
@@ -74,55 +137,33 @@
 		ask.Version = ""
 		if other, ok := p.choose(ask, now); ok {
 			choice := p.goTo(other)
-			choice.Action = request.Restart
+			if choice.Action == request.Go {
+				choice.Action = request.Restart
+			}
 			return choice
 		}
 	}
-	return p.none(&place, decision.Reason, now)
+	if place.Prefix > 0 {
+		// An inherited answer waits for a target with its version.
+		return request.Choice{Action: request.Hold, Wait: holdEvery, Reason: string(decision.Reason)}
+	}
+	return request.Choice{Action: request.GiveUp, Wait: comeBack, Reason: string(decision.Reason)}
 }
 
 func (p *Policy) choose(ask route.Ask, now time.Time) (route.Decision, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.router.Choose(ask, now, p.rng)
+	return p.tools.Router.Choose(ask, now, p.tools.Random)
 }
 
 func (p *Policy) goTo(d route.Decision) request.Choice {
 	report, ok := p.report(d.Target)
 	if !ok {
-		return request.Choice{Action: request.Hold, Wait: holdEvery, Reason: "targetGone"}
+		return request.Choice{Action: request.Hold, Wait: holdEvery, Reason: reasonTargetGone}
 	}
 	return request.Choice{Action: request.Go, Target: report, Reason: string(d.Reason)}
 }
 
-// none decides when no target can take an attempt: a request that no engine
-// has seen is refused at once, one that has begun waits.
-func (p *Policy) none(place *request.Placement, reason route.Reason, now time.Time) request.Choice {
-	begun, since := began(place.Losses)
-	if !begun && place.Prefix == 0 {
-		return request.Choice{Action: request.GiveUp, Wait: comeBack, Reason: string(reason)}
-	}
-	if !since.IsZero() && now.Sub(since) > holdLimit {
-		return request.Choice{Action: request.GiveUp, Wait: comeBack, Reason: string(reason)}
-	}
-	return request.Choice{Action: request.Hold, Wait: holdEvery, Reason: string(reason)}
-}
-
-// began reports whether an engine may have seen the request, and since when
-// the last of them is lost.
-func began(losses []request.Loss) (bool, time.Time) {
-	for _, l := range slices.Backward(losses) {
-		if l.Started {
-			return true, l.At
-		}
-	}
-	return false, time.Time{}
-}
-
-// excludeFor is how long a target that lost or refused a request is not asked
-// again for it.
-const excludeFor = 2 * time.Second
-
 func excluded(losses []request.Loss, now time.Time) []id.Target {
 	var out []id.Target
 	for _, l := range losses {
@@ -135,7 +176,7 @@
 
 // report returns the newest report of a target.
 func (p *Policy) report(name id.Target) (member.TargetReport, bool) {
-	slots := p.view.Snapshot().Targets
+	slots := p.tools.View.Snapshot().Targets
 	i := sort.Search(len(slots), func(i int) bool { return slots[i].Load().Report.Target >= name })
 	if i == len(slots) || slots[i].Load().Report.Target != name {
 		return member.TargetReport{}, false
@@ -146,20 +187,24 @@
 // Begin counts an attempt.
 func (p *Policy) Begin(t *member.TargetReport, spec *generation.Spec) func(request.Usage) {
 	prompt := spec.PromptTokens()
-	p.router.Begin(t.Target, spec.Class, prompt, p.clock.Now())
-	target, model, class := t.Target, spec.Model, spec.Class
+	sum := spec.Fingerprint()
+	p.tools.Router.Begin(t.Target, spec.Class, prompt, p.tools.Clock.Now())
+	p.runs(t.Target, sum, 1)
+	target, model, class := *t, spec.Model, spec.Class
 	return func(u request.Usage) {
-		now := p.clock.Now()
-		p.router.End(target, class, prompt, now)
+		now := p.tools.Clock.Now()
+		p.tools.Router.End(target.Target, class, prompt, now)
+		p.runs(target.Target, sum, -1)
 		failed := u.Loss != nil && u.Loss.Started && u.Loss.Kind != request.Invalid
-		p.router.Observe(target, route.Observation{Model: model, Failed: failed, Tokens: u.Decoded}, now)
+		p.tools.Router.Observe(target.Target, route.Observation{Model: model, Failed: failed, Tokens: u.Decoded}, now)
+		p.account(&target, sum, prompt, &u)
 	}
 }
 
 // Candidates returns the targets that may hold a request of the models.
 func (p *Policy) Candidates(models []id.Model) []member.TargetReport {
 	var out []member.TargetReport
-	for _, slot := range p.view.Snapshot().Targets {
+	for _, slot := range p.tools.View.Snapshot().Targets {
 		if t := slot.Load(); slices.Contains(models, t.Report.Model) {
 			out = append(out, t.Report)
 		}
--- a/internal/coordination/policy/watch.go
+++ b/internal/coordination/policy/watch.go
@@ -3,26 +3,53 @@
 import (
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/detect"
 	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/coordination/request"
 	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// stallLimit is the longest gap between two tokens.
-const stallLimit = 4 * time.Second
+// reportEvery is the time between two looks at the target's newest report
+// while the first token is awaited.
+const reportEvery = time.Second
 
-// Watch follows an attempt.
-func (p *Policy) Watch(_ *member.TargetReport, _ *generation.Spec, _ id.Index, start time.Time) request.Watch {
-	last, flowing := start, false
+// Watch follows an attempt at a target.
+func (p *Policy) Watch(t *member.TargetReport, spec *generation.Spec, prefix id.Index, start time.Time) request.Watch {
+	name := t.Target
+	compute := spec.PromptTokens() + int(prefix)
+	d := detect.New(detect.DefaultConfig(), start, expect(t, compute, spec))
+	seen, flowing := t.Sequence, false
 	return request.Watch{
-		Tokens: func(now time.Time, _ int) { last, flowing = now, true },
+		Tokens: func(now time.Time, n int) {
+			flowing = flowing || n > 0
+			d.Tokens(now, n)
+		},
 		Check: func(now time.Time) (bool, time.Time) {
-			limit := last.Add(stallLimit)
 			if !flowing {
-				limit = start.Add(holdLimit)
+				if report, ok := p.report(name); ok && report.Sequence != seen {
+					seen = report.Sequence
+					d.Report(now, expect(&report, compute, spec))
+				}
+			}
+			verdict, next := d.Verdict(now)
+			if verdict != detect.Healthy {
+				return true, now
+			}
+			if !flowing && next.Sub(now) > reportEvery {
+				next = now.Add(reportEvery)
 			}
-			return !now.Before(limit), limit
+			return false, next
 		},
 	}
 }
+
+func expect(t *member.TargetReport, compute int, spec *generation.Spec) detect.Expectation {
+	return detect.Expectation{
+		Pace:            t.Pace,
+		Queued:          t.Queued,
+		Prefill:         t.QueuedPrefill + compute,
+		PrefillPerToken: t.PrefillPerToken,
+		Deadline:        spec.Deadline,
+	}
+}
--- a/internal/coordination/recovery/budget.go
+++ b/internal/coordination/recovery/budget.go
@@ -146,3 +146,6 @@
 	}
 	return false
 }
+
+// SetShare sets the part of the work done that extra work may add.
+func (b *Budget) SetShare(share float64) { b.cfg.Share = share }
--- a/internal/coordination/request/answer.go
+++ b/internal/coordination/request/answer.go
@@ -146,6 +146,13 @@
 	return a.attempt, a.joiner.Log()
 }
 
+// racing reports whether two attempts may write.
+func (a *Answer) racing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.joiner.Racer() != 0
+}
+
 // drop ends an attempt that was lost.
 func (a *Answer) drop(number id.Attempt) {
 	a.mu.Lock()
--- a/internal/coordination/request/fake_test.go
+++ b/internal/coordination/request/fake_test.go
@@ -189,6 +189,7 @@
 				},
 			}
 		},
+		End: func(*generation.Spec, bool) {},
 		Candidates: func([]id.Model) []member.TargetReport {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/coordination/request/leg.go
+++ b/internal/coordination/request/leg.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/join"
@@ -20,8 +21,19 @@
 	watch   Watch
 	begun   time.Time
 	first   time.Duration
+	prefix  int
 	decoded int
-	end     func(Usage)
+	// stalledAt is when the leg was first taken for stalled.
+	stalledAt time.Time
+	// quietUntil is when a kept leg is looked at again; zero while it flows.
+	quietUntil time.Time
+	end        func(Usage)
+}
+
+// race is the legs that run side by side, usually one.
+type race struct {
+	legs   legs
+	events chan legEvent
 }
 
 // legEvent is a frame of a leg, or its end.
@@ -36,26 +48,24 @@
 func (r *runner) attempt(ctx context.Context, choice *Choice) *Loss {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	events := make(chan legEvent, frameQueue)
-	first, loss := r.launch(ctx, &choice.Target, choice.Action, events)
-	legs := legs{first}
-	if loss != nil {
-		legs = nil
+	a := &race{events: make(chan legEvent, frameQueue)}
+	defer func() { r.retire(a.legs, nil) }()
+	loss := r.add(ctx, a, &choice.Target, choice.Action)
+	if choice.Second != nil && len(a.legs) > 0 {
+		r.add(ctx, a, choice.Second, raceLeg)
 	}
-	if choice.Second != nil {
-		if second, lost := r.launch(ctx, choice.Second, raceLeg, events); lost == nil {
-			legs = append(legs, second)
-		}
-	}
-	defer func() { r.retire(legs, nil) }()
-	for len(legs) > 0 {
-		lost, done, reason := r.step(ctx, legs, events)
-		if done {
+	for len(a.legs) > 0 {
+		lost, done, reason := r.step(ctx, a)
+		switch {
+		case done:
 			return nil
+		case lost == nil || r.keeps(ctx, a, lost, reason):
+			continue
 		}
-		if lost != nil {
-			legs, loss = r.lose(legs, lost, reason)
-		}
+		loss = r.lose(a, lost, reason)
+	}
+	if loss != nil {
+		r.probe(ctx, loss)
 	}
 	return loss
 }
@@ -63,6 +73,15 @@
 // raceLeg starts the second attempt of a race.
 const raceLeg Action = "race"
 
+// add opens an attempt at t and adds it to the race.
+func (r *runner) add(ctx context.Context, a *race, t *member.TargetReport, action Action) *Loss {
+	l, loss := r.launch(ctx, t, action, a.events)
+	if loss == nil {
+		a.legs = append(a.legs, l)
+	}
+	return loss
+}
+
 // launch opens an attempt at t.
 func (r *runner) launch(ctx context.Context, t *member.TargetReport, action Action, events chan<- legEvent) (*leg, *Loss) {
 	spec := r.answer.Spec()
@@ -76,6 +95,9 @@
 	}
 	l.watch = r.policy.Watch(t, &spec, r.answer.next(), l.begun)
 	r.log.Emit(event.AttemptStarted, "request", spec.Request, "attempt", l.number, "target", t.Target)
+	if action != Rejoin {
+		r.cancelBroken(&spec, l.number)
+	}
 	go receive(ctx, l, events)
 	return l, nil
 }
@@ -93,9 +115,7 @@
 	} else {
 		l.number, prefix = r.answer.begin()
 	}
-	if l.number > 1 {
-		r.replayed += len(prefix)
-	}
+	l.prefix = len(prefix)
 	return r.link.Start(ctx, &l.target, Start{Spec: spec, Epoch: r.answer.epoch, Attempt: l.number, Prefix: prefix})
 }
 
@@ -116,17 +136,17 @@
 
 // step waits for one event. It returns the leg that was lost with the reason,
 // or done when the answer is whole.
-func (r *runner) step(ctx context.Context, legs legs, events <-chan legEvent) (lost *leg, done bool, reason error) {
+func (r *runner) step(ctx context.Context, a *race) (lost *leg, done bool, reason error) {
 	now := r.clock.Now()
-	stalled, check := legs.check(now)
+	stalled, check := a.legs.check(now)
 	if stalled != nil {
 		return stalled, false, fault.New("runner.step", Stalled, "no token came in time")
 	}
 	timer := r.clock.NewTimer(check.Sub(now))
 	defer timer.Stop()
 	select {
-	case e := <-events:
-		if !legs.has(e.leg) {
+	case e := <-a.events:
+		if !a.legs.has(e.leg) {
 			return nil, false, nil
 		}
 		if e.err != nil {
@@ -136,11 +156,12 @@
 		if err != nil {
 			return e.leg, false, err
 		}
+		r.settle(a, e.leg)
 		return nil, done, nil
 	case <-timer.Chan():
 		return nil, false, nil
 	case <-ctx.Done():
-		return legs[0], false, fault.Wrap("runner.step", Lost, ctx.Err())
+		return a.legs[0], false, fault.Wrap("runner.step", Lost, ctx.Err())
 	}
 }
 
@@ -148,6 +169,7 @@
 func (r *runner) join(l *leg, f *Frame) (bool, error) {
 	now := r.clock.Now()
 	l.watch.Tokens(now, len(f.Tokens))
+	l.quietUntil = time.Time{}
 	added, verdict := r.answer.take(f)
 	if added > 0 {
 		l.decoded += added
@@ -182,12 +204,74 @@
 		"gapMs", gap.Milliseconds(), "tokens", r.answer.next())
 }
 
-// lose takes a lost leg out of an attempt.
-func (r *runner) lose(legs legs, lost *leg, reason error) (legs, *Loss) {
+// settle ends the other legs of a race that l has won.
+func (r *runner) settle(a *race, l *leg) {
+	if len(a.legs) < 2 || l.decoded == 0 || r.answer.racing() {
+		return
+	}
+	r.retire(a.legs.without(l), nil)
+	a.legs = legs{l}
+}
+
+// keeps asks the policy about a leg that stalled. It reports whether the leg
+// stays: to be waited for, or to race another attempt.
+func (r *runner) keeps(ctx context.Context, a *race, l *leg, reason error) bool {
+	if !fault.Is(reason, Stalled) || len(a.legs) > 1 || ctx.Err() != nil {
+		return false
+	}
+	spec := r.answer.Spec()
+	now := r.clock.Now()
+	if l.stalledAt.IsZero() {
+		l.stalledAt = now
+	}
+	loss := Loss{Target: l.target, Kind: Stalled, Started: true, Holds: true, Detail: reason.Error(), At: l.stalledAt}
+	choice := r.decide(&spec, append(slices.Clone(r.losses), loss))
+	if !choice.Keep {
+		r.decided = &choice
+		return false
+	}
+	l.quietUntil = now.Add(choice.Wait)
+	if choice.Action == Go {
+		l.quietUntil = now.Add(raceTime)
+		return r.add(ctx, a, &choice.Target, raceLeg) == nil
+	}
+	return true
+}
+
+// raceTime is how long a stalled leg may race another attempt.
+const raceTime = 30 * time.Second
+
+// probe asks whether the target process of a broken connection still holds the
+// attempt, so that its stream can be read on.
+func (r *runner) probe(ctx context.Context, loss *Loss) {
+	if loss.Kind != Lost || ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	found, err := r.link.Find(ctx, &loss.Target, r.answer.Spec().Request, 0)
+	if err != nil {
+		return
+	}
+	for i := range found {
+		if found[i].Attempt == r.answer.current() && (found[i].Running || found[i].Finish != nil) {
+			loss.Holds = true
+		}
+	}
+}
+
+// probeTimeout bounds the question to a target process whose connection broke.
+const probeTimeout = 300 * time.Millisecond
+
+// lose takes a lost leg out of a race.
+func (r *runner) lose(a *race, lost *leg, reason error) *Loss {
 	loss := r.loss(lost, reason)
-	r.answer.drop(lost.number)
-	r.retire(legs.only(lost), loss)
-	return legs.without(lost), loss
+	a.legs = a.legs.without(lost)
+	if len(a.legs) > 0 {
+		r.answer.drop(lost.number)
+	}
+	r.retire(legs{lost}, loss)
+	return loss
 }
 
 // retire ends legs: their streams, their engines' work and their counts.
@@ -196,10 +280,21 @@
 	whole := r.answer.whole()
 	for _, l := range legs {
 		l.stream.Close()
-		if !whole || l.number != r.answer.current() {
+		if (!whole || l.number != r.answer.current()) && (loss == nil || loss.Kind != Lost) {
 			go r.sendCancel(l.target, spec.Request, r.answer.epoch, l.number+1)
 		}
-		l.end(Usage{Target: l.target.Target, Class: spec.Class, Decoded: l.decoded, Loss: loss, First: l.first})
+		if l.number > 1 {
+			r.meter.Extra(l.prefix + spec.PromptTokens())
+		}
+		l.end(Usage{Target: l.target.Target, Class: spec.Class, Decoded: l.decoded, Loss: loss, First: l.first, Prefix: l.prefix})
+	}
+}
+
+// cancelBroken ends what the target process of a broken connection may still
+// run, now that another attempt has begun.
+func (r *runner) cancelBroken(spec *generation.Spec, below id.Attempt) {
+	if n := len(r.losses); n > 0 && r.losses[n-1].Kind == Lost {
+		go r.sendCancel(r.losses[n-1].Target, spec.Request, r.answer.epoch, below)
 	}
 }
 
@@ -219,6 +314,9 @@
 	}
 	loss := &Loss{Target: l.target, Kind: kind, Started: started(kind), Detail: err.Error(), At: r.clock.Now()}
 	r.touched = r.touched || loss.Started
+	if kind == NoAttempt {
+		r.forget(loss.Target.Target)
+	}
 	if loss.Started {
 		r.idle++
 	}
@@ -235,6 +333,15 @@
 	return loss
 }
 
+// forget notes that a target process no longer holds the attempt.
+func (r *runner) forget(t id.Target) {
+	for i := range r.losses {
+		if r.losses[i].Target.Target == t {
+			r.losses[i].Holds = false
+		}
+	}
+}
+
 // started reports whether an engine may have seen an attempt that ended so.
 func started(kind Kind) bool {
 	switch kind {
@@ -252,6 +359,9 @@
 	var next time.Time
 	for _, l := range ls {
 		stalled, at := l.watch.Check(now)
+		if now.Before(l.quietUntil) {
+			stalled, at = false, l.quietUntil
+		}
 		if stalled {
 			return l, now
 		}
@@ -271,8 +381,6 @@
 	return false
 }
 
-func (ls legs) only(l *leg) legs { return legs{l} }
-
 func (ls legs) without(l *leg) legs {
 	var rest legs
 	for _, v := range ls {
--- a/internal/coordination/request/policy.go
+++ b/internal/coordination/request/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/answer"
 	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -17,8 +18,19 @@
 	Losses []Loss
 	// MayRestart says that a new text may replace the old one.
 	MayRestart bool
-	// Replayed is the number of tokens computed again so far.
-	Replayed int
+	// Idle is the number of attempts since the last token came.
+	Idle int
+}
+
+// LastStarted returns the last loss at which an engine may have seen the
+// request; nil when there was none.
+func (p *Placement) LastStarted() *Loss {
+	for i := len(p.Losses) - 1; i >= 0; i-- {
+		if p.Losses[i].Started {
+			return &p.Losses[i]
+		}
+	}
+	return nil
 }
 
 // Action is what an owner does next for an answer.
@@ -44,6 +56,10 @@
 	Target member.TargetReport
 	// Second is set when two attempts are to race; the first token wins.
 	Second *member.TargetReport
+	// Keep leaves a stalled attempt as it is, to race or to be waited for.
+	Keep bool
+	// Cause is the cause of a refusal; empty means that there is no target.
+	Cause answer.Cause
 	// Wait is how long to hold, or when the caller may come back.
 	Wait   time.Duration
 	Reason string
@@ -59,6 +75,8 @@
 	Loss *Loss
 	// First is the time from the start to the first token; 0 when none came.
 	First time.Duration
+	// Prefix is the number of tokens that the attempt began after.
+	Prefix int
 }
 
 // Watch follows the tokens of one attempt.
@@ -77,6 +95,8 @@
 	Begin func(t *member.TargetReport, spec *generation.Spec) func(Usage)
 	// Watch follows an attempt at a target.
 	Watch func(t *member.TargetReport, spec *generation.Spec, prefix id.Index, start time.Time) Watch
+	// End notes that a request runs no more, and whether its answer is whole.
+	End func(spec *generation.Spec, whole bool)
 	// Candidates returns the targets that may hold a request of the models.
 	Candidates func(models []id.Model) []member.TargetReport
 }
--- a/internal/coordination/request/request.go
+++ b/internal/coordination/request/request.go
@@ -129,6 +129,8 @@
 	Kind   Kind
 	// Started says that the engine may have seen the attempt.
 	Started bool
-	Detail  string
-	At      time.Time
+	// Holds says that the target process still answers and holds the attempt.
+	Holds  bool
+	Detail string
+	At     time.Time
 }
--- a/internal/coordination/request/runner.go
+++ b/internal/coordination/request/runner.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -42,8 +43,8 @@
 	found *member.TargetReport
 	// touched says that an engine may have seen the request.
 	touched bool
-	// replayed counts the prefix tokens that later attempts began with.
-	replayed int
+	// decided is a choice that was made while an attempt stalled.
+	decided *Choice
 	// lostAt is when the answer stopped flowing; zero while it flows.
 	lostAt time.Time
 }
@@ -73,6 +74,7 @@
 func (r *runner) finish(refusal *answer.Refusal) {
 	r.answer.end(refusal, r.clock.Now())
 	spec := r.answer.Spec()
+	r.policy.End(&spec, refusal == nil)
 	if refusal == nil {
 		r.log.Emit(event.RequestFinished, "request", spec.Request, "contract", spec.Contract,
 			"tokens", r.answer.next(), "attempts", len(r.losses)+1)
@@ -97,14 +99,7 @@
 			return Choice{}, r.refusal(answer.CauseLost, "too many attempts in a row gave no token", 0)
 		}
 		spec := r.answer.Spec()
-		choice := r.policy.Place(Placement{
-			Spec:       &spec,
-			Prefix:     r.answer.next(),
-			Losses:     r.losses,
-			MayRestart: r.answer.mayRestart(),
-			Replayed:   r.replayed,
-		}, r.clock.Now())
-		r.noteChoice(&spec, &choice)
+		choice := r.decide(&spec, r.losses)
 		switch choice.Action {
 		case Go, Rejoin:
 			return choice, nil
@@ -113,7 +108,7 @@
 				return choice, nil
 			}
 		case GiveUp:
-			return choice, r.refusal(answer.CauseNoTarget, choice.Reason, choice.Wait)
+			return choice, r.refusal(cmp.Or(choice.Cause, answer.CauseNoTarget), choice.Reason, choice.Wait)
 		case Hold:
 			if refusal := r.hold(ctx, choice.Wait); refusal != nil {
 				return choice, refusal
@@ -122,6 +117,24 @@
 	}
 }
 
+// decide asks the policy, unless it has decided while an attempt stalled.
+func (r *runner) decide(spec *generation.Spec, losses []Loss) Choice {
+	if r.decided != nil {
+		choice := *r.decided
+		r.decided = nil
+		return choice
+	}
+	choice := r.policy.Place(Placement{
+		Spec:       spec,
+		Prefix:     r.answer.next(),
+		Losses:     losses,
+		MayRestart: r.answer.mayRestart(),
+		Idle:       r.idle,
+	}, r.clock.Now())
+	r.noteChoice(spec, &choice)
+	return choice
+}
+
 // noteChoice logs a decision; one to go on holding is not logged again.
 func (r *runner) noteChoice(spec *generation.Spec, choice *Choice) {
 	again := choice.Action == Hold && r.held == choice.Reason
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -32,7 +32,6 @@
 	"foxtailward.example/foxtailward/internal/state/contract"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/fault"
-	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
 	"foxtailward.example/foxtailward/internal/transport/caller"
@@ -80,6 +79,7 @@
 
 	view    *member.View
 	router  *route.Router
+	policy  *policy.Policy
 	pool    *peer.Pool
 	desk    *request.Desk
 	counter *request.Counter
@@ -111,7 +111,11 @@
 	reports := peer.Reports{Load: p.takeLoad, Stamp: p.takeStamp, Broken: p.takeBroken}
 	link := peer.NewLink(p.pool, deps.Clock, reports)
 	relays := peer.NewRelays(p.pool, p.addressOf, p.takeStamp)
-	owner := policy.New(p.view, p.router, deps.Clock, deps.Random)
+	owner := policy.New(policy.Tools{
+		View: p.view, Router: p.router, Clock: deps.Clock, Conf: deps.Current.Snapshot,
+		Random: deps.Random, Log: deps.Log.With("entry", s.Name),
+	})
+	p.policy = owner
 	p.desk = request.NewDesk(request.Config{
 		Self: s.Name, Clock: deps.Clock, Log: deps.Log.With("entry", s.Name),
 		Meter: request.NewMeter(deps.Metrics), RetainedTokens: retainedTokens,
@@ -144,7 +148,7 @@
 		Admit: func(*contract.Contract, int) (request.Ticket, *answer.Refusal) {
 			return request.Ticket{Done: func(int) {}}, nil
 		},
-		Screen: func(*generation.Spec) *answer.Refusal { return nil },
+		Screen: p.policy.Screen,
 		Conf:   p.deps.Current.Snapshot,
 	}
 }
