--- a/cmd/foxtailward-lab/store.go
+++ b/cmd/foxtailward-lab/store.go
@@ -13,8 +13,9 @@
 Faults come over HTTP, for instance:
   curl -d '{"kind":"outage","millis":5000}' http://ADDR/faults
 Kinds: latency (millis), outage (millis; it ends by itself), hang, resume,
-loseAnswers and loseRequests (count), cutWatches, compact (revision; 0 for the
-newest), lapseLeases. GET /stats counts the calls by kind.`
+loseAnswers, loseRequests and holdWrites (count), releaseWrites, cutWatches,
+compact (revision; 0 for the newest), lapseLeases. GET /stats counts the calls by
+kind.`
 
 func newStore() *cobra.Command {
 	var opts store.Options
--- a/internal/standin/store/command.go
+++ b/internal/standin/store/command.go
@@ -39,11 +39,12 @@
 // Command is a fault command, as POST /faults takes it.
 type Command struct {
 	// Kind is one of "latency", "outage", "hang", "resume", "loseAnswers",
-	// "loseRequests", "cutWatches", "compact" and "lapseLeases".
+	// "loseRequests", "holdWrites", "releaseWrites", "cutWatches", "compact"
+	// and "lapseLeases".
 	Kind string `json:"kind"`
 	// Millis is the latency, or how long an outage lasts.
 	Millis int64 `json:"millis,omitempty"`
-	// Count is the number of writes to lose.
+	// Count is the number of writes to lose or hold.
 	Count int `json:"count,omitempty"`
 	// Revision is where to compact; 0 means the newest.
 	Revision int64 `json:"revision,omitempty"`
@@ -67,6 +68,10 @@
 		s.LoseAnswers(c.Count)
 	case "loseRequests":
 		s.LoseRequests(c.Count)
+	case "holdWrites":
+		s.HoldWrites(c.Count)
+	case "releaseWrites":
+		s.ReleaseWrites()
 	case "cutWatches":
 		s.CutWatches()
 	case "compact":
--- a/internal/standin/store/direct.go
+++ b/internal/standin/store/direct.go
@@ -111,13 +111,14 @@
 	if err := s.delay(ctx); err != nil {
 		return fault.Wrap(op, kv.Unknown, err)
 	}
-	if s.takeLostRequest() {
+	// The refusal of a write that was held reaches nobody.
+	if s.losesRequest(func() { _ = apply() }) {
 		return fault.New(op, kv.Unknown, "no answer came")
 	}
 	if err := apply(); err != nil {
 		return err
 	}
-	if s.takeLostAnswer() {
+	if s.losesAnswer() {
 		return fault.New(op, kv.Unknown, "no answer came")
 	}
 	return nil
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -17,6 +17,10 @@
 	// loseAnswers and loseRequests count the writes whose answer is lost, after
 	// and before they take effect.
 	loseAnswers, loseRequests int
+	// holdWrites counts the writes to hold, and held carries out those that
+	// were.
+	holdWrites int
+	held       []func()
 	// onOutage is set by a Server.
 	onOutage func(on bool) error
 }
@@ -121,16 +125,48 @@
 	s.faults.loseRequests = n
 }
 
+// HoldWrites makes the next n writes get stuck on their way: their callers get
+// no answer, and they take effect only with ReleaseWrites.
+func (s *Service) HoldWrites(n int) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.holdWrites = n
+}
+
+// ReleaseWrites lets the writes that were held arrive.
+func (s *Service) ReleaseWrites() {
+	s.faults.mu.Lock()
+	held := s.faults.held
+	s.faults.held = nil
+	s.faults.mu.Unlock()
+	for _, arrive := range held {
+		arrive()
+	}
+}
+
+// losesRequest reports whether the current write is lost or held before it
+// takes effect.
+func (s *Service) losesRequest(apply func()) bool {
+	if s.take(&s.faults.loseRequests) {
+		return true
+	}
+	if !s.take(&s.faults.holdWrites) {
+		return false
+	}
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.held = append(s.faults.held, apply)
+	return true
+}
+
 func (s *Service) down() bool {
 	s.faults.mu.Lock()
 	defer s.faults.mu.Unlock()
 	return s.faults.outage
 }
 
-// takeLostRequest reports whether the current write is lost before it takes
-// effect, and takeLostAnswer whether it is lost after it.
-func (s *Service) takeLostRequest() bool { return s.take(&s.faults.loseRequests) }
-func (s *Service) takeLostAnswer() bool  { return s.take(&s.faults.loseAnswers) }
+// losesAnswer reports whether the current write's answer is lost.
+func (s *Service) losesAnswer() bool { return s.take(&s.faults.loseAnswers) }
 
 func (s *Service) take(n *int) bool {
 	s.faults.mu.Lock()
--- a/internal/standin/store/gateway.go
+++ b/internal/standin/store/gateway.go
@@ -192,7 +192,8 @@
 // serveWrite passes a write through the faults and answers it.
 func (s *Service) serveWrite(w http.ResponseWriter, r *http.Request, count *atomic.Int64, apply func() (any, error)) {
 	s.reach(r, count)
-	if s.takeLostRequest() {
+	// The refusal of a write that was held reaches nobody.
+	if s.losesRequest(func() { _, _ = apply() }) {
 		panic(http.ErrAbortHandler)
 	}
 	body, err := apply()
@@ -200,7 +201,7 @@
 		refuse(w, refusalCode(err), err.Error())
 		return
 	}
-	if s.takeLostAnswer() {
+	if s.losesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
 	answer(w, http.StatusOK, body)
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -118,6 +118,23 @@
 	is.Equal(service.Calls(), store.Calls{Ranges: 2, Txns: 3})
 }
 
+// TestHoldWrites lets a write arrive after its caller has read the key.
+func TestHoldWrites(t *testing.T) {
+	is := is.New(t)
+	service := service(t, store.Options{})
+	s := service.Direct()
+	service.HoldWrites(1)
+	_, err := s.Commit(t.Context(), put("a", "1", kv.Compare{Key: "a"}))
+	is.True(fault.Is(err, kv.Unknown))
+	item, err := s.Get(t.Context(), "a")
+	is.NoErr(err)
+	is.True(!item.Exists()) // the read proves nothing
+	service.ReleaseWrites()
+	item, err = s.Get(t.Context(), "a")
+	is.NoErr(err)
+	is.Equal(string(item.Value), "1")
+}
+
 func TestLatency(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
@@ -170,7 +187,7 @@
 		defer resp.Body.Close()
 		return resp.StatusCode
 	}
-	for _, kind := range []string{"latency", "hang", "resume", "loseAnswers", "loseRequests", "cutWatches", "compact", "lapseLeases"} {
+	for _, kind := range []string{"latency", "hang", "resume", "loseAnswers", "loseRequests", "holdWrites", "releaseWrites", "cutWatches", "compact", "lapseLeases"} {
 		is.Equal(send(store.Command{Kind: kind}), http.StatusNoContent)
 	}
 	is.Equal(send(store.Command{Kind: "explode"}), http.StatusBadRequest)
--- a/internal/transport/etcd/backoff.go
+++ b/internal/transport/etcd/backoff.go
@@ -15,9 +15,13 @@
 // counts as down. One lost answer must not hold up the read that follows it.
 const lostTolerated = 3
 
+// jitterShare is the part of each backoff that is random.
+const jitterShare = 0.5
+
 // backoff decides when a service that does not answer is probed.
 type backoff struct {
 	min, max time.Duration
+	jitter   float64
 	clock    clockwork.Clock
 	log      *event.Log
 
@@ -32,7 +36,7 @@
 }
 
 func newBackoff(least, most time.Duration, clock clockwork.Clock, source rand.Source, log *event.Log) *backoff {
-	return &backoff{min: least, max: most, clock: clock, random: rand.New(source), log: log}
+	return &backoff{min: least, max: most, jitter: jitterShare, clock: clock, random: rand.New(source), log: log}
 }
 
 // admit reports whether a call may go out now. After each backoff one call is
@@ -97,7 +101,7 @@
 	b.probing = false
 }
 
-// extend doubles the backoff. Half of it is jittered, so that processes that
+// extend doubles the backoff. A part of it is random, so that processes that
 // lost the service at once come back apart.
 func (b *backoff) extend(err error) {
 	if b.delay == 0 {
@@ -109,6 +113,6 @@
 }
 
 func (b *backoff) jittered() time.Duration {
-	half := b.delay / 2
-	return half + time.Duration(b.random.Int64N(int64(half)+1))
+	fixed := time.Duration((1 - b.jitter) * float64(b.delay))
+	return fixed + time.Duration(b.random.Int64N(int64(b.delay-fixed)+1))
 }
--- a/internal/transport/etcd/client.go
+++ b/internal/transport/etcd/client.go
@@ -54,7 +54,7 @@
 	defaultTimeout        = 2 * time.Second
 	defaultMaxWait        = time.Second
 	defaultBackoffFirst   = 100 * time.Millisecond
-	defaultBackoffLongest = 2 * time.Second
+	defaultBackoffLongest = 3 * time.Second
 	// unlimited is the rate of a client without a budget, in calls a second.
 	unlimited = 1e9
 )
