Make entries whose views differ meet on one generation

Ruled out: the search at target processes, which cannot find an attempt that starts at the same time elsewhere. Change: an entry pledges a keyed request to the next entry in order before it starts; who finds an owner there mirrors its answer. Of two that have not begun the higher score owns. Conclusion: one generation also while views differ, for one more call per keyed request.

--- a/internal/coordination/request/answer.go
+++ b/internal/coordination/request/answer.go
@@ -40,17 +40,19 @@
 type Answer struct {
 	mu        sync.Mutex
 	cancelRun context.CancelFunc
-	spec      generation.Spec
-	keyed     bool
-	epoch     id.Epoch
-	attempt   id.Attempt
-	joiner    *join.Joiner
-	state     State
-	refusal   *answer.Refusal
-	readers   map[*reader]struct{}
-	idleSince time.Time
-	endedAt   time.Time
-	decisions []Decision
+	// ownAttempts says that this entry runs the attempts, after its pledge.
+	ownAttempts bool
+	spec        generation.Spec
+	keyed       bool
+	epoch       id.Epoch
+	attempt     id.Attempt
+	joiner      *join.Joiner
+	state       State
+	refusal     *answer.Refusal
+	readers     map[*reader]struct{}
+	idleSince   time.Time
+	endedAt     time.Time
+	decisions   []Decision
 }
 
 func newAnswer(spec generation.Spec, keyed bool, epoch id.Epoch, now time.Time) *Answer {
@@ -97,10 +99,20 @@
 	return len(a.readers) > 0
 }
 
-func (a *Answer) setCancel(cancel context.CancelFunc) {
+// starts notes how to end the answer's attempts, and whether they are its own
+// or another entry's.
+func (a *Answer) starts(cancel context.CancelFunc, own bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancelRun = cancel
+	a.ownAttempts = own
+}
+
+// begun reports whether this entry runs the attempts.
+func (a *Answer) begun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ownAttempts
 }
 
 // cancel ends the answer's attempts.
--- a/internal/coordination/request/desk.go
+++ b/internal/coordination/request/desk.go
@@ -189,9 +189,9 @@
 }
 
 // start runs a new answer's attempts.
-func (d *Desk) start(a *Answer, c *contract.Contract, ticket Ticket, found *Found) {
+func (d *Desk) start(a *Answer, c *contract.Contract, ticket Ticket, found *Found, mirror *answer.Reader) {
 	ctx, cancel := context.WithCancel(d.ctx)
-	a.setCancel(cancel)
+	a.starts(cancel, mirror == nil)
 	r := &runner{
 		answer: a, link: &d.link, policy: &d.policy, clock: d.cfg.Clock, log: d.cfg.Log, meter: d.cfg.Meter,
 		maxAttempts: d.gate.Conf().Deployment.Recovery.MaxAttempts,
@@ -199,8 +199,7 @@
 	if found != nil {
 		r.touched = true
 		if found.Running {
-			target := found.Target
-			r.found = &target
+			r.found = found
 		}
 	}
 	spec := a.Spec()
@@ -210,6 +209,9 @@
 	go func() {
 		defer d.running.Done()
 		defer cancel()
+		if mirror != nil {
+			d.mirror(ctx, r, mirror, c.Models)
+		}
 		refusal := r.run(ctx)
 		if refusal != nil && refusal.Cause == answer.CauseConflict {
 			refusal = d.follow(ctx, a, c.Models)
--- a/internal/coordination/request/desk_test.go
+++ b/internal/coordination/request/desk_test.go
@@ -358,6 +358,9 @@
 	peers.Live = func() []id.Entry { return []id.Entry{"e0", "e1", "e2", "e3"} }
 	passed := 0
 	peers.Relay = func(_ context.Context, e id.Entry, r request.Relay) (*answer.Reader, error) {
+		if r.Pledge {
+			return nil, fault.New("fake.relay", request.Lost, "entry %s is gone", e)
+		}
 		passed++
 		is.True(len(r.Via) <= 2)
 		is.Equal(r.Via[len(r.Via)-1], id.Entry("e1"))
--- a/internal/coordination/request/follow.go
+++ b/internal/coordination/request/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/join"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -18,9 +19,10 @@
 	moved := d.cfg.Clock.Now()
 	for {
 		found, _ := d.search(ctx, models, spec.Request)
-		if found != nil && found.Spec.Lineage != spec.Lineage {
+		if found != nil && found.Spec.Lineage != spec.Lineage && !a.restart(found.Spec.Lineage, found.Spec.Version) {
 			return conflict(spec.Request, "another entry generated the answer anew")
 		}
+		spec = a.Spec()
 		if found != nil && a.adopt(found) > 0 {
 			moved = d.cfg.Clock.Now()
 		}
@@ -36,6 +38,62 @@
 	}
 }
 
+// mirror copies the answer from the entry that owns it, until its end. When
+// that entry is lost, this one owns the request and goes on from what the
+// target processes hold.
+func (d *Desk) mirror(ctx context.Context, r *runner, reader *answer.Reader, models []id.Model) {
+	defer reader.Close()
+	number, _ := r.answer.begin()
+	r.touched = true
+	for {
+		part, err := reader.Next(ctx)
+		if err != nil {
+			break
+		}
+		if r.answer.Spec().Lineage != part.Lineage && !r.answer.restart(part.Lineage, r.answer.Spec().Version) {
+			break
+		}
+		number = r.answer.reopen(number)
+		_, verdict := r.answer.take(&Frame{Attempt: number, First: part.First, Tokens: part.Tokens, Finish: part.Finish})
+		if part.Finish != nil || verdict == join.Mismatch {
+			return
+		}
+	}
+	if found, _ := d.search(ctx, models, r.answer.Spec().Request); found != nil && found.Spec.Lineage == r.answer.Spec().Lineage {
+		r.answer.adopt(found)
+		r.answer.own(found.Epoch + 1)
+		if found.Running {
+			r.found = found
+		}
+	}
+}
+
+// reopen makes number the current attempt again after a restart fenced it.
+func (a *Answer) reopen(number id.Attempt) id.Attempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.joiner.MayWrite(number) {
+		return number
+	}
+	a.attempt++
+	a.joiner.Begin(a.attempt)
+	return a.attempt
+}
+
+// owned returns the owner's number.
+func (a *Answer) owned() id.Epoch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch
+}
+
+// own raises the owner's number to at least epoch.
+func (a *Answer) own(epoch id.Epoch) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.epoch = max(a.epoch, epoch)
+}
+
 // adopt takes what another owner's attempt has more than this answer, and
 // returns how many tokens that were.
 func (a *Answer) adopt(f *Found) int {
--- a/internal/coordination/request/inherit.go
+++ b/internal/coordination/request/inherit.go
@@ -17,6 +17,9 @@
 // neither when there was none.
 func (d *Desk) inherit(ctx context.Context, c *contract.Contract, relay Relay) (*answer.Reader, *Found, error) {
 	previous, lives := d.peers.Previous(relay.Request)
+	if owner := d.answers.pledged(relay.Request); owner != "" && owner != d.cfg.Self {
+		previous, lives = owner, true
+	}
 	unkeyed := relay.Spec != nil && relay.From == 0 && !relay.Request.Keyed()
 	if unkeyed || previous == d.cfg.Self {
 		return nil, nil, nil
@@ -26,6 +29,7 @@
 		if !fault.Is(err, Lost) && !isRefusal(err, answer.CauseNotFound) {
 			return reader, nil, err
 		}
+		d.answers.unpledge(relay.Request, previous)
 	}
 	found, silent := d.search(ctx, c.Models, relay.Request)
 	if found != nil && found.Spec.Contract != c.Name {
--- a/internal/coordination/request/leg.go
+++ b/internal/coordination/request/leg.go
@@ -15,8 +15,10 @@
 
 // leg is one attempt while it runs. Two legs run during a race.
 type leg struct {
-	target  member.TargetReport
-	number  id.Attempt
+	target member.TargetReport
+	number id.Attempt
+	// held is the attempt's number at its target process.
+	held    id.Attempt
 	stream  *Stream
 	watch   Watch
 	begun   time.Time
@@ -105,8 +107,12 @@
 func (r *runner) dial(ctx context.Context, l *leg, spec *generation.Spec, action Action) (*Stream, error) {
 	if action == Rejoin {
 		l.number = r.answer.current()
+		l.held = l.number
+		if r.found != nil {
+			l.held, r.found = r.found.Attempt, nil
+		}
 		return r.link.Adopt(ctx, &l.target, Adopt{
-			Request: spec.Request, Epoch: r.answer.epoch, Attempt: l.number, From: r.answer.next(),
+			Request: spec.Request, Epoch: r.answer.owned(), Attempt: l.held, From: r.answer.next(),
 		})
 	}
 	var prefix []generation.Token
@@ -115,8 +121,8 @@
 	} else {
 		l.number, prefix = r.answer.begin()
 	}
-	l.prefix = len(prefix)
-	return r.link.Start(ctx, &l.target, Start{Spec: spec, Epoch: r.answer.epoch, Attempt: l.number, Prefix: prefix})
+	l.held, l.prefix = l.number, len(prefix)
+	return r.link.Start(ctx, &l.target, Start{Spec: spec, Epoch: r.answer.owned(), Attempt: l.number, Prefix: prefix})
 }
 
 // receive moves a leg's frames into the bounded queue of the attempt.
@@ -170,6 +176,7 @@
 	now := r.clock.Now()
 	l.watch.Tokens(now, len(f.Tokens))
 	l.quietUntil = time.Time{}
+	f.Attempt = l.number
 	added, verdict := r.answer.take(f)
 	if added > 0 {
 		l.decoded += added
@@ -254,7 +261,7 @@
 		return
 	}
 	for i := range found {
-		if found[i].Attempt == r.answer.current() && (found[i].Running || found[i].Finish != nil) {
+		if found[i].Epoch == r.answer.owned() && found[i].Attempt == r.answer.current() && (found[i].Running || found[i].Finish != nil) {
 			loss.Holds = true
 		}
 	}
@@ -281,7 +288,7 @@
 	for _, l := range legs {
 		l.stream.Close()
 		if (!whole || l.number != r.answer.current()) && (loss == nil || loss.Kind != Lost) {
-			go r.sendCancel(l.target, spec.Request, r.answer.epoch, l.number+1)
+			go r.sendCancel(l.target, spec.Request, r.answer.owned(), l.held+1)
 		}
 		if l.number > 1 {
 			r.meter.Extra(l.prefix + spec.PromptTokens())
@@ -294,7 +301,7 @@
 // run, now that another attempt has begun.
 func (r *runner) cancelBroken(spec *generation.Spec, below id.Attempt) {
 	if n := len(r.losses); n > 0 && r.losses[n-1].Kind == Lost {
-		go r.sendCancel(r.losses[n-1].Target, spec.Request, r.answer.epoch, below)
+		go r.sendCancel(r.losses[n-1].Target, spec.Request, r.answer.owned(), below)
 	}
 }
 
--- a/internal/coordination/request/open.go
+++ b/internal/coordination/request/open.go
@@ -18,6 +18,9 @@
 
 // open finds the request's home and opens the answer there.
 func (d *Desk) open(ctx context.Context, c *contract.Contract, relay Relay) (*answer.Reader, error) {
+	if relay.Pledge {
+		return d.witness(ctx, c, relay)
+	}
 	var silent []id.Entry
 	for {
 		home := id.Home(relay.Request, without(d.peers.Live(), silent))
@@ -127,10 +130,58 @@
 		d.answers.remove(relay.Request, a)
 		return nil, refusal
 	}
-	d.start(a, c, ticket, found)
+	mirror := d.pledge(a, relay, found)
+	d.start(a, c, ticket, found, mirror)
 	return d.join(a, relay)
 }
 
+// pledge tells the next entry in order that this one owns a keyed request, so
+// that two entries whose views differ meet there. It returns a reader when
+// another entry owns the request already.
+func (d *Desk) pledge(a *Answer, relay Relay, found *Found) *answer.Reader {
+	next := id.Home(relay.Request, without(d.peers.Live(), []id.Entry{d.cfg.Self}))
+	if !relay.Request.Keyed() || found != nil || next == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, pledgeTimeout)
+	defer cancel()
+	reader, err := d.peers.Relay(ctx, next, Relay{
+		Contract: relay.Contract, Request: relay.Request, Pledge: true, Via: Via{d.cfg.Self},
+	})
+	if err != nil {
+		// Nobody else owns it, or the next entry is silent too.
+		return nil
+	}
+	if !a.restart(reader.Lineage, reader.Spec.Version) {
+		reader.Close()
+		return nil
+	}
+	return reader
+}
+
+// witness takes another entry's pledge. It reads the answer where it is when
+// another entry, or this one, owns the request.
+func (d *Desk) witness(ctx context.Context, c *contract.Contract, relay Relay) (*answer.Reader, error) {
+	if len(relay.Via) == 0 {
+		return nil, answer.Refuse(answer.CauseInvalid, "a pledge names no entry")
+	}
+	from := relay.Via[0]
+	a, other := d.answers.pledge(relay.Request, from, d.cfg.Self, d.cfg.Clock.Now())
+	if a != nil {
+		return d.join(a, relay)
+	}
+	if other == "" || !relay.Via.open(other) {
+		return nil, notFound(relay.Request)
+	}
+	reader, err := d.pass(ctx, c, other, relay)
+	if err != nil {
+		d.answers.unpledge(relay.Request, other)
+		d.answers.pledge(relay.Request, from, d.cfg.Self, d.cfg.Clock.Now())
+		return nil, notFound(relay.Request)
+	}
+	return reader, nil
+}
+
 // fresh returns the record of a new answer or of one that was found.
 func (d *Desk) fresh(relay Relay, found *Found, now time.Time) *Answer {
 	epoch := id.Epoch(now.UnixMilli())
--- a/internal/coordination/request/peers.go
+++ b/internal/coordination/request/peers.go
@@ -21,6 +21,9 @@
 	Lineage id.Lineage
 	From    id.Index
 	Whole   bool
+	// Pledge says that the sender owns the request from now on, unless another
+	// entry is known to. Spec is nil.
+	Pledge bool
 	// Via names the entries that passed the request on.
 	Via Via
 }
@@ -84,6 +87,8 @@
 	findAtOnce = 16
 	// followEvery is the time between two looks at another owner's attempt.
 	followEvery = 300 * time.Millisecond
+	// pledgeTimeout bounds the pledge to the next entry.
+	pledgeTimeout = 500 * time.Millisecond
 	// followPatience is how long an attempt may stand still while followed.
 	followPatience = 10 * time.Second
 )
--- a/internal/coordination/request/registry.go
+++ b/internal/coordination/request/registry.go
@@ -11,10 +11,65 @@
 type registry struct {
 	mu      sync.Mutex
 	answers map[id.Request]*Answer
+	// pledges names the entries that said that they own a request.
+	pledges map[id.Request]pledge
+}
+
+// pledge is an entry's word that it owns a request.
+type pledge struct {
+	owner id.Entry
+	at    time.Time
 }
 
 func newRegistry() *registry {
-	return &registry{answers: map[id.Request]*Answer{}}
+	return &registry{answers: map[id.Request]*Answer{}, pledges: map[id.Request]pledge{}}
+}
+
+// pledge notes that owner owns r, unless this entry owns it or another one has
+// pledged. It returns the answer, or the other entry. While neither of two has
+// begun, the one with the higher score owns it, so that no two entries wait for
+// each other.
+func (g *registry) pledge(r id.Request, owner, self id.Entry, now time.Time) (*Answer, id.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if a := g.answers[r]; a != nil && a.State() != Ended {
+		if a.begun() || id.Score(string(r), string(self)) > id.Score(string(r), string(owner)) {
+			return a, ""
+		}
+		return nil, ""
+	}
+	if p, ok := g.pledges[r]; ok && p.owner != owner {
+		return nil, p.owner
+	}
+	g.pledges[r] = pledge{owner: owner, at: now}
+	return nil, ""
+}
+
+// unpledge forgets the pledge of an entry that does not hold r after all.
+func (g *registry) unpledge(r id.Request, owner id.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pledges[r].owner == owner {
+		delete(g.pledges, r)
+	}
+}
+
+// pledged returns the entry that pledged to own r.
+func (g *registry) pledged(r id.Request) id.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pledges[r].owner
+}
+
+// forgetPledges drops the pledges that are older than retention.
+func (g *registry) forgetPledges(now time.Time, retention time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r, p := range g.pledges {
+		if now.Sub(p.at) >= retention {
+			delete(g.pledges, r)
+		}
+	}
 }
 
 // find returns the answer of r, or nil.
@@ -60,6 +115,7 @@
 // maxTokens tokens of ended answers are held. It returns the running answers
 // that nobody reads.
 func (g *registry) sweep(now time.Time, retention, grace time.Duration, maxTokens int) []*Answer {
+	g.forgetPledges(now, retention)
 	var abandoned []*Answer
 	var ended endedAnswers
 	for _, a := range g.all() {
--- a/internal/coordination/request/runner.go
+++ b/internal/coordination/request/runner.go
@@ -8,7 +8,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
-	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/generation"
 )
@@ -40,7 +39,7 @@
 	// corrupt says that the text held cannot be trusted.
 	corrupt bool
 	// found is set when another owner left an attempt that runs.
-	found *member.TargetReport
+	found *Found
 	// touched says that an engine may have seen the request.
 	touched bool
 	// decided is a choice that was made while an attempt stalled.
@@ -86,9 +85,8 @@
 
 // place asks the policy until it names a target or gives up.
 func (r *runner) place(ctx context.Context) (Choice, *answer.Refusal) {
-	if t := r.found; t != nil {
-		r.found = nil
-		return Choice{Action: Rejoin, Target: *t, Reason: "found"}, nil
+	if r.found != nil {
+		return Choice{Action: Rejoin, Target: r.found.Target, Reason: "found"}, nil
 	}
 	if r.corrupt && !r.answer.restart(newLineage(), r.answer.Spec().Version) {
 		return Choice{}, r.refusal(answer.CauseLost, "the text held does not agree with its checksum", 0)
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -253,7 +253,7 @@
 	return slices.Clone(d.peers)
 }
 
-// Ready waits until every entry sees every target ready, or ctx ends.
+// Ready waits until every entry sees every target and entry ready, or ctx ends.
 func (d *Deployment) Ready(ctx context.Context) error {
 	for {
 		if d.seesAll() {
@@ -272,7 +272,7 @@
 
 func (d *Deployment) seesAll() bool {
 	for _, e := range d.Entries {
-		if e.Process.Sees() < len(d.Engines) {
+		if e.Process.Sees() < len(d.Engines) || e.Process.SeesEntries() < len(d.Entries) {
 			return false
 		}
 	}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -78,6 +78,7 @@
 	leaving     atomic.Bool
 
 	view    *member.View
+	history *history
 	router  *route.Router
 	policy  *policy.Policy
 	pool    *peer.Pool
@@ -106,6 +107,7 @@
 	p := &Process{settings: s, deps: deps, incarnation: id.Incarnation(deps.Clock.Now().UnixMilli())}
 	p.life, p.end = context.WithCancel(context.Background())
 	p.view = member.NewView(member.Config{}, s.Name)
+	p.history = newHistory(s.Name)
 	p.router = route.New(route.Config{Zone: s.Place.Zone, Region: s.Place.Region}, p.view)
 	p.pool = peer.NewPool(p.stamp)
 	reports := peer.Reports{Load: p.takeLoad, Stamp: p.takeStamp, Broken: p.takeBroken}
@@ -138,9 +140,16 @@
 }
 
 // previous returns the entry that owned r before the changes within the
-// retention.
+// retention, and whether it may still be asked.
 func (p *Process) previous(r id.Request) (id.Entry, bool) {
-	return p.settings.Name, true
+	retention := p.deps.Current.Snapshot().Deployment.Retention.Std()
+	before := p.history.previous(r, p.deps.Clock.Now(), retention)
+	for _, e := range p.view.Entries() {
+		if e.Report.Entry == before {
+			return before, true
+		}
+	}
+	return before, false
 }
 
 func (p *Process) gate() request.Gate {
@@ -326,6 +335,7 @@
 		for _, c := range p.view.Tick(now) {
 			p.tell(&c)
 		}
+		p.history.note(p.view.Entries(), now)
 		p.counter.Sweep(now, p.deps.Current.Snapshot().Deployment.Retention.Std())
 	}
 }
--- a/internal/transport/entry/status.go
+++ b/internal/transport/entry/status.go
@@ -51,3 +51,6 @@
 	}
 	return n
 }
+
+// SeesEntries returns the number of live entries in this entry's view.
+func (p *Process) SeesEntries() int { return len(p.view.Snapshot().LiveEntries()) }
--- a/internal/transport/peer/relay.go
+++ b/internal/transport/peer/relay.go
@@ -164,6 +164,7 @@
 		ReadOnly: relay.Spec == nil,
 		Via:      joinVia(relay.Via),
 		Whole:    relay.Whole,
+		Pledge:   relay.Pledge,
 	}
 	if relay.Spec != nil {
 		m.Spec = peer.FromSpec(relay.Spec)
@@ -179,6 +180,7 @@
 		From:     id.Index(m.GetFrom()),
 		Via:      splitVia(m.GetVia()),
 		Whole:    m.GetWhole(),
+		Pledge:   m.GetPledge(),
 	}
 	if m.GetReadOnly() {
 		return relay, nil
