Prove notRun also for a keyed call that is refused before its claim

Cause: a caller that comes back with its key and meets a limit was told notRun though its call may have run before, or may run later through a paused entry. Change: Claimer.Refuse writes that the call was not run, or says what the claim that stands proves.

--- a/internal/coordination/claim/ask.go
+++ b/internal/coordination/claim/ask.go
@@ -77,6 +77,18 @@
 	return Ask{Mine: mine, Fresh: fresh, Held: mine, Do: Create}
 }
 
+// NewRefusal returns an ask that was refused before it could claim, by a limit
+// for example. Its first action is to write that the call was not run, so that
+// no ask before it still runs the call once its caller was told so.
+func NewRefusal(mine Claim, fresh bool) Ask {
+	mine.State = StateNotRun
+	a := Ask{Mine: mine, Fresh: fresh, Held: mine, Do: Create}
+	if fresh {
+		return a.answer(NotRun)
+	}
+	return a
+}
+
 // Next returns the ask after its action came to an event; found is the claim
 // of a Found event. An event that does not fit the action leaves the outcome
 // unknown.
@@ -95,6 +107,9 @@
 func (a Ask) claimed(e Event, found Claim) Ask {
 	switch e {
 	case Created:
+		if a.Mine.State == StateNotRun {
+			return a.answer(NotRun)
+		}
 		return a.then(Dispatch)
 	case Found:
 		return a.found(found)
--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -75,11 +75,25 @@
 // Do claims a call, sends it and says what became of it. When the caller gives
 // up before the call is sent, it is not sent.
 func (c *Claimer) Do(ctx context.Context, work Work) Result {
-	mine := Claim{
+	return c.run(ctx, NewAsk(c.claim(&work), work.Fresh), &work)
+}
+
+// Refuse ends an ask that was refused before it could claim. It says NotRun
+// only when that is proved: a caller that comes back with its key and meets a
+// limit may have had its call run before. Work needs no target.
+func (c *Claimer) Refuse(ctx context.Context, work Work) Result {
+	return c.run(ctx, NewRefusal(c.claim(&work), work.Fresh), &work)
+}
+
+func (c *Claimer) claim(work *Work) Claim {
+	return Claim{
 		Request: work.Request, Owner: work.Owner, Nonce: rand.Uint64(),
 		Target: work.Target, Incarnation: work.Incarnation, AtMs: c.Clock.Now().UnixMilli(),
 	}
-	r := &run{Claimer: c, ask: NewAsk(mine, work.Fresh), work: &work}
+}
+
+func (c *Claimer) run(ctx context.Context, ask Ask, work *Work) Result {
+	r := &run{Claimer: c, ask: ask, work: work}
 	for r.ask.Do != Answer {
 		event, found := r.act(ctx)
 		r.ask = r.ask.Next(event, found)
--- a/internal/coordination/claim/claimer_test.go
+++ b/internal/coordination/claim/claimer_test.go
@@ -172,6 +172,28 @@
 	is.Equal(v.runs, 0)
 }
 
+// TestClaimerRefuse: a caller that comes back and meets a limit learns what
+// became of its call; one that was refused first is not run later.
+func TestClaimerRefuse(t *testing.T) {
+	is := is.New(t)
+	s, v := newFakeStore(), &service{}
+	c := newClaimer(s, v)
+	is.Equal(c.Refuse(t.Context(), work(v, true)).Outcome, claim.NotRun)
+	is.Equal(s.commits, 0) // a fresh request needs no record
+	is.Equal(c.Do(t.Context(), work(v, false)).Outcome, claim.Done)
+	is.Equal(c.Refuse(t.Context(), work(v, false)).Outcome, claim.Done)
+
+	other := work(v, false)
+	other.Request = "ans-2"
+	is.Equal(c.Refuse(t.Context(), other).Outcome, claim.NotRun)
+	is.Equal(c.Do(t.Context(), other).Outcome, claim.NotRun)
+	is.Equal(v.runs, 1)
+
+	other.Request = "ans-3"
+	s.before = func(int) error { return fault.New("fake", store.Unavailable, "down") }
+	is.Equal(c.Refuse(t.Context(), other).Outcome, claim.Unknown)
+}
+
 // TestClaimerGone: a caller that is gone before the call is sent has not run
 // it.
 func TestClaimerGone(t *testing.T) {
