--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -101,6 +101,9 @@
 	RestartAllowed bool `json:"restartAllowed,omitempty"`
 	// Deadline is when the caller gives up; zero means never.
 	Deadline time.Time `json:"deadline,omitzero"`
+	// Asked covers all that the caller asked for, in the form it asked. An
+	// idempotency key that comes back with another one is a conflict.
+	Asked id.Fingerprint `json:"asked,omitempty"`
 }
 
 // bytesPerToken is the length of prompt text that one token covers, for
