Count an engine's deaths within one incarnation of its target process

Cause: an engine may die several times while the process beside it lives on; such deaths had one id and counted once, so a small fleet never refused the request that killed it. Change: news of one target within 10 s is one death, later news is another.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -62,6 +62,10 @@
 	defaultWindow         = 3 * time.Second
 	// maxDeaths bounds what a List keeps; the oldest go first.
 	maxDeaths = 1024
+	// sameDeath is the time within which news of a target's death are about one
+	// death. Entries see it at different times; an engine that dies again in
+	// the same incarnation of its target process has to start first.
+	sameDeath = 10 * time.Second
 	// correlatedDeaths is how many other deaths of a zone within the window
 	// make a death part of a larger loss, whatever ran there.
 	correlatedDeaths = 2
@@ -74,7 +78,8 @@
 	c.Window = cmp.Or(c.Window, defaultWindow)
 }
 
-// DeathID names one death: a target dies once in each incarnation.
+// DeathID says whose death it was. The incarnation is the target process's;
+// its engine may die several times in it.
 type DeathID struct {
 	Target      id.Target
 	Incarnation id.Incarnation
@@ -104,7 +109,7 @@
 // List is what one process knows of deaths and suspects.
 type List struct {
 	cfg    Config
-	deaths map[DeathID]*death
+	deaths []*death
 	// alone holds the suspects that run here and must run one at a time.
 	alone map[id.Fingerprint]bool
 }
@@ -112,7 +117,7 @@
 // New returns an empty List.
 func New(cfg Config) *List {
 	cfg.Defaults()
-	return &List{cfg: cfg, deaths: map[DeathID]*death{}, alone: map[id.Fingerprint]bool{}}
+	return &List{cfg: cfg, alone: map[id.Fingerprint]bool{}}
 }
 
 // Configure puts another configuration in force.
@@ -134,15 +139,18 @@
 // death returns the entry for a death. Of two times the earlier one counts,
 // since news only ever arrives later.
 func (l *List) death(who DeathID, place member.Place, at time.Time) *death {
-	d := l.deaths[who]
-	if d == nil {
-		l.bound()
-		d = &death{DeathID: who, place: place, at: at, suspects: map[id.Fingerprint]bool{}}
-		l.deaths[who] = d
-	}
-	if at.Before(d.at) {
-		d.at = at
+	for _, d := range l.deaths {
+		if d.DeathID != who || at.Sub(d.at).Abs() > sameDeath {
+			continue
+		}
+		if at.Before(d.at) {
+			d.at = at
+		}
+		return d
 	}
+	l.bound()
+	d := &death{DeathID: who, place: place, at: at, suspects: map[id.Fingerprint]bool{}}
+	l.deaths = append(l.deaths, d)
 	return d
 }
 
@@ -272,11 +280,9 @@
 
 // Expire forgets deaths that no longer matter at now.
 func (l *List) Expire(now time.Time) {
-	for who, d := range l.deaths {
-		if now.Sub(d.at) > 2*l.cfg.QuarantineTime {
-			delete(l.deaths, who)
-		}
-	}
+	l.deaths = slices.DeleteFunc(l.deaths, func(d *death) bool {
+		return now.Sub(d.at) > 2*l.cfg.QuarantineTime
+	})
 }
 
 // bound makes room for one more death.
@@ -284,11 +290,11 @@
 	if len(l.deaths) < maxDeaths {
 		return
 	}
-	var oldest *death
-	for _, d := range l.deaths {
-		if oldest == nil || d.at.Before(oldest.at) {
-			oldest = d
+	oldest := 0
+	for i, d := range l.deaths {
+		if d.at.Before(l.deaths[oldest].at) {
+			oldest = i
 		}
 	}
-	delete(l.deaths, oldest.DeathID)
+	l.deaths = slices.Delete(l.deaths, oldest, oldest+1)
 }
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -92,7 +92,7 @@
 }
 
 func compareMarks(a, b Mark) int {
-	return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation))
+	return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.AgeMs, b.AgeMs))
 }
 
 // Merge takes in what another process knows, as received at now. Remaining is
