Tell only news of deaths, and a zone's loss without what ran there

Cause: each exchange carried all records; after a zone's loss these are thousands of suspects whom nobody will blame. Change: List.News gives what changed after a version, and a death that is part of a larger loss is told without its suspects. Figures (go test ./internal/coordination/quarantine): what was told is not told again when it comes back; 127 deaths of one zone make one record. Conclusion: the exchange can keep a version for each peer.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -66,6 +66,9 @@
 	// death. Entries see it at different times; an engine that dies again in
 	// the same incarnation of its target process has to start first.
 	sameDeath = 10 * time.Second
+	// sameTime is how far apart two nodes' times of a death may be before it is
+	// news.
+	sameTime = time.Second
 	// correlatedDeaths is how many other deaths of a zone within the window
 	// make a death part of a larger loss, whatever ran there.
 	correlatedDeaths = 2
@@ -104,12 +107,16 @@
 	at    time.Time
 	// suspects maps what ran there to whether it was cleared since.
 	suspects map[id.Fingerprint]bool
+	// version is the list's version when this last changed.
+	version uint64
 }
 
 // List is what one process knows of deaths and suspects.
 type List struct {
 	cfg    Config
 	deaths []*death
+	// version rises with each change that others need to know.
+	version uint64
 	// alone holds the suspects that run here and must run one at a time.
 	alone map[id.Fingerprint]bool
 }
@@ -130,10 +137,24 @@
 func (l *List) Died(d Death) {
 	kept := l.death(d.DeathID, d.Place, d.At)
 	for _, f := range d.Running {
-		if _, known := kept.suspects[f]; !known {
-			kept.suspects[f] = false
-		}
+		l.suspect(kept, f, false)
+	}
+}
+
+// suspect notes that f ran at a death, and whether it was cleared.
+func (l *List) suspect(d *death, f id.Fingerprint, cleared bool) {
+	before, known := d.suspects[f]
+	if known && (before || !cleared) {
+		return
 	}
+	d.suspects[f] = cleared
+	l.touch(d)
+}
+
+// touch notes that a death has news for others.
+func (l *List) touch(d *death) {
+	l.version++
+	d.version = l.version
 }
 
 // death returns the entry for a death. Of two times the earlier one counts,
@@ -143,6 +164,9 @@
 		if d.DeathID != who || at.Sub(d.at).Abs() > sameDeath {
 			continue
 		}
+		if d.at.Sub(at) > sameTime {
+			l.touch(d)
+		}
 		if at.Before(d.at) {
 			d.at = at
 		}
@@ -151,6 +175,7 @@
 	l.bound()
 	d := &death{DeathID: who, place: place, at: at, suspects: map[id.Fingerprint]bool{}}
 	l.deaths = append(l.deaths, d)
+	l.touch(d)
 	return d
 }
 
@@ -159,7 +184,7 @@
 func (l *List) Finished(f id.Fingerprint) {
 	for _, d := range l.deaths {
 		if _, ran := d.suspects[f]; ran {
-			d.suspects[f] = true
+			l.suspect(d, f, true)
 		}
 	}
 }
@@ -220,21 +245,36 @@
 // against it. So does one in its zone at the same time, unless the two share a
 // suspect, which may have killed both; a third death does in any case.
 func (l *List) isolated(d *death) bool {
-	near := 0
+	near := l.near(d)
+	if len(near) >= correlatedDeaths {
+		return false
+	}
+	for _, other := range near {
+		sameHost := d.place.Host != "" && other.place.Host == d.place.Host
+		if sameHost || !shareSuspect(d, other) {
+			return false
+		}
+	}
+	return true
+}
+
+// near returns other targets' deaths in the zone of d at its time, up to as
+// many as make a larger loss.
+func (l *List) near(d *death) []*death {
+	var found []*death
 	for _, other := range l.deaths {
 		if other.Target == d.Target || other.place.Zone != d.place.Zone {
 			continue
 		}
-		if apart := other.at.Sub(d.at).Abs(); apart > l.cfg.Window {
+		if other.at.Sub(d.at).Abs() > l.cfg.Window {
 			continue
 		}
-		sameHost := d.place.Host != "" && other.place.Host == d.place.Host
-		if sameHost || !shareSuspect(d, other) {
-			return false
+		found = append(found, other)
+		if len(found) == correlatedDeaths {
+			break
 		}
-		near++
 	}
-	return near < correlatedDeaths
+	return found
 }
 
 func shareSuspect(a, b *death) bool {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -134,6 +134,33 @@
 	})
 }
 
+// TestListNews: what was told is not told again, also not when it comes back,
+// and a zone's loss is told without what ran there.
+func TestListNews(t *testing.T) {
+	is := is.New(t)
+	a, b := quarantine.New(quarantine.Config{}), quarantine.New(quarantine.Config{})
+	a.Died(dead("a", "z1", 0, 1, 2))
+	news, told := a.News(start, 0)
+	is.Equal(len(news), 2)
+	b.Merge(start.Add(time.Millisecond), news)
+	back, _ := b.News(start.Add(time.Millisecond), 0)
+	a.Merge(start.Add(2*time.Millisecond), back)
+	news, again := a.News(start, told)
+	is.Equal(len(news), 0)
+	is.Equal(again, told)
+	a.Finished(1)
+	news, _ = a.News(start, told)
+	is.Equal(len(news), 2) // the death that changed
+
+	zone := quarantine.New(quarantine.Config{})
+	for i := range 127 {
+		zone.Died(dead(fmt.Sprint("t", i), "z1", 0, id.Fingerprint(i*2+1), id.Fingerprint(i*2+2)))
+	}
+	news, _ = zone.News(start, 0)
+	is.Equal(len(news), 1)
+	is.Equal(len(news[0].Marks), 127)
+}
+
 func TestParseMark(t *testing.T) {
 	is := is.New(t)
 	m := quarantine.Mark{Target: "t#1", Incarnation: 5, Zone: "z", AgeMs: 12, Cleared: true}
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -62,16 +62,28 @@
 	return m, nil
 }
 
-// Records returns all that l knows at now, in a fixed order.
+// Records returns all that others need of l at now, in a fixed order.
 func (l *List) Records(now time.Time) []Record {
+	records, _ := l.News(now, 0)
+	return records
+}
+
+// News returns what others need of the deaths that changed after a version,
+// and the version that it leads to. A death that was part of a larger loss is
+// told without its suspects, so that a zone's loss stays a short message.
+func (l *List) News(now time.Time, after uint64) ([]Record, uint64) {
 	marks := map[id.Fingerprint][]Mark{}
 	for _, d := range l.deaths {
+		if d.version <= after {
+			continue
+		}
 		m := Mark{
 			Target: d.Target, Incarnation: d.Incarnation, Host: d.place.Host, Zone: d.place.Zone,
 			Region: d.place.Region, AgeMs: max(0, now.Sub(d.at).Milliseconds()),
 		}
-		if len(d.suspects) == 0 {
+		if len(d.suspects) == 0 || len(l.near(d)) >= correlatedDeaths {
 			marks[0] = append(marks[0], m)
+			continue
 		}
 		for f, cleared := range d.suspects {
 			m.Cleared = cleared
@@ -88,7 +100,7 @@
 		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
-	return out
+	return out, l.version
 }
 
 func compareMarks(a, b Mark) int {
@@ -101,10 +113,14 @@
 	for _, r := range records {
 		for _, m := range r.Marks {
 			place := member.Place{Host: m.Host, Zone: m.Zone, Region: m.Region}
-			at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
+			age := time.Duration(m.AgeMs) * time.Millisecond
+			if age > 2*l.cfg.QuarantineTime {
+				continue
+			}
+			at := now.Add(-age)
 			d := l.death(DeathID{m.Target, m.Incarnation}, place, at)
 			if r.Fingerprint != 0 {
-				d.suspects[r.Fingerprint] = d.suspects[r.Fingerprint] || m.Cleared
+				l.suspect(d, r.Fingerprint, m.Cleared)
 			}
 		}
 	}
