Run calls to plain services at most once

Cause: a call that may not be repeated must be given to its service at most once, and notRun may be said only with proof. Change: coordination/call is the ledger of an incarnation's calls, with fences and rotation; transport/service sends a request once, on a connection of its own, without redirects; transport/target serves Call and FenceCall. admission keeps one waiting place for work that is not short: a queue of one place took none.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -59,12 +59,14 @@
 }
 
 // places returns how much may wait before work of the class. Some places are
-// for short work only, so that long work never fills the queue.
+// for short work only, so that long work never fills the queue; one always
+// stays for other work.
 func (c Capacity) places(class generation.Class) int {
 	if class == generation.Short {
 		return c.Queue
 	}
-	return c.Queue - int(math.Ceil(float64(c.Queue)*c.HeadroomShare))
+	n := c.Queue - int(math.Ceil(float64(c.Queue)*c.HeadroomShare))
+	return max(n, min(c.Queue, 1))
 }
 
 // minRetryAfter is the shortest time after which refused work comes back.
--- /dev/null
+++ b/internal/transport/service/client.go
@@ -0,0 +1,200 @@
+// Package service is the HTTP client of the plain service beside a target
+// process.
+//
+// # Usage
+//
+//	c, err := service.NewClient("http://127.0.0.1:9000")
+//	reply, err := c.Do(ctx, service.Request{ID: id, Method: "POST", Path: "/orders", Body: body})
+//	if fault.Is(err, service.NotSent) {
+//		// The service surely did not get the request.
+//	}
+//
+// A request is sent at most once: the client follows no redirect, and a request
+// that may not be repeated gets a connection of its own, since net/http sends
+// again what fails on a connection that it has used before.
+package service
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// NotSent means that the service surely did not get the request.
+	NotSent Kind = "notSent"
+	// Lost means that the service may have run the request, and that there is
+	// no whole reply.
+	Lost Kind = "lost"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// RequestHeader tells the service the request's id, which is the same each
+// time a request is sent.
+const RequestHeader = "Foxtailward-Request"
+
+// MaxReplyBytes is the longest body that a service may answer with. A longer
+// one is answered as status 502 in its place.
+const MaxReplyBytes = 8 << 20
+
+const (
+	dialTimeout = 2 * time.Second
+	idleTimeout = 90 * time.Second
+	maxIdle     = 32
+)
+
+// Client calls one plain service. It is safe for concurrent use.
+type Client struct {
+	base   string
+	host   string
+	pooled *http.Client
+	// single uses each connection for one request.
+	single *http.Client
+}
+
+// NewClient returns a client of the service at base, such as
+// "http://127.0.0.1:9000".
+func NewClient(base string) *Client {
+	host := ""
+	if u, err := url.Parse(base); err == nil {
+		host = u.Host
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), host: host, pooled: newHTTP(false), single: newHTTP(true)}
+}
+
+func newHTTP(single bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives:   single,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: maxIdle,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.pooled.CloseIdleConnections() }
+
+// Request is one request to the service.
+type Request struct {
+	ID     id.Request
+	Method string
+	// Path is the path and the query; it begins with a slash.
+	Path       string
+	Header     http.Header
+	Body       []byte
+	Repeatable bool
+}
+
+// Do sends a request and reads the whole reply. The error is an *Error of kind
+// NotSent only when no connection to the service was made.
+func (c *Client) Do(ctx context.Context, r Request) (*answer.Reply, error) {
+	const op = "Client.Do"
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := c.request(ctx, r)
+	if err != nil {
+		return nil, fault.Wrap(op, NotSent, err)
+	}
+	client := c.single
+	if r.Repeatable {
+		client = c.pooled
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, fault.Wrap(op, NotSent, err)
+		}
+		return nil, fault.Wrap(op, Lost, err)
+	}
+	defer resp.Body.Close()
+	return readReply(r.ID, resp)
+}
+
+func (c *Client) request(ctx context.Context, r Request) (*http.Request, error) {
+	if !strings.HasPrefix(r.Path, "/") {
+		return nil, fault.New("Client.request", NotSent, "path is %q, want a slash first", r.Path)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header = endToEnd(r.Header)
+	// The caller's key is for foxtailward alone.
+	req.Header.Del("Authorization")
+	req.Header.Set(RequestHeader, string(r.ID))
+	return req, nil
+}
+
+func readReply(request id.Request, resp *http.Response) (*answer.Reply, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
+	if err != nil {
+		return nil, fault.Wrap("Client.Do", Lost, err)
+	}
+	if len(body) > MaxReplyBytes {
+		return &answer.Reply{
+			Request: request,
+			Status:  http.StatusBadGateway,
+			Header:  http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+			Body: fmt.Appendf(nil, "the service ran the call and answered with status %d and more than %d bytes\n",
+				resp.StatusCode, MaxReplyBytes),
+		}, nil
+	}
+	return &answer.Reply{Request: request, Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+}
+
+// hopByHop are the headers of RFC 9110, section 7.6.1, that belong to one
+// connection, and those that net/http writes itself.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns a copy of h without the headers of one connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// Health returns nil while the service takes connections.
+func (c *Client) Health(ctx context.Context) error {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.host)
+	if err != nil {
+		return fault.Wrap("Client.Health", NotSent, err)
+	}
+	return fault.Wrap("Client.Health", Lost, conn.Close())
+}
--- a/internal/transport/target/bench_test.go
+++ b/internal/transport/target/bench_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -129,6 +128,8 @@
 	client  peerpb.TargetClient
 	stop    context.CancelFunc
 	done    chan error
+	over    bool
+	err     error
 }
 
 const (
@@ -162,26 +163,41 @@
 	is.NoErr(err)
 	b.conn, b.client = conn, peerpb.NewTargetClient(conn)
 	b.eventually(func() bool { return b.process.Report().State == member.Ready })
-	var once sync.Once
 	t.Cleanup(func() {
-		once.Do(func() {
-			stop()
-			b.process.Cut()
-			select {
-			case <-b.done:
-			default:
-				<-b.done
-			}
-			pool.Close()
-		})
+		stop()
+		b.process.Cut()
+		_ = b.ended()
+		pool.Close()
 	})
 	return b
 }
 
+// ended moves the clock until the process has ended, and returns its error.
+func (b *bench) ended() error {
+	for !b.over {
+		select {
+		case b.err = <-b.done:
+			b.over = true
+		default:
+			b.advance(50 * time.Millisecond)
+		}
+	}
+	return b.err
+}
+
+// advance moves the clock and lets the duties that it wakes run.
+func (b *bench) advance(d time.Duration) {
+	b.clock.Advance(d)
+	time.Sleep(time.Millisecond)
+}
+
+// pollEvery is the time between two polls of the engine.
+const pollEvery = 500 * time.Millisecond
+
 // eventually waits until a condition holds. It moves no clock.
 func (b *bench) eventually(condition func() bool) {
 	b.t.Helper()
-	for range 20_000 {
+	for range 5_000 {
 		if condition() {
 			return
 		}
@@ -266,7 +282,8 @@
 // all reads a stream to its end.
 func all(t testing.TB, stream runClient) *answer {
 	a := &answer{}
-	for a.next(t, stream) {
+	for more := true; more; {
+		more = a.next(t, stream)
 	}
 	return a
 }
@@ -274,7 +291,8 @@
 // until reads a stream until it has brought n tokens.
 func until(t testing.TB, stream runClient, n int) *answer {
 	a := &answer{}
-	for len(a.tokens) < n && a.next(t, stream) {
+	for more := true; more && len(a.tokens) < n; {
+		more = a.next(t, stream)
 	}
 	return a
 }
--- a/internal/transport/target/drain.go
+++ b/internal/transport/target/drain.go
@@ -78,6 +78,8 @@
 	names := p.Waiting()
 	if p.runner != nil {
 		p.runner.cutAll()
+	} else {
+		p.caller.cutAll()
 	}
 	p.mu.Lock()
 	p.cut = append(p.cut, names...)
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -137,8 +137,9 @@
 // Address returns where other processes reach this one, once it listens.
 func (p *Process) Address() string { return p.reporter.address() }
 
-// Incarnation returns the number of this start.
-func (p *Process) Incarnation() id.Incarnation { return p.reporter.incarnation }
+// Incarnation returns the number of this start. Beside a plain service it
+// rises when the ledger of calls is full.
+func (p *Process) Incarnation() id.Incarnation { return p.reporter.served().Incarnation }
 
 // Report returns what the process says of its target now.
 func (p *Process) Report() *member.TargetReport { return p.reporter.report() }
@@ -228,6 +229,6 @@
 	return &peerpb.Stamp{
 		Sender:         string(p.settings.Name),
 		ConfigRevision: int64(p.deps.Snapshot().Revision),
-		Incarnation:    int64(p.reporter.incarnation),
+		Incarnation:    int64(p.Incarnation()),
 	}
 }
--- a/internal/transport/target/report.go
+++ b/internal/transport/target/report.go
@@ -27,9 +27,8 @@
 
 // reporter makes the load reports of one incarnation.
 type reporter struct {
-	clock       clockwork.Clock
-	counts      func() counts
-	incarnation id.Incarnation
+	clock  clockwork.Clock
+	counts func() counts
 
 	mu   sync.Mutex
 	last member.TargetReport
@@ -40,10 +39,10 @@
 }
 
 func newReporter(s settings.Target, clock clockwork.Clock, count func() counts) *reporter {
-	r := &reporter{clock: clock, counts: count, incarnation: id.Incarnation(clock.Now().UnixMilli())}
+	r := &reporter{clock: clock, counts: count}
 	r.last = member.TargetReport{
 		Target:      s.Name,
-		Incarnation: r.incarnation,
+		Incarnation: id.Incarnation(clock.Now().UnixMilli()),
 		State:       member.Joining,
 		Place:       member.Place{Host: s.Place.Host, Zone: s.Place.Zone, Region: s.Place.Region},
 		Address:     s.Peers,
@@ -70,6 +69,10 @@
 	r.change(func(v *member.TargetReport) { v.Address = address })
 }
 
+func (r *reporter) setIncarnation(incarnation id.Incarnation) {
+	r.change(func(v *member.TargetReport) { v.Incarnation = incarnation })
+}
+
 // setState changes the state and reports whether it was another. A target that
 // is leaving never comes back in the same incarnation.
 func (r *reporter) setState(state member.State) bool {
--- a/internal/transport/target/server.go
+++ b/internal/transport/target/server.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"foxtailward.example/foxtailward/internal/coordination/attempt"
+	"foxtailward.example/foxtailward/internal/coordination/call"
 	"foxtailward.example/foxtailward/internal/protocol/peer"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -75,6 +76,39 @@
 	return &peerpb.CancelReply{Stamp: s.p.stamp(), Cancelled: uint32(n)}, nil
 }
 
+// noService answers what only a process beside a plain service can do.
+func noService() error {
+	return status.Error(codes.Unimplemented, "this target is a model engine")
+}
+
+// Call gives a call to the plain service.
+func (s *server) Call(ctx context.Context, req *peerpb.CallRequest) (*peerpb.CallReply, error) {
+	if s.p.caller == nil {
+		return nil, noService()
+	}
+	return s.reply(s.p.caller.call(ctx, req)), nil
+}
+
+// FenceCall forbids a call that has not run and tells what became of one that
+// has.
+func (s *server) FenceCall(ctx context.Context, req *peerpb.FenceCallRequest) (*peerpb.CallReply, error) {
+	if s.p.caller == nil {
+		return nil, noService()
+	}
+	word := s.p.caller.fence(ctx, id.Request(req.GetRequest()), id.Incarnation(req.GetClaimedIncarnation()))
+	return s.reply(word), nil
+}
+
+func (s *server) reply(word call.Word) *peerpb.CallReply {
+	reply := &peerpb.CallReply{}
+	if word.Reply != nil {
+		reply = peer.FromReply(word.Reply)
+	}
+	reply.Stamp, reply.Load = s.p.stamp(), s.p.reporter.load()
+	reply.Outcome, reply.Detail = string(word.Outcome), word.Detail
+	return reply
+}
+
 // Swap answers a round of spreading news; without a hook it tells this
 // target's load.
 func (s *server) Swap(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
