Carry out orders, and run a target process from the command line

Cause: some engines ignore fencing numbers, so the process beside them is the fence; operators need a command that drains on SIGTERM. Change: transport/target serves Order: it reads the lowest valid fencing number for each order where the engine checks none, remembers order ids, and holds a model change until the attempts of the old version have ended. The subcommand target loads settings, serves the operators' page and obeys two signals. Conclusion: an order of a replaced leader is refused also right after a start, and while the store is down all orders to such an engine are.

--- a/cmd/foxtailward/root.go
+++ b/cmd/foxtailward/root.go
@@ -19,6 +19,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newVersion())
+	root.AddCommand(newTarget())
 	return root
 }
 
--- /dev/null
+++ b/cmd/foxtailward/target.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/spf13/cobra"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/operator"
+	"foxtailward.example/foxtailward/internal/transport/target"
+)
+
+const usageTarget = `Run the process beside a model engine or a plain service.
+
+The process is the only road to its target. On SIGTERM or SIGINT it takes no
+new work and ends once its running work is done, however long that takes; its
+status page says what it waits for. A second signal ends it at once, and the
+log names the work that was cut; the exit code is then 1.
+
+The file holds name, peers, operators, and the tables place, platform, and
+either engine or service:
+
+  name = "report-1"
+  peers = "10.0.1.7:8710"
+  operators = "10.0.1.7:8711"
+
+  [place]
+  host = "olten-7"
+  zone = "olten"
+  region = "ch-mittelland"
+
+  [engine]
+  url = "http://127.0.0.1:8000"
+  model = "report"
+  version = "2026-11"
+  slots = 64
+  fences = true`
+
+func newTarget() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "target --config FILE",
+		Short: "Run the process beside a target",
+		Long:  usageTarget,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.LoadTarget(path)
+			if err != nil {
+				return err
+			}
+			return runTarget(cmd.Context(), s, event.NewWriter(cmd.OutOrStdout(), clockwork.NewRealClock()))
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", "", "the settings file")
+	// The flag was just defined, so marking it can't fail.
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+// runTarget runs a target process until it has drained or was cut.
+func runTarget(ctx context.Context, s *settings.Target, log *event.Log) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	registry := metrics.NewRegistry()
+	p := target.New(*s, target.Deps{Clock: clockwork.NewRealClock(), Log: log, Metrics: registry})
+	if err := p.Listen(); err != nil {
+		return err
+	}
+	page := operator.New(operator.Source{
+		Ready: func() error { return targetReady(p) }, Status: func() any { return p.Status() }, Metrics: registry,
+	})
+	if err := page.Listen(s.Operators); err != nil {
+		return err
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	served := make(chan error, 1)
+	go func() { served <- page.Run(serving, s.Operators) }()
+	ctx, drain := context.WithCancel(ctx)
+	defer drain()
+	go obeySignals(serving, signals, drain, func() { p.Cut() })
+	err := p.Run(ctx)
+	stop()
+	return errors.Join(err, <-served)
+}
+
+// obeySignals drains at the first signal and cuts at the second, until ctx
+// ends.
+func obeySignals(ctx context.Context, signals <-chan os.Signal, drain, cut func()) {
+	for _, obey := range []func(){drain, cut} {
+		select {
+		case <-signals:
+			obey()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// targetReady returns why a target process takes no work; nil when it does.
+func targetReady(p *target.Process) error {
+	if state := p.Report().State; state != member.Ready {
+		return errors.New("the target is " + string(state))
+	}
+	return nil
+}
--- a/internal/transport/target/calls.go
+++ b/internal/transport/target/calls.go
@@ -312,3 +312,9 @@
 	c.work.Wait()
 	c.service.Close()
 }
+
+func (c *caller) bytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Bytes()
+}
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -42,6 +42,8 @@
 const (
 	// Address means that the process can't listen.
 	Address Kind = "address"
+	// Unknown means that something can't be known now.
+	Unknown Kind = "unknown"
 	// WorkCut means that work was cut by a forced stop.
 	WorkCut Kind = "workCut"
 )
@@ -64,7 +66,8 @@
 	// Snapshot returns the configuration in force; nil means the defaults.
 	Snapshot func() *conf.Snapshot
 	// MinFence returns the lowest fencing number that a leader may hold now,
-	// from the key-value service; nil means that it can't be known.
+	// read from the key-value service. It is asked for each order beside an
+	// engine that checks no numbers; nil refuses all of them.
 	MinFence func(ctx context.Context) (id.Fence, error)
 	// Swap serves Exchange.Swap; nil answers with the process's own load.
 	Swap func(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
--- a/internal/transport/target/runner.go
+++ b/internal/transport/target/runner.go
@@ -34,7 +34,8 @@
 	pace    pace
 	metrics engine.Metrics
 	// changing names the model change that waits for the attempts to end.
-	changing string
+	changing    string
+	changeUntil time.Time
 }
 
 func newRunner(p *Process) *runner {
@@ -63,7 +64,7 @@
 	const op = "runner.serves"
 	now := r.p.reporter.served()
 	switch {
-	case r.changing != "":
+	case r.changing != "" && r.p.deps.Clock.Now().Before(r.changeUntil):
 		return fault.New(op, attempt.Mismatch, "the engine is about to change to %s", r.changing)
 	case now.Model != spec.Model || now.Version != spec.Version:
 		return fault.New(op, attempt.Mismatch, "the engine serves %s %s, not %s %s",
@@ -332,3 +333,9 @@
 	}
 	p.mean += time.Duration(paceWeight * float64(gap-p.mean))
 }
+
+func (r *runner) bytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Bytes()
+}
--- a/internal/transport/target/server.go
+++ b/internal/transport/target/server.go
@@ -109,6 +109,17 @@
 	return reply
 }
 
+// Order carries out an order of the leader.
+func (s *server) Order(ctx context.Context, req *peerpb.OrderRequest) (*peerpb.OrderReply, error) {
+	if s.p.orders == nil {
+		return nil, noEngine()
+	}
+	refusal, highest := s.p.orders.apply(ctx, req)
+	return &peerpb.OrderReply{
+		Stamp: s.p.stamp(), Applied: refusal == "", Refusal: refusal, Fence: int64(highest),
+	}, nil
+}
+
 // Swap answers a round of spreading news; without a hook it tells this
 // target's load.
 func (s *server) Swap(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
