--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -24,8 +24,12 @@
 	cancel context.CancelFunc
 	reader *bufio.Reader
 	line   []byte
-	chunk  chunk
-	tokens []generation.Token
+	// decoder reads one event after the other from data, and so uses its
+	// memory again.
+	decoder *json.Decoder
+	data    bytes.Reader
+	chunk   chunk
+	tokens  []generation.Token
 	// usage tells a stream without usage from one that counted nothing.
 	usage bool
 }
@@ -53,7 +57,9 @@
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc) *Stream {
-	return &Stream{body: body, cancel: cancel, reader: bufio.NewReaderSize(body, readBufferBytes)}
+	s := &Stream{body: body, cancel: cancel, reader: bufio.NewReaderSize(body, readBufferBytes)}
+	s.decoder = json.NewDecoder(&s.data)
+	return s
 }
 
 // Close cancels the generation if it still runs.
@@ -134,9 +140,13 @@
 	const op = "Stream.read"
 	s.tokens = s.tokens[:0]
 	s.chunk.reset()
-	if err := json.Unmarshal(data, &s.chunk); err != nil {
+	s.data.Reset(data)
+	if err := s.decoder.Decode(&s.chunk); err != nil {
 		return fault.Wrap(op, Malformed, err)
 	}
+	if s.decoder.More() {
+		return fault.New(op, Malformed, "an event holds more than one value")
+	}
 	if s.chunk.Usage != nil {
 		s.Usage, s.usage = *s.chunk.Usage, true
 	}
--- a/internal/transport/target/relay.go
+++ b/internal/transport/target/relay.go
@@ -19,7 +19,7 @@
 // and grows for a reader that is behind.
 const (
 	firstBatch = 8
-	maxBatch   = 256
+	maxBatch   = 64
 )
 
 type runStream = grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunReply]
--- a/internal/transport/target/run_test.go
+++ b/internal/transport/target/run_test.go
@@ -209,7 +209,7 @@
 	const (
 		tokens   = 60_000
 		windows  = 2 * 64 << 10
-		maxBatch = 256
+		maxBatch = 64
 	)
 	e := newFakeEngine(t, nil)
 	registry := metrics.NewRegistry()
