--- a/cmd/foxtailward/target.go
+++ b/cmd/foxtailward/target.go
@@ -14,7 +14,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/settings"
-	"foxtailward.example/foxtailward/internal/transport/operator"
+	operatorpage "foxtailward.example/foxtailward/internal/transport/operator"
 	"foxtailward.example/foxtailward/internal/transport/target"
 )
 
@@ -75,7 +75,7 @@
 	if err := p.Listen(); err != nil {
 		return err
 	}
-	page := operator.New(operator.Source{
+	page := operatorpage.New(operatorpage.Source{
 		Ready: func() error { return targetReady(p) }, Status: func() any { return p.Status() }, Metrics: registry,
 	})
 	if err := page.Listen(s.Operators); err != nil {
--- a/internal/coordination/request/request.go
+++ b/internal/coordination/request/request.go
@@ -56,6 +56,9 @@
 	Failed Kind = "failed"
 	// Stalled means that the tokens stopped coming.
 	Stalled Kind = "stalled"
+	// Corrupt means that the tokens contradict the text that is held, or its
+	// end does.
+	Corrupt Kind = "corrupt"
 )
 
 // Error is this package's error.
@@ -126,6 +129,8 @@
 	Kind   Kind
 	// Started says that the engine may have seen the attempt.
 	Started bool
-	Detail  string
-	At      time.Time
+	// Holds says that the target process still answers and holds the attempt.
+	Holds  bool
+	Detail string
+	At     time.Time
 }
