--- a/cmd/foxtailward/root.go
+++ b/cmd/foxtailward/root.go
@@ -32,6 +32,7 @@
 		return wrongUsage(err)
 	})
 	root.AddCommand(newDev(), newVersion())
+	root.AddCommand(newTarget())
 	addOperatorCommands(root, o)
 	return root
 }
