Let the command line call the key-value service

Cause: the client of the key-value service and its stand-in are there now.

Conclusion: a lost answer and a lost request both end in the one accepted change; when neither is answered, the operator is told that it is not known.

--- a/cmd/foxtailward/config.go
+++ b/cmd/foxtailward/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -70,21 +71,17 @@
 		Short: "Print the deployment's configuration as the file to edit",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			change, err := repository.Get(ctx, conf.DeploymentObject, "")
-			if fault.Is(err, confstore.NotFound) {
-				// Until somebody writes one, the defaults are in force.
-				change, err = &conf.Change{Object: conf.DeploymentObject, Value: []byte("{}")}, nil
-			}
-			if err != nil {
-				return err
-			}
-			return o.printDeployment(cmd.OutOrStdout(), change)
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				change, err := repository.Get(ctx, conf.DeploymentObject, "")
+				if fault.Is(err, confstore.NotFound) {
+					// Until somebody writes one, the defaults are in force.
+					change, err = &conf.Change{Object: conf.DeploymentObject, Value: []byte("{}")}, nil
+				}
+				if err != nil {
+					return err
+				}
+				return o.printDeployment(cmd.OutOrStdout(), change)
+			})
 		},
 	}
 }
@@ -109,23 +106,19 @@
 		Short: "List the last changes of contracts and configuration, newest first",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			head, err := repository.Head(ctx)
-			if err != nil {
-				return err
-			}
-			since := head - id.Revision(min(max(limit, 1), confstore.HistoryLength))
-			changes, err := repository.Since(ctx, max(0, since))
-			if err != nil {
-				return err
-			}
-			slices.Reverse(changes)
-			return o.print(cmd.OutOrStdout(), changes, historyTable(changes))
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				head, err := repository.Head(ctx)
+				if err != nil {
+					return err
+				}
+				since := head - id.Revision(min(max(limit, 1), confstore.HistoryLength))
+				changes, err := repository.Since(ctx, max(0, since))
+				if err != nil {
+					return err
+				}
+				slices.Reverse(changes)
+				return o.print(cmd.OutOrStdout(), changes, historyTable(changes))
+			})
 		},
 	}
 	cmd.Flags().IntVar(&limit, "limit", defaultHistory, "how many changes to list")
--- a/cmd/foxtailward/contract.go
+++ b/cmd/foxtailward/contract.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -86,25 +87,21 @@
 		Short: "Print a contract as the file to edit",
 		Args:  args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			change, err := repository.Get(ctx, conf.ContractObject, id.Contract(args[0]))
-			if err != nil {
-				return err
-			}
-			c, err := contractOf(change)
-			if err != nil {
-				return err
-			}
-			file, err := conffile.EncodeContract(c, change.Revision)
-			if err != nil {
-				return err
-			}
-			return o.print(cmd.OutOrStdout(), change, func(w io.Writer) { fmt.Fprint(w, string(file)) })
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				change, err := repository.Get(ctx, conf.ContractObject, id.Contract(args[0]))
+				if err != nil {
+					return err
+				}
+				c, err := contractOf(change)
+				if err != nil {
+					return err
+				}
+				file, err := conffile.EncodeContract(c, change.Revision)
+				if err != nil {
+					return err
+				}
+				return o.print(cmd.OutOrStdout(), change, func(w io.Writer) { fmt.Fprint(w, string(file)) })
+			})
 		},
 	}
 }
@@ -130,25 +127,21 @@
 		Short: "List the contracts",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			changes, err := repository.Contracts(ctx)
-			if err != nil {
-				return err
-			}
-			rows := make([]contractRow, 0, len(changes))
-			for i := range changes {
-				c, err := contractOf(&changes[i])
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				changes, err := repository.Contracts(ctx)
 				if err != nil {
 					return err
 				}
-				rows = append(rows, contractRow{Name: c.Name, Revision: changes[i].Revision, Contract: *c})
-			}
-			return o.print(cmd.OutOrStdout(), rows, contractTable(rows))
+				rows := make([]contractRow, 0, len(changes))
+				for i := range changes {
+					c, err := contractOf(&changes[i])
+					if err != nil {
+						return err
+					}
+					rows = append(rows, contractRow{Name: c.Name, Revision: changes[i].Revision, Contract: *c})
+				}
+				return o.print(cmd.OutOrStdout(), rows, contractTable(rows))
+			})
 		},
 	}
 }
--- a/cmd/foxtailward/exit.go
+++ b/cmd/foxtailward/exit.go
@@ -40,8 +40,6 @@
 	unreadable kind = "unreadable"
 	// invalid means that a file breaks a rule.
 	invalid kind = "invalid"
-	// unreachable means that the key-value service cannot be called.
-	unreachable kind = "unreachable"
 )
 
 func wrongUsage(err error) error { return fault.Wrap("cobra", usage, err) }
@@ -64,8 +62,6 @@
 			return exitUsage
 		case invalid:
 			return exitInvalid
-		case unreachable:
-			return exitUnavailable
 		}
 		return exitFailed
 	}
--- a/cmd/foxtailward/explain.go
+++ b/cmd/foxtailward/explain.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -9,6 +10,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/status"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/entry"
 )
 
 const usageExplain = `Say why a request went where it went: each decision about it, oldest first, with
@@ -26,17 +28,13 @@
 			if !request.Valid() {
 				return fault.New("explain", usage, "%q is no request id, want one such as ans-00000000-0123456789abcdef", args[0])
 			}
-			client, err := o.client()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			e, err := client.Explain(ctx, request)
-			if err != nil {
-				return err
-			}
-			return o.print(cmd.OutOrStdout(), e, func(w io.Writer) { explainTable(w, e) })
+			return o.withEntry(cmd, func(ctx context.Context, client *entry.Client) error {
+				e, err := client.Explain(ctx, request)
+				if err != nil {
+					return err
+				}
+				return o.print(cmd.OutOrStdout(), e, func(w io.Writer) { explainTable(w, e) })
+			})
 		},
 	}
 }
--- a/cmd/foxtailward/operator.go
+++ b/cmd/foxtailward/operator.go
@@ -15,7 +15,6 @@
 	"github.com/spf13/cobra"
 
 	"foxtailward.example/foxtailward/internal/coordination/confstore"
-	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/transport/entry"
 )
@@ -42,28 +41,18 @@
 	defaultWaitTimeout = 30 * time.Second
 )
 
-// operator holds what the operators' subcommands share. The function fields
-// are set for the platform and by tests.
+// operator holds what the operators' subcommands share.
 type operator struct {
 	output  string
 	stores  []string
 	entries []string
 	timeout time.Duration
 	clock   clockwork.Clock
-	// openStore returns the key-value service at the URLs.
-	openStore func(urls []string) (*store.Store, error)
-	// newClient returns the client of the entries at the addresses.
-	newClient func(addresses []string) *entry.Client
+	http    *http.Client
 }
 
 func newOperator() *operator {
-	return &operator{
-		clock:     clockwork.NewRealClock(),
-		openStore: openStore,
-		newClient: func(addresses []string) *entry.Client {
-			return &entry.Client{Addresses: addresses, HTTP: &http.Client{}}
-		},
-	}
+	return &operator{clock: clockwork.NewRealClock(), http: &http.Client{}}
 }
 
 // addOperatorCommands adds the operators' subcommands, each with the flags that
@@ -100,16 +89,30 @@
 	return strings.Split(value, ",")
 }
 
-// repository returns the configuration in the key-value service.
-func (o *operator) repository() (*confstore.Repository, error) {
+// withStore does something with the configuration in the key-value service.
+func (o *operator) withStore(cmd *cobra.Command, do func(context.Context, *confstore.Repository) error) error {
 	if len(o.stores) == 0 {
-		return nil, fault.New("operator.repository", usage, "no key-value service is given; want --%s URL or %s", flagStore, envStore)
+		return fault.New("operator.withStore", usage, "no key-value service is given; want --%s URL or %s", flagStore, envStore)
+	}
+	s, release, err := openStore(o.stores, o.clock)
+	if err != nil {
+		return err
 	}
-	s, err := o.openStore(o.stores)
+	defer release()
+	ctx, cancel := o.deadline(cmd)
+	defer cancel()
+	return do(ctx, confstore.New(s, o.clock))
+}
+
+// withEntry does something with the entries.
+func (o *operator) withEntry(cmd *cobra.Command, do func(context.Context, *entry.Client) error) error {
+	client, err := o.client()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return confstore.New(s, o.clock), nil
+	ctx, cancel := o.deadline(cmd)
+	defer cancel()
+	return do(ctx, client)
 }
 
 // client returns the client of the entries.
@@ -117,7 +120,7 @@
 	if len(o.entries) == 0 {
 		return nil, fault.New("operator.client", usage, "no entry is given; want --%s ADDR or %s", flagEntry, envEntry)
 	}
-	return o.newClient(o.entries), nil
+	return &entry.Client{Addresses: o.entries, HTTP: o.http}, nil
 }
 
 // deadline bounds a command by --timeout. An interrupt ends it too, so that it
--- a/cmd/foxtailward/operator_test.go
+++ b/cmd/foxtailward/operator_test.go
@@ -1,13 +1,11 @@
 package main_test
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"testing"
 
@@ -16,28 +14,28 @@
 
 	main "foxtailward.example/foxtailward/cmd/foxtailward"
 	"foxtailward.example/foxtailward/internal/coordination/member"
-	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/protocol/status"
+	"foxtailward.example/foxtailward/internal/standin/store"
 	"foxtailward.example/foxtailward/internal/state/contract"
 	"foxtailward.example/foxtailward/internal/state/event"
-	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// bench runs command lines against a key-value service in memory and an entry.
+// bench runs command lines against a stand-in key-value service and an entry.
 type bench struct {
-	t        *testing.T
-	dir      string
-	items    map[string]store.Item
-	revision int64
-	down     bool
-	entry    *httptest.Server
+	t       *testing.T
+	dir     string
+	service *store.Server
+	entry   *httptest.Server
 	// inForce is the revision that the entry's members report.
 	inForce id.Revision
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, dir: t.TempDir(), items: map[string]store.Item{}}
+	service, err := store.Listen("127.0.0.1:0", store.Options{})
+	is.New(t).NoErr(err)
+	t.Cleanup(service.Close)
+	b := &bench{t: t, dir: t.TempDir(), service: service}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", b.status)
 	mux.HandleFunc("GET /explain/{id}", b.explain)
@@ -48,14 +46,13 @@
 
 func (b *bench) run(args ...string) (string, string, int) {
 	b.t.Helper()
-	s := &store.Store{Get: b.get, List: b.list, Commit: b.commit}
-	return main.Run(clockwork.NewRealClock(), s, b.entry.Client(), strings.NewReader(""), args...)
+	return main.Run(b.entry.Client(), strings.NewReader(""), args...)
 }
 
 // store runs a command that needs the key-value service.
 func (b *bench) store(args ...string) (string, string, int) {
 	b.t.Helper()
-	return b.run(append(args, "--store", "http://store", "--timeout", "200ms")...)
+	return b.run(append(args, "--store", b.service.URL())...)
 }
 
 func (b *bench) file(name, text string) string {
@@ -64,47 +61,6 @@
 	return path
 }
 
-func (b *bench) fail() error {
-	if b.down {
-		return fault.New("bench", store.Unavailable, "no answer from http://store")
-	}
-	return nil
-}
-
-func (b *bench) get(_ context.Context, key string) (store.Item, error) {
-	return b.items[key], b.fail()
-}
-
-func (b *bench) list(_ context.Context, prefix string) (store.Page, error) {
-	var page store.Page
-	for key, item := range b.items {
-		if strings.HasPrefix(key, prefix) {
-			page.Items = append(page.Items, item)
-		}
-	}
-	slices.SortFunc(page.Items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
-	return page, b.fail()
-}
-
-func (b *bench) commit(_ context.Context, txn store.Txn) (store.Result, error) {
-	if err := b.fail(); err != nil {
-		return store.Result{}, err
-	}
-	for _, c := range txn.Compares {
-		if b.items[c.Key].ModRevision != c.ModRevision {
-			return store.Result{}, nil
-		}
-	}
-	b.revision++
-	for _, p := range txn.Puts {
-		b.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, ModRevision: b.revision}
-	}
-	for _, key := range txn.Deletes {
-		delete(b.items, key)
-	}
-	return store.Result{Succeeded: true, Revision: b.revision}, nil
-}
-
 func (b *bench) status(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(&status.Status{
 		Entry: "e1", Revision: 7, Store: status.Store{Available: true},
@@ -175,6 +131,24 @@
 	is.Equal(strings.Count(out, "\n"), 3)
 }
 
+// TestLostAnswer loses the answers of writes that took effect, or the writes.
+func TestLostAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.service.LoseAnswers(1)
+	out, _, code := b.store("contract", "put", b.file("a.toml", contractFile))
+	is.Equal(code, 0)
+	is.Equal(out, "contract a is at revision 1\n")
+	b.service.LoseRequests(1)
+	out, _, code = b.store("contract", "put", b.file("a.toml", contractFile+"weight = 2\n"))
+	is.Equal(code, 0)
+	is.Equal(out, "contract a is at revision 2\n")
+	b.service.LoseRequests(1000)
+	_, errs, code := b.store("contract", "put", b.file("a.toml", contractFile+"weight = 3\n"), "--timeout", "300ms")
+	is.Equal(code, 5)
+	is.True(strings.Contains(errs, "it is not known whether change"))
+}
+
 func TestConfigWait(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
@@ -200,30 +174,29 @@
 	right := b.file("a.toml", contractFile)
 	tests := []struct {
 		name string
-		down bool
 		args []string
 		code int
 		text string
 	}{
-		{"unknown command", false, []string{"steer"}, 2, `unknown command "steer"`},
-		{"unknown subcommand", false, []string{"contract", "steer"}, 2, "want one of delete, get, key, list, put"},
-		{"unknown flag", false, []string{"status", "--colour"}, 2, "unknown flag"},
-		{"arguments", false, []string{"contract", "put"}, 2, "accepts 1 arg(s)"},
-		{"output", false, []string{"status", "--output", "xml"}, 2, "want table or json"},
-		{"no store", false, []string{"contract", "list"}, 2, "want --store URL"},
-		{"wrong file", false, []string{"contract", "put", wrong, "--store", "x"}, 3, "wrong.toml:4: weight: is of type string, want integer"},
-		{"check", false, []string{"check", right, wrong}, 3, "wrong.toml:4: weight"},
-		{"check as", false, []string{"check", "--as", "config", right}, 3, "a.toml:2: models: type mismatch"},
-		{"no file", false, []string{"check", b.dir + "/none.toml"}, 1, "none.toml: no such file"},
-		{"store down", true, []string{"contract", "put", right, "--store", "x", "--timeout", "20ms"}, 5, "nothing was changed: no answer from http://store"},
-		{"no such request", false, []string{"explain", "ans-00000000-0b", "--entry", b.entry.URL}, 1, "no entry that was asked knows"},
-		{"no request id", false, []string{"explain", "x", "--entry", b.entry.URL}, 2, "is no request id"},
-		{"entry down", false, []string{"status", "--entry", "127.0.0.1:1"}, 1, "127.0.0.1:1"},
+		{"unknown command", []string{"steer"}, 2, `unknown command "steer"`},
+		{"unknown subcommand", []string{"contract", "steer"}, 2, "want one of delete, get, key, list, put"},
+		{"unknown flag", []string{"status", "--colour"}, 2, "unknown flag"},
+		{"arguments", []string{"contract", "put"}, 2, "accepts 1 arg(s)"},
+		{"output", []string{"status", "--output", "xml"}, 2, "want table or json"},
+		{"no store", []string{"contract", "list"}, 2, "want --store URL"},
+		{"wrong file", []string{"contract", "put", wrong, "--store", "x"}, 3, "wrong.toml:4: weight: is of type string, want integer"},
+		{"check", []string{"check", right, wrong}, 3, "wrong.toml:4: weight"},
+		{"check as", []string{"check", "--as", "config", right}, 3, "a.toml:2: models: type mismatch"},
+		{"no file", []string{"check", b.dir + "/none.toml"}, 1, "none.toml: no such file"},
+		{"store down", []string{"contract", "put", right, "--store", "http://127.0.0.1:1", "--timeout", "50ms"}, 5, "nothing was changed"},
+		{"store's URL", []string{"contract", "list", "--store", "x"}, 2, "want a URL such as"},
+		{"no such request", []string{"explain", "ans-00000000-0b", "--entry", b.entry.URL}, 1, "no entry that was asked knows"},
+		{"no request id", []string{"explain", "x", "--entry", b.entry.URL}, 2, "is no request id"},
+		{"entry down", []string{"status", "--entry", "127.0.0.1:1"}, 1, "127.0.0.1:1"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			b.down = tt.down
 			_, errs, code := b.run(tt.args...)
 			t.Log(errs)
 			is.Equal(code, tt.code)
--- a/cmd/foxtailward/put.go
+++ b/cmd/foxtailward/put.go
@@ -57,25 +57,21 @@
 // apply makes a change, waits for it when asked to, and prints the outcome.
 func (o *operator) apply(cmd *cobra.Command, f *putFlags, edit confstore.Edit) error {
 	edit.Author = f.author
-	repository, err := o.repository()
-	if err != nil {
-		return err
-	}
 	if f.wait {
 		// Without an entry to ask, the change is not even begun.
 		if _, err := o.client(); err != nil {
 			return err
 		}
 	}
-	ctx, cancel := o.deadline(cmd)
-	defer cancel()
-	accepted, err := repository.Apply(ctx, edit)
+	result := putResult{Object: edit.Object, Name: edit.Name}
+	err := o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+		accepted, err := repository.Apply(ctx, edit)
+		result.Revision, result.Unchanged = accepted.Change.Revision, accepted.Unchanged
+		return err
+	})
 	if err != nil {
 		return err
 	}
-	result := putResult{
-		Revision: accepted.Change.Revision, Object: edit.Object, Name: edit.Name, Unchanged: accepted.Unchanged,
-	}
 	var waited error
 	if f.wait {
 		result.Nodes, waited = o.waitInForce(cmd.Context(), result.Revision, f.waitTimeout)
--- a/cmd/foxtailward/status.go
+++ b/cmd/foxtailward/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"foxtailward.example/foxtailward/internal/protocol/status"
+	"foxtailward.example/foxtailward/internal/transport/entry"
 )
 
 const usageStatus = `Show what an entry sees: entries and targets with their states, the
@@ -21,17 +23,13 @@
 		Long:  usageStatus,
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client, err := o.client()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			s, err := client.Status(ctx)
-			if err != nil {
-				return err
-			}
-			return o.print(cmd.OutOrStdout(), s, func(w io.Writer) { statusTable(w, s) })
+			return o.withEntry(cmd, func(ctx context.Context, client *entry.Client) error {
+				s, err := client.Status(ctx)
+				if err != nil {
+					return err
+				}
+				return o.print(cmd.OutOrStdout(), s, func(w io.Writer) { statusTable(w, s) })
+			})
 		},
 	}
 }
--- a/internal/coordination/confstore/fake_test.go
+++ b/internal/coordination/confstore/fake_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 
 	"foxtailward.example/foxtailward/internal/coordination/store"
+	standin "foxtailward.example/foxtailward/internal/standin/store"
 	"foxtailward.example/foxtailward/internal/state/fault"
 )
 
@@ -26,133 +25,96 @@
 	refused
 )
 
-// fakeStore is a key-value service in memory.
+// fakeStore is the stand-in service with faults in an exact order.
 type fakeStore struct {
-	mu       sync.Mutex
-	items    map[string]store.Item
-	revision int64
+	inner store.Store
+	// before runs ahead of each call.
+	before func(call string)
+
+	mu sync.Mutex
 	// faults are used up by the commits, in order.
-	faults []answerFault
-	held   []store.Txn
-	lateBy int
-	// before runs ahead of each call, without the lock.
-	before  func(call string)
+	faults  []answerFault
+	held    []store.Txn
+	lateBy  int
 	commits int
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{items: map[string]store.Item{}}
+	return &fakeStore{inner: standin.New(standin.Options{}).Direct()}
 }
 
 func (f *fakeStore) store() *store.Store {
 	return &store.Store{Get: f.get, List: f.list, Commit: f.commit}
 }
 
-// enter begins a call and carries out the commits that came late.
-func (f *fakeStore) enter(ctx context.Context, call string) error {
+func (f *fakeStore) enter(call string) {
 	if f.before != nil {
 		f.before(call)
 	}
-	if ctx.Err() != nil {
-		return fault.Wrap("fakeStore", store.Unavailable, ctx.Err())
-	}
-	return nil
 }
 
 func (f *fakeStore) get(ctx context.Context, key string) (store.Item, error) {
-	if err := f.enter(ctx, "get "+key); err != nil {
-		return store.Item{}, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	item, ok := f.items[key]
-	if !ok {
-		item.Key = key
-	}
+	f.enter("get " + key)
+	item, err := f.inner.Get(ctx, key)
 	f.deliverLate()
-	return item, nil
+	return item, err
 }
 
 func (f *fakeStore) list(ctx context.Context, prefix string) (store.Page, error) {
-	if err := f.enter(ctx, "list "+prefix); err != nil {
-		return store.Page{}, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	page := store.Page{Revision: f.revision}
-	for key, item := range f.items {
-		if strings.HasPrefix(key, prefix) {
-			page.Items = append(page.Items, item)
-		}
-	}
-	slices.SortFunc(page.Items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
+	f.enter("list " + prefix)
+	page, err := f.inner.List(ctx, prefix)
 	f.deliverLate()
-	return page, nil
+	return page, err
 }
 
 func (f *fakeStore) commit(ctx context.Context, txn store.Txn) (store.Result, error) {
-	if err := f.enter(ctx, "commit"); err != nil {
-		return store.Result{}, err
+	f.enter("commit")
+	switch f.nextFault(txn) {
+	case refused:
+		return store.Result{}, fault.New("fakeStore.commit", store.Unavailable, "down")
+	case droppedLost, late:
+		return store.Result{}, fault.New("fakeStore.commit", store.Unknown, "no answer")
+	case appliedLost:
+		if _, err := f.inner.Commit(ctx, txn); err != nil {
+			return store.Result{}, err
+		}
+		return store.Result{}, fault.New("fakeStore.commit", store.Unknown, "no answer")
 	}
+	return f.inner.Commit(ctx, txn)
+}
+
+func (f *fakeStore) nextFault(txn store.Txn) answerFault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commits++
-	kind := answered
-	if len(f.faults) > 0 {
-		kind, f.faults = f.faults[0], f.faults[1:]
+	if len(f.faults) == 0 {
+		return answered
 	}
-	switch kind {
-	case refused:
-		return store.Result{}, fault.New("fakeStore.commit", store.Unavailable, "down")
-	case droppedLost:
-		return store.Result{}, fault.New("fakeStore.commit", store.Unknown, "no answer")
-	case late:
+	next := f.faults[0]
+	f.faults = f.faults[1:]
+	if next == late {
 		f.held = append(f.held, txn)
-		return store.Result{}, fault.New("fakeStore.commit", store.Unknown, "no answer")
 	}
-	result := f.carryOut(txn)
-	if kind == appliedLost {
-		return store.Result{}, fault.New("fakeStore.commit", store.Unknown, "no answer")
-	}
-	return result, nil
+	return next
 }
 
+// deliverLate carries out the commits whose time has come.
 func (f *fakeStore) deliverLate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if len(f.held) > 0 && f.lateBy > 0 {
 		f.lateBy--
 		return
 	}
 	for _, txn := range f.held {
-		f.carryOut(txn)
+		// Its caller has stopped waiting for the answer.
+		_, _ = f.inner.Commit(context.Background(), txn)
 	}
 	f.held = nil
 }
 
-func (f *fakeStore) carryOut(txn store.Txn) store.Result {
-	for _, c := range txn.Compares {
-		if f.items[c.Key].ModRevision != c.ModRevision {
-			return store.Result{Revision: f.revision}
-		}
-	}
-	f.revision++
-	for _, p := range txn.Puts {
-		f.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, ModRevision: f.revision}
-	}
-	for _, key := range txn.Deletes {
-		delete(f.items, key)
-	}
-	return store.Result{Succeeded: true, Revision: f.revision}
-}
-
 // count returns the number of keys with a prefix.
 func (f *fakeStore) count(prefix string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for key := range f.items {
-		if strings.HasPrefix(key, prefix) {
-			n++
-		}
-	}
-	return n
+	page, _ := f.inner.List(context.Background(), prefix)
+	return len(page.Items)
 }
