--- a/cmd/foxtailward/root.go
+++ b/cmd/foxtailward/root.go
@@ -31,7 +31,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return wrongUsage(err)
 	})
-	root.AddCommand(newVersion())
+	root.AddCommand(newDev(), newVersion())
 	addOperatorCommands(root, o)
 	return root
 }
