Bound the reading of refused bodies, and go on by key

Cause: the body of a request that was refused before it was read had no deadline, so a stranger could hold a connection for ever by sending its body slowly. A caller who came back with its key got the text from the start. A caller who had seen text over an earlier connection was not told of a restart.

Change: a read deadline from the start of each request with a body; Last-Event-ID with an idempotency key goes on after that event; a restart after a resume is an error unless it was allowed.

--- a/internal/transport/caller/body.go
+++ b/internal/transport/caller/body.go
@@ -42,9 +42,6 @@
 
 // readBody reads a body of at most limit bytes within the body timeout.
 func (a *api) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *answer.Refusal) {
-	// A recorder in a test has no deadlines, and none are needed there.
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(a.cfg.BodyTimeout))
 	size := r.ContentLength
 	if size > limit {
 		a.discard(r.Body)
@@ -65,8 +62,7 @@
 		a.discard(r.Body)
 		return nil, bodyRefusal(err, limit)
 	}
-	// The deadline must not end the connection while the answer is written.
-	_ = rc.SetReadDeadline(time.Time{})
+	a.endRead(w)
 	return body, nil
 }
 
--- a/internal/transport/caller/caller_test.go
+++ b/internal/transport/caller/caller_test.go
@@ -122,6 +122,63 @@
 	}
 }
 
+func TestResumeByKey(t *testing.T) {
+	is := is.New(t)
+	f := newFakeDesk("a", "b", "c")
+	server := serve(t, testConfig(), f)
+	url := server.URL + "/v1/completions"
+	_, body := request(t, "POST", url, streamBody, "Idempotency-Key", "k", "Last-Event-ID", "lin-1:2")
+	is.Equal(eventIDs(body), []string{"lin-1:3", "lin-1:3"})
+	<-f.closed
+	<-f.closed // both the first reader and the one of the rest
+	response, _ := request(t, "POST", url, streamBody, "Idempotency-Key", "k", "Last-Event-ID", "lin-0:2")
+	is.Equal(response.StatusCode, http.StatusConflict)
+	response, _ = request(t, "POST", url, streamBody, "Last-Event-ID", "lin-1:2")
+	is.Equal(response.StatusCode, http.StatusBadRequest)
+}
+
+func TestRestart(t *testing.T) {
+	const allow = "allow"
+	tests := []struct {
+		name      string
+		restartAt int
+		header    string
+		ids       []string
+		event     string
+	}{
+		{"nothing seen", 0, "", []string{"lin-2:1", "lin-2:2", "lin-2:2"}, ""},
+		{"not allowed", 1, "", []string{"lin-1:1"}, "event: error\n"},
+		{"allowed", 1, allow, []string{"lin-1:1", "lin-2:1", "lin-2:2", "lin-2:2"}, "event: restart\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeDesk("a", "b")
+			f.restartAt = tt.restartAt
+			server := serve(t, testConfig(), f)
+			_, body := request(t, "POST", server.URL+"/v1/completions", streamBody, "Foxtailward-Restart", tt.header)
+			is.Equal(eventIDs(body), tt.ids)
+			is.True(strings.Contains(body, tt.event))
+			is.Equal(strings.Contains(body, "[DONE]"), tt.event != "event: error\n")
+			_, whole := request(t, "POST", server.URL+"/v1/completions", promptBody)
+			is.True(strings.Contains(whole, `"text":"ab"`))
+		})
+	}
+}
+
+// TestRestartAfterResume restarts an answer whose caller has seen a part of it
+// over an earlier connection.
+func TestRestartAfterResume(t *testing.T) {
+	is := is.New(t)
+	f := newFakeDesk("a", "b", "c")
+	f.restartAt = 2
+	server := serve(t, testConfig(), f)
+	_, body := request(t, "POST", server.URL+"/v1/completions", streamBody,
+		"Idempotency-Key", "k", "Last-Event-ID", "lin-1:2")
+	is.True(strings.Contains(body, "event: error\n"))
+	is.True(!strings.Contains(body, "[DONE]"))
+}
+
 func TestForeignAnswerLooksUnknown(t *testing.T) {
 	is := is.New(t)
 	server := serve(t, testConfig(), newFakeDesk("a"))
@@ -278,6 +335,21 @@
 	transport.CloseIdleConnections()
 }
 
+func TestVanishedCallerOfWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFakeDesk("a")
+	f.waits = true
+	server := serve(t, testConfig(), f)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+
+		"\r\nContent-Length: 67\r\n\r\n"+promptBody)
+	is.NoErr(err)
+	is.Equal(len(promptBody), 67)
+	conn.Close()
+	<-f.closed
+}
+
 func TestSlowCallerIsCutOff(t *testing.T) {
 	is := is.New(t)
 	texts := make([]string, 4000)
@@ -301,19 +373,28 @@
 }
 
 func TestSlowBodyIsCutOff(t *testing.T) {
-	is := is.New(t)
-	cfg := testConfig()
-	cfg.BodyTimeout = 50 * time.Millisecond
-	server := serve(t, cfg, newFakeDesk("a"))
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	is.NoErr(err)
-	defer conn.Close()
-	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+
-		"\r\nContent-Length: 100\r\n\r\n{")
-	is.NoErr(err)
-	reply, err := io.ReadAll(conn)
-	is.NoErr(err)
-	is.True(strings.HasPrefix(string(reply), "HTTP/1.1 400"))
+	tests := []struct{ name, key, status string }{
+		{"known caller", testKey, "HTTP/1.1 400"},
+		{"stranger", "wrong", "HTTP/1.1 401"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := testConfig()
+			cfg.BodyTimeout = 50 * time.Millisecond
+			server := serve(t, cfg, newFakeDesk("a"))
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+tt.key+
+				"\r\nContent-Length: 100\r\n\r\n{")
+			is.NoErr(err)
+			// The connection ends, or this would wait for ever.
+			reply, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.True(strings.HasPrefix(string(reply), tt.status))
+		})
+	}
 }
 
 func TestBodyMemoryIsBounded(t *testing.T) {
--- a/internal/transport/caller/desk_test.go
+++ b/internal/transport/caller/desk_test.go
@@ -34,6 +34,9 @@
 	wait   id.Index
 	waits  bool
 	closed chan struct{}
+	// restartAt begins a new text once that many tokens are out; negative is
+	// never.
+	restartAt int
 
 	mu    sync.Mutex
 	asks  []answer.Ask
@@ -42,7 +45,7 @@
 }
 
 func newFakeDesk(texts ...string) *fakeDesk {
-	f := &fakeDesk{failAfter: -1, closed: make(chan struct{}, 16), known: map[id.Request]answer.Ask{}}
+	f := &fakeDesk{failAfter: -1, restartAt: -1, closed: make(chan struct{}, 16), known: map[id.Request]answer.Ask{}}
 	for i, text := range texts {
 		f.tokens = append(f.tokens, generation.Token{ID: uint32(i + 1), Text: text})
 	}
@@ -121,7 +124,7 @@
 }
 
 func (f *fakeDesk) reader(request id.Request, spec generation.Spec, from id.Index) *answer.Reader {
-	next := from
+	next, lineage := from, testLineage
 	var once sync.Once
 	return &answer.Reader{
 		Request: request,
@@ -135,7 +138,11 @@
 			if f.failAfter >= 0 && int(next) >= f.failAfter {
 				return answer.Part{}, f.failure
 			}
+			if lineage == testLineage && int(next) == f.restartAt {
+				next, lineage = 0, "lin-2"
+			}
 			part := f.part(next)
+			part.Lineage = lineage
 			next += id.Index(len(part.Tokens))
 			if f.corrupt != nil {
 				f.corrupt(&part)
@@ -149,9 +156,9 @@
 // part gives one token at a time and then the end.
 func (f *fakeDesk) part(next id.Index) answer.Part {
 	if int(next) < len(f.tokens) {
-		return answer.Part{Lineage: testLineage, First: next, Tokens: f.tokens[next : next+1]}
+		return answer.Part{First: next, Tokens: f.tokens[next : next+1]}
 	}
-	return answer.Part{Lineage: testLineage, First: next, Finish: &generation.Finish{
+	return answer.Part{First: next, Finish: &generation.Finish{
 		Reason:       generation.Stop,
 		Count:        id.Index(len(f.tokens)),
 		Checksum:     generation.ChecksumOf(f.tokens),
--- a/internal/transport/caller/generate.go
+++ b/internal/transport/caller/generate.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -63,6 +64,9 @@
 	if refusal == nil {
 		refusal = checkSize(c, &spec)
 	}
+	if refusal == nil && o.from.next > 0 && (o.key == "" || !s.Stream) {
+		refusal = answer.Refuse(answer.CauseInvalid, "%s needs an %s and a stream", headerLastEventID, headerKey)
+	}
 	if refusal != nil {
 		a.refuse(w, r, refusal)
 		return
@@ -79,7 +83,7 @@
 	ask := answer.Ask{Contract: c, Key: o.key, Whole: !s.Stream, Spec: spec}
 
 	started := a.tools.Clock.Now()
-	reader, err := a.desk.Open(r.Context(), ask)
+	reader, err := a.open(r.Context(), ask, o.from)
 	if err != nil {
 		a.send(w, refusalOf(err), "")
 		return
@@ -87,12 +91,33 @@
 	defer reader.Close()
 	d := delivery{api: a, reader: reader, started: started}
 	if s.Stream {
-		d.stream(w, r, position{}, s.WantsUsage())
+		d.stream(w, r, o.from, s.WantsUsage())
 		return
 	}
 	d.whole(w, r)
 }
 
+// open opens the answer of ask. A caller that comes back with its key goes on
+// after what it has seen.
+func (a *api) open(ctx context.Context, ask answer.Ask, from position) (*answer.Reader, error) {
+	reader, err := a.desk.Open(ctx, ask)
+	if err != nil || from.next == 0 {
+		return reader, err
+	}
+	defer reader.Close()
+	rest, err := a.desk.Reopen(ctx, answer.Resume{
+		Contract: ask.Contract, Request: reader.Request, Lineage: from.lineage, From: from.next,
+	})
+	if err != nil {
+		return nil, refusalOfAnswer(err)
+	}
+	if refusal := checkLineage(rest, &from); refusal != nil {
+		rest.Close()
+		return nil, refusal
+	}
+	return rest, nil
+}
+
 func (a *api) seed(s *openai.Sampling) int64 {
 	if s.Seed != nil {
 		return *s.Seed
--- a/internal/transport/caller/headers.go
+++ b/internal/transport/caller/headers.go
@@ -35,6 +35,8 @@
 	restartAllowed bool
 	// onceOnly says that the caller forbids to run the call again.
 	onceOnly bool
+	// from is where the caller's text ends.
+	from position
 }
 
 func (a *api) options(h http.Header) (options, *answer.Refusal) {
@@ -46,6 +48,9 @@
 	if o.deadline, refusal = a.deadline(h.Get(headerTimeout)); refusal != nil {
 		return o, refusal
 	}
+	if o.from, refusal = parsePosition(h.Get(headerLastEventID)); refusal != nil {
+		return o, refusal
+	}
 	switch v := h.Get(headerRestart); v {
 	case "":
 	case "allow":
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -20,7 +20,7 @@
 //	Foxtailward-Timeout: 30s       when the caller gives up
 //	Foxtailward-Restart: allow     a new text is welcome if the old cannot go on
 //	Foxtailward-Repeatable: false  this call to a plain service runs at most once
-//	Last-Event-ID: LINEAGE:INDEX   where to go on, on GET /v1/answers/{id}
+//	Last-Event-ID: LINEAGE:INDEX   where to go on with a stream, by id or key
 package caller
 
 import (
@@ -85,7 +85,7 @@
 	a := &api{cfg: cfg, desk: desk, tools: tools, gauges: newGauges(tools.Metrics)}
 	a.bodies.limit = cfg.BodyMemory
 	r := chi.NewRouter()
-	r.Use(a.freshDeadline)
+	r.Use(a.freshDeadlines)
 	r.NotFound(a.notFound)
 	r.MethodNotAllowed(a.methodNotAllowed)
 	r.Group(func(r chi.Router) {
@@ -101,11 +101,16 @@
 	return r
 }
 
-// freshDeadline replaces the write deadline that the connection's last request
-// has left behind. Each later write sets its own.
-func (a *api) freshDeadline(next http.Handler) http.Handler {
+// freshDeadlines replaces the deadlines that the connection's last request has
+// left behind. Each later write sets its own. The one for reading also bounds
+// the time in which the rest of a refused request's body is read; a request
+// without a body needs none, and its connection is watched for its end.
+func (a *api) freshDeadlines(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.allowWrite(w)
+		if r.ContentLength != 0 {
+			a.allowRead(w)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -115,3 +120,16 @@
 	// A recorder in a test has no deadlines, and none are needed there.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(a.cfg.WriteTimeout))
 }
+
+// allowRead gives the reading of a body its time.
+func (a *api) allowRead(w http.ResponseWriter) {
+	// A recorder in a test has no deadlines, and none are needed there.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(a.cfg.BodyTimeout))
+}
+
+// endRead lifts the deadline, which must not end the connection while the
+// answer is written.
+func (a *api) endRead(w http.ResponseWriter) {
+	// A recorder in a test has no deadlines, and none are needed there.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+}
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -23,7 +23,7 @@
 	defer g.openAnswers.Dec(1)
 
 	d.begin(d.reader.Lineage, from.next)
-	s := newEvents(w, d, from.next == 0)
+	s := newEvents(w, d, from.next > 0)
 	if err := s.open(); err != nil {
 		return
 	}
@@ -68,14 +68,15 @@
 	text    strings.Builder
 	reason  string
 	role    openai.Role
-	sent    bool
 	compl   openai.CompletionResponse
 	chat    openai.ChatChunk
 	scratch []byte
+	// seen says that the caller has a part of the text.
+	seen bool
 }
 
-func newEvents(w http.ResponseWriter, d *delivery, fromStart bool) *events {
-	s := &events{d: d, w: w, rc: http.NewResponseController(w)}
+func newEvents(w http.ResponseWriter, d *delivery, seen bool) *events {
+	s := &events{d: d, w: w, rc: http.NewResponseController(w), seen: seen}
 	s.enc = json.NewEncoder(&s.buf)
 	s.enc.SetEscapeHTML(false)
 	request, model, created := string(d.reader.Request), string(d.reader.Spec.Model), d.started.Unix()
@@ -86,7 +87,7 @@
 		s.compl = openai.CompletionResponse{ID: request, Object: openai.ObjectCompletion, Created: created, Model: model,
 			Choices: make([]openai.CompletionChoice, 1)}
 	}
-	if fromStart {
+	if !seen {
 		s.role = openai.Assistant
 	}
 	return s
@@ -108,6 +109,7 @@
 		return nil
 	}
 	text := s.join(part.Tokens)
+	s.seen = s.seen || len(part.Tokens) > 0
 	var reason *string
 	if part.Finish != nil {
 		s.reason = string(part.Finish.Reason)
@@ -156,7 +158,6 @@
 		return fault.Wrap("events.send", Broken, err)
 	}
 	s.buf.WriteByte('\n')
-	s.sent = true
 	return s.write()
 }
 
@@ -217,11 +218,15 @@
 // have allowed it.
 func (s *events) restart() error {
 	s.role = openai.Assistant
-	if !s.sent && s.d.fromStart {
+	if !s.seen {
 		return nil
 	}
 	if !s.d.reader.Spec.RestartAllowed {
-		return s.d.broken("the answer cannot go on, and the caller has seen a part of it")
+		return &answer.Refusal{
+			Outcome: answer.Failed,
+			Cause:   answer.CauseLost,
+			Detail:  "the answer cannot go on, and a part of it was seen",
+		}
 	}
 	s.buf.WriteString("event: restart\n")
 	return s.send(&restarted{Request: s.d.reader.Request, Lineage: s.d.lineage})
