Put the client of entries beside the operators' server

Cause: transport/entry is now the entry process itself.

Change: operator.Client in transport/operator; the command line's shared state is cli, so that its name does not hide the package's.

--- a/cmd/foxtailward/check.go
+++ b/cmd/foxtailward/check.go
@@ -23,7 +23,7 @@
 	Problem string `json:"problem,omitempty"`
 }
 
-func newCheck(o *operator) *cobra.Command {
+func newCheck(o *cli) *cobra.Command {
 	var as string
 	cmd := &cobra.Command{
 		Use:   "check FILE…",
--- a/cmd/foxtailward/operator.go
+++ b/cmd/foxtailward/cli.go
@@ -16,7 +16,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/confstore"
 	"foxtailward.example/foxtailward/internal/state/fault"
-	"foxtailward.example/foxtailward/internal/transport/entry"
+	"foxtailward.example/foxtailward/internal/transport/operator"
 )
 
 // Flags that all operators' subcommands share, and the variables that stand in
@@ -41,8 +41,8 @@
 	defaultWaitTimeout = 30 * time.Second
 )
 
-// operator holds what the operators' subcommands share.
-type operator struct {
+// cli holds what the operators' subcommands share.
+type cli struct {
 	output  string
 	stores  []string
 	entries []string
@@ -51,13 +51,13 @@
 	http    *http.Client
 }
 
-func newOperator() *operator {
-	return &operator{clock: clockwork.NewRealClock(), http: &http.Client{}}
+func newCLI() *cli {
+	return &cli{clock: clockwork.NewRealClock(), http: &http.Client{}}
 }
 
 // addOperatorCommands adds the operators' subcommands, each with the flags that
 // all of them share.
-func addOperatorCommands(root *cobra.Command, o *operator) {
+func addOperatorCommands(root *cobra.Command, o *cli) {
 	commands := []*cobra.Command{newContract(o), newConfig(o), newCheck(o), newStatus(o), newExplain(o)}
 	for _, cmd := range commands {
 		o.addFlags(cmd)
@@ -66,7 +66,7 @@
 	root.AddCommand(commands...)
 }
 
-func (o *operator) addFlags(cmd *cobra.Command) {
+func (o *cli) addFlags(cmd *cobra.Command) {
 	flags := cmd.PersistentFlags()
 	flags.StringVar(&o.output, flagOutput, outputTable, "form of the output: table or json")
 	flags.StringSliceVar(&o.stores, flagStore, fromEnv(envStore), "URLs of the key-value service ("+envStore+")")
@@ -74,9 +74,9 @@
 	flags.DurationVar(&o.timeout, flagTimeout, defaultTimeout, "longest time for the service or an entry to answer")
 }
 
-func (o *operator) checkOutput() error {
+func (o *cli) checkOutput() error {
 	if o.output != outputTable && o.output != outputJSON {
-		return fault.New("operator", usage, "--output is %q, want table or json", o.output)
+		return fault.New("cli.checkOutput", usage, "--output is %q, want table or json", o.output)
 	}
 	return nil
 }
@@ -90,9 +90,9 @@
 }
 
 // withStore does something with the configuration in the key-value service.
-func (o *operator) withStore(cmd *cobra.Command, do func(context.Context, *confstore.Repository) error) error {
+func (o *cli) withStore(cmd *cobra.Command, do func(context.Context, *confstore.Repository) error) error {
 	if len(o.stores) == 0 {
-		return fault.New("operator.withStore", usage, "no key-value service is given; want --%s URL or %s", flagStore, envStore)
+		return fault.New("cli.withStore", usage, "no key-value service is given; want --%s URL or %s", flagStore, envStore)
 	}
 	s, release, err := openStore(o.stores, o.clock)
 	if err != nil {
@@ -105,7 +105,7 @@
 }
 
 // withEntry does something with the entries.
-func (o *operator) withEntry(cmd *cobra.Command, do func(context.Context, *entry.Client) error) error {
+func (o *cli) withEntry(cmd *cobra.Command, do func(context.Context, *operator.Client) error) error {
 	client, err := o.client()
 	if err != nil {
 		return err
@@ -116,16 +116,16 @@
 }
 
 // client returns the client of the entries.
-func (o *operator) client() (*entry.Client, error) {
+func (o *cli) client() (*operator.Client, error) {
 	if len(o.entries) == 0 {
-		return nil, fault.New("operator.client", usage, "no entry is given; want --%s ADDR or %s", flagEntry, envEntry)
+		return nil, fault.New("cli.client", usage, "no entry is given; want --%s ADDR or %s", flagEntry, envEntry)
 	}
-	return &entry.Client{Addresses: o.entries, HTTP: o.http}, nil
+	return &operator.Client{Addresses: o.entries, HTTP: o.http}, nil
 }
 
 // deadline bounds a command by --timeout. An interrupt ends it too, so that it
 // still says what it knows.
-func (o *operator) deadline(cmd *cobra.Command) (context.Context, context.CancelFunc) {
+func (o *cli) deadline(cmd *cobra.Command) (context.Context, context.CancelFunc) {
 	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt)
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	return ctx, func() {
@@ -135,7 +135,7 @@
 }
 
 // print writes v as JSON, or the rows of a table.
-func (o *operator) print(w io.Writer, v any, table func(w io.Writer)) error {
+func (o *cli) print(w io.Writer, v any, table func(w io.Writer)) error {
 	if o.output == outputJSON {
 		encoder := json.NewEncoder(w)
 		encoder.SetIndent("", "  ")
--- a/cmd/foxtailward/config.go
+++ b/cmd/foxtailward/config.go
@@ -31,12 +31,12 @@
 // defaultHistory is how many changes the history shows.
 const defaultHistory = 20
 
-func newConfig(o *operator) *cobra.Command {
+func newConfig(o *cli) *cobra.Command {
 	return group("config", "Write and read the deployment's configuration", usageConfig,
 		newConfigPut(o), newConfigGet(o), newConfigHistory(o))
 }
 
-func newConfigPut(o *operator) *cobra.Command {
+func newConfigPut(o *cli) *cobra.Command {
 	var f putFlags
 	cmd := &cobra.Command{
 		Use:   "put FILE",
@@ -65,7 +65,7 @@
 	return cmd
 }
 
-func newConfigGet(o *operator) *cobra.Command {
+func newConfigGet(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "get",
 		Short: "Print the deployment's configuration as the file to edit",
@@ -86,10 +86,10 @@
 	}
 }
 
-func (o *operator) printDeployment(w io.Writer, change *conf.Change) error {
+func (o *cli) printDeployment(w io.Writer, change *conf.Change) error {
 	d := &conf.Deployment{}
 	if err := json.Unmarshal(change.Value, d); err != nil {
-		return fault.Wrap("operator.printDeployment", invalid, err)
+		return fault.Wrap("cli.printDeployment", invalid, err)
 	}
 	d.Defaults()
 	file, err := conffile.EncodeDeployment(d, change.Revision)
@@ -99,7 +99,7 @@
 	return o.print(w, change, func(w io.Writer) { fmt.Fprint(w, string(file)) })
 }
 
-func newConfigHistory(o *operator) *cobra.Command {
+func newConfigHistory(o *cli) *cobra.Command {
 	limit := defaultHistory
 	cmd := &cobra.Command{
 		Use:   "history",
--- a/cmd/foxtailward/contract.go
+++ b/cmd/foxtailward/contract.go
@@ -31,12 +31,12 @@
 contract since it was read, nothing is changed, the differences are shown, and
 the exit code is 4.`
 
-func newContract(o *operator) *cobra.Command {
+func newContract(o *cli) *cobra.Command {
 	return group("contract", "Write and read contracts", usageContract,
 		newContractPut(o), newContractGet(o), newContractList(o), newContractDelete(o), newContractKey(o))
 }
 
-func newContractPut(o *operator) *cobra.Command {
+func newContractPut(o *cli) *cobra.Command {
 	var f putFlags
 	cmd := &cobra.Command{
 		Use:   "put FILE",
@@ -65,7 +65,7 @@
 	return cmd
 }
 
-func newContractDelete(o *operator) *cobra.Command {
+func newContractDelete(o *cli) *cobra.Command {
 	var f putFlags
 	cmd := &cobra.Command{
 		Use:   "delete NAME",
@@ -81,7 +81,7 @@
 	return cmd
 }
 
-func newContractGet(o *operator) *cobra.Command {
+func newContractGet(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "get NAME",
 		Short: "Print a contract as the file to edit",
@@ -121,7 +121,7 @@
 	Contract contract.Contract `json:"contract"`
 }
 
-func newContractList(o *operator) *cobra.Command {
+func newContractList(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
 		Short: "List the contracts",
--- a/cmd/foxtailward/contract_key.go
+++ b/cmd/foxtailward/contract_key.go
@@ -25,7 +25,7 @@
 	Hash contract.KeyHash `json:"hash"`
 }
 
-func newContractKey(o *operator) *cobra.Command {
+func newContractKey(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "key",
 		Short: "Print a fresh key once, and its hash",
--- a/cmd/foxtailward/explain.go
+++ b/cmd/foxtailward/explain.go
@@ -10,14 +10,14 @@
 	"foxtailward.example/foxtailward/internal/protocol/status"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
-	"foxtailward.example/foxtailward/internal/transport/entry"
+	"foxtailward.example/foxtailward/internal/transport/operator"
 )
 
 const usageExplain = `Say why a request went where it went: each decision about it, oldest first, with
 the event's number in docs/EVENTS.md and its reason. The request's id is in the
 caller's Foxtailward-Request header.`
 
-func newExplain(o *operator) *cobra.Command {
+func newExplain(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "explain REQUEST-ID",
 		Short: "Say why a request went where it went",
@@ -28,7 +28,7 @@
 			if !request.Valid() {
 				return fault.New("explain", usage, "%q is no request id, want one such as ans-00000000-0123456789abcdef", args[0])
 			}
-			return o.withEntry(cmd, func(ctx context.Context, client *entry.Client) error {
+			return o.withEntry(cmd, func(ctx context.Context, client *operator.Client) error {
 				e, err := client.Explain(ctx, request)
 				if err != nil {
 					return err
--- a/cmd/foxtailward/export_test.go
+++ b/cmd/foxtailward/export_test.go
@@ -8,7 +8,7 @@
 
 // Run carries out a command line with the test's HTTP client for entries.
 func Run(client *http.Client, stdin io.Reader, args ...string) (stdout, stderr string, code int) {
-	o := newOperator()
+	o := newCLI()
 	o.http = client
 	var out, errs bytes.Buffer
 	root := newRootWith(o)
--- a/cmd/foxtailward/put.go
+++ b/cmd/foxtailward/put.go
@@ -55,7 +55,7 @@
 }
 
 // apply makes a change, waits for it when asked to, and prints the outcome.
-func (o *operator) apply(cmd *cobra.Command, f *putFlags, edit confstore.Edit) error {
+func (o *cli) apply(cmd *cobra.Command, f *putFlags, edit confstore.Edit) error {
 	edit.Author = f.author
 	if f.wait {
 		// Without an entry to ask, the change is not even begun.
@@ -100,7 +100,7 @@
 }
 
 // waitInForce waits until all nodes have the revision.
-func (o *operator) waitInForce(ctx context.Context, revision id.Revision, timeout time.Duration) (int, error) {
+func (o *cli) waitInForce(ctx context.Context, revision id.Revision, timeout time.Duration) (int, error) {
 	client, err := o.client()
 	if err != nil {
 		return 0, err
--- a/cmd/foxtailward/root.go
+++ b/cmd/foxtailward/root.go
@@ -18,10 +18,10 @@
      that nothing was changed
   6  the change was accepted and is not in force everywhere yet`
 
-func newRoot() *cobra.Command { return newRootWith(newOperator()) }
+func newRoot() *cobra.Command { return newRootWith(newCLI()) }
 
 // newRootWith returns the root with the operators' subcommands of o.
-func newRootWith(o *operator) *cobra.Command {
+func newRootWith(o *cli) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "foxtailward",
 		Long:          usageRoot,
--- a/cmd/foxtailward/status.go
+++ b/cmd/foxtailward/status.go
@@ -9,21 +9,21 @@
 	"github.com/spf13/cobra"
 
 	"foxtailward.example/foxtailward/internal/protocol/status"
-	"foxtailward.example/foxtailward/internal/transport/entry"
+	"foxtailward.example/foxtailward/internal/transport/operator"
 )
 
 const usageStatus = `Show what an entry sees: entries and targets with their states, the
 configuration revision in force at each, what a leaving process waits for, and
 what the contracts use of their limits.`
 
-func newStatus(o *operator) *cobra.Command {
+func newStatus(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
 		Short: "Show members, revisions, drains and limits in use",
 		Long:  usageStatus,
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return o.withEntry(cmd, func(ctx context.Context, client *entry.Client) error {
+			return o.withEntry(cmd, func(ctx context.Context, client *operator.Client) error {
 				s, err := client.Status(ctx)
 				if err != nil {
 					return err
--- a/internal/transport/entry/client.go
+++ b/internal/transport/operator/client.go
@@ -1,11 +1,4 @@
-// Package entry asks entries what they know, for the operators' command line.
-//
-// # Usage
-//
-//	c := entry.Client{Addresses: []string{"10.0.0.7:8702"}, HTTP: &http.Client{}}
-//	s, err := c.Status(ctx)
-//	e, err := c.Explain(ctx, "ans-…")
-package entry
+package operator
 
 import (
 	"context"
@@ -26,7 +19,7 @@
 // maxAnswerBytes bounds an entry's answer.
 const maxAnswerBytes = 16 << 20
 
-// Client asks entries at their operators' addresses.
+// Client asks entries at their operators' addresses what they know.
 type Client struct {
 	// Addresses are host:port or URLs; each call goes to them in order.
 	Addresses []string
--- a/internal/transport/entry/client_test.go
+++ b/internal/transport/operator/client_test.go
@@ -1,4 +1,4 @@
-package entry_test
+package operator_test
 
 import (
 	"encoding/json"
@@ -13,11 +13,11 @@
 	"foxtailward.example/foxtailward/internal/protocol/status"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
-	"foxtailward.example/foxtailward/internal/transport/entry"
+	"foxtailward.example/foxtailward/internal/transport/operator"
 )
 
 // serve starts an entry that answers each path with a value, and 404 else.
-func serve(t *testing.T, answers map[string]any) *httptest.Server {
+func serveEntry(t *testing.T, answers map[string]any) *httptest.Server {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		v, ok := answers[r.URL.Path]
 		if !ok {
@@ -34,14 +34,14 @@
 	return map[string]any{"/status": &status.Status{Entry: self, Revision: revision, Members: members}}
 }
 
-func TestRevisions(t *testing.T) {
+func TestClientRevisions(t *testing.T) {
 	is := is.New(t)
 	t1 := status.Member{Name: "t1", Role: status.Target, State: member.Suspect, Revision: 4}
 	t1Newer := status.Member{Name: "t1", Role: status.Target, State: member.Ready, Revision: 5}
 	gone := status.Member{Name: "t2", Role: status.Target, State: member.Gone, Revision: 1}
-	one := serve(t, view("e1", 7, t1, gone))
-	two := serve(t, view("e2", 6, t1Newer))
-	c := entry.Client{Addresses: []string{one.URL, two.Listener.Addr().String()}, HTTP: one.Client()}
+	one := serveEntry(t, view("e1", 7, t1, gone))
+	two := serveEntry(t, view("e2", 6, t1Newer))
+	c := operator.Client{Addresses: []string{one.URL, two.Listener.Addr().String()}, HTTP: one.Client()}
 	got, err := c.Revisions(t.Context())
 	is.NoErr(err)
 	is.Equal(got, []confstore.NodeRevision{
@@ -54,7 +54,7 @@
 	is.True(fault.Is(err, status.Unreachable))
 }
 
-func TestStatus(t *testing.T) {
+func TestClientStatus(t *testing.T) {
 	wrongRole := status.Member{Name: "x", Role: "leader", State: member.Ready}
 	wrongState := status.Member{Name: "x", Role: status.Entry, State: "asleep"}
 	tests := []struct {
@@ -72,8 +72,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			server := serve(t, tt.answers)
-			c := entry.Client{Addresses: []string{server.URL}, HTTP: server.Client()}
+			server := serveEntry(t, tt.answers)
+			c := operator.Client{Addresses: []string{server.URL}, HTTP: server.Client()}
 			_, err := c.Status(t.Context())
 			kind, _ := fault.KindOf[status.Kind](err)
 			is.Equal(kind, tt.kind)
@@ -81,11 +81,11 @@
 	}
 }
 
-func TestExplain(t *testing.T) {
+func TestClientExplain(t *testing.T) {
 	is := is.New(t)
-	knows := serve(t, map[string]any{"/explain/ans-00000000-0a": &status.Explanation{Request: "ans-00000000-0a", State: status.Running}})
-	other := serve(t, nil)
-	c := entry.Client{Addresses: []string{other.URL, knows.URL}, HTTP: knows.Client()}
+	knows := serveEntry(t, map[string]any{"/explain/ans-00000000-0a": &status.Explanation{Request: "ans-00000000-0a", State: status.Running}})
+	other := serveEntry(t, nil)
+	c := operator.Client{Addresses: []string{other.URL, knows.URL}, HTTP: knows.Client()}
 	e, err := c.Explain(t.Context(), "ans-00000000-0a")
 	is.NoErr(err)
 	is.Equal(e.State, status.Running)
