Serve explanations at the operators' address

Cause: explain asks GET /explain/{id}, which no process answered.

Change: operator.Source.Explain, to be set by the entry; status shows a member's revision as unknown until it was heard of.

Conclusion: the route is tested; the entry has still to set the field.

--- a/cmd/foxtailward/status.go
+++ b/cmd/foxtailward/status.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"foxtailward.example/foxtailward/internal/protocol/status"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/transport/operator"
 )
 
@@ -50,18 +51,25 @@
 	fmt.Fprintln(w, "ROLE\tNAME\tSTATE\tZONE\tREVISION\tHEARD\tSERVES\tRUNNING\tQUEUED\tSLOTS")
 	for i := range s.Members {
 		m := &s.Members[i]
-		revision := fmt.Sprint(m.Revision)
-		if m.Revision < s.Revision {
-			revision += " (behind)"
-		}
 		serves := string(m.Service)
 		if m.Model != "" {
 			serves = fmt.Sprintf("%s@%s", m.Model, m.Version)
 		}
 		age := (time.Duration(m.AgeMs) * time.Millisecond).Round(time.Millisecond)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s ago\t%s\t%d\t%d\t%d\n",
-			m.Role, m.Name, m.State, m.Zone, revision, age, orDash(serves), m.Running, m.Queued, m.Slots)
+			m.Role, m.Name, m.State, m.Zone, inForce(m.Revision, s.Revision), age, orDash(serves), m.Running, m.Queued, m.Slots)
+	}
+}
+
+// inForce says how a member's revision compares with the entry's.
+func inForce(have, want id.Revision) string {
+	switch {
+	case have == 0:
+		return "unknown"
+	case have < want:
+		return fmt.Sprintf("%d (behind)", have)
 	}
+	return fmt.Sprint(have)
 }
 
 func drainTable(w io.Writer, drains []status.Drain) {
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator serves the operators' HTTP address of a process: health,
-// metrics and status.
+// metrics, status and explanations. Its Client asks entries at that address.
 //
 // # Usage
 //
@@ -15,6 +15,7 @@
 //	GET /metrics           the metrics as JSON
 //	GET /metrics?format=text  one line for each figure: name value
 //	GET /status            the process's own view, as JSON
+//	GET /explain/{id}      what was decided about a request, as JSON
 package operator
 
 import (
@@ -31,7 +32,9 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 
+	"foxtailward.example/foxtailward/internal/protocol/status"
 	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
 )
 
 // Kind is the kind of this package's errors.
@@ -64,6 +67,9 @@
 	Ready func() error
 	// Status returns a value that is written as JSON; it holds no secret.
 	Status func() any
+	// Explain returns what was decided about a request, and false when the
+	// process knows no such request. A nil Explain knows none.
+	Explain func(ctx context.Context, request id.Request) (*status.Explanation, bool)
 	// Metrics is the process's registry.
 	Metrics metrics.Registry
 }
@@ -131,7 +137,8 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	r.Get("/readyz", s.ready)
 	r.Get("/metrics", s.metrics)
-	r.Get("/status", s.status)
+	r.Get(status.PathStatus, s.status)
+	r.Get(status.PathExplain+"{request}", s.explain)
 	return r
 }
 
@@ -153,6 +160,17 @@
 	writeJSON(w, s.source.Status())
 }
 
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	if s.source.Explain != nil {
+		explanation, ok := s.source.Explain(r.Context(), id.Request(chi.URLParam(r, "request")))
+		if ok {
+			writeJSON(w, explanation)
+			return
+		}
+	}
+	writeText(w, http.StatusNotFound, "this process knows no such request")
+}
+
 func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
 	registry := s.source.Metrics
 	if registry == nil {
--- a/internal/transport/operator/operator_test.go
+++ b/internal/transport/operator/operator_test.go
@@ -13,6 +13,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/goleak"
 
+	"foxtailward.example/foxtailward/internal/protocol/status"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/transport/operator"
 )
 
@@ -25,6 +27,7 @@
 	server := operator.New(operator.Source{
 		Ready:   func() error { return notReady },
 		Status:  func() any { return struct{ Name string }{"t1"} },
+		Explain: func(_ context.Context, r id.Request) (*status.Explanation, bool) { return nil, r == "ans-1" },
 		Metrics: registry,
 	})
 	tests := []struct {
@@ -38,6 +41,8 @@
 		{"not ready", "/readyz", errors.New("the engine does not answer"), 503, "the engine does not answer\n"},
 		{"status", "/status", nil, 200, "{\n  \"Name\": \"t1\"\n}\n"},
 		{"metrics as text", "/metrics?format=text", nil, 200, "target.attempts.started 3\n"},
+		{"explained", "/explain/ans-1", nil, 200, "null\n"},
+		{"not explained", "/explain/ans-2", nil, 404, "this process knows no such request\n"},
 		{"unknown", "/other", nil, 404, "404 page not found\n"},
 	}
 	for _, tt := range tests {
