--- a/cmd/foxtailward/config.go
+++ b/cmd/foxtailward/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,12 +31,12 @@
 // defaultHistory is how many changes the history shows.
 const defaultHistory = 20
 
-func newConfig(o *operator) *cobra.Command {
+func newConfig(o *cli) *cobra.Command {
 	return group("config", "Write and read the deployment's configuration", usageConfig,
 		newConfigPut(o), newConfigGet(o), newConfigHistory(o))
 }
 
-func newConfigPut(o *operator) *cobra.Command {
+func newConfigPut(o *cli) *cobra.Command {
 	var f putFlags
 	cmd := &cobra.Command{
 		Use:   "put FILE",
@@ -64,35 +65,31 @@
 	return cmd
 }
 
-func newConfigGet(o *operator) *cobra.Command {
+func newConfigGet(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "get",
 		Short: "Print the deployment's configuration as the file to edit",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			change, err := repository.Get(ctx, conf.DeploymentObject, "")
-			if fault.Is(err, confstore.NotFound) {
-				// Until somebody writes one, the defaults are in force.
-				change, err = &conf.Change{Object: conf.DeploymentObject, Value: []byte("{}")}, nil
-			}
-			if err != nil {
-				return err
-			}
-			return o.printDeployment(cmd.OutOrStdout(), change)
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				change, err := repository.Get(ctx, conf.DeploymentObject, "")
+				if fault.Is(err, confstore.NotFound) {
+					// Until somebody writes one, the defaults are in force.
+					change, err = &conf.Change{Object: conf.DeploymentObject, Value: []byte("{}")}, nil
+				}
+				if err != nil {
+					return err
+				}
+				return o.printDeployment(cmd.OutOrStdout(), change)
+			})
 		},
 	}
 }
 
-func (o *operator) printDeployment(w io.Writer, change *conf.Change) error {
+func (o *cli) printDeployment(w io.Writer, change *conf.Change) error {
 	d := &conf.Deployment{}
 	if err := json.Unmarshal(change.Value, d); err != nil {
-		return fault.Wrap("operator.printDeployment", invalid, err)
+		return fault.Wrap("cli.printDeployment", invalid, err)
 	}
 	d.Defaults()
 	file, err := conffile.EncodeDeployment(d, change.Revision)
@@ -102,30 +99,26 @@
 	return o.print(w, change, func(w io.Writer) { fmt.Fprint(w, string(file)) })
 }
 
-func newConfigHistory(o *operator) *cobra.Command {
+func newConfigHistory(o *cli) *cobra.Command {
 	limit := defaultHistory
 	cmd := &cobra.Command{
 		Use:   "history",
 		Short: "List the last changes of contracts and configuration, newest first",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			head, err := repository.Head(ctx)
-			if err != nil {
-				return err
-			}
-			since := head - id.Revision(min(max(limit, 1), confstore.HistoryLength))
-			changes, err := repository.Since(ctx, max(0, since))
-			if err != nil {
-				return err
-			}
-			slices.Reverse(changes)
-			return o.print(cmd.OutOrStdout(), changes, historyTable(changes))
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				head, err := repository.Head(ctx)
+				if err != nil {
+					return err
+				}
+				since := head - id.Revision(min(max(limit, 1), confstore.HistoryLength))
+				changes, err := repository.Since(ctx, max(0, since))
+				if err != nil {
+					return err
+				}
+				slices.Reverse(changes)
+				return o.print(cmd.OutOrStdout(), changes, historyTable(changes))
+			})
 		},
 	}
 	cmd.Flags().IntVar(&limit, "limit", defaultHistory, "how many changes to list")
--- a/cmd/foxtailward/status.go
+++ b/cmd/foxtailward/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"time"
@@ -8,30 +9,28 @@
 	"github.com/spf13/cobra"
 
 	"foxtailward.example/foxtailward/internal/protocol/status"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/operator"
 )
 
 const usageStatus = `Show what an entry sees: entries and targets with their states, the
 configuration revision in force at each, what a leaving process waits for, and
 what the contracts use of their limits.`
 
-func newStatus(o *operator) *cobra.Command {
+func newStatus(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
 		Short: "Show members, revisions, drains and limits in use",
 		Long:  usageStatus,
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client, err := o.client()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			s, err := client.Status(ctx)
-			if err != nil {
-				return err
-			}
-			return o.print(cmd.OutOrStdout(), s, func(w io.Writer) { statusTable(w, s) })
+			return o.withEntry(cmd, func(ctx context.Context, client *operator.Client) error {
+				s, err := client.Status(ctx)
+				if err != nil {
+					return err
+				}
+				return o.print(cmd.OutOrStdout(), s, func(w io.Writer) { statusTable(w, s) })
+			})
 		},
 	}
 }
@@ -52,18 +51,25 @@
 	fmt.Fprintln(w, "ROLE\tNAME\tSTATE\tZONE\tREVISION\tHEARD\tSERVES\tRUNNING\tQUEUED\tSLOTS")
 	for i := range s.Members {
 		m := &s.Members[i]
-		revision := fmt.Sprint(m.Revision)
-		if m.Revision < s.Revision {
-			revision += " (behind)"
-		}
 		serves := string(m.Service)
 		if m.Model != "" {
 			serves = fmt.Sprintf("%s@%s", m.Model, m.Version)
 		}
 		age := (time.Duration(m.AgeMs) * time.Millisecond).Round(time.Millisecond)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s ago\t%s\t%d\t%d\t%d\n",
-			m.Role, m.Name, m.State, m.Zone, revision, age, orDash(serves), m.Running, m.Queued, m.Slots)
+			m.Role, m.Name, m.State, m.Zone, inForce(m.Revision, s.Revision), age, orDash(serves), m.Running, m.Queued, m.Slots)
+	}
+}
+
+// inForce says how a member's revision compares with the entry's.
+func inForce(have, want id.Revision) string {
+	switch {
+	case have == 0:
+		return "unknown"
+	case have < want:
+		return fmt.Sprintf("%d (behind)", have)
 	}
+	return fmt.Sprint(have)
 }
 
 func drainTable(w io.Writer, drains []status.Drain) {
