Spread configuration and reports by bounded swaps

Change: spread.Spreader decides who swaps what with whom; peer converts its news and the asks for limits. The protocol gains digests, wants, and the fields of asks and grants.

--- a/internal/coordination/limit/limit_test.go
+++ b/internal/coordination/limit/limit_test.go
@@ -231,7 +231,7 @@
 	t.Logf("asks: %.2f a second sent by an entry, %d a second for the largest contract, refused %d of %d",
 		float64(total)/entries/counted, asksOf["c-0"]/counted, refused, rate*lasts)
 	is.True(float64(total)/entries/counted <= 20) // 7 KB/s of asks and grants of 150 bytes, half for all else
-	is.True(refused*100 <= rate*lasts)          // nobody is over a limit
+	is.True(refused*100 <= rate*lasts)            // nobody is over a limit
 }
 
 // Correcting the estimate gives back what was not used, and takes what was
--- /dev/null
+++ b/internal/coordination/spread/receive.go
@@ -0,0 +1,270 @@
+package spread
+
+import (
+	"slices"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// membersPerPart bounds the reports in one answer to WantMembers.
+const membersPerPart = 100
+
+// maxWants bounds the keys that one message asks for.
+const maxWants = 32
+
+// Receive takes over a peer's news and returns the answer.
+func (s *Spreader) Receive(news News, now time.Time) News {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fromEntry := news.Self != nil || s.isEntry(news.From.Name)
+	waiting := s.wants
+	if !fromEntry {
+		s.wants = nil
+	}
+	s.take(&news, now)
+	reply := News{From: s.sender()}
+	if fromEntry {
+		reply.Quarantines = s.quarantineNews(now)
+	} else if report, ok := s.view.TargetReport(id.Target(news.From.Name)); ok {
+		reply.HostLeaving = s.view.HostLeaving(report.Place.Host)
+	}
+	if news.From.Revision < s.config.current.Revision {
+		reply.Changes, reply.Snapshot = s.config.since(news.From.Revision)
+	}
+	s.addWanted(&reply, news.Wants)
+	if news.WantMembers > 0 {
+		s.addMembers(&reply, news.WantMembers)
+	} else if fromEntry && s.cfg.Entry != "" {
+		s.fill(&reply, news.From.Name)
+	}
+	if news.WantEntries && s.cfg.Entry != "" {
+		reply.Entries = append(reply.Entries, s.entriesFor(news.From.Name, &news)...)
+	}
+	if s.cfg.Entry != "" && (news.Self != nil || news.WantEntries) {
+		reply.Self = s.selfNow(now)
+	}
+	if !fromEntry {
+		// A target's own report is asked of the target; all else is asked of an
+		// entry, with the next round.
+		reply.Wants, s.wants = s.wants, waiting
+	}
+	return reply
+}
+
+func (s *Spreader) isEntry(name string) bool {
+	_, ok := s.view.EntryReport(id.Entry(name))
+	return ok
+}
+
+// Answered takes over a peer's answer. Now is when the request was sent for
+// the times in reply, which its conversion has set already.
+func (s *Spreader) Answered(to Peer, reply News, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.take(&reply, now)
+	if s.cfg.Target != "" {
+		s.answeredTarget(to, &reply, now)
+		return
+	}
+	if reply.MoreMembers > 0 {
+		s.joinFrom = reply.MoreMembers
+	} else if !s.joined && (to == s.joinPeer || s.joinPeer.Address == "") && reply.Self != nil {
+		s.joined = true
+	}
+	if s.joinPeer.Address == "" && reply.Self != nil {
+		s.joinPeer = Peer{Name: string(reply.Self.Entry), Address: reply.Self.Address}
+	}
+}
+
+// answeredTarget takes over which entries the target reports to.
+func (s *Spreader) answeredTarget(to Peer, reply *News, now time.Time) {
+	if len(reply.Wants) == 0 && to.Name != "" {
+		s.ownSent[to.Name] = s.own.Sequence
+	} else {
+		delete(s.ownSent, to.Name)
+	}
+	s.leaving = s.leaving || reply.HostLeaving
+	if len(reply.Entries) == 0 {
+		return
+	}
+	s.reportTo = s.reportTo[:0]
+	for i := range reply.Entries {
+		e := &reply.Entries[i]
+		s.reportTo = append(s.reportTo, Peer{Name: string(e.Entry), Address: e.Address})
+	}
+	s.askedAt = now
+	s.joined = true
+	if len(s.reportTo) > 0 && to.Name == "" {
+		s.ownUrgent = true
+	}
+}
+
+// Failed notes that a peer did not answer.
+func (s *Spreader) Failed(to Peer, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if to == s.joinPeer {
+		s.joinPeer = Peer{}
+	}
+	if s.cfg.Target == "" {
+		s.view.LostEntry(id.Entry(to.Name), now)
+		return
+	}
+	delete(s.ownSent, to.Name)
+	for i := range s.reportTo {
+		if s.reportTo[i] == to {
+			s.reportTo = append(s.reportTo[:i], s.reportTo[i+1:]...)
+			break
+		}
+	}
+	// The entries that are left know who takes the lost one's place.
+	s.askedAt = time.Time{}
+}
+
+// take takes over all that news says.
+func (s *Spreader) take(news *News, now time.Time) {
+	if news.From.Name != "" {
+		s.revisions[news.From.Name] = news.From.Revision
+	}
+	rose := s.config.apply(news.Changes)
+	rose = s.config.replace(news.Snapshot) || rose
+	s.noteRise(rose)
+	if news.From.Revision > s.config.current.Revision {
+		s.behind = news.From.Name
+	}
+	for _, q := range news.Quarantines {
+		s.addQuarantine(q, now)
+	}
+	if news.Self != nil {
+		s.takeEntry(*news.Self, now, true)
+	}
+	if s.cfg.Target != "" {
+		return
+	}
+	for i := range news.Entries {
+		s.takeEntry(news.Entries[i], now, false)
+	}
+	for i := range news.Loads {
+		s.takeLoad(news.Loads[i], now)
+	}
+	for _, d := range news.EntryDigests {
+		s.takeEntryDigest(d, now)
+	}
+	for _, d := range news.LoadDigests {
+		s.takeLoadDigest(d, now)
+	}
+}
+
+func (s *Spreader) takeEntry(report member.EntryReport, now time.Time, direct bool) {
+	if s.cfg.Target != "" || report.Entry == s.cfg.Entry {
+		return
+	}
+	old, known := s.view.EntryReport(report.Entry)
+	if !s.view.Entry(report, now) {
+		return
+	}
+	if report.State == member.Gone {
+		s.records.drop(KeyOf("e/"+string(report.Entry), report.Incarnation))
+	}
+	s.revisions[string(report.Entry)] = max(s.revisions[string(report.Entry)], report.Revision)
+	changed := !known || old.State != report.State || old.Incarnation != report.Incarnation || old.Address != report.Address
+	if direct && !changed {
+		return
+	}
+	s.records.of("", report.Entry, report.Incarnation).note(report.Sequence, now, 0, changed)
+}
+
+func (s *Spreader) takeEntryDigest(d EntryDigest, now time.Time) {
+	rec := s.records.byKey[d.Key]
+	if rec == nil || rec.entry == "" {
+		s.want(d.Key)
+		return
+	}
+	if d.Sequence <= rec.sequence || rec.entry == s.cfg.Entry {
+		return
+	}
+	report, ok := s.view.EntryReport(rec.entry)
+	if !ok || report.State != member.Ready {
+		s.want(d.Key)
+		return
+	}
+	report.Sequence, report.At, report.Revision = d.Sequence, d.At, d.Revision
+	if s.view.Entry(report, now) {
+		s.revisions[string(rec.entry)] = max(s.revisions[string(rec.entry)], d.Revision)
+		rec.note(d.Sequence, now, 0, false)
+	}
+}
+
+func (s *Spreader) takeLoad(report member.TargetReport, now time.Time) {
+	old, known := s.view.TargetReport(report.Target)
+	if !s.view.Target(report, now) {
+		return
+	}
+	changed := !known || !sameKind(&old, &report)
+	s.records.of(report.Target, "", report.Incarnation).
+		note(report.Sequence, now, loadNewsEvery(s.records.targets), changed)
+}
+
+func (s *Spreader) takeLoadDigest(d LoadDigest, now time.Time) {
+	rec := s.records.byKey[d.Key]
+	if rec == nil || rec.target == "" {
+		s.want(d.Key)
+		return
+	}
+	if d.Sequence <= rec.sequence {
+		return
+	}
+	report, ok := s.view.TargetReport(rec.target)
+	if !ok || report.State != member.Ready {
+		s.want(d.Key)
+		return
+	}
+	report.Sequence, report.At = d.Sequence, d.At
+	report.Running, report.Queued, report.ShortRunning = d.Running, d.Queued, d.ShortRunning
+	report.Pace, report.QueuedPrefill = d.Pace, d.QueuedPrefill
+	if s.view.Target(report, now) {
+		rec.note(d.Sequence, now, loadNewsEvery(s.records.targets), false)
+	}
+}
+
+func (s *Spreader) want(key Key) {
+	if len(s.wants) < maxWants && !slices.Contains(s.wants, key) {
+		s.wants = append(s.wants, key)
+	}
+}
+
+// addWanted adds the whole reports of the wanted keys.
+func (s *Spreader) addWanted(reply *News, wants []Key) {
+	for _, key := range wants[:min(len(wants), maxWants)] {
+		rec := s.records.byKey[key]
+		if rec == nil {
+			continue
+		}
+		if rec.entry != "" {
+			if report, ok := s.view.EntryReport(rec.entry); ok {
+				reply.Entries = append(reply.Entries, report)
+			}
+		} else if report, ok := s.view.TargetReport(rec.target); ok {
+			reply.Loads = append(reply.Loads, report)
+		}
+	}
+}
+
+// addMembers adds a part of all members, from a position on.
+func (s *Spreader) addMembers(reply *News, from int) {
+	snapshot := s.view.Snapshot()
+	total := len(snapshot.Entries) + len(snapshot.Targets)
+	i := from - 1
+	for ; i < min(total, from-1+membersPerPart); i++ {
+		if i < len(snapshot.Entries) {
+			reply.Entries = append(reply.Entries, snapshot.Entries[i].Report)
+		} else {
+			reply.Loads = append(reply.Loads, snapshot.Targets[i-len(snapshot.Entries)].Load().Report)
+		}
+	}
+	if i < total {
+		reply.MoreMembers = i + 1
+	}
+}
--- /dev/null
+++ b/internal/coordination/spread/records.go
@@ -0,0 +1,155 @@
+package spread
+
+import (
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// record is what is known of how far the news of a member has been passed on.
+type record struct {
+	target id.Target
+	entry  id.Entry
+	// sequence is that of the newest report, newsOf that of the one passed on.
+	sequence id.Sequence
+	newsOf   id.Sequence
+	newsAt   time.Time
+	sent     int
+	// full says that the whole report is to be passed on.
+	full bool
+}
+
+// records are the members that digests may name.
+type records struct {
+	byKey map[Key]*record
+	order []Key
+	// next is where the next message goes on looking for news.
+	next    int
+	keys    map[string]Key
+	targets int
+	entries int
+}
+
+func newRecords() *records {
+	return &records{byKey: map[Key]*record{}, keys: map[string]Key{}}
+}
+
+// of returns the record of a member's incarnation and drops the one of the
+// incarnation before.
+func (r *records) of(target id.Target, entry id.Entry, incarnation id.Incarnation) *record {
+	name := "t/" + string(target)
+	if entry != "" {
+		name = "e/" + string(entry)
+	}
+	key := KeyOf(name, incarnation)
+	rec := r.byKey[key]
+	if rec != nil {
+		return rec
+	}
+	if old, ok := r.keys[name]; ok {
+		r.drop(old)
+	}
+	rec = &record{target: target, entry: entry}
+	r.byKey[key] = rec
+	r.keys[name] = key
+	r.order = append(r.order, key)
+	r.count(rec, 1)
+	return rec
+}
+
+func (r *records) count(rec *record, n int) {
+	if rec.entry != "" {
+		r.entries += n
+	} else {
+		r.targets += n
+	}
+}
+
+// drop forgets a member; its place in the order is cleared when it is met.
+func (r *records) drop(key Key) {
+	if rec := r.byKey[key]; rec != nil {
+		r.count(rec, -1)
+		delete(r.byKey, key)
+	}
+}
+
+// compact removes the places of forgotten members.
+func (r *records) compact() {
+	if len(r.order) < 2*len(r.byKey)+16 {
+		return
+	}
+	keep := r.order[:0]
+	for _, key := range r.order {
+		if r.byKey[key] != nil {
+			keep = append(keep, key)
+		}
+	}
+	r.order = keep
+	r.next = 0
+}
+
+// note takes over a newer report. Its load is news when the last news of the
+// member is older than every; a change of state always is.
+func (rec *record) note(sequence id.Sequence, now time.Time, every time.Duration, changed bool) {
+	rec.sequence = sequence
+	if changed {
+		rec.full = true
+	}
+	if changed || now.Sub(rec.newsAt) >= every-every/8 {
+		rec.newsOf, rec.newsAt, rec.sent = sequence, now, 0
+	}
+}
+
+// batch is the news for one message.
+type batch struct {
+	targets []id.Target
+	entries []id.Entry
+	fullOf  map[Key]bool
+}
+
+// pick returns news that has been passed on the least, within the bounds.
+func (r *records) pick(cfg *Config, without string) batch {
+	out := batch{fullOf: map[Key]bool{}}
+	var picked []*record
+	for sent := range cfg.Sends {
+		for i := range r.order {
+			key := r.order[(r.next+i)%len(r.order)]
+			rec := r.byKey[key]
+			if rec == nil || rec.sent != sent || rec.newsOf == 0 || string(rec.entry) == without {
+				continue
+			}
+			if out.add(cfg, key, rec) {
+				picked = append(picked, rec)
+			}
+		}
+	}
+	for _, rec := range picked {
+		rec.sent++
+		rec.full = rec.full && rec.sent < cfg.Sends
+	}
+	if len(r.order) > 0 {
+		r.next = (r.next + len(r.order)/3 + 1) % len(r.order)
+	}
+	return out
+}
+
+// add takes a member's news into the batch unless it is full.
+func (b *batch) add(cfg *Config, key Key, rec *record) bool {
+	switch {
+	case rec.entry != "" && len(b.entries) < cfg.EntryDigests:
+		b.entries = append(b.entries, rec.entry)
+	case rec.target != "" && len(b.targets) < cfg.LoadDigests:
+		b.targets = append(b.targets, rec.target)
+	default:
+		return false
+	}
+	b.fullOf[key] = rec.full
+	return true
+}
+
+// sameKind reports whether nothing but the load differs.
+func sameKind(a, b *member.TargetReport) bool {
+	return a.State == b.State && a.Incarnation == b.Incarnation && a.Model == b.Model && a.Version == b.Version &&
+		a.Role == b.Role && a.Address == b.Address && a.Slots == b.Slots && len(a.Adapters) == len(b.Adapters)
+}
--- /dev/null
+++ b/internal/protocol/peer/exchange.go
@@ -0,0 +1,249 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/spread"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Units of the fields of digests.
+const (
+	ageUnit     = 100 * time.Millisecond
+	paceUnit    = 100 * time.Microsecond
+	prefillUnit = 64
+)
+
+// FromSender returns the stamp of a message.
+func FromSender(s spread.Sender) *peerpb.Stamp {
+	return &peerpb.Stamp{Sender: s.Name, ConfigRevision: int64(s.Revision), Incarnation: int64(s.Incarnation)}
+}
+
+// ToSender returns the sender in m.
+func ToSender(m *peerpb.Stamp) spread.Sender {
+	return spread.Sender{
+		Name:        m.GetSender(),
+		Revision:    id.Revision(m.GetConfigRevision()),
+		Incarnation: id.Incarnation(m.GetIncarnation()),
+	}
+}
+
+// FromNews returns the request for n as it is sent at now.
+func FromNews(n *spread.News, now time.Time) (*peerpb.ExchangeRequest, error) {
+	changes, err := fromChanges(n.Changes)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.ExchangeRequest{
+		Stamp:        FromSender(n.From),
+		Self:         fromSelf(n.Self, now),
+		Loads:        fromLoads(n.Loads, now),
+		Entries:      fromEntries(n.Entries, now),
+		LoadDigests:  fromLoadDigests(n.LoadDigests, now),
+		EntryDigests: fromEntryDigests(n.EntryDigests, n.From.Revision, now),
+		Quarantines:  fromQuarantines(n.Quarantines, now),
+		Changes:      changes,
+		Wants:        fromKeys(n.Wants),
+		WantConfig:   n.WantConfig,
+		WantMembers:  uint32(n.WantMembers),
+		WantEntries:  n.WantEntries,
+	}, nil
+}
+
+// ToNews returns the news in a request that was received at now, checked.
+func ToNews(m *peerpb.ExchangeRequest, now time.Time) (*spread.News, error) {
+	n := &spread.News{
+		From:        ToSender(m.GetStamp()),
+		Quarantines: toQuarantines(m.GetQuarantines(), now),
+		Wants:       toKeys(m.GetWants()),
+		WantConfig:  m.GetWantConfig(),
+		WantMembers: int(m.GetWantMembers()),
+		WantEntries: m.GetWantEntries(),
+	}
+	err := toMembers(n, m, now)
+	return n, err
+}
+
+// FromReply returns the reply for n as it is sent at now.
+func FromReply(n *spread.News, now time.Time) (*peerpb.ExchangeReply, error) {
+	changes, err := fromChanges(n.Changes)
+	if err != nil {
+		return nil, err
+	}
+	m := &peerpb.ExchangeReply{
+		Stamp:        FromSender(n.From),
+		Self:         fromSelf(n.Self, now),
+		Loads:        fromLoads(n.Loads, now),
+		Entries:      fromEntries(n.Entries, now),
+		LoadDigests:  fromLoadDigests(n.LoadDigests, now),
+		EntryDigests: fromEntryDigests(n.EntryDigests, n.From.Revision, now),
+		Quarantines:  fromQuarantines(n.Quarantines, now),
+		Changes:      changes,
+		Wants:        fromKeys(n.Wants),
+		MoreMembers:  uint32(n.MoreMembers),
+		HostLeaving:  n.HostLeaving,
+	}
+	if n.Snapshot != nil {
+		if m.Snapshot, err = json.Marshal(n.Snapshot); err != nil {
+			return nil, fault.Wrap("peer.FromReply", Invalid, err)
+		}
+	}
+	return m, nil
+}
+
+// ToReply returns the news in a reply, checked. Sent is when the request was
+// sent, so that the time of the answer counts as age.
+func ToReply(m *peerpb.ExchangeReply, sent time.Time) (*spread.News, error) {
+	n := &spread.News{
+		From:        ToSender(m.GetStamp()),
+		Quarantines: toQuarantines(m.GetQuarantines(), sent),
+		Wants:       toKeys(m.GetWants()),
+		MoreMembers: int(m.GetMoreMembers()),
+		HostLeaving: m.GetHostLeaving(),
+	}
+	if len(m.GetSnapshot()) > 0 {
+		snapshot, err := conf.Decode(m.GetSnapshot())
+		if err != nil {
+			return nil, fault.Wrap("peer.ToReply", Invalid, err)
+		}
+		n.Snapshot = snapshot
+	}
+	err := toMembers(n, m, sent)
+	return n, err
+}
+
+// memberNews is what requests and replies have in common.
+type memberNews interface {
+	GetSelf() *peerpb.EntryReport
+	GetLoads() []*peerpb.Load
+	GetEntries() []*peerpb.EntryReport
+	GetLoadDigests() *peerpb.LoadDigests
+	GetEntryDigests() *peerpb.EntryDigests
+	GetChanges() []*peerpb.Change
+}
+
+func toMembers(n *spread.News, m memberNews, now time.Time) error {
+	if m.GetSelf() != nil {
+		self, err := ToEntry(m.GetSelf(), now)
+		if err != nil {
+			return fault.Wrap("peer.toMembers", Invalid, err)
+		}
+		n.Self = self
+	}
+	for _, load := range m.GetLoads() {
+		r, err := ToLoad(load, now)
+		if err != nil {
+			return fault.Wrap("peer.toMembers", Invalid, err)
+		}
+		n.Loads = append(n.Loads, *r)
+	}
+	for _, entry := range m.GetEntries() {
+		r, err := ToEntry(entry, now)
+		if err != nil {
+			return fault.Wrap("peer.toMembers", Invalid, err)
+		}
+		n.Entries = append(n.Entries, *r)
+	}
+	var err error
+	if n.LoadDigests, err = toLoadDigests(m.GetLoadDigests(), now); err != nil {
+		return err
+	}
+	if n.EntryDigests, err = toEntryDigests(m.GetEntryDigests(), n.From.Revision, now); err != nil {
+		return err
+	}
+	n.Changes, err = toChanges(m.GetChanges())
+	return err
+}
+
+func fromSelf(r *member.EntryReport, now time.Time) *peerpb.EntryReport {
+	if r == nil {
+		return nil
+	}
+	return FromEntry(r, now)
+}
+
+func fromLoads(reports []member.TargetReport, now time.Time) []*peerpb.Load {
+	out := make([]*peerpb.Load, len(reports))
+	for i := range reports {
+		out[i] = FromLoad(&reports[i], now)
+	}
+	return out
+}
+
+func fromEntries(reports []member.EntryReport, now time.Time) []*peerpb.EntryReport {
+	out := make([]*peerpb.EntryReport, len(reports))
+	for i := range reports {
+		out[i] = FromEntry(&reports[i], now)
+	}
+	return out
+}
+
+func fromChanges(changes []conf.Change) ([]*peerpb.Change, error) {
+	out := make([]*peerpb.Change, len(changes))
+	for i := range changes {
+		data, err := json.Marshal(&changes[i])
+		if err != nil {
+			return nil, fault.Wrap("peer.fromChanges", Invalid, err)
+		}
+		out[i] = &peerpb.Change{Revision: int64(changes[i].Revision), Json: data}
+	}
+	return out, nil
+}
+
+func toChanges(m []*peerpb.Change) ([]conf.Change, error) {
+	out := make([]conf.Change, len(m))
+	for i, c := range m {
+		if err := json.Unmarshal(c.GetJson(), &out[i]); err != nil {
+			return nil, fault.Wrap("peer.toChanges", Invalid, err)
+		}
+		if out[i].Revision != id.Revision(c.GetRevision()) {
+			return nil, fault.New("peer.toChanges", Invalid, "change says revision %d in a message of %d", out[i].Revision, c.GetRevision())
+		}
+	}
+	return out, nil
+}
+
+func fromQuarantines(list []spread.Quarantine, now time.Time) []*peerpb.Quarantine {
+	out := make([]*peerpb.Quarantine, len(list))
+	for i, q := range list {
+		deaths := make([]string, len(q.Deaths))
+		for j, d := range q.Deaths {
+			deaths[j] = string(d)
+		}
+		out[i] = &peerpb.Quarantine{Fingerprint: uint64(q.Fingerprint), RemainingMs: age(now, q.Until), Deaths: deaths}
+	}
+	return out
+}
+
+func toQuarantines(m []*peerpb.Quarantine, now time.Time) []spread.Quarantine {
+	out := make([]spread.Quarantine, len(m))
+	for i, q := range m {
+		out[i].Fingerprint = id.Fingerprint(q.GetFingerprint())
+		out[i].Until = now.Add(time.Duration(q.GetRemainingMs()) * time.Millisecond)
+		for _, d := range q.GetDeaths() {
+			out[i].Deaths = append(out[i].Deaths, id.Target(d))
+		}
+	}
+	return out
+}
+
+func fromKeys(keys []spread.Key) []uint64 {
+	out := make([]uint64, len(keys))
+	for i, k := range keys {
+		out[i] = uint64(k)
+	}
+	return out
+}
+
+func toKeys(m []uint64) []spread.Key {
+	out := make([]spread.Key, len(m))
+	for i, k := range m {
+		out[i] = spread.Key(k)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/protocol/peer/share.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/limit"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// FromAsk returns the message for a.
+func FromAsk(a *limit.Ask) *peerpb.ShareAsk {
+	return &peerpb.ShareAsk{
+		Contract:              string(a.Contract),
+		RequestsPerSecond:     a.RequestsPerSecond,
+		TokensPerSecond:       a.TokensPerSecond,
+		Running:               uint32(a.Running),
+		Requests:              uint32(a.Requests),
+		Tokens:                a.Tokens,
+		Slots:                 uint32(a.Slots),
+		TokensBack:            a.TokensBack,
+		RequestsBack:          a.RequestsBack,
+		HeldRequestsPerSecond: a.HeldRequestsPerSecond,
+		HeldTokensPerSecond:   a.HeldTokensPerSecond,
+	}
+}
+
+// ToAsk returns the ask in m.
+func ToAsk(m *peerpb.ShareAsk) limit.Ask {
+	return limit.Ask{
+		Contract:              id.Contract(m.GetContract()),
+		RequestsPerSecond:     m.GetRequestsPerSecond(),
+		TokensPerSecond:       m.GetTokensPerSecond(),
+		Running:               int(m.GetRunning()),
+		Requests:              int(m.GetRequests()),
+		Tokens:                m.GetTokens(),
+		Slots:                 int(m.GetSlots()),
+		TokensBack:            m.GetTokensBack(),
+		RequestsBack:          m.GetRequestsBack(),
+		HeldRequestsPerSecond: m.GetHeldRequestsPerSecond(),
+		HeldTokensPerSecond:   m.GetHeldTokensPerSecond(),
+	}
+}
+
+// FromGrant returns the message for g.
+func FromGrant(g *limit.Grant) *peerpb.ShareGrant {
+	return &peerpb.ShareGrant{
+		Contract:          string(g.Contract),
+		RequestsPerSecond: g.RequestsPerSecond,
+		TokensPerSecond:   g.TokensPerSecond,
+		Concurrency:       uint32(g.Slots),
+		LastsMs:           g.Lasts.Milliseconds(),
+		Requests:          uint32(g.Requests),
+		Tokens:            g.Tokens,
+		AskAfterMs:        g.AskAfter.Milliseconds(),
+		Refused:           string(g.Refused),
+		RetryAfterMs:      g.RetryAfter.Milliseconds(),
+		NextAfterMs:       g.NextAfter.Milliseconds(),
+		Contended:         g.Contended,
+		Tight:             g.Tight,
+		TokensBack:        g.TokensBack,
+	}
+}
+
+// ToGrant returns the grant in m.
+func ToGrant(m *peerpb.ShareGrant) limit.Grant {
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	return limit.Grant{
+		Contract:          id.Contract(m.GetContract()),
+		RequestsPerSecond: m.GetRequestsPerSecond(),
+		TokensPerSecond:   m.GetTokensPerSecond(),
+		Slots:             int(m.GetConcurrency()),
+		Lasts:             ms(m.GetLastsMs()),
+		Requests:          int(m.GetRequests()),
+		Tokens:            m.GetTokens(),
+		AskAfter:          ms(m.GetAskAfterMs()),
+		Refused:           limit.Limit(m.GetRefused()),
+		RetryAfter:        ms(m.GetRetryAfterMs()),
+		NextAfter:         ms(m.GetNextAfterMs()),
+		Contended:         m.GetContended(),
+		Tight:             m.GetTight(),
+		TokensBack:        m.GetTokensBack(),
+	}
+}
