--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -100,7 +100,7 @@
 	DefaultHeadroomShare = 0.1
 	DefaultZoneDelay     = 2 * time.Millisecond
 	DefaultRegionDelay   = 40 * time.Millisecond
-	DefaultAgeScale      = 2 * time.Second
+	DefaultAgeScale      = 10 * time.Second
 	DefaultAside         = 2 * time.Second
 	DefaultAsideMax      = time.Minute
 	DefaultSlowFactor    = 3.0
