--- a/cmd/foxtailward/contract.go
+++ b/cmd/foxtailward/contract.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,12 +31,12 @@
 contract since it was read, nothing is changed, the differences are shown, and
 the exit code is 4.`
 
-func newContract(o *operator) *cobra.Command {
+func newContract(o *cli) *cobra.Command {
 	return group("contract", "Write and read contracts", usageContract,
 		newContractPut(o), newContractGet(o), newContractList(o), newContractDelete(o), newContractKey(o))
 }
 
-func newContractPut(o *operator) *cobra.Command {
+func newContractPut(o *cli) *cobra.Command {
 	var f putFlags
 	cmd := &cobra.Command{
 		Use:   "put FILE",
@@ -64,7 +65,7 @@
 	return cmd
 }
 
-func newContractDelete(o *operator) *cobra.Command {
+func newContractDelete(o *cli) *cobra.Command {
 	var f putFlags
 	cmd := &cobra.Command{
 		Use:   "delete NAME",
@@ -80,31 +81,27 @@
 	return cmd
 }
 
-func newContractGet(o *operator) *cobra.Command {
+func newContractGet(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "get NAME",
 		Short: "Print a contract as the file to edit",
 		Args:  args(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			change, err := repository.Get(ctx, conf.ContractObject, id.Contract(args[0]))
-			if err != nil {
-				return err
-			}
-			c, err := contractOf(change)
-			if err != nil {
-				return err
-			}
-			file, err := conffile.EncodeContract(c, change.Revision)
-			if err != nil {
-				return err
-			}
-			return o.print(cmd.OutOrStdout(), change, func(w io.Writer) { fmt.Fprint(w, string(file)) })
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				change, err := repository.Get(ctx, conf.ContractObject, id.Contract(args[0]))
+				if err != nil {
+					return err
+				}
+				c, err := contractOf(change)
+				if err != nil {
+					return err
+				}
+				file, err := conffile.EncodeContract(c, change.Revision)
+				if err != nil {
+					return err
+				}
+				return o.print(cmd.OutOrStdout(), change, func(w io.Writer) { fmt.Fprint(w, string(file)) })
+			})
 		},
 	}
 }
@@ -124,31 +121,27 @@
 	Contract contract.Contract `json:"contract"`
 }
 
-func newContractList(o *operator) *cobra.Command {
+func newContractList(o *cli) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
 		Short: "List the contracts",
 		Args:  args(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			repository, err := o.repository()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := o.deadline(cmd)
-			defer cancel()
-			changes, err := repository.Contracts(ctx)
-			if err != nil {
-				return err
-			}
-			rows := make([]contractRow, 0, len(changes))
-			for i := range changes {
-				c, err := contractOf(&changes[i])
+			return o.withStore(cmd, func(ctx context.Context, repository *confstore.Repository) error {
+				changes, err := repository.Contracts(ctx)
 				if err != nil {
 					return err
 				}
-				rows = append(rows, contractRow{Name: c.Name, Revision: changes[i].Revision, Contract: *c})
-			}
-			return o.print(cmd.OutOrStdout(), rows, contractTable(rows))
+				rows := make([]contractRow, 0, len(changes))
+				for i := range changes {
+					c, err := contractOf(&changes[i])
+					if err != nil {
+						return err
+					}
+					rows = append(rows, contractRow{Name: c.Name, Revision: changes[i].Revision, Contract: *c})
+				}
+				return o.print(cmd.OutOrStdout(), rows, contractTable(rows))
+			})
 		},
 	}
 }
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -62,6 +62,13 @@
 	defaultWindow         = 3 * time.Second
 	// maxDeaths bounds what a List keeps; the oldest go first.
 	maxDeaths = 1024
+	// sameDeath is the time within which news of a target's death are about one
+	// death. Entries see it at different times; an engine that dies again in
+	// the same incarnation of its target process has to start first.
+	sameDeath = 10 * time.Second
+	// sameTime is how far apart two nodes' times of a death may be before it is
+	// news.
+	sameTime = time.Second
 	// correlatedDeaths is how many other deaths of a zone within the window
 	// make a death part of a larger loss, whatever ran there.
 	correlatedDeaths = 2
@@ -74,7 +81,8 @@
 	c.Window = cmp.Or(c.Window, defaultWindow)
 }
 
-// DeathID names one death: a target dies once in each incarnation.
+// DeathID says whose death it was. The incarnation is the target process's;
+// its engine may die several times in it.
 type DeathID struct {
 	Target      id.Target
 	Incarnation id.Incarnation
@@ -99,12 +107,16 @@
 	at    time.Time
 	// suspects maps what ran there to whether it was cleared since.
 	suspects map[id.Fingerprint]bool
+	// version is the list's version when this last changed.
+	version uint64
 }
 
 // List is what one process knows of deaths and suspects.
 type List struct {
 	cfg    Config
-	deaths map[DeathID]*death
+	deaths []*death
+	// version rises with each change that others need to know.
+	version uint64
 	// alone holds the suspects that run here and must run one at a time.
 	alone map[id.Fingerprint]bool
 }
@@ -112,7 +124,7 @@
 // New returns an empty List.
 func New(cfg Config) *List {
 	cfg.Defaults()
-	return &List{cfg: cfg, deaths: map[DeathID]*death{}, alone: map[id.Fingerprint]bool{}}
+	return &List{cfg: cfg, alone: map[id.Fingerprint]bool{}}
 }
 
 // Configure puts another configuration in force.
@@ -125,24 +137,45 @@
 func (l *List) Died(d Death) {
 	kept := l.death(d.DeathID, d.Place, d.At)
 	for _, f := range d.Running {
-		if _, known := kept.suspects[f]; !known {
-			kept.suspects[f] = false
-		}
+		l.suspect(kept, f, false)
+	}
+}
+
+// suspect notes that f ran at a death, and whether it was cleared.
+func (l *List) suspect(d *death, f id.Fingerprint, cleared bool) {
+	before, known := d.suspects[f]
+	if known && (before || !cleared) {
+		return
 	}
+	d.suspects[f] = cleared
+	l.touch(d)
+}
+
+// touch notes that a death has news for others.
+func (l *List) touch(d *death) {
+	l.version++
+	d.version = l.version
 }
 
 // death returns the entry for a death. Of two times the earlier one counts,
 // since news only ever arrives later.
 func (l *List) death(who DeathID, place member.Place, at time.Time) *death {
-	d := l.deaths[who]
-	if d == nil {
-		l.bound()
-		d = &death{DeathID: who, place: place, at: at, suspects: map[id.Fingerprint]bool{}}
-		l.deaths[who] = d
-	}
-	if at.Before(d.at) {
-		d.at = at
+	for _, d := range l.deaths {
+		if d.DeathID != who || at.Sub(d.at).Abs() > sameDeath {
+			continue
+		}
+		if d.at.Sub(at) > sameTime {
+			l.touch(d)
+		}
+		if at.Before(d.at) {
+			d.at = at
+		}
+		return d
 	}
+	l.bound()
+	d := &death{DeathID: who, place: place, at: at, suspects: map[id.Fingerprint]bool{}}
+	l.deaths = append(l.deaths, d)
+	l.touch(d)
 	return d
 }
 
@@ -151,7 +184,7 @@
 func (l *List) Finished(f id.Fingerprint) {
 	for _, d := range l.deaths {
 		if _, ran := d.suspects[f]; ran {
-			d.suspects[f] = true
+			l.suspect(d, f, true)
 		}
 	}
 }
@@ -212,21 +245,36 @@
 // against it. So does one in its zone at the same time, unless the two share a
 // suspect, which may have killed both; a third death does in any case.
 func (l *List) isolated(d *death) bool {
-	near := 0
+	near := l.near(d)
+	if len(near) >= correlatedDeaths {
+		return false
+	}
+	for _, other := range near {
+		sameHost := d.place.Host != "" && other.place.Host == d.place.Host
+		if sameHost || !shareSuspect(d, other) {
+			return false
+		}
+	}
+	return true
+}
+
+// near returns other targets' deaths in the zone of d at its time, up to as
+// many as make a larger loss.
+func (l *List) near(d *death) []*death {
+	var found []*death
 	for _, other := range l.deaths {
 		if other.Target == d.Target || other.place.Zone != d.place.Zone {
 			continue
 		}
-		if apart := other.at.Sub(d.at).Abs(); apart > l.cfg.Window {
+		if other.at.Sub(d.at).Abs() > l.cfg.Window {
 			continue
 		}
-		sameHost := d.place.Host != "" && other.place.Host == d.place.Host
-		if sameHost || !shareSuspect(d, other) {
-			return false
+		found = append(found, other)
+		if len(found) == correlatedDeaths {
+			break
 		}
-		near++
 	}
-	return near < correlatedDeaths
+	return found
 }
 
 func shareSuspect(a, b *death) bool {
@@ -272,11 +320,9 @@
 
 // Expire forgets deaths that no longer matter at now.
 func (l *List) Expire(now time.Time) {
-	for who, d := range l.deaths {
-		if now.Sub(d.at) > 2*l.cfg.QuarantineTime {
-			delete(l.deaths, who)
-		}
-	}
+	l.deaths = slices.DeleteFunc(l.deaths, func(d *death) bool {
+		return now.Sub(d.at) > 2*l.cfg.QuarantineTime
+	})
 }
 
 // bound makes room for one more death.
@@ -284,11 +330,11 @@
 	if len(l.deaths) < maxDeaths {
 		return
 	}
-	var oldest *death
-	for _, d := range l.deaths {
-		if oldest == nil || d.at.Before(oldest.at) {
-			oldest = d
+	oldest := 0
+	for i, d := range l.deaths {
+		if d.at.Before(l.deaths[oldest].at) {
+			oldest = i
 		}
 	}
-	delete(l.deaths, oldest.DeathID)
+	l.deaths = slices.Delete(l.deaths, oldest, oldest+1)
 }
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -42,6 +42,8 @@
 const (
 	// Address means that the process can't listen.
 	Address Kind = "address"
+	// Unknown means that something can't be known now.
+	Unknown Kind = "unknown"
 	// WorkCut means that work was cut by a forced stop.
 	WorkCut Kind = "workCut"
 )
@@ -64,7 +66,8 @@
 	// Snapshot returns the configuration in force; nil means the defaults.
 	Snapshot func() *conf.Snapshot
 	// MinFence returns the lowest fencing number that a leader may hold now,
-	// from the key-value service; nil means that it can't be known.
+	// read from the key-value service. It is asked for each order beside an
+	// engine that checks no numbers; nil refuses all of them.
 	MinFence func(ctx context.Context) (id.Fence, error)
 	// Swap serves Exchange.Swap; nil answers with the process's own load.
 	Swap func(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
@@ -137,8 +140,9 @@
 // Address returns where other processes reach this one, once it listens.
 func (p *Process) Address() string { return p.reporter.address() }
 
-// Incarnation returns the number of this start.
-func (p *Process) Incarnation() id.Incarnation { return p.reporter.incarnation }
+// Incarnation returns the number of this start. Beside a plain service it
+// rises when the ledger of calls is full.
+func (p *Process) Incarnation() id.Incarnation { return p.reporter.served().Incarnation }
 
 // Report returns what the process says of its target now.
 func (p *Process) Report() *member.TargetReport { return p.reporter.report() }
@@ -228,6 +232,6 @@
 	return &peerpb.Stamp{
 		Sender:         string(p.settings.Name),
 		ConfigRevision: int64(p.deps.Snapshot().Revision),
-		Incarnation:    int64(p.reporter.incarnation),
+		Incarnation:    int64(p.Incarnation()),
 	}
 }
