--- a/internal/protocol/peer/call.go
+++ b/internal/protocol/peer/call.go
@@ -76,8 +76,8 @@
 	return h
 }
 
-// FromReply returns the message for a service's answer.
-func FromReply(r *answer.Reply) *peerpb.CallReply {
+// FromCallReply returns the message for a service's answer.
+func FromCallReply(r *answer.Reply) *peerpb.CallReply {
 	return &peerpb.CallReply{
 		Outcome: OutcomeDone,
 		Status:  int32(r.Status),
@@ -86,7 +86,7 @@
 	}
 }
 
-// ToReply returns the service's answer in m.
-func ToReply(r id.Request, m *peerpb.CallReply) *answer.Reply {
+// ToCallReply returns the service's answer in m.
+func ToCallReply(r id.Request, m *peerpb.CallReply) *answer.Reply {
 	return &answer.Reply{Request: r, Status: int(m.GetStatus()), Header: ToHeader(m.GetHeaders()), Body: m.GetBody()}
 }
--- a/internal/transport/peer/calls.go
+++ b/internal/transport/peer/calls.go
@@ -33,7 +33,7 @@
 	}
 	switch reply.GetOutcome() {
 	case peer.OutcomeDone:
-		return peer.ToReply(r, reply), nil
+		return peer.ToCallReply(r, reply), nil
 	case peer.OutcomeNotRun:
 		return nil, fault.New("Calls.Call", request.Busy, "%s", reply.GetDetail())
 	default:
@@ -95,7 +95,7 @@
 	if refused := reply.GetRefused(); refused != nil {
 		return nil, toRefusal(refused)
 	}
-	return peer.ToReply(id.Request(reply.GetRequest()), reply), nil
+	return peer.ToCallReply(id.Request(reply.GetRequest()), reply), nil
 }
 
 // ReplyOf returns the message for the outcome of a call that was passed on. A
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := peer.FromReply(reply)
+	m := peer.FromCallReply(reply)
 	m.Request = string(reply.Request)
 	return m, nil
 }
--- a/internal/transport/target/server.go
+++ b/internal/transport/target/server.go
@@ -102,7 +102,7 @@
 func (s *server) reply(word call.Word) *peerpb.CallReply {
 	reply := &peerpb.CallReply{}
 	if word.Reply != nil {
-		reply = peer.FromReply(word.Reply)
+		reply = peer.FromCallReply(word.Reply)
 	}
 	reply.Stamp, reply.Load = s.p.stamp(), s.p.reporter.load()
 	reply.Outcome, reply.Detail = string(word.Outcome), word.Detail
