Keep a closed stand-in closed

Cause: the race run of internal/standin/store failed once under load, with a listener left over: the end of a timed outage started the server again after its Close. TestFaultCommands could also end before its outage had begun.

Change: Start fails once the server is closed, and Close may be called again. The test sees the outage before it waits for its end.

Conclusion: a stopped or closed stand-in takes no connection.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,8 @@
 	mu       sync.Mutex
 	http     *http.Server
 	listener net.Listener
+	stopped  *atomic.Bool
+	closed   bool
 	serving  sync.WaitGroup
 }
 
@@ -69,10 +72,14 @@
 // URL returns the base URL.
 func (s *Server) URL() string { return "http://" + s.address }
 
-// Start listens again; it does nothing while the server listens.
+// Start listens again; it does nothing while the server listens, and fails once
+// it is closed.
 func (s *Server) Start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return fault.New("Server.Start", Unreachable, "the server is closed")
+	}
 	if s.http != nil {
 		return nil
 	}
@@ -80,12 +87,20 @@
 	if err != nil {
 		return fault.Wrap("Server.Start", Unreachable, err)
 	}
+	stopped := &atomic.Bool{}
 	server := &http.Server{
 		Handler:           s.handler,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
+		// A connection that was accepted while the server stopped is one that
+		// its Close may have missed.
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateNew && stopped.Load() {
+				_ = c.Close()
+			}
+		},
 	}
-	s.http, s.listener = server, listener
+	s.http, s.listener, s.stopped = server, listener, stopped
 	s.serving.Go(func() { _ = server.Serve(listener) })
 	return nil
 }
@@ -94,20 +109,32 @@
 func (s *Server) Stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stop()
+}
+
+func (s *Server) stop() {
 	if s.http != nil {
 		// The listener is closed apart, as the server does not know it until its
 		// goroutine runs. Both are closed whatever the calls return.
+		s.stopped.Store(true)
 		_ = s.listener.Close()
 		_ = s.http.Close()
 		s.http = nil
 	}
 }
 
-// Close stops the server and lets go of the address.
+// Close stops the server for good and lets go of the address. It may be called
+// more than once.
 func (s *Server) Close() {
-	s.Stop()
+	s.mu.Lock()
+	first := !s.closed
+	s.stop()
+	s.closed = true
+	s.mu.Unlock()
 	s.serving.Wait()
-	_ = syscall.Close(s.hold)
+	if first {
+		_ = syscall.Close(s.hold)
+	}
 }
 
 // holdAddress binds a socket to addr without listening. Listeners may bind to
--- a/internal/standin/server/server_test.go
+++ b/internal/standin/server/server_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -43,7 +44,38 @@
 	is := is.New(t)
 	s, err := server.New("127.0.0.1:0", http.NotFoundHandler())
 	is.NoErr(err)
-	defer s.Close()
 	_, err = server.New(s.Address(), http.NotFoundHandler())
 	is.True(fault.Is(err, server.Unreachable))
+	s.Close()
+	s.Close()
+	is.True(fault.Is(s.Start(), server.Unreachable)) // a closed server stays closed
+}
+
+// TestStopWhileConnecting stops the server while connections come in: none may
+// be left that the stopped server still serves.
+func TestStopWhileConnecting(t *testing.T) {
+	is := is.New(t)
+	s, err := server.New("127.0.0.1:0", http.NotFoundHandler())
+	is.NoErr(err)
+	defer s.Close()
+	for range 50 {
+		var clients sync.WaitGroup
+		conns := make(chan net.Conn, 4)
+		for range cap(conns) {
+			clients.Go(func() {
+				if c, err := net.Dial("tcp", s.Address()); err == nil {
+					conns <- c
+				}
+			})
+		}
+		s.Stop()
+		clients.Wait()
+		close(conns)
+		for c := range conns {
+			_, err := c.Read(make([]byte, 1))
+			is.True(err != nil) // cut, and not waiting for a request
+			is.NoErr(c.Close())
+		}
+		is.NoErr(s.Start())
+	}
 }
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -191,13 +191,19 @@
 		is.Equal(send(store.Command{Kind: kind}), http.StatusNoContent)
 	}
 	is.Equal(send(store.Command{Kind: "explode"}), http.StatusBadRequest)
-	is.Equal(send(store.Command{Kind: "outage", Millis: 50}), http.StatusNoContent)
-	for {
+	is.Equal(send(store.Command{Kind: "outage", Millis: 300}), http.StatusNoContent)
+	up := func() bool {
 		resp, err := http.Get(server.URL() + "/stats")
-		if err == nil {
-			is.NoErr(resp.Body.Close())
-			break // the outage ends by itself
+		if err != nil {
+			return false
 		}
+		is.NoErr(resp.Body.Close())
+		return true
+	}
+	for up() {
+		time.Sleep(time.Millisecond)
+	}
+	for !up() { // the outage ends by itself
 		time.Sleep(time.Millisecond)
 	}
 }
