Count an answer that ended in the first read of the kill test

Cause: TestHundredKills counted 97 of 100 on a busy machine: an event holds up to 16 tokens, so 30 events can be the whole answer, and the second read then saw no end. Ruled out: a lost token, since every text that ended was exact. Change: an end in the first read counts. Conclusion: the test's fault; the check is as strict.

--- a/internal/standin/deployment/failure_test.go
+++ b/internal/standin/deployment/failure_test.go
@@ -118,12 +118,14 @@
 		c := &caller{url: d.Entries[i%2].URL(), prompt: fmt.Sprintf("truck %d", i), tokens: tokens}
 		body, err := c.open(t.Context(), false)
 		is.NoErr(err)
-		_, err = c.read(1 + rng.IntN(tokens/2))
+		done, err := c.read(1 + rng.IntN(tokens/2))
 		is.NoErr(err)
 		killed := carrier(d)
 		killed.Stand.Engine.Die()
-		done, err := c.read(all)
-		is.NoErr(err)
+		if !done {
+			done, err = c.read(all)
+			is.NoErr(err)
+		}
 		body.Close()
 		if done && c.text.String() == expect(c.prompt, tokens) {
 			exact++
