Learn many missed changes at once, and slow heartbeats with size

Cause: a target 600 changes behind took one part a second; islands around seeds hid that the budget of digests was below the news of a large deployment.

--- a/internal/coordination/member/judge.go
+++ b/internal/coordination/member/judge.go
@@ -22,11 +22,12 @@
 	} else if state != Gone {
 		t.goneAt = time.Time{}
 	}
-	t.show()
+	t.fill()
+	v.show(t, state != Gone)
 }
 
-// show puts t into its slot when the slot holds an older judgement.
-func (t *targetRecord) show() {
+// fill puts t into its slot when the slot holds an older judgement.
+func (t *targetRecord) fill() {
 	held := t.slot.Load()
 	if held != nil && held.State == t.now.State && held.Suspicion == t.now.Suspicion &&
 		held.Report.Incarnation == t.now.Report.Incarnation && held.Report.Sequence == t.now.Report.Sequence {
@@ -113,7 +114,7 @@
 	if state != e.now.State || suspicion != e.now.Suspicion {
 		v.noteEntry(e, state, suspicion, now)
 		e.now.State, e.now.Suspicion, e.now.Since = state, suspicion, now
-		v.dirty = true
+		v.dirty, v.dirtyEntries = true, true
 	}
 	if state == Gone && e.goneAt.IsZero() {
 		e.goneAt = now
--- a/internal/coordination/member/snapshot.go
+++ b/internal/coordination/member/snapshot.go
@@ -56,6 +56,7 @@
 
 // Slot holds the newest Target of one name. Reading it takes no lock.
 type Slot struct {
+	name   id.Target
 	target atomic.Pointer[Target]
 }
 
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -20,19 +20,26 @@
 	mu           sync.Mutex
 	targets      map[id.Target]*targetRecord
 	entries      map[id.Entry]*entryRecord
+	entryOrder   []*entryRecord
 	zones        map[id.Zone]*zoneState
 	changes      []Change
 	hostsAt      time.Time
 	leavingHosts map[id.Host]bool
+	// dirty says that a state or place has changed, dirtyEntries an entry's.
 	dirty        bool
+	dirtyEntries bool
+	// shown are the slots of the snapshot, by name; it is copied to be changed.
+	shown []*Slot
 
 	snapshot atomic.Pointer[Snapshot]
 }
 
 // targetRecord is the changing state behind a slot.
 type targetRecord struct {
-	slot Slot
+	slot *Slot
 	now  Target
+	// shown says that the snapshot has the slot.
+	shown bool
 	// evidence is when a connection was last refused or cut.
 	evidence time.Time
 	// left says that this incarnation said it leaves; it stays so.
@@ -45,6 +52,7 @@
 }
 
 type entryRecord struct {
+	name     id.Entry
 	now      Entry
 	evidence time.Time
 	left     bool
@@ -89,7 +97,7 @@
 	defer v.mu.Unlock()
 	t := v.targets[report.Target]
 	if t == nil {
-		t = &targetRecord{}
+		t = &targetRecord{slot: &Slot{name: report.Target}}
 		t.now.State = Joining
 		t.now.Since = now
 		v.targets[report.Target] = t
@@ -140,10 +148,11 @@
 	defer v.mu.Unlock()
 	e := v.entries[report.Entry]
 	if e == nil {
-		e = &entryRecord{}
+		e = &entryRecord{name: report.Entry}
 		e.now.State = Joining
 		e.now.Since = now
 		v.entries[report.Entry] = e
+		v.entryOrder = slices.Insert(v.entryOrder, v.placeOf(e.name), e)
 	} else if !e.accepts(&report) {
 		return false
 	}
@@ -151,7 +160,9 @@
 		e.left = false
 	}
 	old := &e.now.Report
-	v.dirty = v.dirty || old.Address != report.Address || old.Revision != report.Revision || old.Place != report.Place
+	if old.Address != report.Address || old.Revision != report.Revision || old.Place != report.Place {
+		v.dirty, v.dirtyEntries = true, true
+	}
 	e.left = e.left || report.State == Leaving || report.State == Gone
 	e.now.Report = report
 	v.judgeEntry(e, now)
@@ -218,6 +229,8 @@
 		v.judgeEntry(e, now)
 		if e.now.State == Gone && now.Sub(e.goneAt) > v.cfg.ForgetAfter {
 			delete(v.entries, name)
+			at := v.placeOf(name)
+			v.entryOrder = slices.Delete(v.entryOrder, at, at+1)
 		}
 	}
 	v.judgeZones(now)
@@ -232,28 +245,55 @@
 	if !v.dirty {
 		return
 	}
-	v.dirty = false
-	next := &Snapshot{Version: v.snapshot.Load().Version + 1}
-	for _, t := range v.targets {
-		if t.now.State != Gone {
-			next.Targets = append(next.Targets, &t.slot)
-		}
-	}
-	slices.SortFunc(next.Targets, func(a, b *Slot) int {
-		return cmp.Compare(a.Load().Report.Target, b.Load().Report.Target)
-	})
-	for _, e := range v.entries {
-		if e.now.State != Gone {
-			next.Entries = append(next.Entries, e.now)
-		}
+	last := v.snapshot.Load()
+	next := &Snapshot{Version: last.Version + 1, Targets: v.shown, Entries: last.Entries}
+	if v.dirtyEntries {
+		next.Entries = v.sortedEntries()
 	}
-	slices.SortFunc(next.Entries, func(a, b Entry) int {
-		return cmp.Compare(a.Report.Entry, b.Report.Entry)
-	})
 	for _, zone := range slices.Sorted(maps.Keys(v.zones)) {
 		if v.zones[zone].lost {
 			next.LostZones = append(next.LostZones, zone)
 		}
 	}
+	v.dirty, v.dirtyEntries = false, false
 	v.snapshot.Store(next)
 }
+
+// show adds a target's slot to those of the snapshot, or takes it out.
+func (v *View) show(t *targetRecord, shown bool) {
+	if t.shown == shown {
+		return
+	}
+	t.shown = shown
+	at, _ := slices.BinarySearchFunc(v.shown, t.slot.name, func(s *Slot, name id.Target) int {
+		return cmp.Compare(s.name, name)
+	})
+	next := make([]*Slot, 0, len(v.shown)+1)
+	next = append(next, v.shown[:at]...)
+	if shown {
+		next = append(next, t.slot)
+	} else {
+		at++
+	}
+	v.shown = append(next, v.shown[at:]...)
+	v.dirty = true
+}
+
+// sortedEntries returns the entries of the next snapshot.
+func (v *View) sortedEntries() []Entry {
+	out := make([]Entry, 0, len(v.entryOrder))
+	for _, e := range v.entryOrder {
+		if e.now.State != Gone {
+			out = append(out, e.now)
+		}
+	}
+	return out
+}
+
+// placeOf returns where an entry is, or goes, in the order of names.
+func (v *View) placeOf(name id.Entry) int {
+	at, _ := slices.BinarySearchFunc(v.entryOrder, name, func(e *entryRecord, name id.Entry) int {
+		return cmp.Compare(e.name, name)
+	})
+	return at
+}
--- a/internal/coordination/spread/records.go
+++ b/internal/coordination/spread/records.go
@@ -9,8 +9,10 @@
 
 // record is what is known of how far the news of a member has been passed on.
 type record struct {
-	target id.Target
-	entry  id.Entry
+	key     Key
+	dropped bool
+	target  id.Target
+	entry   id.Entry
 	// sequence is that of the newest report, newsOf that of the one passed on.
 	sequence id.Sequence
 	newsOf   id.Sequence
@@ -23,7 +25,7 @@
 // records are the members that digests may name.
 type records struct {
 	byKey map[Key]*record
-	order []Key
+	order []*record
 	// next is where the next message goes on looking for news.
 	next    int
 	keys    map[string]Key
@@ -50,10 +52,10 @@
 	if old, ok := r.keys[name]; ok {
 		r.drop(old)
 	}
-	rec = &record{target: target, entry: entry}
+	rec = &record{key: key, target: target, entry: entry}
 	r.byKey[key] = rec
 	r.keys[name] = key
-	r.order = append(r.order, key)
+	r.order = append(r.order, rec)
 	r.count(rec, 1)
 	return rec
 }
@@ -70,6 +72,7 @@
 func (r *records) drop(key Key) {
 	if rec := r.byKey[key]; rec != nil {
 		r.count(rec, -1)
+		rec.dropped = true
 		delete(r.byKey, key)
 	}
 }
@@ -80,11 +83,12 @@
 		return
 	}
 	keep := r.order[:0]
-	for _, key := range r.order {
-		if r.byKey[key] != nil {
-			keep = append(keep, key)
+	for _, rec := range r.order {
+		if !rec.dropped {
+			keep = append(keep, rec)
 		}
 	}
+	clear(r.order[len(keep):])
 	r.order = keep
 	r.next = 0
 }
@@ -114,12 +118,11 @@
 	var picked []*record
 	for sent := range cfg.Sends {
 		for i := range r.order {
-			key := r.order[(r.next+i)%len(r.order)]
-			rec := r.byKey[key]
-			if rec == nil || rec.sent != sent || rec.newsOf == 0 || string(rec.entry) == without {
+			rec := r.order[(r.next+i)%len(r.order)]
+			if rec.sent != sent || rec.dropped || rec.newsOf == 0 || string(rec.entry) == without {
 				continue
 			}
-			if out.add(cfg, key, rec) {
+			if out.add(cfg, rec) {
 				picked = append(picked, rec)
 			}
 		}
@@ -135,7 +138,7 @@
 }
 
 // add takes a member's news into the batch unless it is full.
-func (b *batch) add(cfg *Config, key Key, rec *record) bool {
+func (b *batch) add(cfg *Config, rec *record) bool {
 	switch {
 	case rec.entry != "" && len(b.entries) < cfg.EntryDigests:
 		b.entries = append(b.entries, rec.entry)
@@ -144,7 +147,7 @@
 	default:
 		return false
 	}
-	b.fullOf[key] = rec.full
+	b.fullOf[rec.key] = rec.full
 	return true
 }
 
--- a/internal/coordination/spread/spread.go
+++ b/internal/coordination/spread/spread.go
@@ -138,8 +138,8 @@
 	DefaultWatchers       = 2
 	DefaultUrgentPeers    = 3
 	DefaultSends          = 3
-	DefaultEntryDigests   = 20
-	DefaultLoadDigests    = 12
+	DefaultEntryDigests   = 16
+	DefaultLoadDigests    = 10
 	DefaultKeptChanges    = 512
 	DefaultReconnectEvery = 5 * time.Second
 	DefaultEntriesEvery   = 15 * time.Second
@@ -203,10 +203,10 @@
 // Intervals of heartbeats grow with the deployment, so that what a process
 // sends does not.
 const (
-	heartbeatPerEntry = 30 * time.Millisecond
-	heartbeatMax      = 10 * time.Second
-	loadNewsPerTarget = 40 * time.Millisecond
-	loadNewsMax       = 30 * time.Second
+	heartbeatPerEntry = 50 * time.Millisecond
+	heartbeatMax      = 20 * time.Second
+	loadNewsPerTarget = 80 * time.Millisecond
+	loadNewsMax       = time.Minute
 )
 
 // heartbeatEvery returns the time between two heartbeats of an entry.
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -138,7 +138,7 @@
 // targetRound reports to the target's entries.
 func (s *Spreader) targetRound(now time.Time) []Message {
 	if now.Before(s.roundAt) && !s.ownUrgent {
-		return nil
+		return s.targetBehind()
 	}
 	if !s.ownUrgent {
 		s.roundAt = s.nextRound(now)
@@ -161,6 +161,18 @@
 	return out
 }
 
+// targetBehind asks an entry that has a higher revision for more changes.
+func (s *Spreader) targetBehind() []Message {
+	name := s.behind
+	s.behind = ""
+	for _, peer := range s.reportTo {
+		if peer.Name == name && s.revisions[name] > s.config.current.Revision {
+			return []Message{{To: peer, News: News{From: s.sender(), WantConfig: true}}}
+		}
+	}
+	return nil
+}
+
 // addOwn adds the target's report: whole the first time, then its load alone.
 func (s *Spreader) addOwn(news *News, peer Peer) {
 	if s.own.Target == "" {
