Plan placement under a lease with a fencing number

Change: placement.Plan, Leader over the store's lease, and Gate for the target process. Conclusion: the plan has no demand measure of its own yet; its caller gives it.

--- /dev/null
+++ b/internal/coordination/placement/placement.go
@@ -0,0 +1,107 @@
+// Package placement decides which model, version, adapters and role each
+// target serves.
+//
+// One entry decides at a time: it holds a lease in the key-value service, and
+// the revision of its write there is the fencing number of its orders. A plan
+// is a pure function of the view, the configuration and the demand, so a new
+// leader goes on where the old one stopped; an order's id comes from its
+// content, so giving it twice changes nothing.
+//
+// A target that gets a new version finishes its generations first: its process
+// takes no new work for the order's sake and loads when none is left. While
+// that lasts the target is not ready, so a model's ready targets never go
+// below the configured number by an order.
+//
+// # Usage
+//
+//	for _, d := range placement.Plan(state, deployment.Models, deployment.Placement) {
+//		log.Emit(…, "reason", d.Reason)
+//		if d.Order != nil { send(d.Order.WithFence(leader.Fence())) }
+//	}
+package placement
+
+import (
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// NotLeader means that another process decides.
+	NotLeader Kind = "notLeader"
+	// Unavailable means that the key-value service does not answer.
+	Unavailable Kind = "unavailable"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// OrderKind says what an order changes.
+type OrderKind string
+
+// Kinds of orders, as engines name them.
+const (
+	LoadModel   OrderKind = "load_model"
+	LoadAdapter OrderKind = "load_adapter"
+)
+
+// OrderID names an order by its content.
+type OrderID string
+
+// Order tells a target what to serve.
+type Order struct {
+	ID      OrderID
+	Fence   id.Fence
+	Target  id.Target
+	Kind    OrderKind
+	Model   id.Model
+	Version id.Version
+	Adapter id.Adapter
+	Role    member.Role
+}
+
+// newOrder returns an order with its id. The incarnation is part of it, since
+// an engine that started anew has forgotten what it loaded.
+func newOrder(t *member.TargetReport, kind OrderKind, m id.Model, v id.Version, a id.Adapter) *Order {
+	o := &Order{Target: t.Target, Kind: kind, Model: m, Version: v, Adapter: a, Role: t.Role}
+	content := id.FingerprintOf(string(o.Target), time.UnixMilli(int64(t.Incarnation)).UTC().String(),
+		string(kind), string(m), string(v), string(a))
+	o.ID = OrderID("order-" + content.String())
+	return o
+}
+
+// WithFence returns the order as a leader with the fencing number gives it.
+func (o Order) WithFence(fence id.Fence) Order {
+	o.Fence = fence
+	return o
+}
+
+// Reason says why a target got an order, or why none was given.
+type Reason string
+
+// Reasons of decisions.
+const (
+	// TooFewReplicas means that the model has fewer ready targets than wanted.
+	TooFewReplicas Reason = "tooFewReplicas"
+	// VersionChange means that the target serves another version.
+	VersionChange Reason = "versionChange"
+	// AdapterMissing means that the target lacks an adapter.
+	AdapterMissing Reason = "adapterMissing"
+	// HeldByLoads means that as many targets load as may at once.
+	HeldByLoads Reason = "heldByLoads"
+	// HeldByReplicas means that no target can be spared.
+	HeldByReplicas Reason = "heldByReplicas"
+)
+
+// Decision is one decision about a model. Order is nil when it waits.
+type Decision struct {
+	Model  id.Model
+	Reason Reason
+	Order  *Order
+}
--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,238 @@
+package placement_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/placement"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engines(n int, model id.Model, version id.Version) []placement.Target {
+	var out []placement.Target
+	for i := range n {
+		out = append(out, placement.Target{State: member.Ready, Report: member.TargetReport{
+			Target: id.Target(fmt.Sprint(model, "-", i)), Incarnation: 1, State: member.Ready, Model: model, Version: version, Slots: 8}})
+	}
+	return out
+}
+
+func orders(decisions []placement.Decision) []placement.Order {
+	var out []placement.Order
+	for _, d := range decisions {
+		if d.Order != nil {
+			out = append(out, *d.Order)
+		}
+	}
+	return out
+}
+
+func TestPlan(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		targets []placement.Target
+		models  conf.Models
+		demand  map[id.Model]float64
+		loads   int
+		orders  int
+		reason  placement.Reason
+	}{
+		{"nothing to do", engines(3, "a", "v1"), conf.Models{{Name: "a", Version: "v1", Replicas: 3}}, nil, 2, 0, ""},
+		{"version change with a spare", engines(4, "a", "v1"), conf.Models{{Name: "a", Version: "v2", Replicas: 3}}, nil, 2, 1, placement.VersionChange},
+		{"version change without a spare", engines(3, "a", "v1"), conf.Models{{Name: "a", Version: "v2", Replicas: 3}}, nil, 2, 0, placement.HeldByReplicas},
+		{"weight store's rate", engines(9, "a", "v1"), conf.Models{{Name: "a", Version: "v2", Replicas: 3}}, nil, 2, 2, placement.VersionChange},
+		{"missing replicas", engines(4, "a", "v1"), conf.Models{{Name: "a", Version: "v1", Replicas: 2}, {Name: "b", Version: "v1", Replicas: 1}}, nil, 2, 1, placement.TooFewReplicas},
+		{"demand", append(engines(6, "a", "v1"), engines(1, "b", "v1")...), conf.Models{{Name: "a", Version: "v1", Replicas: 2}, {Name: "b", Version: "v1", Replicas: 1}}, map[id.Model]float64{"b": 14}, 4, 2, placement.TooFewReplicas},
+		{"adapter", engines(2, "a", "v1"), conf.Models{{Name: "a", Version: "v1", Replicas: 2, Adapters: []id.Adapter{"x"}}}, nil, 1, 1, placement.AdapterMissing},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			state := placement.State{Targets: test.targets, Demand: test.demand}
+			got := placement.Plan(state, test.models, conf.Placement{LoadsAtOnce: test.loads})
+			is.Equal(len(orders(got)), test.orders)
+			if test.reason != "" {
+				is.Equal(got[0].Reason, test.reason)
+			}
+			again := placement.Plan(state, test.models, conf.Placement{LoadsAtOnce: test.loads})
+			is.Equal(again, got) // the same plan has the same order ids
+		})
+	}
+}
+
+// From any start, a version change goes through with a spare target, and on
+// the way the model never has fewer ready targets than configured, or than it
+// had, nor do more targets load than may.
+func TestVersionChangeKeepsReplicas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		replicas := rapid.IntRange(1, 8).Draw(t, "replicas")
+		targets := engines(replicas+rapid.IntRange(1, 4).Draw(t, "spare"), "a", "v1")
+		loads := rapid.IntRange(1, 3).Draw(t, "loads")
+		models := conf.Models{{Name: "a", Version: "v2", Replicas: replicas}}
+		for range 200 {
+			given := orders(placement.Plan(placement.State{Targets: targets}, models, conf.Placement{LoadsAtOnce: loads}))
+			for _, o := range given {
+				for i := range targets {
+					if targets[i].Report.Target == o.Target {
+						targets[i].Ordered = &o
+						targets[i].State = member.Joining
+					}
+				}
+			}
+			ready, loading := 0, 0
+			for i := range targets {
+				switch {
+				case targets[i].Ordered != nil:
+					loading++
+				case targets[i].State == member.Ready:
+					ready++
+				}
+			}
+			if ready < replicas || loading > loads {
+				t.Fatalf("%d ready of %d configured, %d loading of %d", ready, replicas, loading, loads)
+			}
+			for i := range targets {
+				if targets[i].Ordered != nil && rapid.Bool().Draw(t, "ends") {
+					targets[i].Report.Version = targets[i].Ordered.Version
+					targets[i].Ordered, targets[i].State = nil, member.Ready
+				}
+			}
+		}
+		for i := range targets {
+			if targets[i].Report.Version != "v2" && targets[i].Ordered == nil {
+				t.Fatalf("%s was left behind", targets[i].Report.Target)
+			}
+		}
+	})
+}
+
+// memoryStore is the few calls that a leader makes.
+type memoryStore struct {
+	item     store.Item
+	revision int64
+	lease    store.LeaseID
+	lapsed   map[store.LeaseID]bool
+	// loseAnswer makes the next commit take effect and lose its answer.
+	loseAnswer bool
+	down       bool
+	calls      int
+}
+
+func (m *memoryStore) store() *store.Store {
+	return &store.Store{
+		Get: func(context.Context, string) (store.Item, error) {
+			m.calls++
+			return m.item, m.failure()
+		},
+		Grant: func(context.Context, time.Duration) (store.LeaseID, error) {
+			m.calls++
+			m.lease++
+			return m.lease, m.failure()
+		},
+		KeepAlive: func(_ context.Context, l store.LeaseID) (time.Duration, error) {
+			m.calls++
+			if m.lapsed[l] {
+				return 0, fault.New("KeepAlive", store.Invalid, "lapsed")
+			}
+			return placement.LeaseTime, m.failure()
+		},
+		Commit: func(_ context.Context, txn store.Txn) (store.Result, error) {
+			m.calls++
+			if err := m.failure(); err != nil {
+				return store.Result{}, err
+			}
+			if m.item.Exists() {
+				return store.Result{}, nil
+			}
+			m.revision++
+			m.item = store.Item{Key: store.LeaderKey, Value: txn.Puts[0].Value, ModRevision: m.revision, Lease: txn.Puts[0].Lease}
+			if m.loseAnswer {
+				m.loseAnswer = false
+				return store.Result{}, fault.New("Commit", store.Unknown, "lost")
+			}
+			return store.Result{Succeeded: true, Revision: m.revision}, nil
+		},
+	}
+}
+
+func (m *memoryStore) failure() error {
+	if m.down {
+		return fault.New("memoryStore", store.Unavailable, "down")
+	}
+	return nil
+}
+
+// A leader paused past its lease stops by its own clock; what it still sends
+// is refused by the number of the next one.
+func TestLeader(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := &memoryStore{revision: 40, lapsed: map[store.LeaseID]bool{}, loseAnswer: true}
+	first, second := placement.NewLeader(m.store(), "first"), placement.NewLeader(m.store(), "second")
+	is.NoErr(first.Step(ctx, start)) // the lost answer is read back
+	is.True(fault.Is(second.Step(ctx, start), placement.NotLeader))
+	old, ok := first.Fence(start.Add(7 * time.Second))
+	is.True(ok)
+	_, ok = first.Fence(start.Add(8 * time.Second))
+	is.True(!ok) // before the store lets the lease lapse
+	m.lapsed[1], m.item = true, store.Item{}
+	is.NoErr(second.Step(ctx, start.Add(11*time.Second)))
+	next, _ := second.Fence(start.Add(11 * time.Second))
+	is.True(next > old)
+
+	gate := &placement.Gate{}
+	order := placement.Order{ID: "o"}
+	fromNext, fromOld := order.WithFence(next), order.WithFence(old)
+	admit, _ := gate.Admit(&fromNext)
+	is.True(admit)
+	gate.Done(&fromNext)
+	admit, repeated := gate.Admit(&fromNext)
+	is.True(!admit && repeated)
+	admit, repeated = gate.Admit(&fromOld)
+	is.True(!admit && !repeated)
+	is.True(fault.Is(first.Step(ctx, start.Add(12*time.Second)), placement.NotLeader))
+	m.down = true
+	is.True(fault.Is(second.Step(ctx, start.Add(14*time.Second)), placement.Unavailable))
+	_, ok = second.Fence(start.Add(30 * time.Second))
+	is.True(!ok)
+}
+
+// A leader makes one call to the store a renewal, a candidate one too.
+func TestLeaderCalls(t *testing.T) {
+	is := is.New(t)
+	m := &memoryStore{lapsed: map[store.LeaseID]bool{}}
+	leader, candidate := placement.NewLeader(m.store(), "a"), placement.NewLeader(m.store(), "b")
+	is.NoErr(leader.Step(context.Background(), start))
+	m.calls = 0
+	for i := range 10 {
+		now := start.Add(time.Duration(i+1) * placement.RenewEvery)
+		is.NoErr(leader.Step(context.Background(), now))
+		_ = candidate.Step(context.Background(), now)
+	}
+	is.Equal(m.calls, 20)
+}
+
+func TestIsCandidate(t *testing.T) {
+	is := is.New(t)
+	var live []id.Entry
+	for i := range 350 {
+		live = append(live, id.Entry(fmt.Sprint("e-", i)))
+	}
+	n := 0
+	for _, e := range live {
+		if placement.IsCandidate(e, live) {
+			n++
+		}
+	}
+	is.Equal(n, placement.Candidates)
+}
