--- /dev/null
+++ b/internal/coordination/spread/spread_test.go
@@ -0,0 +1,155 @@
+package spread_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/placement"
+	"foxtailward.example/foxtailward/internal/coordination/spread"
+	"foxtailward.example/foxtailward/internal/state/conf"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func place(i, zones int) member.Place {
+	return member.Place{Host: id.Host(fmt.Sprint("h-", i)), Zone: id.Zone(fmt.Sprint("z-", i%zones))}
+}
+
+func entryReport(i, zones int) member.EntryReport {
+	return member.EntryReport{Entry: id.Entry(fmt.Sprint("e-", i)), Incarnation: 1, Sequence: 1, State: member.Ready,
+		Place: place(i, zones), Address: fmt.Sprint("10.0.0.1:", 1000+i), At: start}
+}
+
+func newEntry(i, zones int) (*spread.Spreader, *member.View) {
+	r := entryReport(i, zones)
+	v := member.NewView(member.Config{}, r.Entry)
+	s := spread.New(spread.Config{Entry: r.Entry, Incarnation: 1, Place: r.Place, Address: r.Address}, v, rand.New(rand.NewPCG(1, uint64(i))), start)
+	s.SetState(member.Ready)
+	return s, v
+}
+
+// Calls a second to the key-value service for coordination, at today's sizes
+// and the letter's; docs/design/spread.md has the table.
+func TestStoreCalls(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		entries  int
+		zones    int
+		watchers int
+		// calls a second besides the waiting watches.
+		leases float64
+	}{
+		{"staplerdienst", 4, 4, 4, 1},
+		{"belediye", 3, 3, 3, 1},
+		{"letter", 350, 6, 12, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			watchers, candidates := 0, 0
+			for i := range test.entries {
+				s, v := newEntry(i, test.zones)
+				var live []id.Entry
+				for j := range test.entries {
+					v.Entry(entryReport(j, test.zones), start)
+					live = append(live, entryReport(j, test.zones).Entry)
+				}
+				if s.Watches() {
+					watchers++
+				}
+				if placement.IsCandidate(entryReport(i, test.zones).Entry, live) {
+					candidates++
+				}
+			}
+			is.Equal(watchers, test.watchers)
+			is.Equal(float64(candidates)/placement.RenewEvery.Seconds(), test.leases)
+			is.True(float64(watchers)+test.leases <= 2000/2) // half of the reads
+		})
+	}
+}
+
+func change(revision id.Revision) conf.Change {
+	value, _ := json.Marshal(map[string]any{"retention": fmt.Sprint(revision, "s")})
+	return conf.Change{Revision: revision, Object: conf.DeploymentObject, Value: value, At: start}
+}
+
+// In whatever order changes, gaps and snapshots come, the revision never goes
+// back, and no revision is in force with another one's content.
+func TestNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := newEntry(0, 1)
+		var highest id.Revision
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			from := id.Revision(rapid.IntRange(1, 12).Draw(t, "from"))
+			news := spread.News{From: spread.Sender{Name: "peer", Revision: from}}
+			if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 {
+				snapshot, _ := conf.Empty().Apply(change(1))
+				for r := id.Revision(2); r <= from; r++ {
+					snapshot, _ = snapshot.Apply(change(r))
+				}
+				news.Snapshot = snapshot
+			} else {
+				for r := from; r < from+3; r++ {
+					news.Changes = append(news.Changes, change(r))
+				}
+			}
+			s.Receive(news, start)
+			now := s.Snapshot()
+			if now.Revision < highest {
+				t.Fatalf("went back from %d to %d", highest, now.Revision)
+			}
+			if now.Revision > 0 && now.Deployment.Retention.Std() != time.Duration(now.Revision)*time.Second {
+				t.Fatalf("revision %d has the content of another one", now.Revision)
+			}
+			highest = now.Revision
+		}
+	})
+}
+
+// A change that cannot be read is not put in force, and is told.
+func TestRefusedChange(t *testing.T) {
+	is := is.New(t)
+	s, _ := newEntry(0, 1)
+	bad := change(1)
+	bad.Value = json.RawMessage(`{"retention":"soon"}`)
+	is.True(!s.Learn(bad))
+	is.True(s.RefusedConfig() != nil)
+	is.True(s.Learn(change(1)))
+	is.NoErr(s.RefusedConfig())
+}
+
+func TestQuarantineSpreads(t *testing.T) {
+	is := is.New(t)
+	a, av := newEntry(0, 1)
+	b, _ := newEntry(1, 1)
+	av.Entry(entryReport(1, 1), start)
+	q := spread.Quarantine{Fingerprint: 7, Until: start.Add(time.Minute), Deaths: []id.Target{"x"}}
+	a.Quarantine(q, start)
+	is.True(a.Urgent())
+	for _, m := range a.Round(start) {
+		b.Receive(m.News, start)
+	}
+	got, ok := b.Quarantined(7, start)
+	is.True(ok)
+	is.Equal(got, q)
+	_, ok = b.Quarantined(7, start.Add(2*time.Minute))
+	is.True(!ok)
+}
+
+// A target that an entry knows to be leaving by the host list is told.
+func TestHostLeavingIsTold(t *testing.T) {
+	is := is.New(t)
+	s, v := newEntry(0, 1)
+	target := member.TargetReport{Target: "t", Incarnation: 1, Sequence: 1, State: member.Ready, Place: place(9, 1), Address: "a", Model: "m", At: start}
+	report := spread.News{From: spread.Sender{Name: "t"}, Loads: []member.TargetReport{target}}
+	is.True(!s.Receive(report, start).HostLeaving)
+	v.HostList(member.HostDoc{Hosts: map[id.Host]member.HostState{"h-9": member.HostLeaving}, At: start}, start)
+	is.True(s.Receive(report, start).HostLeaving)
+}
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -412,7 +412,8 @@
 // seed.
 func (s *Spreader) reconnect(now time.Time) []Message {
 	var out []Message
-	every := seedRarely
+	// All entries together swap with a seed about once a second.
+	every := max(seedRarely, time.Duration(s.records.entries)*time.Second)
 	if s.records.entries < fewEntries {
 		every = seedEvery
 	}
