Exchange news, configuration and limits between processes

Cause: entries asked every seed twice a second, shared one configuration and had no limits. Conclusion: no process needs another one's memory.

--- a/internal/coordination/spread/receive.go
+++ b/internal/coordination/spread/receive.go
@@ -268,3 +268,17 @@
 		reply.MoreMembers = i + 1
 	}
 }
+
+// Heard takes over who sent a message of another protocol: a higher revision
+// makes this process ask for it.
+func (s *Spreader) Heard(from Sender) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from.Name == "" {
+		return
+	}
+	s.revisions[from.Name] = max(s.revisions[from.Name], from.Revision)
+	if from.Revision > s.config.current.Revision {
+		s.behind = from.Name
+	}
+}
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -440,3 +440,10 @@
 	m.News.Self = s.selfNow(now)
 	return m
 }
+
+// SetSeeds sets the addresses of processes to ask while no entry is known.
+func (s *Spreader) SetSeeds(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Seeds = addresses
+}
--- a/internal/coordination/store/store.go
+++ b/internal/coordination/store/store.go
@@ -139,6 +139,8 @@
 	HistoryPrefix = Root + "conf/history/"
 	// ClaimPrefix comes before the id of a claimed call.
 	ClaimPrefix = Root + "claim/"
+	// SeedPrefix comes before the name of an entry whose address is kept.
+	SeedPrefix = Root + "seed/"
 	// LeaderKey is held by the process that decides on placement.
 	LeaderKey = Root + "placement/leader"
 	// OrderPrefix comes before the id of a standing order.
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -84,8 +84,8 @@
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
-	mu    sync.Mutex
-	peers []string
+	mu      sync.Mutex
+	entries []string
 }
 
 // Engine is a stand-in engine with the process beside it.
@@ -198,12 +198,15 @@
 	}
 	s.Defaults()
 	e := &Engine{Stand: stand, done: make(chan error, 1)}
-	e.Process = target.New(s, target.Deps{Clock: d.opts.Clock, Log: d.opts.Log, Snapshot: d.Current.Snapshot})
+	current := conf.NewCurrent()
+	e.Process = target.New(s, target.Deps{
+		Clock: d.opts.Clock, Log: d.opts.Log, Snapshot: current.Snapshot,
+		News: &target.News{Seeds: d.entryAddresses, Current: current, Random: d.random(len(d.Engines))},
+	})
 	if err := e.Process.Listen(); err != nil {
 		return err
 	}
 	d.Engines = append(d.Engines, e)
-	d.reach(e.Process.Address())
 	e.stop = d.run(e.Process.Run, e.done)
 	return nil
 }
@@ -214,11 +217,12 @@
 		s.Callers = anyPort
 	}
 	s.Defaults()
-	seed := d.opts.Seed + uint64(len(d.Entries))
+	current := conf.NewCurrent()
+	current.Put(d.Current.Snapshot())
 	e := &Entry{done: make(chan error, 1)}
 	e.Process = entry.New(s, entry.Deps{
-		Clock: d.opts.Clock, Log: d.opts.Log, Current: d.Current, Seeds: d.addresses,
-		Random: rand.New(rand.NewPCG(seed, seed)),
+		Clock: d.opts.Clock, Log: d.opts.Log, Current: current, Seeds: d.entryAddresses,
+		Random: d.random(entrySeeds + len(d.Entries)),
 	})
 	if err := e.Process.Listen(); err != nil {
 		return err
@@ -239,18 +243,26 @@
 	return cancel
 }
 
-// reach adds a process to those that are asked for news.
+// entrySeeds keeps the random sources of entries and engines apart.
+const entrySeeds = 1 << 20
+
+// random returns the source of the n-th process.
+func (d *Deployment) random(n int) *rand.Rand {
+	return rand.New(rand.NewPCG(d.opts.Seed, uint64(n)))
+}
+
+// reach adds an entry to those that are asked for news.
 func (d *Deployment) reach(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peers = append(d.peers, address)
+	d.entries = append(d.entries, address)
 }
 
-// addresses returns where the processes listen for each other.
-func (d *Deployment) addresses() []string {
+// entryAddresses returns where the entries listen for other processes.
+func (d *Deployment) entryAddresses() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.Clone(d.peers)
+	return slices.Clone(d.entries)
 }
 
 // Ready waits until every entry sees every target and entry ready, or ctx ends.
--- a/internal/standin/deployment/path_test.go
+++ b/internal/standin/deployment/path_test.go
@@ -27,7 +27,8 @@
 func options(engines, entries int) deployment.Options {
 	opts := deployment.Options{Contracts: []contract.Contract{{
 		Name: "staplerdienst", Models: []id.Model{"report"}, Keys: []contract.KeyHash{contract.HashKey(key)},
-		Class: generation.Long,
+		Class:  generation.Long,
+		Limits: contract.Limits{TokensPerSecond: 1_000_000, RequestsPerSecond: 1000, Concurrency: 1000},
 	}}}
 	for i := range engines {
 		opts.Engines = append(opts.Engines, deployment.EngineOptions{
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -27,6 +27,9 @@
 	"foxtailward.example/foxtailward/internal/coordination/policy"
 	"foxtailward.example/foxtailward/internal/coordination/request"
 	"foxtailward.example/foxtailward/internal/coordination/route"
+	"foxtailward.example/foxtailward/internal/coordination/spread"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	peermsg "foxtailward.example/foxtailward/internal/protocol/peer"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
 	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/contract"
@@ -46,6 +49,8 @@
 const (
 	// Address means that the process cannot listen.
 	Address Kind = "address"
+	// NotReady means that the process takes no work.
+	NotReady Kind = "notReady"
 	// WorkCut means that work was cut by a forced stop.
 	WorkCut Kind = "workCut"
 )
@@ -65,7 +70,11 @@
 	Current *conf.Current
 	// Seeds returns the addresses of processes that may be asked for news.
 	Seeds func() []string
-	// Random seeds the process's choices.
+	// Store is the key-value service; nil when there is none.
+	Store *store.Store
+	// Hosts reads the host list until its context ends; nil when there is none.
+	Hosts func(ctx context.Context, take func(member.HostDoc))
+	// Random is the source of the process's choices, which owns it.
 	Random *rand.Rand
 }
 
@@ -74,16 +83,20 @@
 	settings    settings.Entry
 	deps        Deps
 	incarnation id.Incarnation
-	sequence    atomic.Uint64
 	leaving     atomic.Bool
 
+	random  *rand.Rand
 	view    *member.View
 	history *history
 	router  *route.Router
 	policy  *policy.Policy
 	pool    *peer.Pool
-	desk    *request.Desk
-	counter *request.Counter
+	limits  *limits
+	// spreader and exchanger are made once the process listens.
+	spreader  *spread.Spreader
+	exchanger *peer.Exchanger
+	desk      *request.Desk
+	counter   *request.Counter
 
 	peersListener     net.Listener
 	callersListener   net.Listener
@@ -97,6 +110,10 @@
 
 	mu  sync.Mutex
 	cut []string
+	// stored are the addresses of entries in the key-value service.
+	stored      []string
+	storeDown   bool
+	storeAnswer time.Time
 }
 
 // New returns a process for settings that have been completed and checked.
@@ -106,6 +123,8 @@
 	}
 	p := &Process{settings: s, deps: deps, incarnation: id.Incarnation(deps.Clock.Now().UnixMilli())}
 	p.life, p.end = context.WithCancel(context.Background())
+	// The spreader and the policy draw at the same time, each from its own.
+	p.random = rand.New(rand.NewPCG(deps.Random.Uint64(), deps.Random.Uint64()))
 	p.view = member.NewView(member.Config{}, s.Name)
 	p.history = newHistory(s.Name)
 	p.router = route.New(route.Config{Zone: s.Place.Zone, Region: s.Place.Region}, p.view)
@@ -118,6 +137,7 @@
 		Random: deps.Random, Log: deps.Log.With("entry", s.Name),
 	})
 	p.policy = owner
+	p.limits = newLimits(p, relays)
 	p.desk = request.NewDesk(request.Config{
 		Self: s.Name, Clock: deps.Clock, Log: deps.Log.With("entry", s.Name),
 		Meter: request.NewMeter(deps.Metrics), RetainedTokens: retainedTokens,
@@ -154,9 +174,7 @@
 
 func (p *Process) gate() request.Gate {
 	return request.Gate{
-		Admit: func(*contract.Contract, int) (request.Ticket, *answer.Refusal) {
-			return request.Ticket{Done: func(int) {}}, nil
-		},
+		Admit:  p.limits.admit,
 		Screen: p.policy.Screen,
 		Conf:   p.deps.Current.Snapshot,
 	}
@@ -176,7 +194,14 @@
 	p.view.Heard(r.Target, now)
 }
 
-func (p *Process) takeStamp(*peerpb.Stamp) {}
+// takeStamp learns from any message that a newer configuration is in force.
+func (p *Process) takeStamp(m *peerpb.Stamp) {
+	if p.spreader != nil && m != nil {
+		p.spreader.Heard(peermsg.ToSender(m))
+	}
+}
+
+func (p *Process) takeHosts(doc member.HostDoc) { p.view.HostList(doc, p.deps.Clock.Now()) }
 
 func (p *Process) takeBroken(t id.Target) { p.view.Lost(t, p.deps.Clock.Now()) }
 
@@ -190,24 +215,6 @@
 	return "", false
 }
 
-// self returns what this entry says of itself.
-func (p *Process) self() *member.EntryReport {
-	state := member.Ready
-	if p.leaving.Load() {
-		state = member.Leaving
-	}
-	return &member.EntryReport{
-		Entry:       p.settings.Name,
-		Incarnation: p.incarnation,
-		Sequence:    id.Sequence(p.sequence.Add(1)),
-		State:       state,
-		Place:       member.Place(p.settings.Place),
-		Address:     p.Address(),
-		Revision:    p.deps.Current.Revision(),
-		At:          p.deps.Clock.Now(),
-	}
-}
-
 func (p *Process) serveCallers() {
 	cfg := caller.Config{}
 	cfg.Defaults()
@@ -265,9 +272,9 @@
 func (p *Process) ready() error {
 	switch {
 	case p.leaving.Load():
-		return fault.New("Process.ready", WorkCut, "leaving")
+		return fault.New("Process.ready", NotReady, "leaving")
 	case p.deps.Current.Revision() == 0:
-		return fault.New("Process.ready", Address, "no configuration yet")
+		return fault.New("Process.ready", NotReady, "no configuration yet")
 	}
 	return nil
 }
@@ -281,6 +288,7 @@
 			return err
 		}
 	}
+	p.startExchange()
 	p.emit(event.ProcessStarted, "callers", p.CallersAddress(), "peers", p.Address(), "operators", p.OperatorsAddress())
 	var duties sync.WaitGroup
 	duties.Go(func() { p.serve("peers", func() error { return p.grpcServer.Serve(p.peersListener) }) })
@@ -289,7 +297,12 @@
 		p.serve("operators", func() error { return p.operatorsListener.Run(p.life, p.settings.Operators) })
 	})
 	duties.Go(p.tick)
-	duties.Go(p.exchange)
+	duties.Go(func() { p.exchanger.Run(p.life) })
+	duties.Go(func() { p.configure(p.life) })
+	duties.Go(func() { p.limits.run(p.life) })
+	if p.deps.Hosts != nil {
+		duties.Go(func() { p.deps.Hosts(p.life, p.takeHosts) })
+	}
 	select {
 	case <-ctx.Done():
 	case <-p.life.Done():
@@ -331,7 +344,6 @@
 		case <-ticker.Chan():
 		}
 		now := p.deps.Clock.Now()
-		p.view.Entry(*p.self(), now)
 		for _, c := range p.view.Tick(now) {
 			p.tell(&c)
 		}
--- a/internal/transport/entry/exchange.go
+++ b/internal/transport/entry/exchange.go
@@ -2,82 +2,97 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/member"
-	peermsg "foxtailward.example/foxtailward/internal/protocol/peer"
+	"foxtailward.example/foxtailward/internal/coordination/quarantine"
+	"foxtailward.example/foxtailward/internal/coordination/spread"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/peer"
 )
 
-// Timing of the exchange.
-const (
-	// exchangeEvery is the time between two rounds.
-	exchangeEvery = 500 * time.Millisecond
-	// exchangeTimeout bounds one swap.
-	exchangeTimeout = time.Second
-)
+// startExchange makes the exchange with other processes, once the process's
+// address is known.
+func (p *Process) startExchange() {
+	cfg := spread.Config{
+		Entry: p.settings.Name, Incarnation: p.incarnation, Place: member.Place(p.settings.Place),
+		Address: p.Address(), Seeds: p.deps.Seeds(),
+	}
+	p.spreader = spread.New(cfg, p.view, p.random, p.deps.Clock.Now())
+	p.spreader.LearnSnapshot(p.deps.Current.Snapshot())
+	p.exchanger = &peer.Exchanger{
+		Spreader: p.spreader, Pool: p.pool, Clock: p.deps.Clock,
+		Before: p.beforeRound, After: p.afterNews,
+	}
+}
 
-// exchange swaps news with other processes until the process ends.
-func (p *Process) exchange() {
-	ticker := p.deps.Clock.NewTicker(exchangeEvery)
-	defer ticker.Stop()
-	for {
-		p.round()
-		select {
-		case <-p.life.Done():
-			return
-		case <-ticker.Chan():
-		}
+// beforeRound tells the spreader what this process is and knows.
+func (p *Process) beforeRound() {
+	p.spreader.SetSeeds(p.seeds())
+	p.spreader.SetState(p.state())
+	p.spreadKills()
+}
+
+// joinPatience is how long a starting entry looks for others before it takes
+// itself for the first.
+const joinPatience = 2 * time.Second
+
+// state returns what this entry says of itself: it owns nothing before it has
+// a configuration and has heard of the others.
+func (p *Process) state() member.State {
+	now := p.deps.Clock.Now()
+	alone := now.Sub(time.UnixMilli(int64(p.incarnation))) > joinPatience
+	switch {
+	case p.leaving.Load():
+		return member.Leaving
+	case p.deps.Current.Revision() == 0:
+		return member.Joining
+	case p.spreader.Joined() || alone || len(p.seeds()) == 0:
+		return member.Ready
 	}
+	return member.Joining
 }
 
-// round swaps news with every seed.
-func (p *Process) round() {
-	var swaps sync.WaitGroup
-	for _, address := range p.deps.Seeds() {
+// seeds returns the addresses of other processes that are known without them.
+func (p *Process) seeds() []string {
+	var out []string
+	for _, address := range append(p.deps.Seeds(), p.storedSeeds()...) {
 		if address != p.Address() {
-			swaps.Go(func() { p.swap(address) })
+			out = append(out, address)
 		}
 	}
-	swaps.Wait()
+	return out
 }
 
-func (p *Process) swap(address string) {
-	ctx, cancel := context.WithTimeout(p.life, exchangeTimeout)
-	defer cancel()
-	conn, err := p.pool.Conn(address)
-	if err != nil {
-		return
-	}
-	now := p.deps.Clock.Now()
-	reply, err := peerpb.NewExchangeClient(conn).Swap(ctx, &peerpb.ExchangeRequest{
-		Stamp: p.stamp(), Self: peermsg.FromEntry(p.self(), now),
-	})
-	if err != nil {
-		// Silence shows in the view, by the age of the last report.
-		return
+// afterNews puts a newer configuration in force.
+func (p *Process) afterNews() {
+	s := p.spreader.Snapshot()
+	if p.deps.Current.Put(s) {
+		p.policy.Configure(&s.Deployment)
+		p.emit(event.RevisionInForce, "revision", s.Revision)
 	}
-	p.takeNews(reply.GetSelf(), reply.GetLoads(), reply.GetEntries())
 }
 
-// takeNews takes over what another process told.
-func (p *Process) takeNews(self *peerpb.EntryReport, loads []*peerpb.Load, entries []*peerpb.EntryReport) {
+// spreadKills passes quarantines on in both directions.
+func (p *Process) spreadKills() {
 	now := p.deps.Clock.Now()
-	for _, m := range loads {
-		if r, err := peermsg.ToLoad(m, now); err == nil {
-			p.view.Target(*r, now)
+	for _, r := range p.policy.Quarantines(now) {
+		if r.Remaining > 0 {
+			p.spreader.Quarantine(spread.Quarantine{
+				Fingerprint: r.Fingerprint, Until: now.Add(r.Remaining), Deaths: targetsOf(r.Marks),
+			}, now)
 		}
 	}
-	if self != nil {
-		entries = append(entries, self)
-	}
-	for _, m := range entries {
-		if r, err := peermsg.ToEntry(m, now); err == nil && r.Entry != p.settings.Name {
-			p.view.Entry(*r, now)
-		}
+}
+
+func targetsOf(marks []quarantine.Mark) []id.Target {
+	out := make([]id.Target, len(marks))
+	for i, m := range marks {
+		out[i] = m.Target
 	}
+	return out
 }
 
 // swapServer answers other processes' rounds.
@@ -88,11 +103,8 @@
 }
 
 // Swap takes the sender's news and answers with this process's.
-func (s *swapServer) Swap(_ context.Context, m *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	p := s.process
-	p.takeStamp(m.GetStamp())
-	p.takeNews(m.GetSelf(), m.GetLoads(), m.GetEntries())
-	return &peerpb.ExchangeReply{Stamp: p.stamp(), Self: peermsg.FromEntry(p.self(), p.deps.Clock.Now())}, nil
+func (s *swapServer) Swap(ctx context.Context, m *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return s.process.exchanger.Serve(ctx, m)
 }
 
 // tell logs a change of the view.
--- /dev/null
+++ b/internal/transport/entry/limits.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/limit"
+	"foxtailward.example/foxtailward/internal/coordination/request"
+	peermsg "foxtailward.example/foxtailward/internal/protocol/peer"
+	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/peer"
+)
+
+// Timing of asks for limits.
+const (
+	// askTimeout bounds the question to a limit's owner, while a caller waits.
+	askTimeout = 300 * time.Millisecond
+	// renewEvery is the time between two looks for asks that are due.
+	renewEvery = 250 * time.Millisecond
+)
+
+// limits holds the contracts' limits at one entry: what it may admit, and what
+// it hands out as an owner.
+type limits struct {
+	process *Process
+	relays  *peer.Relays
+	local   *limit.Local
+	shares  *limit.Shares
+
+	mu     sync.Mutex
+	asking map[id.Contract]*sync.Mutex
+}
+
+func newLimits(p *Process, relays *peer.Relays) *limits {
+	return &limits{
+		process: p, relays: relays, local: limit.NewLocal(), shares: limit.NewShares(),
+		asking: map[id.Contract]*sync.Mutex{},
+	}
+}
+
+// admit takes a place for a request that may cost so many tokens.
+func (l *limits) admit(c *contract.Contract, cost int) (request.Ticket, *answer.Refusal) {
+	clock := l.process.deps.Clock
+	ticket, refused := l.local.Admit(c, cost, clock.Now())
+	if refused != nil && refused.Ask != nil {
+		ticket, refused = l.askFor(c, cost)
+	}
+	if refused != nil {
+		refusal := answer.Refuse(answer.CauseLimit, "the contract's %s is reached", refused.Limit)
+		refusal.RetryAfter = refused.RetryAfter
+		return request.Ticket{}, refusal
+	}
+	return request.Ticket{Done: func(tokens int) {
+		now := clock.Now()
+		l.local.Correct(ticket, tokens, now)
+		l.local.Release(ticket, now)
+	}}, nil
+}
+
+// askFor asks the owner for one request's place. Requests of a contract ask one
+// after another, since a grant says how many may run in all.
+func (l *limits) askFor(c *contract.Contract, cost int) (limit.Ticket, *limit.Refusal) {
+	clock := l.process.deps.Clock
+	asking := l.lockOf(c.Name)
+	asking.Lock()
+	defer asking.Unlock()
+	ticket, refused := l.local.Admit(c, cost, clock.Now())
+	if refused == nil || refused.Ask == nil {
+		return ticket, refused
+	}
+	l.ask([]limit.Ask{*refused.Ask})
+	return l.local.Admit(c, cost, clock.Now())
+}
+
+func (l *limits) lockOf(name id.Contract) *sync.Mutex {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asking[name] == nil {
+		l.asking[name] = &sync.Mutex{}
+	}
+	return l.asking[name]
+}
+
+// ask puts asks to their owners and takes over the grants.
+func (l *limits) ask(asks []limit.Ask) {
+	live := l.process.view.Snapshot().LiveEntries()
+	byOwner := map[id.Entry][]limit.Ask{}
+	for _, a := range asks {
+		owner := limit.OwnerOf(a.Contract, live)
+		byOwner[owner] = append(byOwner[owner], a)
+	}
+	for owner, list := range byOwner {
+		l.askOwner(owner, list)
+	}
+}
+
+func (l *limits) askOwner(owner id.Entry, asks []limit.Ask) {
+	p := l.process
+	if owner == p.settings.Name || owner == "" {
+		for _, g := range l.answer(p.settings.Name, asks) {
+			l.local.Granted(g, p.deps.Clock.Now())
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.life, askTimeout)
+	defer cancel()
+	m := &peerpb.ShareRequest{Stamp: p.stamp()}
+	for i := range asks {
+		m.Asks = append(m.Asks, peermsg.FromAsk(&asks[i]))
+	}
+	reply, err := l.relays.Share(ctx, owner, m)
+	now := p.deps.Clock.Now()
+	if err != nil {
+		l.silent(owner, asks, now)
+		return
+	}
+	for _, g := range reply.GetGrants() {
+		l.local.Granted(peermsg.ToGrant(g), now)
+	}
+}
+
+// silent goes on with the last shares when an owner does not answer.
+func (l *limits) silent(owner id.Entry, asks []limit.Ask, now time.Time) {
+	entries := len(l.process.view.Entries())
+	for i := range asks {
+		l.local.OwnerSilent(asks[i].Contract, entries, now)
+		l.process.emit(event.ShareStale, "contract", asks[i].Contract, "owner", owner)
+	}
+}
+
+// answer grants asks of an entry as their owner.
+func (l *limits) answer(from id.Entry, asks []limit.Ask) []limit.Grant {
+	p := l.process
+	contracts := p.deps.Current.Snapshot().Contracts
+	audience := l.audience()
+	var grants []limit.Grant
+	for _, a := range asks {
+		if c, ok := contracts[a.Contract]; ok {
+			grants = append(grants, l.shares.Ask(from, a, c.Limits, audience, p.deps.Clock.Now()))
+		}
+	}
+	return grants
+}
+
+func (l *limits) audience() limit.Audience {
+	entries := l.process.view.Entries()
+	audience := limit.Audience{Known: len(entries)}
+	for i := range entries {
+		if entries[i].Live() {
+			audience.Live++
+		}
+	}
+	return audience
+}
+
+// serve answers another entry's asks.
+func (l *limits) serve(from id.Entry, m *peerpb.ShareRequest) *peerpb.ShareReply {
+	asks := make([]limit.Ask, len(m.GetAsks()))
+	for i, a := range m.GetAsks() {
+		asks[i] = peermsg.ToAsk(a)
+	}
+	reply := &peerpb.ShareReply{}
+	for _, g := range l.answer(from, asks) {
+		reply.Grants = append(reply.Grants, peermsg.FromGrant(&g))
+	}
+	return reply
+}
+
+// run renews shares and forgets idle accounts until ctx ends.
+func (l *limits) run(ctx context.Context) {
+	ticker := l.process.deps.Clock.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		now := l.process.deps.Clock.Now()
+		if asks := l.local.Renew(now); len(asks) > 0 {
+			l.ask(asks)
+		}
+		l.shares.Tick(now)
+	}
+}
--- a/internal/transport/entry/serve.go
+++ b/internal/transport/entry/serve.go
@@ -20,7 +20,7 @@
 		Stamped:   p.takeStamp,
 		Open:      p.openRelayed,
 		Call:      p.callRelayed,
-		Shares:    func(id.Entry, *peerpb.ShareRequest) *peerpb.ShareReply { return &peerpb.ShareReply{} },
+		Shares:    p.limits.serve,
 		Decisions: p.decisions,
 	})
 	peerpb.RegisterExchangeServer(p.grpcServer, &swapServer{process: p})
--- a/internal/transport/peer/calls.go
+++ b/internal/transport/peer/calls.go
@@ -116,3 +116,13 @@
 func CallOf(m *peerpb.RelayCallRequest) (answer.Call, request.Via) {
 	return peer.ToCall(m.GetCall()), splitVia(m.GetVia())
 }
+
+// Share asks another entry for limits that it owns.
+func (r *Relays) Share(ctx context.Context, e id.Entry, m *peerpb.ShareRequest) (*peerpb.ShareReply, error) {
+	client, err := r.client(e)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Share(ctx, m)
+	return reply, fault.Wrap("Relays.Share", request.Lost, err)
+}
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -69,6 +69,8 @@
 	// read from the key-value service. It is asked for each order beside an
 	// engine that checks no numbers; nil refuses all of them.
 	MinFence func(ctx context.Context) (id.Fence, error)
+	// News is set when the process reports to entries by itself.
+	News *News
 	// Swap serves Exchange.Swap; nil answers with the process's own load.
 	Swap func(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
 }
@@ -158,6 +160,11 @@
 	}
 	p.emit(event.ProcessStarted, "address", p.Address(), "incarnation", p.Incarnation())
 	var duties sync.WaitGroup
+	if p.deps.News != nil {
+		exchanger := p.startNews()
+		p.deps.Swap = exchanger.Serve
+		duties.Go(func() { exchanger.Run(p.life); exchanger.Pool.Close() })
+	}
 	duties.Go(func() { p.serve() })
 	duties.Go(func() { p.sweep() })
 	duties.Go(func() { p.poll() })
