Let a stopping target process without work refuse with proof

Cause: an idle target process ended at once; an entry with a fresh report of it then met a refused connection, which for a call that may not be repeated reads as unknown. Change: Deps.Linger; the command lingers 3 s, longer than a report's life of 2.5 s. BenchmarkManyStreams measures 1,000 streams at once. Conclusion: a call that reaches a leaving process is notRun, with proof.

--- a/cmd/foxtailward/target.go
+++ b/cmd/foxtailward/target.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
@@ -44,6 +45,10 @@
   slots = 64
   fences = true`
 
+// targetLinger is how long a target process that has no work still refuses
+// new work. Reports of it are older than they may be by then.
+const targetLinger = 3 * time.Second
+
 func newTarget() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
@@ -71,7 +76,9 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	registry := metrics.NewRegistry()
-	p := target.New(*s, target.Deps{Clock: clockwork.NewRealClock(), Log: log, Metrics: registry})
+	p := target.New(*s, target.Deps{
+		Clock: clockwork.NewRealClock(), Log: log, Metrics: registry, Linger: targetLinger,
+	})
 	if err := p.Listen(); err != nil {
 		return err
 	}
--- a/internal/transport/target/cost_test.go
+++ b/internal/transport/target/cost_test.go
@@ -241,3 +241,26 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc + m.StackInuse
 }
+
+// BenchmarkManyStreams measures the tokens a second of 1,000 unpaced streams at
+// once, engine's server and reader included.
+func BenchmarkManyStreams(b *testing.B) {
+	const (
+		tokens  = 400
+		streams = 1000
+	)
+	s := newScript(b, tokens, nil)
+	close(s.hold)
+	settings := engineSettings(s.URL)
+	settings.Engine.Slots, settings.Engine.Queue = 2*streams, 2*streams
+	p := newBench(b, settings, target.Deps{})
+	b.ResetTimer()
+	for round := range b.N {
+		var readers sync.WaitGroup
+		for n := range streams {
+			readers.Go(func() { p.readRaw(b.Context(), numbered(round*streams+n, tokens), func([]byte) {}) })
+		}
+		readers.Wait()
+	}
+	b.ReportMetric(float64(b.N)*tokens*streams/b.Elapsed().Seconds(), "tokens/s")
+}
--- a/internal/transport/target/drain.go
+++ b/internal/transport/target/drain.go
@@ -43,7 +43,20 @@
 	}
 }
 
-func (p *Process) drain(ctx context.Context) { _ = p.Drain(ctx) }
+// drain drains and lingers. What is adopted meanwhile is waited for too.
+func (p *Process) drain(ctx context.Context) {
+	until := p.deps.Clock.Now().Add(p.deps.Linger)
+	for {
+		if p.Drain(ctx) != nil || !p.deps.Clock.Now().Before(until) {
+			return
+		}
+		select {
+		case <-p.life.Done():
+			return
+		case <-p.deps.Clock.After(drainLook):
+		}
+	}
+}
 
 // leave makes the process refuse new work; it does so once.
 func (p *Process) leave() {
--- a/internal/transport/target/drain_test.go
+++ b/internal/transport/target/drain_test.go
@@ -53,6 +53,20 @@
 	is.NoErr(b.ended())
 }
 
+// TestDrainLingers holds that a process without work still refuses with proof
+// for a while.
+func TestDrainLingers(t *testing.T) {
+	is := is.New(t)
+	s := newFakeService(t, nil)
+	b := newBench(t, serviceSettings(s.URL), target.Deps{Linger: 3 * time.Second})
+	b.stop()
+	b.eventually(func() bool { return b.process.Report().State == member.Leaving })
+	b.advance(2900 * time.Millisecond)
+	is.Equal(b.call(t.Context(), nil), "notRun")
+	is.NoErr(b.ended())
+	is.Equal(s.runs.Load(), int64(0))
+}
+
 func TestCut(t *testing.T) {
 	is := is.New(t)
 	e := newFakeEngine(t, make(chan struct{}))
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -69,6 +69,10 @@
 	// read from the key-value service. It is asked for each order beside an
 	// engine that checks no numbers; nil refuses all of them.
 	MinFence func(ctx context.Context) (id.Fence, error)
+	// Linger is how long a process without work still answers once it is told
+	// to stop. An entry that has not heard of it then gets a refusal in place
+	// of a broken connection, which proves nothing.
+	Linger time.Duration
 	// Swap serves Exchange.Swap; nil answers with the process's own load.
 	Swap func(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
 }
