--- a/internal/state/settings/load.go
+++ b/internal/state/settings/load.go
@@ -21,9 +21,12 @@
 	defaultReadsPerSecond  = 20
 	defaultEngineSlots     = 64
 	defaultServiceSlots    = 16
-	defaultLogBytes        = 256 << 20
-	defaultReplyBytes      = 64 << 20
 	defaultRole            = "mixed"
+
+	// The collector lets memory grow to twice what is in use, and the process
+	// is to stay below 128 MB.
+	defaultLogBytes   = 48 << 20
+	defaultReplyBytes = 32 << 20
 )
 
 // Limits of what a file may say.
