--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -71,6 +71,10 @@
 	MinFence func(ctx context.Context) (id.Fence, error)
 	// News is set when the process reports to entries by itself.
 	News *News
+	// Linger is how long a process without work still answers once it is told
+	// to stop. An entry that has not heard of it then gets a refusal in place
+	// of a broken connection, which proves nothing.
+	Linger time.Duration
 	// Swap serves Exchange.Swap; nil answers with the process's own load.
 	Swap func(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
 }
