Never say notRun of an answer that has tokens

Cause: the invariant that what was told as not run did not run should not hang on each refusal's origin alone.

Change: a refusal after tokens is told as failed.

Conclusion: tested for whole answers and streams.

--- a/internal/transport/caller/caller_test.go
+++ b/internal/transport/caller/caller_test.go
@@ -317,6 +317,27 @@
 	is.Equal(string(p.Request), response.Header.Get("Foxtailward-Request"))
 }
 
+func TestNotRunOnlyWithoutTokens(t *testing.T) {
+	tests := []struct {
+		failAfter int
+		want      answer.Outcome
+	}{{0, answer.NotRun}, {1, answer.Failed}}
+	for _, tt := range tests {
+		t.Run(string(tt.want), func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeDesk("a", "b")
+			f.failAfter = tt.failAfter
+			f.failure = answer.Refuse(answer.CauseNoTarget, "no target")
+			server := serve(t, testConfig(), f)
+			_, whole := request(t, "POST", server.URL+"/v1/completions", promptBody)
+			is.Equal(decodeProblem(t, whole).Outcome, tt.want)
+			_, stream := request(t, "POST", server.URL+"/v1/completions", streamBody)
+			_, data, _ := strings.Cut(stream, "event: error\ndata: ")
+			is.Equal(decodeProblem(t, data).Outcome, tt.want)
+		})
+	}
+}
+
 func TestIDComesBeforeTheFirstToken(t *testing.T) {
 	is := is.New(t)
 	f := newFakeDesk("a")
--- a/internal/transport/caller/whole.go
+++ b/internal/transport/caller/whole.go
@@ -57,10 +57,14 @@
 	d.api.send(w, refusal, "")
 }
 
-// withRequest returns a copy of refusal that names the answer.
+// withRequest returns a copy of refusal that names the answer. A request with
+// tokens has run, whatever the refusal says.
 func (d *delivery) withRequest(refusal *answer.Refusal) *answer.Refusal {
 	named := *refusal
 	named.Request = d.reader.Request
+	if named.Outcome == answer.NotRun && d.next > 0 {
+		named.Outcome = answer.Failed
+	}
 	return &named
 }
 
