Read answers while engines die, and report what it cost

Change: internal/standin/losses runs a deployment, kills engines at seeded tokens, compares each answer and measures resume latency and extra tokens; foxtailward-lab recover prints it, or draws the settings.

--- a/cmd/foxtailward-lab/main.go
+++ b/cmd/foxtailward-lab/main.go
@@ -6,6 +6,7 @@
 //	foxtailward-lab engine|service|store|hosts   run a stand-in
 //	foxtailward-lab expect                       print the exact text of an answer
 //	foxtailward-lab bench                        measure an engine and an entry
+//	foxtailward-lab recover                      measure recovery while engines die
 package main
 
 import (
--- /dev/null
+++ b/internal/standin/losses/report.go
@@ -0,0 +1,198 @@
+package losses
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	protocol "foxtailward.example/foxtailward/internal/protocol/engine"
+	"foxtailward.example/foxtailward/internal/standin/engine"
+)
+
+const (
+	// inFlight is how long after a failure tokens may still arrive that were
+	// sent before.
+	inFlight = 20 * time.Millisecond
+	// longestResume is the upper end of the histogram.
+	longestResume = 10 * time.Minute
+	// significantDigits is the histogram's precision.
+	significantDigits = 3
+	// boundFactor and boundExtra make the bound of a resume latency from its
+	// expected time.
+	boundFactor = 1.2
+	boundExtra  = 20 * time.Millisecond
+	microsPerMs = 1000
+	// sameWords is how many words after a divergence tell a repeated or a
+	// missing token from a foreign text.
+	sameWords = 3
+)
+
+// Report is the outcome of a run. The ratios are parts of the tokens that the
+// same requests compute without a failure.
+type Report struct {
+	Prefer  Prefer `json:"prefer"`
+	Seed    uint64 `json:"seed"`
+	Answers int    `json:"answers"`
+	// Exact, Missing, Repeated and Mixed sort the answers: whole, with tokens
+	// left out, with tokens twice, with tokens of another text.
+	Exact    int `json:"exact"`
+	Missing  int `json:"missing"`
+	Repeated int `json:"repeated"`
+	Mixed    int `json:"mixed"`
+	// FirstError is the error of one answer that is not exact.
+	FirstError string `json:"firstError,omitempty"`
+	// Kills counts the engines' failures, and Hits the answers that met one
+	// each time with a token before it.
+	Kills int `json:"kills"`
+	Hits  int `json:"hits"`
+	// Resume latencies are from the last token before the failure to the first
+	// after it, at the caller.
+	ResumeMsP50 float64 `json:"resumeMsP50"`
+	ResumeMsP95 float64 `json:"resumeMsP95"`
+	ResumeMsMax float64 `json:"resumeMsMax"`
+	// WithinBound counts the hits whose next token came, after the failure,
+	// within 1.2 × (prefill of prompt and held tokens + one step) + 20 ms.
+	WithinBound int `json:"withinBound"`
+	// ExtraRatio is the sum of PrefillExtra and DecodeExtra. HedgeExtra is the
+	// part of it that races were given; CachedRatio is what came from caches
+	// and is in none of them.
+	ExtraRatio   float64 `json:"extraRatio"`
+	PrefillExtra float64 `json:"prefillExtra"`
+	DecodeExtra  float64 `json:"decodeExtra"`
+	HedgeExtra   float64 `json:"hedgeExtra"`
+	CachedRatio  float64 `json:"cachedRatio"`
+	Races        int     `json:"races"`
+	// BudgetWaits counts the refusals of the retry budget.
+	BudgetWaits int `json:"budgetWaits"`
+}
+
+func (r *run) report(callers []*caller) *Report {
+	out := &Report{Prefer: r.opts.Prefer, Seed: r.opts.Seed, Kills: r.killer.made}
+	resumes := hdrhistogram.New(1, longestResume.Microseconds(), significantDigits)
+	prompts := map[string]int{}
+	prefill, decode := 0, 0
+	for _, c := range callers {
+		out.sort(c)
+		out.resumes(c, resumes, &r.opts.Costs)
+		prompts[c.name] = protocol.PromptTokens(c.task.prompt)
+		prefill += prompts[c.name]
+		decode += c.task.tokens
+	}
+	out.ResumeMsP50 = float64(resumes.ValueAtQuantile(50)) / microsPerMs
+	out.ResumeMsP95 = float64(resumes.ValueAtQuantile(95)) / microsPerMs
+	out.ResumeMsMax = float64(resumes.Max()) / microsPerMs
+	var done engine.Stats
+	for _, e := range r.d.Engines {
+		s := e.Stand.Engine.Stats()
+		done.Prefilled += s.Prefilled
+		done.Cached += s.Cached
+		done.Decoded += s.Decoded
+	}
+	useful := float64(prefill + decode)
+	out.PrefillExtra = float64(int(done.Prefilled)-prefill) / useful
+	out.DecodeExtra = float64(int(done.Decoded)-decode) / useful
+	out.ExtraRatio = out.PrefillExtra + out.DecodeExtra
+	out.CachedRatio = float64(done.Cached) / useful
+	raced := r.races.tokens
+	for _, name := range r.races.prompts {
+		raced += prompts[name]
+	}
+	out.HedgeExtra = float64(raced) / useful
+	out.Races, out.BudgetWaits = r.races.races, r.races.waits
+	return out
+}
+
+// sort counts an answer by what its text is.
+func (out *Report) sort(c *caller) {
+	out.Answers++
+	want := engine.Join(engine.Expect(model, version, "", c.task.prompt, c.task.tokens))
+	got := c.text.String()
+	if got == want && c.err == nil {
+		out.Exact++
+		return
+	}
+	if out.FirstError == "" {
+		out.FirstError = "the text is not the expected one"
+		if c.err != nil {
+			out.FirstError = c.err.Error()
+		}
+	}
+	switch compare(strings.Fields(got), strings.Fields(want)) {
+	case missing:
+		out.Missing++
+	case repeated:
+		out.Repeated++
+	default:
+		out.Mixed++
+	}
+}
+
+// fate is how a text differs from the expected one.
+type fate int
+
+const (
+	missing fate = iota
+	repeated
+	mixed
+)
+
+// compare says how got, which is not want or has no end, differs from it.
+func compare(got, want []string) fate {
+	i := 0
+	for i < len(got) && i < len(want) && got[i] == want[i] {
+		i++
+	}
+	if i == len(got) {
+		return missing
+	}
+	next := got[i:min(len(got), i+sameWords)]
+	for j := range want {
+		if !slices.Equal(next, want[j:min(len(want), j+len(next))]) {
+			continue
+		}
+		if j > i {
+			return missing
+		}
+		return repeated
+	}
+	return mixed
+}
+
+// resumes records the resume latencies of a caller.
+func (out *Report) resumes(c *caller, latencies *hdrhistogram.Histogram, costs *engine.Costs) {
+	for _, hit := range c.hits {
+		held, gap, after, ok := resume(c.arrivals, hit)
+		if !ok {
+			continue
+		}
+		out.Hits++
+		// The histogram reaches further than any answer lasts.
+		_ = latencies.RecordValue(max(1, gap.Microseconds()))
+		tokens := protocol.PromptTokens(c.task.prompt) + held
+		expected := time.Duration(tokens)*costs.Prefill + costs.Step + costs.StepPerRunning
+		if after <= time.Duration(boundFactor*float64(expected))+boundExtra {
+			out.WithinBound++
+		}
+	}
+}
+
+// resume returns how many tokens the caller had when the answer stopped after
+// a failure, the time until the next one, and that from the failure. It is the
+// longest pause that began before the failure or with the tokens in flight.
+func resume(arrivals []time.Time, failed time.Time) (held int, gap, after time.Duration, ok bool) {
+	for i := 1; i < len(arrivals); i++ {
+		last, next := arrivals[i-1], arrivals[i]
+		if !next.After(failed) {
+			continue
+		}
+		if last.After(failed.Add(inFlight)) {
+			break
+		}
+		if pause := next.Sub(last); !ok || pause > gap {
+			held, gap, after, ok = i, pause, next.Sub(failed), true
+		}
+	}
+	return held, gap, after, ok
+}
