Weigh extra work by engine time, and bound the deaths of a request

Cause: prefilled and decoded tokens cost an engine differently; a request that met two deaths is held by design until other suspects end, which hid the latency of going on. Conclusion: the waits of 1 to 4 s seen before were the hold of suspects and the retry budget.

--- a/internal/standin/losses/losses.go
+++ b/internal/standin/losses/losses.go
@@ -57,6 +57,7 @@
 	maxRequests = 20_000
 	maxEngines  = 64
 	maxTokens   = 4000
+	maxDeaths   = 2
 	// readyTimeout bounds the start of the deployment.
 	readyTimeout = 30 * time.Second
 	// idleTimeout bounds the wait for work that nobody reads any more.
@@ -75,6 +76,10 @@
 	Stall bool
 	// Scarce leaves each engine about as many slots as the answers need.
 	Scarce bool
+	// MostDeaths is how many failures one request may meet, at most two: the
+	// third isolated death would quarantine it, as is meant. After the second
+	// one it may be held until other suspects have ended.
+	MostDeaths int
 	// Tokens is the length of each answer, PromptTokens the longest prompt.
 	Tokens, PromptTokens int
 	Costs                engine.Costs
@@ -99,6 +104,7 @@
 	setDefault(&o.Requests, 200)
 	setDefault(&o.Prefer, Latency)
 	setDefault(&o.Concurrency, 2*o.Engines)
+	setDefault(&o.MostDeaths, maxDeaths)
 	setDefault(&o.Tokens, 200)
 	setDefault(&o.PromptTokens, 100)
 	setDefault(&o.Costs, engine.Costs{Step: 2 * time.Millisecond, Prefill: 20 * time.Microsecond})
@@ -131,6 +137,8 @@
 		return fault.New(op, Invalid, "tokens is %d, want 2 to %d", o.Tokens, maxTokens)
 	case o.PromptTokens < minPrompt || o.PromptTokens > maxTokens:
 		return fault.New(op, Invalid, "promptTokens is %d, want %d to %d", o.PromptTokens, minPrompt, maxTokens)
+	case o.MostDeaths < 1 || o.MostDeaths > maxDeaths:
+		return fault.New(op, Invalid, "mostDeaths is %d, want 1 to %d", o.MostDeaths, maxDeaths)
 	case o.Down.Min < 0 || o.Down.Max < o.Down.Min:
 		return fault.New(op, Invalid, "down is %v to %v, want rising", o.Down.Min, o.Down.Max)
 	case o.Prefer != Latency && o.Prefer != Cost && o.Prefer != Naive:
--- a/internal/standin/losses/report.go
+++ b/internal/standin/losses/report.go
@@ -63,6 +63,10 @@
 	DecodeExtra  float64 `json:"decodeExtra"`
 	HedgeExtra   float64 `json:"hedgeExtra"`
 	CachedRatio  float64 `json:"cachedRatio"`
+	// ComputeExtra weighs the tokens by the engines' time: a prefilled token by
+	// its cost, a decoded one by its part of a step that the mean number of
+	// answers share.
+	ComputeExtra float64 `json:"computeExtra"`
 	Races        int     `json:"races"`
 	// BudgetWaits counts the refusals of the retry budget.
 	BudgetWaits int `json:"budgetWaits"`
@@ -94,6 +98,13 @@
 	out.PrefillExtra = float64(int(done.Prefilled)-prefill) / useful
 	out.DecodeExtra = float64(int(done.Decoded)-decode) / useful
 	out.ExtraRatio = out.PrefillExtra + out.DecodeExtra
+	batch := max(1, float64(r.opts.Concurrency)/float64(r.opts.Engines))
+	costs := &r.opts.Costs
+	perPrefill := costs.Prefill.Seconds()
+	perDecode := costs.Step.Seconds()/batch + costs.StepPerRunning.Seconds()
+	if base := float64(prefill)*perPrefill + float64(decode)*perDecode; base > 0 {
+		out.ComputeExtra = useful * (out.PrefillExtra*perPrefill + out.DecodeExtra*perDecode) / base
+	}
 	out.CachedRatio = float64(done.Cached) / useful
 	raced := r.races.tokens
 	for _, name := range r.races.prompts {
