Run entries from the command line, and explain requests from any entry

Cause: only dev could start an entry. Change: foxtailward entry, the way to the platform's services for both daemons, status with drains, limits and revisions, and explain through the home entry. Conclusion: the daemons can run apart.

--- /dev/null
+++ b/cmd/foxtailward/platform.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/etcd"
+	"foxtailward.example/foxtailward/internal/transport/hostlist"
+)
+
+// Timing of the reads of the entries' addresses.
+const (
+	// seedsEvery is the time between two reads while none is known.
+	seedsEvery = 2 * time.Second
+	// seedsRefresh is the time between two reads otherwise.
+	seedsRefresh = 5 * time.Minute
+	seedsTimeout = 5 * time.Second
+)
+
+// platform is a daemon's way to the platform's services.
+type platform struct {
+	settings *settings.Platform
+	log      *event.Log
+	client   *etcd.Client
+	store    *store.Store
+
+	mu    sync.Mutex
+	seeds []string
+}
+
+// openPlatform returns the way to the services that the settings name.
+func openPlatform(s *settings.Platform, log *event.Log, registry metrics.Registry) (*platform, error) {
+	p := &platform{settings: s, log: log}
+	if len(s.Stores) == 0 {
+		return p, nil
+	}
+	client, err := etcd.New(etcd.Options{
+		Endpoints: s.Stores, Clock: clockwork.NewRealClock(), Metrics: registry, Log: log,
+		ReadsPerSecond: s.StoreReadsPerSecond, WritesPerSecond: s.StoreWritesPerSecond,
+	})
+	if err != nil {
+		return nil, err
+	}
+	kv := client.Store()
+	p.client, p.store = client, &kv
+	return p, nil
+}
+
+func (p *platform) close() {
+	if p.client != nil {
+		p.client.Close()
+	}
+}
+
+// hosts reads the host list until ctx ends.
+func (p *platform) hosts(ctx context.Context, take func(member.HostDoc)) {
+	if p.settings.HostList == "" {
+		return
+	}
+	poller, err := hostlist.New(hostlist.Options{
+		URL: p.settings.HostList, Every: p.settings.HostListEvery.Std(), Change: take, Log: p.log,
+	})
+	if err != nil {
+		// The settings were checked, so this is a fault of the program.
+		p.log.Emit(event.LoopFailed, "duty", "hosts", "error", err)
+		return
+	}
+	// It ends with the context.
+	_ = poller.Run(ctx)
+}
+
+// known returns the addresses of entries from the settings and the key-value
+// service.
+func (p *platform) known() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Concat(p.settings.Seeds, p.seeds)
+}
+
+// readSeeds reads the entries' addresses from the key-value service until ctx
+// ends.
+func (p *platform) readSeeds(ctx context.Context) {
+	for p.store != nil && ctx.Err() == nil {
+		pause := seedsRefresh
+		if p.readOnce(ctx) == 0 {
+			pause = seedsEvery
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (p *platform) readOnce(ctx context.Context) int {
+	ctx, cancel := context.WithTimeout(ctx, seedsTimeout)
+	defer cancel()
+	page, err := p.store.List(ctx, store.SeedPrefix)
+	if err != nil {
+		return 0
+	}
+	var seeds []string
+	for i := range page.Items {
+		seeds = append(seeds, string(page.Items[i].Value))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+	return len(seeds)
+}
--- a/cmd/foxtailward/root.go
+++ b/cmd/foxtailward/root.go
@@ -31,7 +31,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return wrongUsage(err)
 	})
-	root.AddCommand(newDev(), newVersion())
+	root.AddCommand(newDev(), newEntry(), newVersion())
 	root.AddCommand(newTarget())
 	addOperatorCommands(root, o)
 	return root
--- a/cmd/foxtailward/target.go
+++ b/cmd/foxtailward/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,7 +14,10 @@
 	"github.com/spf13/cobra"
 
 	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/placement"
+	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
 	operatorpage "foxtailward.example/foxtailward/internal/transport/operator"
 	"foxtailward.example/foxtailward/internal/transport/target"
@@ -76,9 +80,12 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	registry := metrics.NewRegistry()
-	p := target.New(*s, target.Deps{
-		Clock: clockwork.NewRealClock(), Log: log, Metrics: registry, Linger: targetLinger,
-	})
+	way, err := openPlatform(&s.Platform, log, registry)
+	if err != nil {
+		return err
+	}
+	defer way.close()
+	p := target.New(*s, targetDeps(way, log, registry))
 	if err := p.Listen(); err != nil {
 		return err
 	}
@@ -90,16 +97,32 @@
 	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	go way.readSeeds(serving)
 	served := make(chan error, 1)
 	go func() { served <- page.Run(serving, s.Operators) }()
 	ctx, drain := context.WithCancel(ctx)
 	defer drain()
 	go obeySignals(serving, signals, drain, func() { p.Cut() })
-	err := p.Run(ctx)
+	err = p.Run(ctx)
 	stop()
 	return errors.Join(err, <-served)
 }
 
+func targetDeps(way *platform, log *event.Log, registry metrics.Registry) target.Deps {
+	current := conf.NewCurrent()
+	deps := target.Deps{
+		Clock: clockwork.NewRealClock(), Log: log, Metrics: registry, Linger: targetLinger,
+		Snapshot: current.Snapshot,
+		News: &target.News{
+			Seeds: way.known, Current: current, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+	}
+	if way.store != nil {
+		deps.MinFence = func(ctx context.Context) (id.Fence, error) { return placement.MinFence(ctx, way.store) }
+	}
+	return deps
+}
+
 // obeySignals drains at the first signal and cuts at the second, until ctx
 // ends.
 func obeySignals(ctx context.Context, signals <-chan os.Signal, drain, cut func()) {
--- a/internal/coordination/placement/leader.go
+++ b/internal/coordination/placement/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -155,3 +156,19 @@
 	defer g.mu.Unlock()
 	return g.highest
 }
+
+// noLeader is above every fencing number: while nobody holds the lease, no
+// order is valid.
+const noLeader = id.Fence(math.MaxInt64)
+
+// MinFence reads the lowest fencing number that is valid now.
+func MinFence(ctx context.Context, s *store.Store) (id.Fence, error) {
+	current, err := s.Get(ctx, store.LeaderKey)
+	if err != nil {
+		return 0, fault.Wrap("placement.MinFence", Unavailable, err)
+	}
+	if !current.Exists() {
+		return noLeader, nil
+	}
+	return id.Fence(current.ModRevision), nil
+}
--- a/internal/coordination/request/answer.go
+++ b/internal/coordination/request/answer.go
@@ -205,6 +205,9 @@
 	return added, verdict
 }
 
+// Next returns the number of tokens that the answer has.
+func (a *Answer) Next() id.Index { return a.next() }
+
 // next returns the number of tokens that the answer has.
 func (a *Answer) next() id.Index {
 	a.mu.Lock()
--- a/internal/state/settings/load.go
+++ b/internal/state/settings/load.go
@@ -105,6 +105,11 @@
 			return refuse("platform.stores", "element %d: %s", i, err.(*KeyError).Detail)
 		}
 	}
+	for i, s := range p.Seeds {
+		if _, _, err := net.SplitHostPort(s); err != nil {
+			return refuse("platform.seeds", "element %d is %q, want host:port", i, s)
+		}
+	}
 	if p.HostList != "" {
 		if err := checkURL("platform.hostList", p.HostList); err != nil {
 			return err
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -40,6 +40,9 @@
 type Platform struct {
 	// Stores are the base URLs of the key-value service's endpoints.
 	Stores []string `toml:"stores"`
+	// Seeds are addresses of entries, as host:port, that are asked for news
+	// besides those that the key-value service names.
+	Seeds []string `toml:"seeds"`
 	// HostList is the URL of the host list.
 	HostList string `toml:"hostList"`
 	// HostListEvery is the time between two reads of the host list.
--- a/internal/transport/entry/drain.go
+++ b/internal/transport/entry/drain.go
@@ -25,6 +25,9 @@
 // drain stops taking new work and waits until none is left or the process was
 // cut.
 func (p *Process) drain() {
+	p.mu.Lock()
+	p.leftAt = p.deps.Clock.Now()
+	p.mu.Unlock()
 	p.leaving.Store(true)
 	p.emit(event.DrainStarted, "waiting", len(p.Waiting()))
 	p.pause(leaveNotice)
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -92,6 +92,7 @@
 	policy  *policy.Policy
 	pool    *peer.Pool
 	limits  *limits
+	relays  *peer.Relays
 	// spreader and exchanger are made once the process listens.
 	spreader  *spread.Spreader
 	exchanger *peer.Exchanger
@@ -110,6 +111,8 @@
 
 	mu  sync.Mutex
 	cut []string
+	// leftAt is when the process was told to leave.
+	leftAt time.Time
 	// stored are the addresses of entries in the key-value service.
 	stored      []string
 	storeDown   bool
@@ -137,6 +140,7 @@
 		Random: deps.Random, Log: deps.Log.With("entry", s.Name),
 	})
 	p.policy = owner
+	p.relays = relays
 	p.limits = newLimits(p, relays)
 	p.desk = request.NewDesk(request.Config{
 		Self: s.Name, Clock: deps.Clock, Log: deps.Log.With("entry", s.Name),
@@ -254,7 +258,7 @@
 		return fault.Wrap("Process.Listen", Address, err)
 	}
 	p.operatorsListener = operator.New(operator.Source{
-		Ready: p.ready, Status: func() any { return p.status() }, Metrics: p.deps.Metrics,
+		Ready: p.ready, Status: func() any { return p.status() }, Explain: p.explain, Metrics: p.deps.Metrics,
 	})
 	return fault.Wrap("Process.Listen", Address, p.operatorsListener.Listen(p.settings.Operators))
 }
--- a/internal/transport/entry/serve.go
+++ b/internal/transport/entry/serve.go
@@ -40,18 +40,3 @@
 	call.Contract = c
 	return peer.ReplyOf(p.counter.Serve(ctx, call, via))
 }
-
-// decisions tells another process what is known of a request.
-func (p *Process) decisions(r id.Request) *peerpb.ExplainReply {
-	a, ok := p.desk.Find(r)
-	if !ok {
-		return &peerpb.ExplainReply{}
-	}
-	reply := &peerpb.ExplainReply{Found: true, Contract: string(a.Spec().Contract), State: string(a.State())}
-	for _, d := range a.Decisions() {
-		reply.Decisions = append(reply.Decisions, &peerpb.Decision{
-			AtUnixMs: d.At.UnixMilli(), Step: d.Step, Target: string(d.Target), Reason: d.Reason,
-		})
-	}
-	return reply
-}
--- a/internal/transport/entry/status.go
+++ b/internal/transport/entry/status.go
@@ -1,21 +1,31 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/protocol/status"
+	"foxtailward.example/foxtailward/internal/state/id"
 )
 
 // status returns this entry's view of the deployment.
 func (p *Process) status() *status.Status {
 	now := p.deps.Clock.Now()
-	s := &status.Status{Entry: p.settings.Name, At: now, Revision: p.deps.Current.Revision()}
+	s := &status.Status{
+		Entry: p.settings.Name, At: now, Revision: p.deps.Current.Revision(),
+		Limits: p.limits.usage(), Store: p.storeStatus(),
+	}
+	if p.leaving.Load() {
+		s.Drains = []status.Drain{p.drainStatus()}
+	}
+	revisions := p.spreader.Revisions()
 	for _, e := range p.view.Entries() {
 		s.Members = append(s.Members, entryMember(&e, now))
 	}
 	for _, t := range p.view.Targets() {
-		s.Members = append(s.Members, targetMember(&t, now))
+		s.Members = append(s.Members, targetMember(&t, revisions[string(t.Report.Target)], now))
 	}
 	return s
 }
@@ -29,12 +39,12 @@
 	}
 }
 
-func targetMember(t *member.Target, now time.Time) status.Member {
+func targetMember(t *member.Target, revision id.Revision, now time.Time) status.Member {
 	r := &t.Report
 	return status.Member{
 		Name: string(r.Target), Role: status.Target, State: t.State, Since: t.Since,
 		Zone: r.Place.Zone, Region: r.Place.Region, Address: r.Address,
-		AgeMs: now.Sub(r.At).Milliseconds(),
+		Revision: revision, AgeMs: now.Sub(r.At).Milliseconds(),
 		Model: r.Model, Version: r.Version, Service: r.Service,
 		Running: r.Running, Queued: r.Queued, Slots: r.Slots,
 	}
@@ -54,3 +64,45 @@
 
 // SeesEntries returns the number of live entries in this entry's view.
 func (p *Process) SeesEntries() int { return len(p.view.Snapshot().LiveEntries()) }
+
+// storeStatus returns how this entry gets on with the key-value service.
+func (p *Process) storeStatus() status.Store {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return status.Store{Available: p.deps.Store != nil && !p.storeDown, LastAnswer: p.storeAnswer}
+}
+
+// drainStatus returns what this entry waits for while it leaves.
+func (p *Process) drainStatus() status.Drain {
+	d := status.Drain{Name: string(p.settings.Name), Role: status.Entry, Since: p.leavingSince()}
+	for _, r := range p.desk.Waiting() {
+		w := status.Wait{Request: r}
+		if a, ok := p.desk.Find(r); ok {
+			spec := a.Spec()
+			w.Contract, w.Class, w.Tokens, w.MaxTokens = spec.Contract, spec.Class, a.Next(), spec.MaxTokens
+		}
+		d.Waits = append(d.Waits, w)
+	}
+	for _, r := range p.counter.Waiting() {
+		d.Waits = append(d.Waits, status.Wait{Request: r})
+	}
+	return d
+}
+
+func (p *Process) leavingSince() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leftAt
+}
+
+// usage returns what the contracts that are in use here use of their limits.
+func (l *limits) usage() []status.Usage {
+	var out []status.Usage
+	contracts := l.process.deps.Current.Snapshot().Contracts
+	for _, name := range slices.Sorted(maps.Keys(contracts)) {
+		if running := l.local.Running(name); running > 0 {
+			out = append(out, status.Usage{Contract: name, Limits: contracts[name].Limits, Running: running})
+		}
+	}
+	return out
+}
--- a/internal/transport/peer/calls.go
+++ b/internal/transport/peer/calls.go
@@ -126,3 +126,13 @@
 	reply, err := client.Share(ctx, m)
 	return reply, fault.Wrap("Relays.Share", request.Lost, err)
 }
+
+// Explain asks another entry what it decided about a request.
+func (r *Relays) Explain(ctx context.Context, e id.Entry, about id.Request) (*peerpb.ExplainReply, error) {
+	client, err := r.client(e)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Explain(ctx, &peerpb.ExplainRequest{Stamp: r.pool.Stamp(), Request: string(about)})
+	return reply, fault.Wrap("Relays.Explain", request.Lost, err)
+}
