End an answer whose engine died between its last token and its end

Cause: a start whose prefix has all maxTokens tokens was refused as invalid, so an answer with every token out could fail for want of its end. Change: the target ends such an attempt at once, as length, without a slot and without the engine; a longer prefix is still invalid. Conclusion: covered by TestStartWhole.

--- a/internal/coordination/attempt/attempt.go
+++ b/internal/coordination/attempt/attempt.go
@@ -102,6 +102,10 @@
 	Prefix []generation.Token
 }
 
+// whole reports whether the prefix is the whole answer already: the engine died
+// between its last token and its end.
+func (s *Start) whole() bool { return len(s.Prefix) == s.Spec.MaxTokens }
+
 // Validate returns an error that names the first field that breaks a rule.
 func (s *Start) Validate() error {
 	const op = "Start.Validate"
@@ -110,9 +114,8 @@
 		return fault.New(op, Invalid, "epoch is 0")
 	case s.Attempt == 0:
 		return fault.New(op, Invalid, "attempt is 0")
-	case len(s.Prefix) >= s.Spec.MaxTokens:
-		return fault.New(op, Invalid, "prefix has %d tokens of at most %d; nothing is left to generate",
-			len(s.Prefix), s.Spec.MaxTokens)
+	case len(s.Prefix) > s.Spec.MaxTokens:
+		return fault.New(op, Invalid, "prefix has %d tokens of at most %d", len(s.Prefix), s.Spec.MaxTokens)
 	}
 	return nil
 }
--- a/internal/coordination/attempt/table.go
+++ b/internal/coordination/attempt/table.go
@@ -125,35 +125,56 @@
 		a.Prompt == b.Prompt && bytes.Equal(a.Messages, b.Messages) && slices.Equal(a.Stop, b.Stop)
 }
 
-// add makes the record of a new attempt and puts it into the queue.
+// add makes the record of a new attempt and puts it into the queue. An answer
+// that is whole needs neither a slot nor the engine.
 func (t *Table) add(now time.Time, req *request, s Start) (*Record, error) {
+	r := &Record{Spec: s.Spec, Epoch: s.Epoch, Attempt: s.Attempt, State: Running}
+	if s.whole() {
+		t.hold(req, r, s.Prefix)
+		t.Finish(now, r, generation.Length, Usage{PromptTokens: s.Spec.PromptTokens()})
+		// No engine computed the prompt for this attempt.
+		r.Finish.Prefilled = 0
+		return r, nil
+	}
+	if err := t.room(now, r, len(s.Prefix)); err != nil {
+		return nil, err
+	}
+	t.hold(req, r, s.Prefix)
+	t.evict()
+	return r, nil
+}
+
+// hold keeps a record with the tokens that it begins with.
+func (t *Table) hold(req *request, r *Record, prefix []generation.Token) {
+	for _, token := range prefix {
+		r.Log.Append(token)
+	}
+	r.From = r.Log.Next()
+	req.records = append(req.records, r)
+	t.bytes += r.Bytes()
+}
+
+// room puts an attempt into the queue, or returns why it can't run here now.
+func (t *Table) room(now time.Time, r *Record, prefix int) error {
 	if t.leaving {
-		return nil, fault.New("Table.add", Leaving, "the target is leaving")
+		return fault.New("Table.room", Leaving, "the target is leaving")
 	}
 	if t.Serves != nil {
-		if err := t.Serves(s.Spec); err != nil {
-			return nil, err
+		if err := t.Serves(r.Spec); err != nil {
+			return err
 		}
 	}
 	t.evict()
 	if t.bytes >= t.limits.LogBytes {
-		return nil, fault.New("Table.add", Busy, "attempts that run or are read take %d bytes", t.bytes)
+		return fault.New("Table.room", Busy, "attempts that run or are read take %d bytes", t.bytes)
 	}
-	r := &Record{Spec: s.Spec, Epoch: s.Epoch, Attempt: s.Attempt, State: Running}
 	r.ticket = admission.Ticket[*Record]{
-		Owner: r, Class: s.Spec.Class, Deadline: s.Spec.Deadline, Tokens: s.Spec.PromptTokens() + len(s.Prefix),
+		Owner: r, Class: r.Spec.Class, Deadline: r.Spec.Deadline, Tokens: r.Spec.PromptTokens() + prefix,
 	}
 	if err := t.queue.Offer(now, &r.ticket); err != nil {
-		return nil, fault.Wrap("Table.add", refusalKind(err), err)
-	}
-	for _, token := range s.Prefix {
-		r.Log.Append(token)
+		return fault.Wrap("Table.room", refusalKind(err), err)
 	}
-	r.From = r.Log.Next()
-	req.records = append(req.records, r)
-	t.bytes += r.Bytes()
-	t.evict()
-	return r, nil
+	return nil
 }
 
 // refusalKind returns the kind for why the queue refused.
--- a/internal/coordination/attempt/table_test.go
+++ b/internal/coordination/attempt/table_test.go
@@ -127,6 +127,27 @@
 	f.is.Equal(len(tokens), 4) // an adopter without tokens gets the prefix too
 }
 
+// TestStartWhole holds that an answer whose engine died between its last token
+// and its end is ended without an engine, also by a target that has no room.
+func TestStartWhole(t *testing.T) {
+	f := newFixture(t, limits())
+	f.Drain()
+	whole := spec()
+	whole.MaxTokens = 2
+	prefix := []generation.Token{tokenAt(0), tokenAt(1)}
+	reader, err := f.Start(begin, attempt.Start{Spec: whole, Epoch: 1, Attempt: 2, Prefix: prefix}, func() {})
+	f.is.NoErr(err)
+	f.is.Equal(len(f.admit(begin)), 0)
+	tokens, part := f.read(reader)
+	f.is.Equal(len(tokens), 0)
+	f.is.Equal(part.Finish.Reason, generation.Length)
+	f.is.Equal(part.Finish.Count, id.Index(2))
+	f.is.Equal(part.Finish.Checksum, generation.ChecksumOf(prefix))
+	f.is.Equal(part.Finish.Prefilled+part.Finish.Decoded, 0) // it costs no computing
+	_, err = f.Start(begin, attempt.Start{Spec: whole, Epoch: 1, Attempt: 3, Prefix: append(prefix, tokenAt(2))}, func() {})
+	f.refused(err, attempt.Invalid)
+}
+
 func TestNewerAttemptStopsOlder(t *testing.T) {
 	f := newFixture(t, limits())
 	older := f.start(begin, 1, 1)
