Hand on the changes of an engine's prefix cache

Cause: routing by cached prefixes needs the engine's cache events, which come late and with gaps. Change: the poll reads them when Deps.CacheNews is set and says when some were lost, also over a restart of the engine. Conclusion: nothing carries them to the entries yet; the protocol has no message for it.

--- a/internal/transport/target/bench_test.go
+++ b/internal/transport/target/bench_test.go
@@ -35,6 +35,8 @@
 	starts    atomic.Int64
 	cancelled atomic.Int64
 	orders    chan engine.Order
+	// cache holds the pages of cache events by the number asked after.
+	cache map[string]engine.CacheEvents
 }
 
 func newFakeEngine(t testing.TB, steps chan struct{}) *fakeEngine {
@@ -45,6 +47,13 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintf(w, "# HELP x y\n%s{model=\"report\"} 0.031\n%s 7\n", engine.MetricTokenInterval, engine.MetricWaitingPrefill)
 	})
+	mux.HandleFunc("GET /cache_events", func(w http.ResponseWriter, r *http.Request) {
+		if page, ok := e.cache[r.URL.Query().Get("after")]; ok {
+			_ = json.NewEncoder(w).Encode(page)
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
 	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
 		var order engine.Order
 		_ = json.NewDecoder(r.Body).Decode(&order)
--- /dev/null
+++ b/internal/transport/target/cache_test.go
@@ -0,0 +1,40 @@
+package target_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/protocol/engine"
+	"foxtailward.example/foxtailward/internal/transport/target"
+)
+
+// TestCacheNews walks through pages in order, with a gap and a restart of the
+// engine.
+func TestCacheNews(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, nil)
+	page := func(next uint64, numbers ...uint64) engine.CacheEvents {
+		p := engine.CacheEvents{Next: next}
+		for _, n := range numbers {
+			p.Events = append(p.Events, engine.CacheEvent{Number: n, Kind: "stored", Block: n})
+		}
+		return p
+	}
+	e.cache = map[string]engine.CacheEvents{
+		"0": page(2, 1, 2), "2": page(4, 3, 4), "4": page(8, 7, 8), "8": page(1, 1), "1": page(1),
+	}
+	got := make(chan target.CacheNews, 16)
+	b := newBench(t, engineSettings(e.URL), target.Deps{CacheNews: func(news target.CacheNews) { got <- news }})
+	b.eventually(func() bool { b.advance(pollEvery); return len(got) == 4 })
+	for _, want := range []struct {
+		first uint64
+		lost  bool
+	}{{1, false}, {3, false}, {7, true}, {1, true}} {
+		news := <-got
+		is.Equal(news.Events[0].Number, want.first)
+		is.Equal(news.Lost, want.lost)
+	}
+	b.advance(pollEvery)
+	is.Equal(len(got), 0) // a page without events is no news
+}
--- a/internal/transport/target/poll.go
+++ b/internal/transport/target/poll.go
@@ -66,6 +66,7 @@
 	if err := r.engine.Health(ctx); err != nil {
 		return err
 	}
+	r.pollCache(ctx)
 	m, err := r.engine.Metrics(ctx)
 	if err != nil {
 		// An engine that serves but tells no load still takes work.
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -69,6 +69,9 @@
 	// read from the key-value service. It is asked for each order beside an
 	// engine that checks no numbers; nil refuses all of them.
 	MinFence func(ctx context.Context) (id.Fence, error)
+	// CacheNews takes the changes of the engine's prefix cache, which come late
+	// and with gaps. It must not block; nil reads none.
+	CacheNews func(news CacheNews)
 	// Linger is how long a process without work still answers once it is told
 	// to stop. An entry that has not heard of it then gets a refusal in place
 	// of a broken connection, which proves nothing.
--- a/internal/transport/target/runner.go
+++ b/internal/transport/target/runner.go
@@ -28,6 +28,8 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	work sync.WaitGroup
+	// cacheAfter is the number of the last cache event; the poll alone uses it.
+	cacheAfter uint64
 
 	mu      sync.Mutex
 	table   *attempt.Table
