--- a/internal/coordination/spread/spread.go
+++ b/internal/coordination/spread/spread.go
@@ -113,6 +113,10 @@
 	Entries      []member.EntryReport
 	LoadDigests  []LoadDigest
 	EntryDigests []EntryDigest
+	// KnownLoads and KnownEntries answer Wants, WantMembers and WantEntries.
+	// They are no news, and are not passed on.
+	KnownLoads   []member.TargetReport
+	KnownEntries []member.EntryReport
 	Quarantines  []Quarantine
 	Changes      []conf.Change
 	// Snapshot is the whole configuration, when the changes are not held.
@@ -137,7 +141,7 @@
 	DefaultReportTo       = 8
 	DefaultWatchers       = 2
 	DefaultUrgentPeers    = 3
-	DefaultSends          = 3
+	DefaultSends          = 4
 	DefaultEntryDigests   = 20
 	DefaultLoadDigests    = 12
 	DefaultKeptChanges    = 512
@@ -203,10 +207,10 @@
 // Intervals of heartbeats grow with the deployment, so that what a process
 // sends does not.
 const (
-	heartbeatPerEntry = 30 * time.Millisecond
-	heartbeatMax      = 10 * time.Second
-	loadNewsPerTarget = 40 * time.Millisecond
-	loadNewsMax       = 30 * time.Second
+	heartbeatPerEntry = 50 * time.Millisecond
+	heartbeatMax      = 20 * time.Second
+	loadNewsPerTarget = 80 * time.Millisecond
+	loadNewsMax       = time.Minute
 )
 
 // heartbeatEvery returns the time between two heartbeats of an entry.
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -72,6 +72,8 @@
 	// CacheNews takes the changes of the engine's prefix cache, which come late
 	// and with gaps. It must not block; nil reads none.
 	CacheNews func(news CacheNews)
+	// News is set when the process reports to entries by itself.
+	News *News
 	// Linger is how long a process without work still answers once it is told
 	// to stop. An entry that has not heard of it then gets a refusal in place
 	// of a broken connection, which proves nothing.
@@ -165,6 +167,11 @@
 	}
 	p.emit(event.ProcessStarted, "address", p.Address(), "incarnation", p.Incarnation())
 	var duties sync.WaitGroup
+	if p.deps.News != nil {
+		exchanger := p.startNews()
+		p.deps.Swap = exchanger.Serve
+		duties.Go(func() { exchanger.Run(p.life); exchanger.Pool.Close() })
+	}
 	duties.Go(func() { p.serve() })
 	duties.Go(func() { p.sweep() })
 	duties.Go(func() { p.poll() })
