Take orders of the next leader after a time without one

Cause: the lowest valid fencing number is above all others while nobody leads; the process kept it, and would have refused every later leader. Change: the number is compared and not kept. A target that waits for a change of its model reports joining, so that entries leave it alone. Conclusion: TestOrderFence has a time without a leader; TestOrderLoadModel holds the state.

--- a/internal/transport/target/orders.go
+++ b/internal/transport/target/orders.go
@@ -116,17 +116,19 @@
 // checkFence refuses a number that a leader no longer holds. Beside an engine
 // that checks no numbers, the lowest valid one is read each time: a process
 // that has just started has seen none, and a leader that was replaced may give
-// its order before its successor gives the first.
+// its order before its successor gives the first. What was read is not kept:
+// while nobody leads it is above all numbers, also those of the next leader.
 func (o *orders) checkFence(ctx context.Context, fence id.Fence) string {
+	valid := o.highest
 	if !o.p.settings.Engine.Fences {
 		lowest, err := o.lowest(ctx)
 		if err != nil {
 			return fmt.Sprintf("the lowest valid fencing number can't be known: %v", err)
 		}
-		o.highest = max(o.highest, lowest)
+		valid = max(valid, lowest)
 	}
-	if fence < o.highest {
-		return fmt.Sprintf("fencing number %d is older than %d", fence, o.highest)
+	if fence < valid {
+		return fmt.Sprintf("fencing number %d is not valid, the lowest is %d", fence, valid)
 	}
 	o.highest = fence
 	return ""
@@ -154,6 +156,7 @@
 	}
 	o.p.reporter.change(func(r *member.TargetReport) { effect(r, req) })
 	o.p.runner.endChange()
+	o.p.judge(0, nil)
 	return ""
 }
 
@@ -182,12 +185,26 @@
 	}
 	r.changing = fmt.Sprintf("%s %s", model, version)
 	r.changeUntil = r.p.deps.Clock.Now().Add(changeTime)
+	r.p.reporter.setState(member.Joining)
 	if n := r.table.Queue().Running() + r.table.Queue().Waiting(); n > 0 {
 		return fmt.Sprintf("%d attempts need %s %s to their end; the order may come again", n, now.Model, now.Version)
 	}
 	return ""
 }
 
+// isChanging reports whether new attempts are refused for a change of the
+// model. It is called under the lock.
+func (r *runner) isChanging() bool {
+	return r.changing != "" && r.p.deps.Clock.Now().Before(r.changeUntil)
+}
+
+// changes reports whether the target takes no work for a change of its model.
+func (r *runner) changes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isChanging()
+}
+
 func (r *runner) endChange() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/target/orders_test.go
+++ b/internal/transport/target/orders_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/transport/target"
@@ -44,7 +46,10 @@
 	lowest = 6
 	reply := b.order(role("o3", 5, "prefill")) // its successor has given no order yet
 	is.True(!reply.Applied)
-	is.Equal(reply.Fence, int64(6))
+	is.True(strings.HasSuffix(reply.Refusal, "the lowest is 6"))
+	lowest = math.MaxInt64 // nobody leads for a while
+	is.True(!b.order(role("o3", 7, "prefill")).Applied)
+	lowest = 6
 	down = true
 	is.True(!b.order(role("o4", 9, "prefill")).Applied) // nobody can tell who leads
 	down = false
@@ -71,6 +76,9 @@
 	reply := b.order(change)
 	is.True(!reply.Applied)
 	is.True(strings.HasPrefix(reply.Refusal, "1 attempts need report v1"))
+	is.Equal(b.process.Report().State, member.Joining) // entries leave it alone
+	b.advance(pollEvery)
+	is.Equal(b.process.Report().State, member.Joining)
 	other := testSpec(3)
 	other.Request = "ans-00000000-01"
 	is.Equal(all(t, b.run(t.Context(), start(1, 1, other))).refused.Kind, "mismatch")
@@ -78,6 +86,7 @@
 	is.Equal(all(t, stream).tokens, tokensTo(3)) // the old version went on to its end
 	is.True(b.order(change).Applied)
 	is.Equal(b.process.Report().Version, id.Version("v2"))
+	is.Equal(b.process.Report().State, member.Ready)
 	is.Equal(all(t, b.run(t.Context(), start(1, 1, other))).refused.Kind, "mismatch")
 	other.Version = "v2"
 	is.Equal(len(all(t, b.run(t.Context(), start(1, 1, other))).tokens), 3)
--- a/internal/transport/target/poll.go
+++ b/internal/transport/target/poll.go
@@ -52,6 +52,10 @@
 
 // judge sets the state after a number of polls that failed in a row.
 func (p *Process) judge(failures int, err error) {
+	if failures == 0 && p.runner != nil && p.runner.changes() {
+		// Another model is to be loaded; entries are to leave the target alone.
+		return
+	}
 	switch {
 	case failures == 0 && p.reporter.setState(member.Ready):
 		p.emit(event.EngineUp)
--- a/internal/transport/target/runner.go
+++ b/internal/transport/target/runner.go
@@ -66,7 +66,7 @@
 	const op = "runner.serves"
 	now := r.p.reporter.served()
 	switch {
-	case r.changing != "" && r.p.deps.Clock.Now().Before(r.changeUntil):
+	case r.isChanging():
 		return fault.New(op, attempt.Mismatch, "the engine is about to change to %s", r.changing)
 	case now.Model != spec.Model || now.Version != spec.Version:
 		return fault.New(op, attempt.Mismatch, "the engine serves %s %s, not %s %s",
