Name the unchanging part of a report by its digest's key

Change: the key covers what does not change; a whole report is passed on once, then as a digest, and who does not know the key asks. A few old digests go with each message in turn.

--- a/internal/coordination/spread/config.go
+++ b/internal/coordination/spread/config.go
@@ -28,10 +28,10 @@
 		if change.Revision <= c.current.Revision {
 			continue
 		}
-		next, err := c.current.Apply(change)
-		if fault.Is(err, conf.Gap) {
+		if change.Revision != c.current.Revision+1 {
 			return rose
 		}
+		next, err := c.current.Apply(change)
 		if err != nil {
 			c.refused = fault.Wrap("Spreader.apply", Refused, err)
 			return rose
--- a/internal/coordination/spread/receive.go
+++ b/internal/coordination/spread/receive.go
@@ -68,14 +68,15 @@
 		s.answeredTarget(to, &reply, now)
 		return
 	}
-	if reply.MoreMembers > 0 {
+	switch {
+	case reply.MoreMembers > 0:
 		s.joinFrom = reply.MoreMembers
-	} else if !s.joined && (to == s.joinPeer || s.joinPeer.Address == "") && reply.Self != nil {
+		if s.joinPeer.Address == "" && reply.Self != nil {
+			s.joinPeer = Peer{Name: string(reply.Self.Entry), Address: reply.Self.Address}
+		}
+	case reply.Self != nil && (to == s.joinPeer || (!s.joined && to.Name == "")):
 		s.joined = true
 	}
-	if s.joinPeer.Address == "" && reply.Self != nil {
-		s.joinPeer = Peer{Name: string(reply.Self.Entry), Address: reply.Self.Address}
-	}
 }
 
 // answeredTarget takes over which entries the target reports to.
@@ -182,11 +183,11 @@
 		return
 	}
 	if report.State == member.Gone {
-		s.records.drop(KeyOf("e/"+string(report.Entry), report.Incarnation))
+		s.records.drop(EntryKey(&report))
 	}
 	s.revisions[string(report.Entry)] = max(s.revisions[string(report.Entry)], report.Revision)
 	changed := !held || old.State != report.State || old.Incarnation != report.Incarnation || old.Address != report.Address
-	rec := s.records.of("", report.Entry, report.Incarnation)
+	rec := s.records.of("", report.Entry, EntryKey(&report))
 	if from == known || (from == own && !changed) {
 		rec.sequence = report.Sequence
 		return
@@ -221,7 +222,7 @@
 		return
 	}
 	changed := !held || !sameKind(&old, &report)
-	rec := s.records.of(report.Target, "", report.Incarnation)
+	rec := s.records.of(report.Target, "", TargetKey(&report))
 	if from == known {
 		rec.sequence, rec.newsAt = report.Sequence, now
 		return
--- a/internal/coordination/spread/records.go
+++ b/internal/coordination/spread/records.go
@@ -27,7 +27,9 @@
 	byKey map[Key]*record
 	order []*record
 	// next is where the next message goes on looking for news.
-	next    int
+	next int
+	// old is where it goes on with what is no news.
+	old     int
 	keys    map[string]Key
 	targets int
 	entries int
@@ -37,18 +39,16 @@
 	return &records{byKey: map[Key]*record{}, keys: map[string]Key{}}
 }
 
-// of returns the record of a member's incarnation and drops the one of the
-// incarnation before.
-func (r *records) of(target id.Target, entry id.Entry, incarnation id.Incarnation) *record {
-	name := "t/" + string(target)
-	if entry != "" {
-		name = "e/" + string(entry)
-	}
-	key := KeyOf(name, incarnation)
+// of returns the record of a member's key and drops the one of the key before.
+func (r *records) of(target id.Target, entry id.Entry, key Key) *record {
 	rec := r.byKey[key]
 	if rec != nil {
 		return rec
 	}
+	name := "t/" + string(target)
+	if entry != "" {
+		name = "e/" + string(entry)
+	}
 	if old, ok := r.keys[name]; ok {
 		r.drop(old)
 	}
@@ -90,7 +90,7 @@
 	}
 	clear(r.order[len(keep):])
 	r.order = keep
-	r.next = 0
+	r.next, r.old = 0, 0
 }
 
 // note takes over a newer report. Its load is news when the last news of the
@@ -127,9 +127,11 @@
 			}
 		}
 	}
+	r.addOld(cfg, &out, without)
 	for _, rec := range picked {
 		rec.sent++
-		rec.full = rec.full && rec.sent < cfg.Sends
+		// Later ones go as digests; who does not know the key asks for it.
+		rec.full = false
 	}
 	if len(r.order) > 0 {
 		r.next = (r.next + len(r.order)/3 + 1) % len(r.order)
@@ -137,6 +139,30 @@
 	return out
 }
 
+// addOld fills a batch up with a few members whose news was passed on often
+// enough, in turn. Who does not know one of them asks for it.
+func (r *records) addOld(cfg *Config, out *batch, without string) {
+	targets, entries := cfg.OldDigests, cfg.OldDigests
+	first := r.old
+	for i := range r.order {
+		if targets == 0 && entries == 0 {
+			return
+		}
+		rec := r.order[(first+i)%len(r.order)]
+		if rec.dropped || rec.sent < cfg.Sends && rec.newsOf != 0 || string(rec.entry) == without {
+			continue
+		}
+		left := &targets
+		if rec.entry != "" {
+			left = &entries
+		}
+		if *left > 0 && out.add(cfg, rec) {
+			*left--
+			r.old = (first + i + 1) % len(r.order)
+		}
+	}
+}
+
 // add takes a member's news into the batch unless it is full.
 func (b *batch) add(cfg *Config, rec *record) bool {
 	switch {
--- a/internal/coordination/spread/spread.go
+++ b/internal/coordination/spread/spread.go
@@ -27,6 +27,7 @@
 package spread
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,17 +66,35 @@
 	Incarnation id.Incarnation
 }
 
-// Key names one incarnation of a member in digests.
+// Key names one incarnation of a member, with all of its report that does not
+// change from one to the next, in digests.
 type Key uint64
 
-// KeyOf returns the key of a member's incarnation.
-func KeyOf(name string, incarnation id.Incarnation) Key {
-	var d xxhash.Digest
-	d.ResetWithSeed(uint64(incarnation))
-	_, _ = d.WriteString(name)
+// TargetKey returns the key of a target's report.
+func TargetKey(r *member.TargetReport) Key {
+	d := keyOf("target", string(r.Target), r.Incarnation, string(r.Model), string(r.Version), string(r.Role),
+		r.Address, strconv.Itoa(r.Slots))
+	for _, a := range r.Adapters {
+		_, _ = d.WriteString(string(a) + "\x00")
+	}
 	return Key(d.Sum64())
 }
 
+// EntryKey returns the key of an entry's report.
+func EntryKey(r *member.EntryReport) Key {
+	return Key(keyOf("entry", string(r.Entry), r.Incarnation, r.Address, string(r.Place.Zone)).Sum64())
+}
+
+func keyOf(kind, name string, incarnation id.Incarnation, parts ...string) *xxhash.Digest {
+	d := xxhash.NewWithSeed(uint64(incarnation))
+	_, _ = d.WriteString(kind + "\x00" + name + "\x00")
+	for _, part := range parts {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d
+}
+
 // LoadDigest is the changing part of a ready target's report.
 type LoadDigest struct {
 	Key           Key
@@ -144,6 +163,7 @@
 	DefaultSends          = 4
 	DefaultEntryDigests   = 20
 	DefaultLoadDigests    = 12
+	DefaultOldDigests     = 4
 	DefaultKeptChanges    = 512
 	DefaultReconnectEvery = 5 * time.Second
 	DefaultEntriesEvery   = 15 * time.Second
@@ -174,6 +194,9 @@
 	// EntryDigests and LoadDigests bound what one message carries.
 	EntryDigests int
 	LoadDigests  int
+	// OldDigests of each kind go with a message although they are no news, in
+	// turn, for those who missed them.
+	OldDigests int
 	// KeptChanges is the number of changes held for those that are behind.
 	KeptChanges int
 	// ReconnectEvery is the time between two attempts to reach a lost entry.
@@ -192,6 +215,7 @@
 	setDefault(&c.Sends, DefaultSends)
 	setDefault(&c.EntryDigests, DefaultEntryDigests)
 	setDefault(&c.LoadDigests, DefaultLoadDigests)
+	setDefault(&c.OldDigests, DefaultOldDigests)
 	setDefault(&c.KeptChanges, DefaultKeptChanges)
 	setDefault(&c.ReconnectEvery, DefaultReconnectEvery)
 	setDefault(&c.EntriesEvery, DefaultEntriesEvery)
--- a/internal/coordination/spread/spread_test.go
+++ b/internal/coordination/spread/spread_test.go
@@ -53,18 +53,19 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			watchers, candidates := 0, 0
+			v := member.NewView(member.Config{}, "")
 			for i := range test.entries {
-				s, v := newEntry(i, test.zones)
-				var live []id.Entry
-				for j := range test.entries {
-					v.Entry(entryReport(j, test.zones), start)
-					live = append(live, entryReport(j, test.zones).Entry)
-				}
+				v.Entry(entryReport(i, test.zones), start)
+			}
+			live := v.Snapshot().LiveEntries()
+			watchers, candidates := 0, 0
+			for i, name := range live {
+				own, _ := v.EntryReport(name)
+				s := spread.New(spread.Config{Entry: name, Place: own.Place}, v, rand.New(rand.NewPCG(1, uint64(i))), start)
 				if s.Watches() {
 					watchers++
 				}
-				if placement.IsCandidate(entryReport(i, test.zones).Entry, live) {
+				if placement.IsCandidate(name, live) {
 					candidates++
 				}
 			}
@@ -83,6 +84,11 @@
 // In whatever order changes, gaps and snapshots come, the revision never goes
 // back, and no revision is in force with another one's content.
 func TestNeverReverts(t *testing.T) {
+	snapshots := []*conf.Snapshot{conf.Empty()}
+	for r := id.Revision(1); r <= 12; r++ {
+		next, _ := snapshots[r-1].Apply(change(r))
+		snapshots = append(snapshots, next)
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		s, _ := newEntry(0, 1)
 		var highest id.Revision
@@ -90,11 +96,7 @@
 			from := id.Revision(rapid.IntRange(1, 12).Draw(t, "from"))
 			news := spread.News{From: spread.Sender{Name: "peer", Revision: from}}
 			if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 {
-				snapshot, _ := conf.Empty().Apply(change(1))
-				for r := id.Revision(2); r <= from; r++ {
-					snapshot, _ = snapshot.Apply(change(r))
-				}
-				news.Snapshot = snapshot
+				news.Snapshot = snapshots[from]
 			} else {
 				for r := from; r < from+3; r++ {
 					news.Changes = append(news.Changes, change(r))
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -187,7 +187,7 @@
 
 func digestOf(r *member.TargetReport) LoadDigest {
 	return LoadDigest{
-		Key: KeyOf("t/"+string(r.Target), r.Incarnation), Sequence: r.Sequence, At: r.At,
+		Key: TargetKey(r), Sequence: r.Sequence, At: r.At,
 		Running: r.Running, Queued: r.Queued, ShortRunning: r.ShortRunning,
 		Pace: r.Pace, QueuedPrefill: r.QueuedPrefill,
 	}
@@ -306,7 +306,7 @@
 	s.self.Sequence++
 	report := s.selfNow(now)
 	s.view.Entry(*report, now)
-	s.records.of("", s.cfg.Entry, s.cfg.Incarnation).note(s.self.Sequence, now, 0, changed)
+	s.records.of("", s.cfg.Entry, EntryKey(report)).note(s.self.Sequence, now, 0, changed)
 }
 
 // introduceEvery is the number of messages of which one carries the sender's
@@ -334,7 +334,7 @@
 		if !ok {
 			continue
 		}
-		if picked.fullOf[KeyOf("t/"+string(name), report.Incarnation)] || report.State != member.Ready {
+		if picked.fullOf[TargetKey(&report)] || report.State != member.Ready {
 			news.Loads = append(news.Loads, report)
 		} else {
 			news.LoadDigests = append(news.LoadDigests, digestOf(&report))
@@ -345,7 +345,7 @@
 		if !ok {
 			continue
 		}
-		key := KeyOf("e/"+string(name), report.Incarnation)
+		key := EntryKey(&report)
 		if picked.fullOf[key] || report.State != member.Ready {
 			news.Entries = append(news.Entries, report)
 		} else {
--- a/internal/protocol/peer/slope_test.go
+++ b/internal/protocol/peer/slope_test.go
@@ -27,9 +27,7 @@
 	var news spread.News
 	news.From.Name = "entry-0001"
 	for i := range 350 {
-		news.Entries = append(news.Entries, member.EntryReport{
-			Entry: id.Entry(fmt.Sprintf("entry-%04d", i)), Incarnation: 1, Sequence: 1, State: member.Ready,
-			Place: member.Place{Host: "h", Zone: id.Zone(fmt.Sprint("zone-", i%6)), Region: "region-0"}, Address: fmt.Sprintf("10.1.0.%d:7000", i), At: start})
+		news.Entries = append(news.Entries, entryOf(i))
 	}
 	for i := range 760 {
 		news.Loads = append(news.Loads, loadOf(i, 1, start))
@@ -38,6 +36,11 @@
 	return s, v
 }
 
+func entryOf(i int) member.EntryReport {
+	return member.EntryReport{Entry: id.Entry(fmt.Sprintf("entry-%04d", i)), Incarnation: 1, Sequence: 1, State: member.Ready,
+		Place: member.Place{Host: "h", Zone: id.Zone(fmt.Sprint("zone-", i%6)), Region: "region-0"}, Address: fmt.Sprintf("10.1.0.%d:7000", i), At: start}
+}
+
 func loadOf(i int, sequence id.Sequence, at time.Time) member.TargetReport {
 	n := &node{name: fmt.Sprintf("target-%04d", i), address: fmt.Sprintf("10.2.%d.%d:7000", i/250, i%250), incarnation: 1,
 		place: member.Place{Host: "h", Zone: id.Zone(fmt.Sprint("zone-", i%6)), Region: "region-0"}, sequence: sequence - 1}
@@ -56,7 +59,7 @@
 	for b.Loop() {
 		sequence++
 		now := start.Add(time.Duration(sequence) * time.Millisecond)
-		news.LoadDigests = []spread.LoadDigest{{Key: spread.KeyOf("t/target-0000", 1), Sequence: sequence, At: now,
+		news.LoadDigests = []spread.LoadDigest{{Key: spread.TargetKey(&report), Sequence: sequence, At: now,
 			Running: 20, Queued: 3, ShortRunning: 2, Pace: report.Pace, QueuedPrefill: 3000}}
 		request := check(peer.FromNews(&news, now))
 		reply := s.Receive(*check(peer.ToNews(request, now)), now)
@@ -95,12 +98,14 @@
 	news := spread.News{From: spread.Sender{Name: "entry-0002", Incarnation: 1}}
 	for i := range 10 {
 		n := (round*10 + i + 10*from) % 760
-		news.LoadDigests = append(news.LoadDigests, spread.LoadDigest{Key: spread.KeyOf("t/"+fmt.Sprintf("target-%04d", n), 1),
+		report := loadOf(n, 1, now)
+		news.LoadDigests = append(news.LoadDigests, spread.LoadDigest{Key: spread.TargetKey(&report),
 			Sequence: id.Sequence(round + 1), At: now, Running: 20, Queued: 3, ShortRunning: 2, Pace: 31 * time.Millisecond, QueuedPrefill: 3000})
 	}
 	for i := range 20 {
 		n := 1 + (round*20+i+20*from)%349
-		news.EntryDigests = append(news.EntryDigests, spread.EntryDigest{Key: spread.KeyOf("e/"+fmt.Sprintf("entry-%04d", n), 1), Sequence: id.Sequence(round + 1), At: now})
+		entry := entryOf(n)
+		news.EntryDigests = append(news.EntryDigests, spread.EntryDigest{Key: spread.EntryKey(&entry), Sequence: id.Sequence(round + 1), At: now})
 	}
 	return news
 }
