Pass a new member's report on whole, and walk members rarely

Change: whole three times again; two old digests a message; a walk through all members each half hour.

--- a/internal/coordination/spread/receive.go
+++ b/internal/coordination/spread/receive.go
@@ -75,7 +75,7 @@
 			s.joinPeer = Peer{Name: string(reply.Self.Entry), Address: reply.Self.Address}
 		}
 	case reply.Self != nil && (to == s.joinPeer || (!s.joined && to.Name == "")):
-		s.joined = true
+		s.walked(now)
 	}
 }
 
--- a/internal/coordination/spread/records.go
+++ b/internal/coordination/spread/records.go
@@ -130,8 +130,7 @@
 	r.addOld(cfg, &out, without)
 	for _, rec := range picked {
 		rec.sent++
-		// Later ones go as digests; who does not know the key asks for it.
-		rec.full = false
+		rec.full = rec.full && rec.sent < cfg.Sends
 	}
 	if len(r.order) > 0 {
 		r.next = (r.next + len(r.order)/3 + 1) % len(r.order)
--- a/internal/coordination/spread/spread.go
+++ b/internal/coordination/spread/spread.go
@@ -160,10 +160,10 @@
 	DefaultReportTo       = 8
 	DefaultWatchers       = 2
 	DefaultUrgentPeers    = 3
-	DefaultSends          = 4
-	DefaultEntryDigests   = 20
-	DefaultLoadDigests    = 12
-	DefaultOldDigests     = 4
+	DefaultSends          = 3
+	DefaultEntryDigests   = 16
+	DefaultLoadDigests    = 10
+	DefaultOldDigests     = 2
 	DefaultKeptChanges    = 512
 	DefaultReconnectEvery = 5 * time.Second
 	DefaultEntriesEvery   = 15 * time.Second
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -40,6 +40,7 @@
 	joinFrom int
 	joinPeer Peer
 	joined   bool
+	walkAt   time.Time
 	rounds   int
 	leaving  bool
 }
@@ -251,7 +252,7 @@
 	if len(near)+len(far) == 0 {
 		return append(out, s.askSeeds(now)...)
 	}
-	if !s.joined {
+	if !s.joined || s.walks(now) {
 		out = append(out, s.askMembers(now, near, far)...)
 	}
 	for _, peers := range [][]Peer{near, far} {
@@ -309,6 +310,25 @@
 	s.records.of("", s.cfg.Entry, EntryKey(report)).note(s.self.Sequence, now, 0, changed)
 }
 
+// An entry that has joined asks another one for all members again, rarely, to
+// find those that it has missed. It asks for one part in some rounds only.
+const (
+	walkEvery  = 30 * time.Minute
+	walkRounds = 4
+)
+
+// walks reports whether the next part of a walk is due.
+func (s *Spreader) walks(now time.Time) bool {
+	return !now.Before(s.walkAt) && s.rounds%walkRounds == 0
+}
+
+// walked notes the end of a walk through all members.
+func (s *Spreader) walked(now time.Time) {
+	s.joined = true
+	s.joinFrom, s.joinPeer = 1, Peer{}
+	s.walkAt = now.Add(walkEvery/2 + time.Duration(s.rng.Int64N(int64(walkEvery))))
+}
+
 // introduceEvery is the number of messages of which one carries the sender's
 // own report, for a peer that does not know it.
 const introduceEvery = 4
