--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -49,6 +49,9 @@
 // Error is this package's error.
 type Error = fault.Error[Kind]
 
+// DefaultChunkTokens is the largest number of tokens in one event of a stream.
+const DefaultChunkTokens = 16
+
 // Defaults of the options.
 const (
 	defaultModel        = "report"
@@ -56,7 +59,6 @@
 	defaultSlots        = 64
 	defaultCacheBlocks  = 4096
 	defaultPrefillChunk = 2048
-	defaultChunkTokens  = 16
 )
 
 // Costs are the engine's times. The zero value makes an engine that answers as
@@ -105,7 +107,7 @@
 	setDefault(&o.Slots, defaultSlots)
 	setDefault(&o.CacheBlocks, defaultCacheBlocks)
 	setDefault(&o.PrefillChunk, defaultPrefillChunk)
-	setDefault(&o.ChunkTokens, defaultChunkTokens)
+	setDefault(&o.ChunkTokens, DefaultChunkTokens)
 	setDefault(&o.Length, DefaultLength)
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
--- a/internal/standin/losses/caller.go
+++ b/internal/standin/losses/caller.go
@@ -37,7 +37,7 @@
 	// count is the tokens of the attempt that is read.
 	count int
 	// arrivals has the time at which the caller first had so many tokens.
-	arrivals []time.Time
+	arrivals Arrivals
 	err      error
 
 	planned bool
--- a/internal/standin/losses/report.go
+++ b/internal/standin/losses/report.go
@@ -29,8 +29,7 @@
 	sameWords = 3
 )
 
-// Report is the outcome of a run. The ratios are parts of the tokens that the
-// same requests compute without a failure.
+// Report is the outcome of a run.
 type Report struct {
 	Prefer  Prefer `json:"prefer"`
 	Seed    uint64 `json:"seed"`
@@ -55,6 +54,9 @@
 	// WithinBound counts the hits whose next token came, after the failure,
 	// within 1.2 × (prefill of prompt and held tokens + one step) + 20 ms.
 	WithinBound int `json:"withinBound"`
+	// UsefulTokens is what the requests compute without a failure, prompts
+	// included; the ratios are parts of it.
+	UsefulTokens int `json:"usefulTokens"`
 	// ExtraRatio is the sum of PrefillExtra and DecodeExtra. HedgeExtra is the
 	// part of it that races were given; CachedRatio is what came from caches
 	// and is in none of them.
@@ -94,7 +96,8 @@
 		done.Cached += s.Cached
 		done.Decoded += s.Decoded
 	}
-	useful := float64(prefill + decode)
+	out.UsefulTokens = prefill + decode
+	useful := float64(out.UsefulTokens)
 	out.PrefillExtra = float64(int(done.Prefilled)-prefill) / useful
 	out.DecodeExtra = float64(int(done.Decoded)-decode) / useful
 	out.ExtraRatio = out.PrefillExtra + out.DecodeExtra
@@ -130,33 +133,37 @@
 			out.FirstError = c.err.Error()
 		}
 	}
-	switch compare(strings.Fields(got), strings.Fields(want)) {
-	case missing:
+	switch Compare(strings.Fields(got), strings.Fields(want)) {
+	case Missing:
 		out.Missing++
-	case repeated:
+	case Repeated:
 		out.Repeated++
 	default:
 		out.Mixed++
 	}
 }
 
-// fate is how a text differs from the expected one.
-type fate int
+// Fate is how a text differs from the expected one.
+type Fate string
 
+// Fates.
 const (
-	missing fate = iota
-	repeated
-	mixed
+	// Missing means that tokens were left out, or the end.
+	Missing Fate = "missing"
+	// Repeated means that tokens came twice.
+	Repeated Fate = "repeated"
+	// Mixed means that tokens of another text came.
+	Mixed Fate = "mixed"
 )
 
-// compare says how got, which is not want or has no end, differs from it.
-func compare(got, want []string) fate {
+// Compare says how got, which is not want or has no end, differs from it.
+func Compare(got, want []string) Fate {
 	i := 0
 	for i < len(got) && i < len(want) && got[i] == want[i] {
 		i++
 	}
 	if i == len(got) {
-		return missing
+		return Missing
 	}
 	next := got[i:min(len(got), i+sameWords)]
 	for j := range want {
@@ -164,46 +171,61 @@
 			continue
 		}
 		if j > i {
-			return missing
+			return Missing
 		}
-		return repeated
+		return Repeated
 	}
-	return mixed
+	return Mixed
 }
 
 // resumes records the resume latencies of a caller.
 func (out *Report) resumes(c *caller, latencies *hdrhistogram.Histogram, costs *engine.Costs) {
 	for _, hit := range c.hits {
-		held, gap, after, ok := resume(c.arrivals, hit)
+		resumed, ok := c.arrivals.Resume(hit)
 		if !ok {
 			continue
 		}
 		out.Hits++
 		// The histogram reaches further than any answer lasts.
-		_ = latencies.RecordValue(max(1, gap.Microseconds()))
-		tokens := protocol.PromptTokens(c.task.prompt) + held
+		_ = latencies.RecordValue(max(1, resumed.Gap.Microseconds()))
+		tokens := protocol.PromptTokens(c.task.prompt) + resumed.Held
 		expected := time.Duration(tokens)*costs.Prefill + costs.Step + costs.StepPerRunning
-		if after <= time.Duration(boundFactor*float64(expected))+boundExtra {
+		if resumed.After <= time.Duration(boundFactor*float64(expected))+boundExtra {
 			out.WithinBound++
 		}
 	}
 }
 
-// resume returns how many tokens the caller had when the answer stopped after
-// a failure, the time until the next one, and that from the failure. It is the
-// longest pause that began before the failure or with the tokens in flight.
-func resume(arrivals []time.Time, failed time.Time) (held int, gap, after time.Duration, ok bool) {
-	for i := 1; i < len(arrivals); i++ {
-		last, next := arrivals[i-1], arrivals[i]
+// Arrivals has the time at which a caller first had each number of tokens.
+type Arrivals []time.Time
+
+// Resumption is how an answer went on after a failure.
+type Resumption struct {
+	// Held is the number of tokens that the caller had when the answer stopped.
+	Held int
+	// Gap is the time from the last of them to the next token, and After that
+	// from the failure to it.
+	Gap, After time.Duration
+}
+
+// Resume returns the longest pause that began before the failure or with the
+// tokens that were in flight. It is false for a failure before the first token
+// or after the last one.
+func (a Arrivals) Resume(failed time.Time) (r Resumption, ok bool) {
+	if len(a) == 0 || a[0].After(failed) {
+		return r, false
+	}
+	for i := 1; i < len(a); i++ {
+		last, next := a[i-1], a[i]
 		if !next.After(failed) {
 			continue
 		}
 		if last.After(failed.Add(inFlight)) {
 			break
 		}
-		if pause := next.Sub(last); !ok || pause > gap {
-			held, gap, after, ok = i, pause, next.Sub(failed), true
+		if pause := next.Sub(last); !ok || pause > r.Gap {
+			r, ok = Resumption{Held: i, Gap: pause, After: next.Sub(failed)}, true
 		}
 	}
-	return held, gap, after, ok
+	return r, ok
 }
--- /dev/null
+++ b/internal/standin/losses/report_test.go
@@ -0,0 +1,61 @@
+package losses_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/standin/losses"
+)
+
+func TestCompare(t *testing.T) {
+	want := strings.Fields("a b c d e f g")
+	for got, fate := range map[string]losses.Fate{
+		"":                losses.Missing,
+		"a b c":           losses.Missing,
+		"a b d e f g":     losses.Missing,
+		"a b b c d e f g": losses.Repeated,
+		"a b a b c d e f": losses.Repeated,
+		"a b c x y z w":   losses.Mixed,
+	} {
+		t.Run(got, func(t *testing.T) {
+			is.New(t).Equal(losses.Compare(strings.Fields(got), want), fate)
+		})
+	}
+}
+
+func TestArrivalsResume(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(ms ...int) (out []time.Time) {
+		for _, m := range ms {
+			out = append(out, start.Add(time.Duration(m)*time.Millisecond))
+		}
+		return out
+	}
+	tests := []struct {
+		name       string
+		arrivals   []time.Time
+		failed     int
+		held       int
+		gap, after time.Duration
+		none       bool
+	}{
+		{"at a token", at(0, 10, 60, 70), 10, 2, 50 * time.Millisecond, 50 * time.Millisecond, false},
+		{"between tokens", at(0, 10, 60, 70), 15, 2, 50 * time.Millisecond, 45 * time.Millisecond, false},
+		{"tokens in flight", at(0, 10, 16, 18, 90), 12, 4, 72 * time.Millisecond, 78 * time.Millisecond, false},
+		{"before the first token", at(20, 30), 5, 0, 0, 0, true},
+		{"after the last token", at(0, 10), 15, 0, 0, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r, ok := losses.Arrivals(tt.arrivals).Resume(at(tt.failed)[0])
+			is.Equal(ok, !tt.none)
+			is.Equal(r.Held, tt.held)
+			is.Equal(r.Gap, tt.gap)
+			is.Equal(r.After, tt.after)
+		})
+	}
+}
