Let a request that must run alone go on after a refusal

A suspect of two deaths is marked as running alone when it is placed, and each further placement of the same answer, after a target's refusal or a wait for the budget, found the mark and was held by it, until the limit of two minutes ended the answer. Change: quarantine.List knows which request runs alone; Start and End take it. The end of a request that did not run there no longer lifts the mark either. Figures: TestPolicyAlone fails before (hold in place of go) and passes after.

--- a/internal/coordination/policy/blame.go
+++ b/internal/coordination/policy/blame.go
@@ -39,7 +39,7 @@
 		return request.Choice{
 			Action: request.GiveUp, Reason: reasonQuarantined, Cause: answer.CauseQuarantined, Wait: j.Until.Sub(now),
 		}, true
-	case !p.kills.Start(now, sum):
+	case !p.kills.Start(now, sum, place.Spec.Request):
 		return request.Choice{Action: request.Hold, Wait: holdEvery, Reason: reasonSuspect}, true
 	}
 	return request.Choice{}, false
@@ -110,7 +110,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retry.Leave(spec.Request)
-	p.kills.End(spec.Fingerprint())
+	p.kills.End(spec.Fingerprint(), spec.Request)
 	if whole {
 		p.kills.Finished(spec.Fingerprint())
 	}
--- a/internal/coordination/policy/failure_test.go
+++ b/internal/coordination/policy/failure_test.go
@@ -304,3 +304,32 @@
 		is.True(next.Sub(last) <= 5*time.Second) // leaves a second to go on
 	}
 }
+
+// TestPolicyAlone: an answer that two deaths made a suspect to be run alone is
+// not held back by itself when a target refuses it, and another request with
+// its fingerprint waits until it has ended.
+func TestPolicyAlone(t *testing.T) {
+	is := is.New(t)
+	b := newBench(8)
+	h, choice := b.start(b.spec(1), 100)
+	for range 2 {
+		is.Equal(choice.Action, request.Go)
+		b.lose(h, request.Engine, false)
+		b.pass(15)
+		choice = b.again(h)
+	}
+	is.Equal(choice.Action, request.Go)
+	b.lose(h, request.Busy, false)
+	is.Equal(b.again(h).Action, request.Go)
+
+	twin := b.spec(1)
+	twin.Request = "ans-twin"
+	_, choice = b.start(twin, 0)
+	is.Equal(choice.Action, request.Hold)
+	b.policy.End(twin, false)
+	_, choice = b.start(twin, 0)
+	is.Equal(choice.Action, request.Hold) // its end is not the other's
+	b.policy.End(h.place.Spec, true)
+	_, choice = b.start(twin, 0)
+	is.Equal(choice.Action, request.Go)
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -117,14 +117,15 @@
 	deaths []*death
 	// version rises with each change that others need to know.
 	version uint64
-	// alone holds the suspects that run here and must run one at a time.
-	alone map[id.Fingerprint]bool
+	// alone holds the suspects that must run one at a time, with the request
+	// that runs here.
+	alone map[id.Fingerprint]id.Request
 }
 
 // New returns an empty List.
 func New(cfg Config) *List {
 	cfg.Defaults()
-	return &List{cfg: cfg, alone: map[id.Fingerprint]bool{}}
+	return &List{cfg: cfg, alone: map[id.Fingerprint]id.Request{}}
 }
 
 // Configure puts another configuration in force.
@@ -286,21 +287,29 @@
 	return false
 }
 
-// Start reports whether a request may start here. A suspect that must run
-// alone waits while another request with its fingerprint runs.
-func (l *List) Start(now time.Time, f id.Fingerprint) bool {
+// Start reports whether a request may start here, or go on. A suspect that must
+// run alone waits while another request with its fingerprint runs.
+func (l *List) Start(now time.Time, f id.Fingerprint, request id.Request) bool {
 	j := l.Judge(now, f)
-	switch {
-	case j.State == Refused || (j.Alone && l.alone[f]):
+	if j.State == Refused {
+		return false
+	}
+	if !j.Alone {
+		return true
+	}
+	if runs, taken := l.alone[f]; taken && runs != request {
 		return false
-	case j.Alone:
-		l.alone[f] = true
 	}
+	l.alone[f] = request
 	return true
 }
 
-// End notes that a request that started here runs no more.
-func (l *List) End(f id.Fingerprint) { delete(l.alone, f) }
+// End notes that a request runs here no more.
+func (l *List) End(f id.Fingerprint, request id.Request) {
+	if l.alone[f] == request {
+		delete(l.alone, f)
+	}
+}
 
 // Apart reports whether f and other must not share a target, because both are
 // suspected of one death: the next death tells them apart.
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -86,10 +86,13 @@
 	}
 	is.True(l.Apart(1, 2))
 	now := start.Add(2 * time.Minute)
-	is.True(l.Start(now, 1))
-	is.True(!l.Start(now, 1)) // one at a time
-	l.End(1)
-	is.True(l.Start(now, 1))
+	is.True(l.Start(now, 1, "a"))
+	is.True(!l.Start(now, 1, "b")) // one at a time
+	is.True(l.Start(now, 1, "a"))  // its next attempt
+	l.End(1, "b")                  // it did not run
+	is.True(!l.Start(now, 1, "b"))
+	l.End(1, "a")
+	is.True(l.Start(now, 1, "b"))
 	l.Finished(1) // what ran to its end did not kill
 	is.Equal(l.Judge(now, 1).State, quarantine.Clear)
 	is.Equal(l.Judge(now, 2).State, quarantine.Suspected)
