End an answer that lost only its end with its engine

The next attempt had nothing left to generate and its target process refused it as invalid, which ended the request as failed. Change: an answer that holds as many tokens as were asked for is ended by its owner with the reason length; no engine computes anything. Conclusion: a stop text that ends just at the limit is told as length in this one case.

--- a/internal/coordination/request/answer.go
+++ b/internal/coordination/request/answer.go
@@ -219,6 +219,23 @@
 	return a.joiner.Finished() != nil
 }
 
+// full ends an answer that has as many tokens as were asked for but lost its
+// end with its engine: no engine has anything left to generate. It reports
+// whether it did.
+func (a *Answer) full() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	held := int(a.joiner.Next())
+	if held < a.spec.MaxTokens {
+		return false
+	}
+	a.attempt++
+	a.joiner.Begin(a.attempt)
+	return a.joiner.Finish(a.attempt, generation.Finish{
+		Reason: generation.Length, Count: id.Index(held), Checksum: a.joiner.Checksum(),
+	}) == join.Accepted
+}
+
 // mayRestart reports whether a new text may replace the old one.
 func (a *Answer) mayRestart() bool {
 	a.mu.Lock()
--- a/internal/coordination/request/fake_test.go
+++ b/internal/coordination/request/fake_test.go
@@ -81,6 +81,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts = append(f.starts, s)
+	if len(s.Prefix) >= s.Spec.MaxTokens {
+		return nil, fault.New("fake.start", request.Invalid, "nothing is left to generate")
+	}
 	play := healthy
 	if len(f.scripts) > 0 {
 		play, f.scripts = f.scripts[0], f.scripts[1:]
--- a/internal/coordination/request/runner.go
+++ b/internal/coordination/request/runner.go
@@ -51,7 +51,7 @@
 // run drives attempts until the answer is whole, which gives nil, or given up.
 func (r *runner) run(ctx context.Context) *answer.Refusal {
 	for {
-		if r.answer.whole() {
+		if r.answer.whole() || (!r.corrupt && r.answer.full()) {
 			return nil
 		}
 		choice, refusal := r.place(ctx)
