--- a/cmd/foxtailward-lab/lab_test.go
+++ b/cmd/foxtailward-lab/lab_test.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -15,6 +17,7 @@
 
 	"foxtailward.example/foxtailward/internal/standin/engine"
 	"foxtailward.example/foxtailward/internal/standin/load"
+	"foxtailward.example/foxtailward/internal/standin/losses"
 )
 
 // TestMain leaves out the one goroutine that go-metrics keeps for all meters.
@@ -105,6 +108,23 @@
 	is.Equal(report.Measures[1].Errors, 0) // each answer is exact through the entry too
 }
 
+func TestRecover(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "frontier.png")
+	var out bytes.Buffer
+	is.NoErr(execute(t.Context(), &out, "recover", "--json", "--engines", "3", "--requests", "12", "--kills", "2",
+		"--tokens", "20", "--step-cost", "1ms", "--plot", file))
+	lines := json.NewDecoder(&out)
+	for range frontier {
+		var report losses.Report
+		is.NoErr(lines.Decode(&report))
+		is.Equal(report.Exact, 12)
+	}
+	data, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.True(bytes.HasPrefix(data, []byte("\x89PNG")))
+}
+
 func TestExitCode(t *testing.T) {
 	for _, args := range [][]string{
 		{"expect"},
@@ -114,6 +134,9 @@
 		{"bench", "--local", "--direct", "http://127.0.0.1:1"},
 		{"bench", "--direct", "http://127.0.0.1:1", "--streams", "-1"},
 		{"hosts", "--host", "a,,b"},
+		{"recover", "--engines", "1"},
+		{"recover", "--prefer", "speed"},
+		{"recover", "--headroom", "none"},
 	} {
 		t.Run(strings.Join(args, " "), func(t *testing.T) {
 			err := execute(t.Context(), io.Discard, args...)
