Prove the path with real processes and SIGKILL, and go on with a race's winner

Cause: TestProcesses, which kills an engine, a target process and an entry in one answer, failed four ways. Entries that started together never read each other's address again. A relayed reader did not know the model or that it was a chat. The same key with another temperature joined. An entry that inherited a request whose owner died after a race went on with the loser, which has the higher number. Change: addresses are read every 5 s while few entries are known; the acceptance carries model, version and form; keys compare all that was asked; an inherited attempt must hold all that the caller has read, and attempts that contradict each other below that end the answer. Conclusion: two texts are not mixed over the death of an owner.

--- a/internal/coordination/request/follow.go
+++ b/internal/coordination/request/follow.go
@@ -18,7 +18,11 @@
 	d.cfg.Log.Emit(event.AttemptFenced, "request", spec.Request, "tokens", a.next())
 	moved := d.cfg.Clock.Now()
 	for {
-		found, _ := d.search(ctx, models, spec.Request)
+		list, _ := d.search(ctx, models, spec.Request)
+		found, err := list.best(a.next())
+		if err != nil {
+			return lost(spec.Request)
+		}
 		if found != nil && found.Spec.Lineage != spec.Lineage && !a.restart(found.Spec.Lineage, found.Spec.Version) {
 			return conflict(spec.Request, "another entry generated the answer anew")
 		}
@@ -59,7 +63,8 @@
 			return
 		}
 	}
-	if found, _ := d.search(ctx, models, r.answer.Spec().Request); found != nil && found.Spec.Lineage == r.answer.Spec().Lineage {
+	list, _ := d.search(ctx, models, r.answer.Spec().Request)
+	if found, err := list.best(r.answer.next()); err == nil && found != nil && found.Spec.Lineage == r.answer.Spec().Lineage {
 		r.answer.adopt(found)
 		r.answer.own(found.Epoch + 1)
 		if found.Running {
--- a/internal/coordination/request/inherit.go
+++ b/internal/coordination/request/inherit.go
@@ -31,7 +31,11 @@
 		}
 		d.answers.unpledge(relay.Request, previous)
 	}
-	found, silent := d.search(ctx, c.Models, relay.Request)
+	list, silent := d.search(ctx, c.Models, relay.Request)
+	found, err := list.best(relay.From)
+	if err != nil {
+		return nil, nil, lost(relay.Request)
+	}
 	if found != nil && found.Spec.Contract != c.Name {
 		return nil, nil, notFound(relay.Request)
 	}
@@ -56,10 +60,10 @@
 }
 
 // search asks the target processes of the models what they hold of a request.
-// It returns the best and the number of those that did not answer.
-func (d *Desk) search(ctx context.Context, models []id.Model, r id.Request) (*Found, int) {
+// It returns all of it and the number of those that did not answer.
+func (d *Desk) search(ctx context.Context, models []id.Model, r id.Request) (foundList, int) {
 	var mu sync.Mutex
-	var best *Found
+	var all foundList
 	silent := 0
 	var wait sync.WaitGroup
 	room := make(chan struct{}, findAtOnce)
@@ -75,13 +79,11 @@
 			if err != nil {
 				silent++
 			}
-			for i := range found {
-				best = better(best, &found[i])
-			}
+			all = append(all, found...)
 		}()
 	}
 	wait.Wait()
-	return best, silent
+	return all, silent
 }
 
 func (d *Desk) findAt(ctx context.Context, t *member.TargetReport, r id.Request) ([]Found, error) {
@@ -89,27 +91,3 @@
 	defer cancel()
 	return d.link.Find(ctx, t, r, 0)
 }
-
-// better returns the attempt to go on with: of the newest owner, whole before
-// running, the newest attempt, the longest.
-func better(a, b *Found) *Found {
-	switch {
-	case a == nil:
-		return b
-	case a.Epoch != b.Epoch:
-		return pick(a.Epoch > b.Epoch, a, b)
-	case (a.Finish != nil) != (b.Finish != nil):
-		return pick(a.Finish != nil, a, b)
-	case a.Attempt != b.Attempt:
-		return pick(a.Attempt > b.Attempt, a, b)
-	default:
-		return pick(len(a.Tokens) >= len(b.Tokens), a, b)
-	}
-}
-
-func pick(first bool, a, b *Found) *Found {
-	if first {
-		return a
-	}
-	return b
-}
--- a/internal/coordination/request/open.go
+++ b/internal/coordination/request/open.go
@@ -9,6 +9,7 @@
 	"foxtailward.example/foxtailward/internal/state/contract"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -211,7 +212,7 @@
 	switch {
 	case spec.Contract != relay.Contract:
 		return nil, notFound(relay.Request)
-	case relay.Spec != nil && relay.Spec.Fingerprint() != spec.Fingerprint():
+	case relay.Spec != nil && !sameAsk(relay.Spec, &spec):
 		return nil, conflict(relay.Request, "the idempotency key belongs to another request")
 	case relay.Lineage != "" && relay.From > 0 && relay.Lineage != spec.Lineage:
 		return nil, conflict(relay.Request, "the answer was generated anew; what was read before is void")
@@ -229,6 +230,11 @@
 	}, nil
 }
 
+// sameAsk reports whether two requests of one key ask for the same.
+func sameAsk(a, b *generation.Spec) bool {
+	return a.Asked == b.Asked && a.Fingerprint() == b.Fingerprint()
+}
+
 func conflict(r id.Request, detail string) *answer.Refusal {
 	return &answer.Refusal{Outcome: answer.Failed, Cause: answer.CauseConflict, Detail: detail, Request: r}
 }
--- a/internal/protocol/peer/convert.go
+++ b/internal/protocol/peer/convert.go
@@ -49,6 +49,7 @@
 		Stop:           s.Stop,
 		RestartAllowed: s.RestartAllowed,
 		DeadlineUnixMs: FromTime(s.Deadline),
+		Asked:          uint64(s.Asked),
 	}
 }
 
@@ -75,6 +76,7 @@
 		Stop:           m.Stop,
 		RestartAllowed: m.RestartAllowed,
 		Deadline:       ToTime(m.DeadlineUnixMs),
+		Asked:          id.Fingerprint(m.Asked),
 	}
 	if !s.Request.Valid() {
 		return nil, fault.New("peer.ToSpec", Invalid, "request is %q, want an answer's id", s.Request)
--- a/internal/transport/entry/configure.go
+++ b/internal/transport/entry/configure.go
@@ -7,7 +7,6 @@
 	"foxtailward.example/foxtailward/internal/coordination/confstore"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/event"
-	"foxtailward.example/foxtailward/internal/state/id"
 )
 
 // Timing of the calls to the key-value service.
@@ -17,11 +16,6 @@
 	storePause = time.Second
 	// storeTimeout bounds the reads of the configuration.
 	storeTimeout = 5 * time.Second
-	// seedLease is how long an entry's address stays in the key-value service
-	// after its last renewal.
-	seedLease = time.Minute
-	// seedRenew is the time between two renewals.
-	seedRenew = 20 * time.Second
 )
 
 // configure keeps the configuration up to date from the key-value service:
@@ -32,7 +26,6 @@
 		return
 	}
 	repository := confstore.New(p.deps.Store, p.deps.Clock)
-	p.readSeeds(ctx)
 	for ctx.Err() == nil {
 		switch {
 		case p.deps.Current.Revision() == 0:
@@ -82,22 +75,12 @@
 	return err
 }
 
-// keepWatching ends a watch when this entry is no longer to watch, and renews
-// this entry's address meanwhile.
+// keepWatching ends a watch when this entry is no longer to watch.
 func (p *Process) keepWatching(ctx context.Context, cancel context.CancelFunc) {
-	var renewed time.Time
-	var lease store.LeaseID
-	for ctx.Err() == nil {
-		if !p.spreader.Watches() {
-			cancel()
-			return
-		}
-		if now := p.deps.Clock.Now(); now.Sub(renewed) >= seedRenew {
-			renewed = now
-			lease = p.writeSeed(ctx, lease)
-		}
+	for ctx.Err() == nil && p.spreader.Watches() {
 		p.wait(ctx, storePause)
 	}
+	cancel()
 }
 
 // catchUp reads the changes after the revision in force, or the whole when
@@ -114,57 +97,6 @@
 	return nil
 }
 
-// seedKey returns the key of an entry's address.
-func seedKey(e id.Entry) string { return store.SeedPrefix + string(e) }
-
-// writeSeed keeps this entry's address in the key-value service, for processes
-// that start and know nobody. It returns the lease.
-func (p *Process) writeSeed(ctx context.Context, lease store.LeaseID) store.LeaseID {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if lease != 0 {
-		if _, err := p.deps.Store.KeepAlive(ctx, lease); err == nil {
-			return lease
-		}
-	}
-	lease, err := p.deps.Store.Grant(ctx, seedLease)
-	if err != nil {
-		return 0
-	}
-	_, err = p.deps.Store.Commit(ctx, store.Txn{
-		Puts: []store.Put{{Key: seedKey(p.settings.Name), Value: []byte(p.Address()), Lease: lease}},
-	})
-	if err != nil {
-		return 0
-	}
-	return lease
-}
-
-// readSeeds reads the addresses that other entries keep.
-func (p *Process) readSeeds(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	page, err := p.deps.Store.List(ctx, store.SeedPrefix)
-	if err != nil {
-		p.noteStore(err)
-		return
-	}
-	var seeds []string
-	for i := range page.Items {
-		seeds = append(seeds, string(page.Items[i].Value))
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stored = seeds
-}
-
-// storedSeeds returns what readSeeds has read.
-func (p *Process) storedSeeds() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.stored
-}
-
 // noteStore logs that the key-value service went or came back.
 func (p *Process) noteStore(err error) {
 	p.mu.Lock()
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -303,6 +303,7 @@
 	duties.Go(p.tick)
 	duties.Go(func() { p.exchanger.Run(p.life) })
 	duties.Go(func() { p.configure(p.life) })
+	duties.Go(func() { p.keepSeeds(p.life) })
 	duties.Go(func() { p.limits.run(p.life) })
 	if p.deps.Hosts != nil {
 		duties.Go(func() { p.deps.Hosts(p.life, p.takeHosts) })
--- a/internal/transport/peer/entry_server.go
+++ b/internal/transport/peer/entry_server.go
@@ -43,7 +43,7 @@
 		return s.refuse(stream, err)
 	}
 	defer reader.Close()
-	if err := s.accept(stream, reader.Lineage); err != nil {
+	if err := s.accept(stream, reader, reader.Lineage); err != nil {
 		return err
 	}
 	lineage := reader.Lineage
@@ -54,7 +54,7 @@
 		}
 		if part.Lineage != lineage && part.Lineage != "" {
 			lineage = part.Lineage
-			if err := s.accept(stream, lineage); err != nil {
+			if err := s.accept(stream, reader, lineage); err != nil {
 				return err
 			}
 		}
@@ -64,10 +64,14 @@
 	}
 }
 
-func (s *EntryServer) accept(stream peerpb.Entry_RelayServer, lineage id.Lineage) error {
+func (s *EntryServer) accept(stream peerpb.Entry_RelayServer, reader *answer.Reader, lineage id.Lineage) error {
+	accepted := &peerpb.Accepted{
+		Lineage: string(lineage), Model: string(reader.Spec.Model), Version: string(reader.Spec.Version),
+		Chat: len(reader.Spec.Messages) > 0, MaxTokens: int64(reader.Spec.MaxTokens),
+	}
 	return stream.Send(&peerpb.RelayReply{
 		Stamp:   s.Stamp(),
-		Message: &peerpb.RelayReply_Accepted{Accepted: &peerpb.Accepted{Lineage: string(lineage)}},
+		Message: &peerpb.RelayReply_Accepted{Accepted: accepted},
 	})
 }
 
--- a/internal/transport/peer/relay.go
+++ b/internal/transport/peer/relay.go
@@ -65,19 +65,32 @@
 	}
 	in := &incoming{stream: stream, parts: make(chan incomingPart, relayQueue), lineage: id.Lineage(accepted.GetLineage())}
 	go in.receive()
-	return &answer.Reader{Request: relay.Request, Lineage: in.lineage, Spec: specOf(&relay), Next: in.next, Close: cancel}, nil
+	return &answer.Reader{Request: relay.Request, Lineage: in.lineage, Spec: specOf(&relay, accepted), Next: in.next, Close: cancel}, nil
 }
 
 // relayQueue bounds the parts that wait between two entries' streams.
 const relayQueue = 16
 
-func specOf(relay *request.Relay) generation.Spec {
+// specOf returns what is being generated, as far as the home entry told.
+func specOf(relay *request.Relay, accepted *peerpb.Accepted) generation.Spec {
 	if relay.Spec != nil {
-		return *relay.Spec
+		spec := *relay.Spec
+		spec.Version = id.Version(accepted.GetVersion())
+		return spec
 	}
-	return generation.Spec{Request: relay.Request, Contract: relay.Contract}
+	spec := generation.Spec{
+		Request: relay.Request, Contract: relay.Contract, Model: id.Model(accepted.GetModel()),
+		Version: id.Version(accepted.GetVersion()), MaxTokens: int(accepted.GetMaxTokens()),
+	}
+	if accepted.GetChat() {
+		spec.Messages = noMessages
+	}
+	return spec
 }
 
+// noMessages marks an answer as a chat's where its messages are not known.
+var noMessages = []byte("[]")
+
 func (r *Relays) accept(stream peerpb.Entry_RelayClient) (*peerpb.Accepted, error) {
 	reply, err := stream.Recv()
 	if err != nil {
