Refuse nobody for asking often while a limit is far

Change: an entry may ask at once while the owner has enough; a burst asks for a quarter of what runs; an entry that hears no owner has its part of the floor in slots too.

--- a/internal/coordination/limit/limit.go
+++ b/internal/coordination/limit/limit.go
@@ -16,7 +16,7 @@
 // heard, at most L·t + L·1s + two requests for each entry that admits, or three
 // seconds of its share if that is more, are taken: the bucket's burst, what
 // entries have saved up, and what each one's last request goes into debt by. The debt is paid before the next request. Slots are never above the
-// limit. An owner grants only the part of the limit that live entries have of
+// limit while owners are heard. An owner grants only the part of the limit that live entries have of
 // the known ones, so the sides of a partition share the limit until the lost
 // side counts as gone; from then on each side may use the whole. Entries that
 // hear no owner use at most their last shares, halved each FallbackHalfLife,
@@ -159,8 +159,6 @@
 	tightPart = 0.5
 	// slotRetry is how long an entry waits before it asks for a slot again.
 	slotRetry = 100 * time.Millisecond
-	// askSpacing is the least time between two asks of an entry with a share.
-	askSpacing = 100 * time.Millisecond
 	// takeoverPart of the slots may be granted by a new owner at once.
 	takeoverPart = 0.125
 )
--- a/internal/coordination/limit/local.go
+++ b/internal/coordination/limit/local.go
@@ -218,15 +218,16 @@
 }
 
 // slotsNow returns how many requests may run. Without an owner the last slots
-// stay for a while, and one request may always run.
+// stay for a while, and the entry has its part of the floor in any case.
 func (a *localAccount) slotsNow(now time.Time) int {
 	if a.silent.IsZero() {
 		return a.slots
 	}
+	floor := max(1, int(floorPart*float64(a.limits.Concurrency)/float64(a.entries)))
 	if now.Before(a.slotsUntil) {
-		return max(a.slots, 1)
+		return max(a.slots, floor)
 	}
-	return 1
+	return floor
 }
 
 func (a *localAccount) refill(now time.Time) {
@@ -238,11 +239,20 @@
 }
 
 // wantedSlots returns how many slots the entry asks for besides those in use:
-// what a second brings, and the usual variation of what runs.
+// what a second brings, and the usual variation of what runs. While the limit
+// is far, a burst asks for a part of what runs, so that it needs few asks.
 func (a *localAccount) wantedSlots() int {
-	return 1 + int(a.demand.requests+math.Sqrt(float64(a.running)))
+	wanted := a.demand.requests + math.Sqrt(float64(a.running))
+	if !a.tight {
+		wanted = max(wanted, burstSlots*float64(a.running))
+	}
+	return 1 + int(wanted)
 }
 
+// burstSlots is the part of the running requests whose number a burst asks for
+// as slots.
+const burstSlots = 0.25
+
 // An unused share is kept for saved, and at least savedRequests of it.
 const (
 	saved         = 3 * time.Second
@@ -258,11 +268,12 @@
 	case now.After(a.rateUntil):
 		return true
 	case missing == Concurrency:
-		return now.Sub(a.missedAt) >= slotRetry
+		return !a.tight || now.Sub(a.missedAt) >= slotRetry
 	case a.contended:
 		return now.Sub(a.missedAt) >= a.askAfter
 	}
-	return now.Sub(a.missedAt) >= askSpacing
+	// While the owner has enough for all, nobody is refused for asking often.
+	return true
 }
 
 func (a *localAccount) ask(name id.Contract, now time.Time) Ask {
