--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -93,6 +93,7 @@
 	pool    *peer.Pool
 	limits  *limits
 	relays  *peer.Relays
+	calls   *peer.Calls
 	// spreader and exchanger are made once the process listens.
 	spreader  *spread.Spreader
 	exchanger *peer.Exchanger
@@ -146,8 +147,8 @@
 		Self: s.Name, Clock: deps.Clock, Log: deps.Log.With("entry", s.Name),
 		Meter: request.NewMeter(deps.Metrics), RetainedTokens: retainedTokens,
 	}, link, p.peers(relays), owner.Owner(), p.gate())
-	calls := peer.NewCalls(p.pool, deps.Clock, reports)
-	p.counter = request.NewCounter(p.desk, request.Services{Place: owner.PlaceCall, Call: calls.Call})
+	p.calls = peer.NewCalls(p.pool, deps.Clock, reports)
+	p.counter = request.NewCounter(p.desk, request.Services{Place: owner.PlaceCall, Call: p.calls.Call})
 	p.serveEntries()
 	p.serveCallers()
 	return p
@@ -304,6 +305,7 @@
 	duties.Go(func() { p.exchanger.Run(p.life) })
 	duties.Go(func() { p.configure(p.life) })
 	duties.Go(func() { p.keepSeeds(p.life) })
+	duties.Go(func() { p.place(p.life) })
 	duties.Go(func() { p.limits.run(p.life) })
 	if p.deps.Hosts != nil {
 		duties.Go(func() { p.deps.Hosts(p.life, p.takeHosts) })
--- a/internal/transport/peer/calls.go
+++ b/internal/transport/peer/calls.go
@@ -7,6 +7,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
 	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/coordination/placement"
 	"foxtailward.example/foxtailward/internal/coordination/request"
 	"foxtailward.example/foxtailward/internal/protocol/peer"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
@@ -136,3 +137,20 @@
 	reply, err := client.Explain(ctx, &peerpb.ExplainRequest{Stamp: r.pool.Stamp(), Request: string(about)})
 	return reply, fault.Wrap("Relays.Explain", request.Lost, err)
 }
+
+// Order gives a target an order of the process that decides on placement.
+func (c *Calls) Order(ctx context.Context, t *member.TargetReport, o *placement.Order) (*peerpb.OrderReply, error) {
+	client, err := c.link.client(t)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Order(ctx, &peerpb.OrderRequest{
+		Stamp: c.link.pool.Stamp(), Id: string(o.ID), Fence: int64(o.Fence), Kind: string(o.Kind),
+		Model: string(o.Model), Version: string(o.Version), Adapter: string(o.Adapter), Role: string(o.Role),
+	})
+	if err != nil {
+		return nil, fault.Wrap("Calls.Order", request.Lost, err)
+	}
+	c.link.take(reply.GetStamp(), nil)
+	return reply, nil
+}
