--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -21,7 +21,9 @@
 type Work struct {
 	Request id.Request
 	// Fresh says that Request was made for this ask: its caller sent no key.
-	Fresh       bool
+	Fresh bool
+	// Print is the call's fingerprint; 0 compares nothing.
+	Print       id.Fingerprint
 	Owner       id.Entry
 	Target      id.Target
 	Incarnation id.Incarnation
@@ -34,6 +36,9 @@
 // Result is what became of a call.
 type Result struct {
 	Outcome Outcome
+	// Conflict says that the key belongs to another call. Nothing was done, and
+	// Outcome is Unknown.
+	Conflict bool
 	// Reply is set when the outcome is Done and the reply is known.
 	Reply *Reply
 	// Claim is the claim that decided.
@@ -69,6 +74,7 @@
 	reply *Reply
 	// revision is the key-value service's revision of the claim held.
 	revision int64
+	conflict bool
 	err      error
 }
 
@@ -88,7 +94,7 @@
 func (c *Claimer) claim(work *Work) Claim {
 	return Claim{
 		Request: work.Request, Owner: work.Owner, Nonce: rand.Uint64(),
-		Target: work.Target, Incarnation: work.Incarnation, AtMs: c.Clock.Now().UnixMilli(),
+		Target: work.Target, Incarnation: work.Incarnation, Print: work.Print, AtMs: c.Clock.Now().UnixMilli(),
 	}
 }
 
@@ -96,6 +102,9 @@
 	r := &run{Claimer: c, ask: ask, work: work}
 	for r.ask.Do != Answer {
 		event, found := r.act(ctx)
+		if r.conflict {
+			return Result{Outcome: Unknown, Conflict: true, Claim: found, Err: r.err}
+		}
 		r.ask = r.ask.Next(event, found)
 	}
 	return Result{Outcome: r.ask.Outcome, Reply: r.reply, Claim: r.ask.Held, Err: r.err}
@@ -178,6 +187,7 @@
 	}
 	r.revision = item.ModRevision
 	r.reply = record.Reply
+	r.conflict = record.Print != r.ask.Mine.Print && record.Print != 0 && r.ask.Mine.Print != 0
 	return Found, record.Claim
 }
 
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -22,7 +22,7 @@
 	// one that went on.
 	last   map[flow]float64
 	served map[flow]float64
-	rate    rate
+	rate   rate
 }
 
 // flow is what shares fairly: a contract's work of one class, so that short
--- a/internal/coordination/request/call.go
+++ b/internal/coordination/request/call.go
@@ -18,6 +18,10 @@
 // callTries bounds how many targets a repeatable call is sent to.
 const callTries = 4
 
+// maxFailedCalls is the number of keyed calls from which those that ended
+// without a reply are no longer kept for operators.
+const maxFailedCalls = 10_000
+
 // Services reaches plain services and decides on them.
 type Services struct {
 	// Place chooses a target that serves the service.
@@ -26,7 +30,23 @@
 	// may have run it.
 	Call func(ctx context.Context, t *member.TargetReport, r id.Request, call *answer.Call) (*answer.Reply, error)
 	// Once runs a keyed call that may not be repeated at most once.
-	Once func(ctx context.Context, r id.Request, call *answer.Call, place func() Choice) (*answer.Reply, error)
+	Once func(ctx context.Context, once *Once) (*answer.Reply, error)
+	// Forbid ends a keyed call that may not be repeated and was refused. The
+	// refusal goes to the caller as notRun only when that is proved, since an
+	// earlier sending with the key may have run.
+	Forbid func(ctx context.Context, once *Once, refusal *answer.Refusal) (*answer.Reply, error)
+}
+
+// Once is a keyed call that may not be repeated.
+type Once struct {
+	Request id.Request
+	Call    *answer.Call
+	// Print is the call's fingerprint.
+	Print id.Fingerprint
+	// Place chooses a target.
+	Place func() Choice
+	// Note keeps a step for operators.
+	Note func(step string, target id.Target, reason string)
 }
 
 // Counter takes calls to plain services.
@@ -40,12 +60,26 @@
 
 // call is a keyed call that runs or has ended.
 type call struct {
-	contract id.Contract
-	print    id.Fingerprint
-	done     chan struct{}
-	reply    *answer.Reply
-	err      error
-	endedAt  time.Time
+	contract  id.Contract
+	service   id.Service
+	print     id.Fingerprint
+	done      chan struct{}
+	reply     *answer.Reply
+	err       error
+	endedAt   time.Time
+	decisions []Decision
+}
+
+// state returns how far the call is.
+func (c *call) state() State {
+	switch {
+	case c.endedAt.IsZero():
+		return Running
+	case c.err != nil:
+		return Ended
+	default:
+		return Finished
+	}
 }
 
 // NewCounter returns a Counter beside desk.
@@ -120,9 +154,7 @@
 	defer c.mu.Unlock()
 	running.reply, running.err = reply, err
 	running.endedAt = c.desk.cfg.Clock.Now()
-	if err != nil {
-		// A call that did not end well may be asked again; a claim that was
-		// made still holds.
+	if err != nil && len(c.calls) > maxFailedCalls {
 		delete(c.calls, r)
 	}
 	close(running.done)
@@ -138,10 +170,18 @@
 func (c *Counter) reserve(r id.Request, ask *answer.Call) (*call, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if running, ok := c.calls[r]; ok {
-		return running, false
+	old, ok := c.calls[r]
+	if ok && old.state() != Ended {
+		return old, false
+	}
+	running := &call{
+		contract: ask.Contract.Name, service: ask.Service, print: fingerprint(ask), done: make(chan struct{}),
+	}
+	if ok {
+		// A call that did not end well may be asked again; a claim that was
+		// made still holds.
+		running.decisions = old.decisions
 	}
-	running := &call{contract: ask.Contract.Name, print: fingerprint(ask), done: make(chan struct{})}
 	c.calls[r] = running
 	return running, true
 }
@@ -170,28 +210,81 @@
 	return out
 }
 
+// CallRecord is what an entry knows of a keyed call.
+type CallRecord struct {
+	Contract  id.Contract
+	Service   id.Service
+	State     State
+	Decisions []Decision
+}
+
+// Find returns what is known of a keyed call.
+func (c *Counter) Find(r id.Request) (CallRecord, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.calls[r]
+	if !ok {
+		return CallRecord{}, false
+	}
+	return CallRecord{
+		Contract: known.contract, Service: known.service, State: known.state(),
+		Decisions: append([]Decision(nil), known.decisions...),
+	}, true
+}
+
+// note keeps a step of a keyed call.
+func (c *Counter) note(r id.Request, step string, target id.Target, reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.calls[r]; known != nil && len(known.decisions) < maxDecisions {
+		known.decisions = append(known.decisions, Decision{
+			At: c.desk.cfg.Clock.Now(), Step: step, Target: target, Reason: reason,
+		})
+	}
+}
+
 // admit checks the limits and runs the call.
 func (c *Counter) admit(ctx context.Context, r id.Request, ask *answer.Call) (*answer.Reply, error) {
 	if c.desk.leaving.Load() {
 		refusal := answer.Refuse(answer.CauseLeaving, "this entry is leaving")
 		refusal.RetryAfter = leavingRetry
-		return nil, refusal
+		return c.refuse(ctx, r, ask, refusal)
 	}
 	ticket, refusal := c.desk.gate.Admit(ask.Contract, 1)
 	if refusal != nil {
-		return nil, refusal
+		return c.refuse(ctx, r, ask, refusal)
 	}
 	defer ticket.Done(1)
-	if !ask.Repeatable && ask.Key != "" {
-		return c.services.Once(ctx, r, ask, func() Choice {
-			return c.place(r, ask, nil)
-		})
+	if needsClaim(ask) {
+		return c.services.Once(ctx, c.once(r, ask))
 	}
 	return c.send(ctx, r, ask)
 }
 
+// refuse ends a call that nothing was done for.
+func (c *Counter) refuse(ctx context.Context, r id.Request, ask *answer.Call, refusal *answer.Refusal) (*answer.Reply, error) {
+	c.note(r, "refused", "", refusal.Detail)
+	if needsClaim(ask) {
+		return c.services.Forbid(ctx, c.once(r, ask), refusal)
+	}
+	return nil, refusal
+}
+
+// needsClaim reports whether a caller may come back with the call, and it may
+// run only once.
+func needsClaim(ask *answer.Call) bool { return !ask.Repeatable && ask.Key != "" }
+
+func (c *Counter) once(r id.Request, ask *answer.Call) *Once {
+	return &Once{
+		Request: r, Call: ask, Print: fingerprint(ask),
+		Place: func() Choice { return c.place(r, ask, nil) },
+		Note:  func(step string, target id.Target, reason string) { c.note(r, step, target, reason) },
+	}
+}
+
 func (c *Counter) place(r id.Request, ask *answer.Call, exclude []id.Target) Choice {
 	choice := c.services.Place(ask, exclude, c.desk.cfg.Clock.Now())
+	c.note(r, string(choice.Action), choice.Target.Target, choice.Reason)
 	e := event.RouteChosen
 	if choice.Action != Go {
 		e = event.RouteRefused
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -21,6 +21,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/standin/engine"
 	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/contract"
@@ -46,8 +47,11 @@
 
 // Options says what to start.
 type Options struct {
-	Engines []EngineOptions
-	Entries []EntryOptions
+	Engines  []EngineOptions
+	Services []ServiceOptions
+	Entries  []EntryOptions
+	// Store is the entries' key-value service; nil for none.
+	Store *store.Store
 	// Configuration is in force when the deployment starts.
 	Deployment conf.Deployment
 	Contracts  []contract.Contract
@@ -75,9 +79,10 @@
 
 // Deployment is a running deployment.
 type Deployment struct {
-	Engines []*Engine
-	Entries []*Entry
-	Current *conf.Current
+	Engines  []*Engine
+	Services []*Service
+	Entries  []*Entry
+	Current  *conf.Current
 
 	opts    Options
 	ctx     context.Context
@@ -147,6 +152,10 @@
 			return nil, err
 		}
 	}
+	if err := d.startServices(); err != nil {
+		d.Close()
+		return nil, err
+	}
 	for _, o := range opts.Entries {
 		if err := d.startEntry(o); err != nil {
 			d.Close()
@@ -217,7 +226,7 @@
 	seed := d.opts.Seed + uint64(len(d.Entries))
 	e := &Entry{done: make(chan error, 1)}
 	e.Process = entry.New(s, entry.Deps{
-		Clock: d.opts.Clock, Log: d.opts.Log, Current: d.Current, Seeds: d.addresses,
+		Clock: d.opts.Clock, Log: d.opts.Log, Current: d.Current, Seeds: d.addresses, Store: d.opts.Store,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	})
 	if err := e.Process.Listen(); err != nil {
@@ -272,7 +281,7 @@
 
 func (d *Deployment) seesAll() bool {
 	for _, e := range d.Entries {
-		if e.Process.Sees() < len(d.Engines) || e.Process.SeesEntries() < len(d.Entries) {
+		if e.Process.Sees() < len(d.Engines)+len(d.Services) || e.Process.SeesEntries() < len(d.Entries) {
 			return false
 		}
 	}
@@ -287,9 +296,15 @@
 	for _, e := range d.Engines {
 		e.Process.Cut()
 	}
+	for _, s := range d.Services {
+		s.Process.Cut()
+	}
 	d.cancel()
 	d.running.Wait()
 	for _, e := range d.Engines {
 		e.Stand.Close()
 	}
+	for _, s := range d.Services {
+		s.Stand.Close()
+	}
 }
--- /dev/null
+++ b/internal/standin/deployment/service_test.go
@@ -0,0 +1,389 @@
+package deployment_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/coordination/claim"
+	kv "foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/standin/deployment"
+	"foxtailward.example/foxtailward/internal/standin/service"
+	"foxtailward.example/foxtailward/internal/standin/store"
+	"foxtailward.example/foxtailward/internal/state/contract"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/settings"
+)
+
+// floor is a deployment with part orders, which run once, and a kiosk.
+type floor struct {
+	*deployment.Deployment
+	t     *testing.T
+	store *store.Service
+}
+
+func startFloor(t *testing.T, services, entries int) *floor {
+	t.Helper()
+	keys := store.New(store.Options{})
+	t.Cleanup(keys.Close)
+	direct := keys.Direct()
+	opts := options(0, entries)
+	opts.Store = &direct
+	opts.Contracts[0].Services = contract.Services{{Name: "floor"}, {Name: "kiosk", Repeatable: true}}
+	for i := range services {
+		for _, name := range []id.Service{"floor", "kiosk"} {
+			opts.Services = append(opts.Services, deployment.ServiceOptions{
+				Name:    id.Target(fmt.Sprintf("%s-%d", name, i)),
+				Place:   settings.Place{Host: "h", Zone: id.Zone(fmt.Sprintf("z%d", i)), Region: "ch"},
+				Service: service.Options{Name: name},
+			})
+		}
+	}
+	f := &floor{Deployment: start(t, opts), t: t, store: keys}
+	// The first claim asks for a lease; faults are to hit the claims.
+	f.told(0, "warm", "warm")
+	return f
+}
+
+// word is what a caller was told: done, notRun, unknown or failed.
+type word struct {
+	told   string
+	cause  string
+	detail string
+	result string
+	retry  string
+	id     id.Request
+}
+
+// send sends a call through an entry. Its connection is its own, so that
+// net/http never sends it again.
+func send(url, serviceName, key, body string) (word, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/services/"+serviceName+"/orders", strings.NewReader(body))
+	if err != nil {
+		return word{}, err
+	}
+	r.Close = true
+	r.Header.Set("Authorization", "Bearer dev-staplerdienst")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return word{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return word{}, err
+	}
+	var message struct{ Outcome, Cause, Detail, Result string }
+	err = json.Unmarshal(data, &message)
+	w := word{
+		told: message.Outcome, cause: message.Cause, detail: message.Detail, result: message.Result,
+		retry: resp.Header.Get("Retry-After"), id: id.Request(resp.Header.Get("Foxtailward-Request")),
+	}
+	if resp.StatusCode == http.StatusOK {
+		w.told = "done"
+	}
+	return w, err
+}
+
+// told sends an order through an entry and returns what its caller was told; a
+// broken connection tells nothing.
+func (f *floor) told(entry int, key, body string) word {
+	f.t.Helper()
+	w, err := send(f.Entries[entry].URL(), "floor", key, body)
+	if err != nil {
+		return word{told: "unknown", detail: err.Error()}
+	}
+	return w
+}
+
+// home returns the number of the entry that owns a key.
+func (f *floor) home(key string) int {
+	var names []id.Entry
+	for i := range f.Entries {
+		names = append(names, id.Entry(fmt.Sprintf("entry-%d", i)))
+	}
+	home := id.Home(id.ForKey("staplerdienst", "call/floor/"+key), names)
+	for i, name := range names {
+		if name == home {
+			return i
+		}
+	}
+	return 0
+}
+
+func (f *floor) runs(body string) int {
+	n := 0
+	for _, s := range f.Services {
+		n += s.Stand.RunsOfBody(body)
+	}
+	return n
+}
+
+// waitRun waits until a run of body began.
+func (f *floor) waitRun(body string) { f.wait(func() bool { return f.runs(body) > 0 }) }
+
+// wait waits for a condition, and ends the test when it does not come.
+func (f *floor) wait(condition func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(30 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatal("what the test waits for does not come")
+		}
+	}
+}
+
+// floors calls f for each service that takes orders.
+func (f *floor) floors(each func(s *deployment.Service)) {
+	for _, s := range f.Services {
+		if strings.HasPrefix(string(s.Process.Report().Target), "floor") {
+			each(s)
+		}
+	}
+}
+
+// restart starts the target processes beside the floors again.
+func (f *floor) restart(is *is.I) {
+	f.floors(func(s *deployment.Service) { is.NoErr(s.Restart()) })
+}
+
+// judge holds the words of one order against its runs.
+func judge(is *is.I, runs int, words []word) {
+	is.Helper()
+	is.True(runs <= 1) // never twice
+	for _, w := range words {
+		switch w.told {
+		case "done":
+			is.Equal(runs, 1)
+		case "notRun":
+			is.Equal(runs, 0)
+		}
+	}
+}
+
+const orderKey, order = "order-1", "part 17"
+
+// crossings are the failures that an order may meet. Each sends the order and
+// may return what its caller was told.
+var crossings = []struct {
+	name string
+	run  func(f *floor, is *is.I) word
+	// want is what all callers are told who come back with the key.
+	want string
+}{
+	{"nothing", func(f *floor, _ *is.I) word { return f.told(0, orderKey, order) }, "done"},
+	{"service dies before", func(f *floor, _ *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Stand.Fail(service.DieBefore) })
+		return f.told(0, orderKey, order)
+	}, "unknown"},
+	{"service dies during", func(f *floor, _ *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Stand.Fail(service.DieDuring) })
+		return f.told(0, orderKey, order)
+	}, "unknown"},
+	{"service dies after", func(f *floor, _ *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Stand.Fail(service.DieAfter) })
+		return f.told(0, orderKey, order)
+	}, "unknown"},
+	{"service's reply lost", func(f *floor, _ *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Stand.Fail(service.LoseReply) })
+		return f.told(0, orderKey, order)
+	}, "unknown"},
+	{"service refuses connections", func(f *floor, _ *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Stand.Die() })
+		return f.told(0, orderKey, order)
+	}, "notRun"},
+	{"target processes killed before", func(f *floor, is *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Kill() })
+		w := f.told(0, orderKey, order)
+		f.restart(is)
+		return w
+	}, ""},
+	{"target processes killed during", func(f *floor, is *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Stand.Slow(300 * time.Millisecond) })
+		told := make(chan word)
+		go func() { told <- f.told(0, orderKey, order) }()
+		f.waitRun(order)
+		f.floors(func(s *deployment.Service) { s.Kill() })
+		w := <-told
+		f.restart(is)
+		return w
+	}, "unknown"},
+	{"target processes killed after", func(f *floor, is *is.I) word {
+		w := f.told(0, orderKey, order)
+		f.floors(func(s *deployment.Service) { s.Kill() })
+		f.restart(is)
+		return w
+	}, "done"},
+	{"entry killed before its claim", func(f *floor, _ *is.I) word {
+		f.store.Hang(true)
+		before := f.store.Calls().Txns
+		return f.killOwner(func() { f.wait(func() bool { return f.store.Calls().Txns > before }) },
+			func() { f.store.Hang(false) })
+	}, ""},
+	{"entry ended between its claim and its call", func(f *floor, is *is.I) word {
+		f.claimAbandoned(is)
+		return word{told: "unknown"}
+	}, "notRun"},
+	{"entry killed after its call", func(f *floor, _ *is.I) word {
+		f.floors(func(s *deployment.Service) { s.Stand.Slow(4 * time.Second) })
+		return f.killOwner(func() { f.waitRun(order) }, func() {})
+	}, "done"},
+	{"claim applied and its answer lost", func(f *floor, _ *is.I) word {
+		f.store.LoseAnswers(1)
+		return f.told(0, orderKey, order)
+	}, "done"},
+	{"claim lost on its way", func(f *floor, _ *is.I) word {
+		f.store.LoseRequests(1)
+		return f.told(0, orderKey, order)
+	}, "done"},
+	{"store down", func(f *floor, is *is.I) word {
+		is.NoErr(f.store.SetOutage(true))
+		w := f.told(0, orderKey, order)
+		is.Equal(w.told, "unknown")
+		is.Equal(w.cause, "storeDown")
+		is.True(w.retry != "")
+		is.Equal(f.runs(order), 0)
+		is.NoErr(f.store.SetOutage(false))
+		// The lease is asked for again after a pause.
+		return w
+	}, "done"},
+	{"store's leases ended", func(f *floor, _ *is.I) word {
+		f.store.LapseLeases()
+		return f.told(0, orderKey, order)
+	}, "done"},
+}
+
+// killOwner sends the order to its home entry, kills that once ready returns,
+// and calls after while it dies.
+func (f *floor) killOwner(ready, after func()) word {
+	home := f.home(orderKey)
+	told := make(chan word)
+	go func() { told <- f.told(home, orderKey, order) }()
+	ready()
+	killed := make(chan struct{})
+	go func() {
+		f.Entries[home].Kill()
+		close(killed)
+	}()
+	<-killed
+	after()
+	return <-told
+}
+
+// claimAbandoned writes the claim of an entry that ends before its call left.
+func (f *floor) claimAbandoned(is *is.I) {
+	r := claim.Record{Claim: claim.Claim{
+		Request: id.ForKey("staplerdienst", "call/floor/"+orderKey), Owner: "entry-gone", Nonce: 1, State: claim.Claimed,
+		Target: f.Services[0].Process.Report().Target, Incarnation: f.Services[0].Process.Incarnation(),
+	}}
+	direct := f.store.Direct()
+	result, err := direct.Commit(f.t.Context(), kv.Txn{Puts: []kv.Put{{Key: r.Key(), Value: r.Encode()}}})
+	is.NoErr(err)
+	is.True(result.Succeeded)
+}
+
+// An order meets each failure; its caller comes back with the key through all
+// entries that are left.
+func TestOrderRunsOnce(t *testing.T) {
+	for _, tt := range crossings {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startFloor(t, 2, 3)
+			words := []word{tt.run(f, is)}
+			var last word
+			for i := range f.Entries {
+				last = f.told(i, orderKey, order)
+				words = append(words, last)
+			}
+			judge(is, f.runs(order), words)
+			is.True(tt.want == "" || last.told == tt.want)
+			t.Logf("runs %d, told first %s, last %s: %s", f.runs(order), words[0].told, last.told, last.detail)
+		})
+	}
+}
+
+// The same order is sent through all entries at once, and again after its end.
+func TestOrderEverywhereAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := startFloor(t, 2, 3)
+	var mu sync.Mutex
+	var words []word
+	var wait sync.WaitGroup
+	for i := range 12 {
+		wait.Go(func() {
+			w := f.told(i%3, orderKey, order)
+			mu.Lock()
+			defer mu.Unlock()
+			words = append(words, w)
+		})
+	}
+	wait.Wait()
+	words = append(words, f.told(1, orderKey, order))
+	is.Equal(f.runs(order), 1)
+	for _, w := range words {
+		is.Equal(w.told, "done")
+		is.Equal(w.result, service.Result(http.MethodPost, "/orders", order))
+	}
+	other := f.told(2, orderKey, "another part")
+	is.Equal(other.cause, "conflict")
+	is.Equal(f.runs("another part"), 0)
+}
+
+// Entry and target leave while orders run; all are finished, once.
+func TestOrdersFinishWhileLeaving(t *testing.T) {
+	is := is.New(t)
+	f := startFloor(t, 2, 3)
+	f.floors(func(s *deployment.Service) { s.Stand.Slow(time.Second) })
+	var wait sync.WaitGroup
+	for i := range 12 {
+		body := fmt.Sprint("part ", i)
+		wait.Go(func() {
+			w := f.told(i%3, body, body)
+			is.Equal(w.told+w.detail, "done")
+		})
+	}
+	for i := range 12 {
+		f.waitRun(fmt.Sprint("part ", i))
+	}
+	wait.Go(func() { is.NoErr(f.Entries[0].Stop()) })
+	wait.Go(func() { is.NoErr(f.Services[0].Stop()) })
+	wait.Wait()
+	for i := range 12 {
+		is.Equal(f.runs(fmt.Sprint("part ", i)), 1)
+	}
+	is.Equal(f.told(1, "after", "after").told, "done")
+}
+
+// A repeatable call whose reply is lost is sent to another target; the store is
+// not needed for it, nor for an order without a key.
+func TestCallsWithoutClaim(t *testing.T) {
+	is := is.New(t)
+	f := startFloor(t, 2, 2)
+	is.NoErr(f.store.SetOutage(true))
+	for _, s := range f.Services {
+		if strings.HasPrefix(string(s.Process.Report().Target), "kiosk") {
+			s.Stand.Fail(service.LoseReply)
+		}
+	}
+	w, err := send(f.Entries[0].URL(), "kiosk", "", "flat 3")
+	is.NoErr(err)
+	again, err := send(f.Entries[1].URL(), "kiosk", "form-1", "flat 4")
+	is.NoErr(err)
+	is.Equal([]string{w.told, again.told}, []string{"done", "done"})
+	is.Equal(f.runs("flat 3")+f.runs("flat 4"), 4) // two replies were lost
+	is.Equal(f.told(0, "", order).told, "done")
+	is.Equal(f.runs(order), 1)
+}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -27,6 +27,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/policy"
 	"foxtailward.example/foxtailward/internal/coordination/request"
 	"foxtailward.example/foxtailward/internal/coordination/route"
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
 	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/contract"
@@ -65,6 +66,9 @@
 	Current *conf.Current
 	// Seeds returns the addresses of processes that may be asked for news.
 	Seeds func() []string
+	// Store is the key-value service; without it, calls that may not be
+	// repeated are refused when they carry a key.
+	Store *store.Store
 	// Random seeds the process's choices.
 	Random *rand.Rand
 }
@@ -123,7 +127,7 @@
 		Meter: request.NewMeter(deps.Metrics), RetainedTokens: retainedTokens,
 	}, link, p.peers(relays), owner.Owner(), p.gate())
 	calls := peer.NewCalls(p.pool, deps.Clock, reports)
-	p.counter = request.NewCounter(p.desk, request.Services{Place: owner.PlaceCall, Call: calls.Call})
+	p.counter = request.NewCounter(p.desk, p.services(owner, calls))
 	p.serveEntries()
 	p.serveCallers()
 	return p
--- a/internal/transport/entry/serve.go
+++ b/internal/transport/entry/serve.go
@@ -45,7 +45,7 @@
 func (p *Process) decisions(r id.Request) *peerpb.ExplainReply {
 	a, ok := p.desk.Find(r)
 	if !ok {
-		return &peerpb.ExplainReply{}
+		return p.callDecisions(r)
 	}
 	reply := &peerpb.ExplainReply{Found: true, Contract: string(a.Spec().Contract), State: string(a.State())}
 	for _, d := range a.Decisions() {
