Claim only for targets that can be reached, and give dev its services

Cause: a target process that was gone while the view still believed in it was claimed for, and the lost message left the call unknown for good. Change: the owner connects first and goes to another target, or says notRun with the proof. dev runs a floor and a kiosk service beside an in-memory stand-in store and prints the line for a part order. Conclusion: unknown is left to calls whose message may have arrived.

--- a/cmd/foxtailward/dev.go
+++ b/cmd/foxtailward/dev.go
@@ -93,5 +93,10 @@
 curl -sN %s/v1/completions -H 'Authorization: Bearer dev-staplerdienst' \
   -d '{"model":"report","prompt":"Truck 7: mast chain jumps","max_tokens":400,"stream":true}'
 
-`, d.Entries[0].URL())
+Order a part; the order runs once, however often it is sent with its key and through which entry:
+
+curl -s %s/v1/services/floor/orders -H 'Authorization: Bearer dev-staplerdienst' \
+  -H 'Idempotency-Key: order-4711' -d '{"part":"mast chain","truck":7}'
+
+`, d.Entries[0].URL(), d.Entries[1].URL())
 }
--- a/internal/coordination/request/call.go
+++ b/internal/coordination/request/call.go
@@ -43,8 +43,8 @@
 	Call    *answer.Call
 	// Print is the call's fingerprint.
 	Print id.Fingerprint
-	// Place chooses a target.
-	Place func() Choice
+	// Place chooses a target other than those excluded.
+	Place func(exclude []id.Target) Choice
 	// Note keeps a step for operators.
 	Note func(step string, target id.Target, reason string)
 }
@@ -277,7 +277,7 @@
 func (c *Counter) once(r id.Request, ask *answer.Call) *Once {
 	return &Once{
 		Request: r, Call: ask, Print: fingerprint(ask),
-		Place: func() Choice { return c.place(r, ask, nil) },
+		Place: func(exclude []id.Target) Choice { return c.place(r, ask, exclude) },
 		Note:  func(step string, target id.Target, reason string) { c.note(r, step, target, reason) },
 	}
 }
--- a/internal/standin/deployment/sample.go
+++ b/internal/standin/deployment/sample.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/standin/engine"
+	"foxtailward.example/foxtailward/internal/standin/service"
+	"foxtailward.example/foxtailward/internal/standin/store"
 	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/contract"
 	"foxtailward.example/foxtailward/internal/state/generation"
@@ -55,6 +57,13 @@
 	for i, zone := range zones {
 		opts.Engines = append(opts.Engines, sampleEngine(SampleModel, i, place(zone, "ch-mittelland", 10+i)))
 	}
+	opts.Services = []ServiceOptions{
+		{Name: "floor-1", Place: place("olten", "ch-mittelland", 30), Service: service.Options{Name: "floor"}},
+		{Name: "kiosk-1", Place: place("cankaya", "ankara", 31), Service: service.Options{Name: "kiosk"}},
+	}
+	// It lasts as long as the process.
+	direct := store.New(store.Options{}).Direct()
+	opts.Store = &direct
 	for i, zone := range []id.Zone{"cankaya", "yenimahalle"} {
 		opts.Engines = append(opts.Engines, sampleEngine("easy-read", i, place(zone, "ankara", 20+i)))
 	}
--- a/internal/standin/deployment/service_test.go
+++ b/internal/standin/deployment/service_test.go
@@ -209,7 +209,7 @@
 		w := f.told(0, orderKey, order)
 		f.restart(is)
 		return w
-	}, ""},
+	}, "notRun"},
 	{"target processes killed during", func(f *floor, is *is.I) word {
 		f.floors(func(s *deployment.Service) { s.Stand.Slow(300 * time.Millisecond) })
 		told := make(chan word)
--- a/internal/transport/entry/once.go
+++ b/internal/transport/entry/once.go
@@ -6,6 +6,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
 	"foxtailward.example/foxtailward/internal/coordination/claim"
+	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/coordination/policy"
 	"foxtailward.example/foxtailward/internal/coordination/request"
 	"foxtailward.example/foxtailward/internal/coordination/store"
@@ -26,10 +27,15 @@
 	claimRead = 3 * time.Second
 	// fenceGrace bounds the question what became of a call whose time is over.
 	fenceGrace = 2 * time.Second
+	// reachTimeout bounds the connection to a target process.
+	reachTimeout = time.Second
 	// onceRetry is when a caller that was told nothing certain may ask again.
 	onceRetry = 2 * time.Second
 )
 
+// onceTries bounds how many targets are tried before a call is claimed.
+const onceTries = 4
+
 // once runs calls that may not be repeated.
 type once struct {
 	process *Process
@@ -64,7 +70,7 @@
 	if o.claimer == nil {
 		return nil, o.noStore(call, nil)
 	}
-	choice := call.Place()
+	choice := o.place(ctx, call)
 	if choice.Action != request.Go {
 		refusal := answer.Refuse(answer.CauseNoTarget, "%s", choice.Reason)
 		refusal.RetryAfter = choice.Wait
@@ -83,6 +89,33 @@
 	return o.answer(call, &result, sent, nil)
 }
 
+// place chooses a target that can be reached, so that a target that is gone is
+// not claimed for: what a lost message did cannot be known.
+func (o *once) place(ctx context.Context, call *request.Once) request.Choice {
+	var exclude []id.Target
+	for {
+		choice := call.Place(exclude)
+		if choice.Action != request.Go {
+			return choice
+		}
+		err := o.reach(ctx, &choice.Target)
+		if err == nil {
+			return choice
+		}
+		call.Note("notReached", choice.Target.Target, err.Error())
+		exclude = append(exclude, choice.Target.Target)
+		if len(exclude) == onceTries {
+			return request.Choice{Action: request.GiveUp, Wait: onceRetry, Reason: "no target could be reached"}
+		}
+	}
+}
+
+func (o *once) reach(ctx context.Context, t *member.TargetReport) error {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	return o.calls.Reach(ctx, t)
+}
+
 // forbid ends a call that was refused before it was claimed.
 func (o *once) forbid(ctx context.Context, call *request.Once, refusal *answer.Refusal) (*answer.Reply, error) {
 	if o.claimer == nil {
--- a/internal/transport/peer/calls.go
+++ b/internal/transport/peer/calls.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc/connectivity"
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
 	"foxtailward.example/foxtailward/internal/coordination/member"
@@ -62,6 +63,35 @@
 	return reply, nil
 }
 
+// Reach connects to a target process. After an error nothing was sent, so a
+// call can still go to another target. The error's kind is Busy.
+func (c *Calls) Reach(ctx context.Context, t *member.TargetReport) error {
+	conn, err := c.link.pool.Conn(t.Address)
+	if err != nil {
+		return fault.Wrap("Calls.Reach", request.Busy, err)
+	}
+	tried := false
+	for {
+		state := conn.GetState()
+		switch {
+		case state == connectivity.Ready:
+			return nil
+		case state == connectivity.Idle:
+			conn.Connect()
+		case state == connectivity.TransientFailure && !tried:
+			// The failure may be old.
+			conn.ResetConnectBackoff()
+		case state == connectivity.TransientFailure || state == connectivity.Shutdown:
+			c.link.reports.Broken(t.Target)
+			return fault.New("Calls.Reach", request.Busy, "target %s takes no connection", t.Target)
+		}
+		tried = tried || state != connectivity.Idle
+		if !conn.WaitForStateChange(ctx, state) {
+			return fault.Wrap("Calls.Reach", request.Busy, ctx.Err())
+		}
+	}
+}
+
 // Fence asks what became of a claimed call and forbids it if it has not run.
 func (c *Calls) Fence(ctx context.Context, t *member.TargetReport, r id.Request, claimed id.Incarnation) (*peerpb.CallReply, error) {
 	client, err := c.link.client(t)
