--- a/internal/coordination/claim/batch.go
+++ b/internal/coordination/claim/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,108 +18,88 @@
 )
 
 // Batch writes the transactions of several asks as one, to keep to the
-// key-value service's rate. While one write is under way the next ones gather;
-// the first of them writes all. When a compare of a joint write fails, each is
-// written by itself. The transactions must be about different keys or the ones
-// that meet are kept apart. It is safe for concurrent use.
+// key-value service's rate. While one write is under way the next ones gather.
+// When a compare of a joint write fails, each is written by itself.
+// Transactions about the same key are kept apart. It is safe for concurrent
+// use.
+//
+// A goroutine writes while there is something to write; each write is bounded
+// in time.
 type Batch struct {
-	commit func(ctx context.Context, txn store.Txn) (store.Result, error)
-	mu     sync.Mutex
-	queue  []*pending
-	// writing says that an ask writes, and will write or hand on the queue.
+	commit CommitFunc
+
+	mu    sync.Mutex
+	queue []*pending
+	// writing says that the goroutine runs.
 	writing bool
 }
 
-// pending is one transaction in the queue.
+// pending is one transaction.
 type pending struct {
 	txn    store.Txn
 	result store.Result
 	err    error
-	// turn is closed when the transaction is written, or when lead is set and
-	// its ask is to write.
-	turn chan struct{}
-	lead bool
+	// done is closed when the transaction is written.
+	done chan struct{}
 }
 
 // NewBatch returns a Batch that writes with commit.
-func NewBatch(commit func(ctx context.Context, txn store.Txn) (store.Result, error)) *Batch {
+func NewBatch(commit CommitFunc) *Batch {
 	return &Batch{commit: commit}
 }
 
 // Commit writes txn, with others where it can. Its result and errors are those
 // of store.Store's Commit; when ctx ends first, the error is ctx's and the
-// write may take effect.
+// write may take effect, also later.
 func (b *Batch) Commit(ctx context.Context, txn store.Txn) (store.Result, error) {
-	p := &pending{txn: txn, turn: make(chan struct{})}
-	if !b.join(p) {
-		select {
-		case <-p.turn:
-		case <-ctx.Done():
-			if b.leave(p) {
-				return store.Result{}, ctx.Err()
-			}
-			<-p.turn
-		}
-		if !p.lead {
-			return p.result, p.err
-		}
+	p := &pending{txn: txn, done: make(chan struct{})}
+	if b.join(p) {
+		go b.write(context.WithoutCancel(ctx), []*pending{p})
+	}
+	select {
+	case <-p.done:
+		return p.result, p.err
+	case <-ctx.Done():
+		b.leave(p)
+		return store.Result{}, ctx.Err()
 	}
-	b.write(ctx)
-	return p.result, p.err
 }
 
-// join puts p into the queue and reports whether its ask is to write.
+// join puts p into the queue; when nothing is being written it reports true,
+// and p is to be written at once.
 func (b *Batch) join(p *pending) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.queue = append(b.queue, p)
 	if b.writing {
+		b.queue = append(b.queue, p)
 		return false
 	}
 	b.writing = true
-	p.lead = true
 	return true
 }
 
-// leave takes p out of the queue, and reports whether it was still there.
-func (b *Batch) leave(p *pending) bool {
+// leave takes p out of the queue when it is still there.
+func (b *Batch) leave(p *pending) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i, q := range b.queue {
-		if q == p && !p.lead {
-			b.queue = append(b.queue[:i], b.queue[i+1:]...)
-			return true
-		}
-	}
-	return false
+	b.queue = slices.DeleteFunc(b.queue, func(q *pending) bool { return q == p })
 }
 
-// write writes the head of the queue, which starts with the caller's own, and
-// hands the rest to the next in it.
-func (b *Batch) write(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), batchTimeout)
-	defer cancel()
-	batch := b.take()
-	b.commitAll(ctx, batch)
-	for _, p := range batch[1:] {
-		close(p.turn)
-	}
-	b.handOn()
-}
-
-func (b *Batch) handOn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.queue) == 0 {
-		b.writing = false
-		return
+// write writes the batch and then what has gathered, until nothing has.
+func (b *Batch) write(ctx context.Context, batch []*pending) {
+	for len(batch) > 0 {
+		bounded, cancel := context.WithTimeout(ctx, batchTimeout)
+		b.commitAll(bounded, batch)
+		cancel()
+		for _, p := range batch {
+			close(p.done)
+		}
+		batch = b.take()
 	}
-	b.queue[0].lead = true
-	close(b.queue[0].turn)
 }
 
-// take returns the head of the queue up to the bound, or up to a key that is
-// in it already.
+// take takes the head of the queue up to the bound, or up to a key that is in
+// it already.
 func (b *Batch) take() []*pending {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -128,6 +109,7 @@
 		n++
 	}
 	batch := b.queue[:n:n]
+	b.writing = n > 0
 	b.queue = append([]*pending(nil), b.queue[n:]...)
 	return batch
 }
--- a/internal/coordination/claim/claimer_test.go
+++ b/internal/coordination/claim/claimer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -287,3 +288,62 @@
 		is.True(err != nil)
 	}
 }
+
+// TestBatchHangs: an ask whose time is over does not wait for a write that
+// hangs, and a settled outcome is told meanwhile.
+func TestBatchHangs(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	b := claim.NewBatch(func(context.Context, store.Txn) (store.Result, error) {
+		<-release
+		return store.Result{Succeeded: true}, nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 3 {
+		_, err := b.Commit(ctx, put("k"))
+		is.True(errors.Is(err, context.Canceled))
+	}
+	is.Equal(b.Waiting(), 0)
+}
+
+// TestLeases: claims of one hour share a lease, which lasts a day longer; a
+// lease that the key-value service has lost is replaced.
+func TestLeases(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	var granted []time.Duration
+	refuse := false
+	leases := &claim.Leases{Clock: clock, Keep: 24 * time.Hour, Grant: func(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+		if refuse {
+			return 0, fault.New("fake", store.Unavailable, "down")
+		}
+		granted = append(granted, ttl)
+		return store.LeaseID(len(granted)), nil
+	}}
+	var bound []store.LeaseID
+	lost := store.LeaseID(0)
+	commit := leases.Bind(func(_ context.Context, txn store.Txn) (store.Result, error) {
+		if txn.Puts[0].Lease == lost {
+			return store.Result{}, fault.New("fake", store.Invalid, "no such lease")
+		}
+		bound = append(bound, txn.Puts[0].Lease)
+		return store.Result{Succeeded: true}, nil
+	})
+	for range 120 {
+		_, err := commit(t.Context(), put("k"))
+		is.NoErr(err)
+		clock.Advance(time.Minute)
+	}
+	is.Equal(granted, []time.Duration{25 * time.Hour, 25 * time.Hour})
+	clock.Advance(-time.Second)
+	lost = 2
+	_, err := commit(t.Context(), put("k"))
+	is.NoErr(err)
+	is.Equal(bound[len(bound)-1], store.LeaseID(3))
+	refuse = true
+	clock.Advance(2 * time.Hour)
+	_, err = commit(t.Context(), put("k"))
+	is.True(fault.Is(err, store.Unavailable)) // nothing was written
+}
