Hold 200 orders at once and 150 orders under failures to one run each

Cause: the failures were tried one by one and with single orders only. Change: tests of many orders over slow key-value writes, and of orders that are sent four times each while services and target processes end and the key-value service fails in each of its ways.

--- a/internal/standin/deployment/service_test.go
+++ b/internal/standin/deployment/service_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -44,6 +45,7 @@
 				Name:    id.Target(fmt.Sprintf("%s-%d", name, i)),
 				Place:   settings.Place{Host: "h", Zone: id.Zone(fmt.Sprintf("z%d", i)), Region: "ch"},
 				Service: service.Options{Name: name},
+				Slots:   256,
 			})
 		}
 	}
@@ -397,3 +399,100 @@
 	}
 	return fmt.Sprint(name, i)
 }
+
+// Two hundred orders at once: each runs once, and they share writes.
+func TestManyOrders(t *testing.T) {
+	is := is.New(t)
+	f := startFloor(t, 2, 2)
+	f.store.SetLatency(5 * time.Millisecond)
+	before := f.store.Calls()
+	const orders = 200
+	var wait sync.WaitGroup
+	for i := range orders {
+		body := fmt.Sprint("part ", i)
+		wait.Go(func() {
+			w := f.told(i%2, fmt.Sprint("order-", i), body)
+			is.Equal(w.told+w.detail, "done")
+		})
+	}
+	wait.Wait()
+	for i := range orders {
+		is.Equal(f.runs(fmt.Sprint("part ", i)), 1)
+	}
+	writes := f.store.Calls().Writes() - before.Writes()
+	t.Logf("%d orders, %d writes, %d reads", orders, writes, f.store.Calls().Reads()-before.Reads())
+	is.True(writes < orders) // alone, each order takes two
+}
+
+// Orders are sent again and again through any entry while services fail, target
+// processes start anew, and the store fails in each of its ways.
+func TestOrdersUnderFailures(t *testing.T) {
+	is := is.New(t)
+	f := startFloor(t, 3, 3)
+	f.floors(func(s *deployment.Service) { s.Stand.Slow(5 * time.Millisecond) })
+	const orders, sendings = 150, 4
+	words := make([][]word, orders)
+	var wait sync.WaitGroup
+	for i := range orders {
+		rng := rand.New(rand.NewPCG(11, uint64(i)))
+		pause := time.Duration(rng.IntN(3000)) * time.Millisecond
+		wait.Go(func() {
+			time.Sleep(pause)
+			for range sendings {
+				w := f.told(rng.IntN(3), fmt.Sprint("order-", i), fmt.Sprint("part ", i))
+				words[i] = append(words[i], w)
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(ended)
+	}()
+	f.fail(is, rand.New(rand.NewPCG(11, 0)), ended)
+	count := map[string]int{}
+	for i := range orders {
+		runs := f.runs(fmt.Sprint("part ", i))
+		judge(is, runs, words[i])
+		last := words[i][sendings-1].told
+		count[fmt.Sprintf("told %s, ran %d", last, runs)]++
+		for j, w := range words[i][1:] {
+			if first := words[i][j].told; first == "done" || first == "notRun" {
+				is.True(w.told == first || w.told == "unknown") // what was proved stays
+			}
+		}
+	}
+	is.True(count["told done, ran 1"] > 0)
+	t.Log(count)
+}
+
+// fail brings failures, one after the other, until ended.
+func (f *floor) fail(is *is.I, rng *rand.Rand, ended <-chan struct{}) {
+	var floors []*deployment.Service
+	f.floors(func(s *deployment.Service) { floors = append(floors, s) })
+	failures := []service.Failure{service.DieBefore, service.DieDuring, service.DieAfter, service.LoseReply, service.Refuse}
+	for {
+		select {
+		case <-ended:
+			return
+		case <-time.After(time.Duration(20+rng.IntN(60)) * time.Millisecond):
+		}
+		s := floors[rng.IntN(len(floors))]
+		switch rng.IntN(5) {
+		case 0:
+			s.Stand.Fail(failures[rng.IntN(len(failures))])
+		case 1:
+			s.Kill()
+			is.NoErr(s.Restart())
+		case 2:
+			is.NoErr(f.store.SetOutage(true))
+			time.Sleep(30 * time.Millisecond)
+			is.NoErr(f.store.SetOutage(false))
+		case 3:
+			f.store.LoseAnswers(1 + rng.IntN(3))
+		case 4:
+			f.store.LoseRequests(1 + rng.IntN(3))
+		}
+		is.NoErr(s.Stand.Revive())
+	}
+}
