Bound the ended calls that an entry keeps

Change: at most 10,000 ended calls and 64 MiB of replies; the first to end goes first. Conclusion: the claim still answers for a call that is no longer kept.

--- a/internal/coordination/request/call.go
+++ b/internal/coordination/request/call.go
@@ -18,9 +18,12 @@
 // callTries bounds how many targets a repeatable call is sent to.
 const callTries = 4
 
-// maxFailedCalls is the number of keyed calls from which those that ended
-// without a reply are no longer kept for operators.
-const maxFailedCalls = 10_000
+// Bounds of the keyed calls that are kept after their end. Those that ended
+// first go first; the claim of a call that may not be repeated stays.
+const (
+	maxEndedCalls = 10_000
+	maxReplyBytes = 64 << 20
+)
 
 // Services reaches plain services and decides on them.
 type Services struct {
@@ -56,10 +59,15 @@
 
 	mu    sync.Mutex
 	calls map[id.Request]*call
+	// ended lists the calls that have ended, the first one first, and bytes is
+	// the size of their replies.
+	ended []*call
+	bytes int
 }
 
 // call is a keyed call that runs or has ended.
 type call struct {
+	request   id.Request
 	contract  id.Contract
 	service   id.Service
 	print     id.Fingerprint
@@ -70,6 +78,14 @@
 	decisions []Decision
 }
 
+// size returns the bytes of the call's reply.
+func (c *call) size() int {
+	if c.reply == nil {
+		return 0
+	}
+	return len(c.reply.Body)
+}
+
 // state returns how far the call is.
 func (c *call) state() State {
 	switch {
@@ -154,9 +170,9 @@
 	defer c.mu.Unlock()
 	running.reply, running.err = reply, err
 	running.endedAt = c.desk.cfg.Clock.Now()
-	if err != nil && len(c.calls) > maxFailedCalls {
-		delete(c.calls, r)
-	}
+	c.ended = append(c.ended, running)
+	c.bytes += running.size()
+	c.drop(func(*call) bool { return c.bytes > maxReplyBytes || len(c.ended) > maxEndedCalls })
 	close(running.done)
 }
 
@@ -175,7 +191,8 @@
 		return old, false
 	}
 	running := &call{
-		contract: ask.Contract.Name, service: ask.Service, print: fingerprint(ask), done: make(chan struct{}),
+		request: r, contract: ask.Contract.Name, service: ask.Service,
+		print: fingerprint(ask), done: make(chan struct{}),
 	}
 	if ok {
 		// A call that did not end well may be asked again; a claim that was
@@ -190,9 +207,19 @@
 func (c *Counter) Sweep(now time.Time, retention time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for r, running := range c.calls {
-		if !running.endedAt.IsZero() && now.Sub(running.endedAt) >= retention {
-			delete(c.calls, r)
+	c.drop(func(oldest *call) bool { return now.Sub(oldest.endedAt) >= retention })
+}
+
+// drop forgets ended calls, the first one first, while the condition holds. It
+// is called under the lock.
+func (c *Counter) drop(condition func(oldest *call) bool) {
+	for len(c.ended) > 0 && condition(c.ended[0]) {
+		oldest := c.ended[0]
+		c.ended[0] = nil
+		c.ended = c.ended[1:]
+		c.bytes -= oldest.size()
+		if c.calls[oldest.request] == oldest {
+			delete(c.calls, oldest.request)
 		}
 	}
 }
