--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -21,6 +21,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"foxtailward.example/foxtailward/internal/coordination/placement"
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/standin/engine"
 	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/contract"
@@ -46,8 +48,11 @@
 
 // Options says what to start.
 type Options struct {
-	Engines []EngineOptions
-	Entries []EntryOptions
+	Engines  []EngineOptions
+	Services []ServiceOptions
+	Entries  []EntryOptions
+	// Store is the entries' key-value service; nil for none.
+	Store *store.Store
 	// Configuration is in force when the deployment starts.
 	Deployment conf.Deployment
 	Contracts  []contract.Contract
@@ -75,9 +80,10 @@
 
 // Deployment is a running deployment.
 type Deployment struct {
-	Engines []*Engine
-	Entries []*Entry
-	Current *conf.Current
+	Engines  []*Engine
+	Services []*Service
+	Entries  []*Entry
+	Current  *conf.Current
 
 	opts    Options
 	ctx     context.Context
@@ -86,6 +92,8 @@
 
 	mu      sync.Mutex
 	entries []string
+	// targets counts the target processes that were started.
+	targets int
 }
 
 // Engine is a stand-in engine with the process beside it.
@@ -147,6 +155,10 @@
 			return nil, err
 		}
 	}
+	if err := d.startServices(); err != nil {
+		d.Close()
+		return nil, err
+	}
 	for _, o := range opts.Entries {
 		if err := d.startEntry(o); err != nil {
 			d.Close()
@@ -198,11 +210,7 @@
 	}
 	s.Defaults()
 	e := &Engine{Stand: stand, done: make(chan error, 1)}
-	current := conf.NewCurrent()
-	e.Process = target.New(s, target.Deps{
-		Clock: d.opts.Clock, Log: d.opts.Log, Snapshot: current.Snapshot,
-		News: &target.News{Seeds: d.entryAddresses, Current: current, Random: d.random(len(d.Engines))},
-	})
+	e.Process = target.New(s, d.targetDeps())
 	if err := e.Process.Listen(); err != nil {
 		return err
 	}
@@ -221,7 +229,7 @@
 	current.Put(d.Current.Snapshot())
 	e := &Entry{done: make(chan error, 1)}
 	e.Process = entry.New(s, entry.Deps{
-		Clock: d.opts.Clock, Log: d.opts.Log, Current: current, Seeds: d.entryAddresses,
+		Clock: d.opts.Clock, Log: d.opts.Log, Current: current, Seeds: d.entryAddresses, Store: d.opts.Store,
 		Random: d.random(entrySeeds + len(d.Entries)),
 	})
 	if err := e.Process.Listen(); err != nil {
@@ -251,6 +259,23 @@
 	return rand.New(rand.NewPCG(d.opts.Seed, uint64(n)))
 }
 
+// targetDeps returns what the next target process works with.
+func (d *Deployment) targetDeps() target.Deps {
+	current := conf.NewCurrent()
+	d.mu.Lock()
+	d.targets++
+	n := d.targets
+	d.mu.Unlock()
+	deps := target.Deps{
+		Clock: d.opts.Clock, Log: d.opts.Log, Snapshot: current.Snapshot,
+		News: &target.News{Seeds: d.entryAddresses, Current: current, Random: d.random(n)},
+	}
+	if d.opts.Store != nil {
+		deps.MinFence = func(ctx context.Context) (id.Fence, error) { return placement.MinFence(ctx, d.opts.Store) }
+	}
+	return deps
+}
+
 // reach adds an entry to those that are asked for news.
 func (d *Deployment) reach(address string) {
 	d.mu.Lock()
@@ -284,7 +309,7 @@
 
 func (d *Deployment) seesAll() bool {
 	for _, e := range d.Entries {
-		if e.Process.Sees() < len(d.Engines) || e.Process.SeesEntries() < len(d.Entries) {
+		if e.Process.Sees() < len(d.Engines)+len(d.Services) || e.Process.SeesEntries() < len(d.Entries) {
 			return false
 		}
 	}
@@ -299,9 +324,15 @@
 	for _, e := range d.Engines {
 		e.Process.Cut()
 	}
+	for _, s := range d.Services {
+		s.Process.Cut()
+	}
 	d.cancel()
 	d.running.Wait()
 	for _, e := range d.Engines {
 		e.Stand.Close()
 	}
+	for _, s := range d.Services {
+		s.Stand.Close()
+	}
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -70,7 +70,8 @@
 	Current *conf.Current
 	// Seeds returns the addresses of processes that may be asked for news.
 	Seeds func() []string
-	// Store is the key-value service; nil when there is none.
+	// Store is the key-value service; without it, calls that may not be
+	// repeated are refused when they carry a key.
 	Store *store.Store
 	// Hosts reads the host list until its context ends; nil when there is none.
 	Hosts func(ctx context.Context, take func(member.HostDoc))
@@ -148,7 +149,7 @@
 		Meter: request.NewMeter(deps.Metrics), RetainedTokens: retainedTokens,
 	}, link, p.peers(relays), owner.Owner(), p.gate())
 	p.calls = peer.NewCalls(p.pool, deps.Clock, reports)
-	p.counter = request.NewCounter(p.desk, request.Services{Place: owner.PlaceCall, Call: p.calls.Call})
+	p.counter = request.NewCounter(p.desk, p.services(owner, p.calls))
 	p.serveEntries()
 	p.serveCallers()
 	return p
@@ -280,6 +281,8 @@
 		return fault.New("Process.ready", NotReady, "leaving")
 	case p.deps.Current.Revision() == 0:
 		return fault.New("Process.ready", NotReady, "no configuration yet")
+	case p.state() != member.Ready:
+		return fault.New("Process.ready", NotReady, "looking for other entries")
 	}
 	return nil
 }
--- a/internal/transport/entry/explain.go
+++ b/internal/transport/entry/explain.go
@@ -19,6 +19,9 @@
 	if a, ok := p.desk.Find(r); ok {
 		return p.explainAnswer(a), true
 	}
+	if known := p.callDecisions(r); known.GetFound() {
+		return explanationOf(r, p.settings.Name, known), true
+	}
 	home := id.Home(r, p.view.Snapshot().LiveEntries())
 	if home == "" || home == p.settings.Name {
 		return nil, false
@@ -72,7 +75,7 @@
 func (p *Process) decisions(r id.Request) *peerpb.ExplainReply {
 	a, ok := p.desk.Find(r)
 	if !ok {
-		return &peerpb.ExplainReply{}
+		return p.callDecisions(r)
 	}
 	spec := a.Spec()
 	reply := &peerpb.ExplainReply{
--- a/internal/transport/entry/limits.go
+++ b/internal/transport/entry/limits.go
@@ -155,6 +155,8 @@
 			audience.Live++
 		}
 	}
+	// An entry that is still joining counts itself when it is asked.
+	audience.Live, audience.Known = max(1, audience.Live), max(1, audience.Known)
 	return audience
 }
 
