--- a/internal/coordination/spread/records.go
+++ b/internal/coordination/spread/records.go
@@ -9,8 +9,10 @@
 
 // record is what is known of how far the news of a member has been passed on.
 type record struct {
-	target id.Target
-	entry  id.Entry
+	key     Key
+	dropped bool
+	target  id.Target
+	entry   id.Entry
 	// sequence is that of the newest report, newsOf that of the one passed on.
 	sequence id.Sequence
 	newsOf   id.Sequence
@@ -23,9 +25,11 @@
 // records are the members that digests may name.
 type records struct {
 	byKey map[Key]*record
-	order []Key
+	order []*record
 	// next is where the next message goes on looking for news.
-	next    int
+	next int
+	// old is where it goes on with what is no news.
+	old     int
 	keys    map[string]Key
 	targets int
 	entries int
@@ -35,25 +39,23 @@
 	return &records{byKey: map[Key]*record{}, keys: map[string]Key{}}
 }
 
-// of returns the record of a member's incarnation and drops the one of the
-// incarnation before.
-func (r *records) of(target id.Target, entry id.Entry, incarnation id.Incarnation) *record {
-	name := "t/" + string(target)
-	if entry != "" {
-		name = "e/" + string(entry)
-	}
-	key := KeyOf(name, incarnation)
+// of returns the record of a member's key and drops the one of the key before.
+func (r *records) of(target id.Target, entry id.Entry, key Key) *record {
 	rec := r.byKey[key]
 	if rec != nil {
 		return rec
 	}
+	name := "t/" + string(target)
+	if entry != "" {
+		name = "e/" + string(entry)
+	}
 	if old, ok := r.keys[name]; ok {
 		r.drop(old)
 	}
-	rec = &record{target: target, entry: entry}
+	rec = &record{key: key, target: target, entry: entry}
 	r.byKey[key] = rec
 	r.keys[name] = key
-	r.order = append(r.order, key)
+	r.order = append(r.order, rec)
 	r.count(rec, 1)
 	return rec
 }
@@ -70,6 +72,7 @@
 func (r *records) drop(key Key) {
 	if rec := r.byKey[key]; rec != nil {
 		r.count(rec, -1)
+		rec.dropped = true
 		delete(r.byKey, key)
 	}
 }
@@ -80,13 +83,14 @@
 		return
 	}
 	keep := r.order[:0]
-	for _, key := range r.order {
-		if r.byKey[key] != nil {
-			keep = append(keep, key)
+	for _, rec := range r.order {
+		if !rec.dropped {
+			keep = append(keep, rec)
 		}
 	}
+	clear(r.order[len(keep):])
 	r.order = keep
-	r.next = 0
+	r.next, r.old = 0, 0
 }
 
 // note takes over a newer report. Its load is news when the last news of the
@@ -114,16 +118,16 @@
 	var picked []*record
 	for sent := range cfg.Sends {
 		for i := range r.order {
-			key := r.order[(r.next+i)%len(r.order)]
-			rec := r.byKey[key]
-			if rec == nil || rec.sent != sent || rec.newsOf == 0 || string(rec.entry) == without {
+			rec := r.order[(r.next+i)%len(r.order)]
+			if rec.sent != sent || rec.dropped || rec.newsOf == 0 || string(rec.entry) == without {
 				continue
 			}
-			if out.add(cfg, key, rec) {
+			if out.add(cfg, rec) {
 				picked = append(picked, rec)
 			}
 		}
 	}
+	r.addOld(cfg, &out, without)
 	for _, rec := range picked {
 		rec.sent++
 		rec.full = rec.full && rec.sent < cfg.Sends
@@ -134,8 +138,32 @@
 	return out
 }
 
+// addOld fills a batch up with a few members whose news was passed on often
+// enough, in turn. Who does not know one of them asks for it.
+func (r *records) addOld(cfg *Config, out *batch, without string) {
+	targets, entries := cfg.OldDigests, cfg.OldDigests
+	first := r.old
+	for i := range r.order {
+		if targets == 0 && entries == 0 {
+			return
+		}
+		rec := r.order[(first+i)%len(r.order)]
+		if rec.dropped || rec.sent < cfg.Sends && rec.newsOf != 0 || string(rec.entry) == without {
+			continue
+		}
+		left := &targets
+		if rec.entry != "" {
+			left = &entries
+		}
+		if *left > 0 && out.add(cfg, rec) {
+			*left--
+			r.old = (first + i + 1) % len(r.order)
+		}
+	}
+}
+
 // add takes a member's news into the batch unless it is full.
-func (b *batch) add(cfg *Config, key Key, rec *record) bool {
+func (b *batch) add(cfg *Config, rec *record) bool {
 	switch {
 	case rec.entry != "" && len(b.entries) < cfg.EntryDigests:
 		b.entries = append(b.entries, rec.entry)
@@ -144,7 +172,7 @@
 	default:
 		return false
 	}
-	b.fullOf[key] = rec.full
+	b.fullOf[rec.key] = rec.full
 	return true
 }
 
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -40,6 +40,7 @@
 	joinFrom int
 	joinPeer Peer
 	joined   bool
+	walkAt   time.Time
 	rounds   int
 	leaving  bool
 }
@@ -138,7 +139,7 @@
 // targetRound reports to the target's entries.
 func (s *Spreader) targetRound(now time.Time) []Message {
 	if now.Before(s.roundAt) && !s.ownUrgent {
-		return nil
+		return s.targetBehind()
 	}
 	if !s.ownUrgent {
 		s.roundAt = s.nextRound(now)
@@ -161,6 +162,18 @@
 	return out
 }
 
+// targetBehind asks an entry that has a higher revision for more changes.
+func (s *Spreader) targetBehind() []Message {
+	name := s.behind
+	s.behind = ""
+	for _, peer := range s.reportTo {
+		if peer.Name == name && s.revisions[name] > s.config.current.Revision {
+			return []Message{{To: peer, News: News{From: s.sender(), WantConfig: true}}}
+		}
+	}
+	return nil
+}
+
 // addOwn adds the target's report: whole the first time, then its load alone.
 func (s *Spreader) addOwn(news *News, peer Peer) {
 	if s.own.Target == "" {
@@ -175,7 +188,7 @@
 
 func digestOf(r *member.TargetReport) LoadDigest {
 	return LoadDigest{
-		Key: KeyOf("t/"+string(r.Target), r.Incarnation), Sequence: r.Sequence, At: r.At,
+		Key: TargetKey(r), Sequence: r.Sequence, At: r.At,
 		Running: r.Running, Queued: r.Queued, ShortRunning: r.ShortRunning,
 		Pace: r.Pace, QueuedPrefill: r.QueuedPrefill,
 	}
@@ -239,7 +252,7 @@
 	if len(near)+len(far) == 0 {
 		return append(out, s.askSeeds(now)...)
 	}
-	if !s.joined {
+	if !s.joined || s.walks(now) {
 		out = append(out, s.askMembers(now, near, far)...)
 	}
 	for _, peers := range [][]Peer{near, far} {
@@ -287,14 +300,39 @@
 	if now.Sub(s.beatAt) < every {
 		return
 	}
-	s.view.SetLives(max(member.DefaultEntryLife, 3*every),
-		max(member.DefaultGoneAfter, 7*loadNewsEvery(s.records.targets)/2, 4*every))
+	s.view.SetLives(max(member.DefaultEntryLife, 4*every),
+		max(member.DefaultGoneAfter, 7*loadNewsEvery(s.records.targets)/2, 6*every))
 	changed := s.beatAt.IsZero()
 	s.beatAt = now
 	s.self.Sequence++
 	report := s.selfNow(now)
 	s.view.Entry(*report, now)
-	s.records.of("", s.cfg.Entry, s.cfg.Incarnation).note(s.self.Sequence, now, 0, changed)
+	s.records.of("", s.cfg.Entry, EntryKey(report)).note(s.self.Sequence, now, 0, changed)
+}
+
+// An entry that has joined asks another one for all members again, once soon
+// and then rarely, to find those that it has missed, as when many processes
+// start together. It asks for one part in some rounds only.
+const (
+	walkSoon   = 40 * time.Second
+	walkRarely = 30 * time.Minute
+	walkRounds = 4
+)
+
+// walks reports whether the next part of a walk is due.
+func (s *Spreader) walks(now time.Time) bool {
+	return !now.Before(s.walkAt) && s.rounds%walkRounds == 0
+}
+
+// walked notes the end of a walk through all members.
+func (s *Spreader) walked(now time.Time) {
+	after := walkRarely
+	if !s.joined {
+		after = walkSoon
+	}
+	s.joined = true
+	s.joinFrom, s.joinPeer = 1, Peer{}
+	s.walkAt = now.Add(after/2 + time.Duration(s.rng.Int64N(int64(after))))
 }
 
 // introduceEvery is the number of messages of which one carries the sender's
@@ -322,7 +360,7 @@
 		if !ok {
 			continue
 		}
-		if picked.fullOf[KeyOf("t/"+string(name), report.Incarnation)] || report.State != member.Ready {
+		if picked.fullOf[TargetKey(&report)] || report.State != member.Ready {
 			news.Loads = append(news.Loads, report)
 		} else {
 			news.LoadDigests = append(news.LoadDigests, digestOf(&report))
@@ -333,7 +371,7 @@
 		if !ok {
 			continue
 		}
-		key := KeyOf("e/"+string(name), report.Incarnation)
+		key := EntryKey(&report)
 		if picked.fullOf[key] || report.State != member.Ready {
 			news.Entries = append(news.Entries, report)
 		} else {
@@ -400,7 +438,8 @@
 // seed.
 func (s *Spreader) reconnect(now time.Time) []Message {
 	var out []Message
-	every := seedRarely
+	// All entries together swap with a seed about once a second.
+	every := max(seedRarely, time.Duration(s.records.entries)*time.Second)
 	if s.records.entries < fewEntries {
 		every = seedEvery
 	}
@@ -427,3 +466,10 @@
 	m.News.Self = s.selfNow(now)
 	return m
 }
+
+// SetSeeds sets the addresses of processes to ask while no entry is known.
+func (s *Spreader) SetSeeds(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Seeds = addresses
+}
--- a/internal/standin/deployment/service.go
+++ b/internal/standin/deployment/service.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"foxtailward.example/foxtailward/internal/standin/service"
+	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
@@ -69,12 +70,15 @@
 
 // startBeside starts the target process of a service.
 func (d *Deployment) startBeside(s *Service) error {
-	s.Process = target.New(s.settings, target.Deps{Clock: d.opts.Clock, Log: d.opts.Log, Snapshot: d.Current.Snapshot})
+	current := conf.NewCurrent()
+	s.Process = target.New(s.settings, target.Deps{
+		Clock: d.opts.Clock, Log: d.opts.Log, Snapshot: current.Snapshot,
+		News: &target.News{Seeds: d.entryAddresses, Current: current, Random: d.random(2*entrySeeds + len(d.Services))},
+	})
 	if err := s.Process.Listen(); err != nil {
 		return err
 	}
 	s.done = make(chan error, 1)
-	d.reach(s.Process.Address())
 	s.stop = d.run(s.Process.Run, s.done)
 	return nil
 }
