--- a/internal/transport/entry/explain.go
+++ b/internal/transport/entry/explain.go
@@ -19,8 +19,8 @@
 	if a, ok := p.desk.Find(r); ok {
 		return p.explainAnswer(a), true
 	}
-	if known := p.callDecisions(r); known.GetFound() {
-		return explanationOf(r, p.settings.Name, known), true
+	if e, ok := p.explainCall(r); ok {
+		return e, true
 	}
 	home := id.Home(r, p.view.Snapshot().LiveEntries())
 	if home == "" || home == p.settings.Name {
--- a/internal/transport/entry/once.go
+++ b/internal/transport/entry/once.go
@@ -12,6 +12,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	peermsg "foxtailward.example/foxtailward/internal/protocol/peer"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/protocol/status"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -248,6 +249,22 @@
 	o.process.emit(e, append(common, fields...)...)
 }
 
+// explainCall returns what was decided about a keyed call here.
+func (p *Process) explainCall(r id.Request) (*status.Explanation, bool) {
+	known, ok := p.counter.Find(r)
+	if !ok {
+		return nil, false
+	}
+	e := &status.Explanation{
+		Request: r, Contract: known.Contract, Owner: p.settings.Name, Service: known.Service,
+		State: status.RequestState(known.State),
+	}
+	for _, d := range known.Decisions {
+		e.Decisions = append(e.Decisions, decisionOf(d.At, d.Step, d.Target, d.Reason))
+	}
+	return e, true
+}
+
 // callDecisions tells what is known of a keyed call to a plain service.
 func (p *Process) callDecisions(r id.Request) *peerpb.ExplainReply {
 	known, ok := p.counter.Find(r)
