--- a/internal/standin/losses/caller.go
+++ b/internal/standin/losses/caller.go
@@ -21,12 +21,19 @@
 const (
 	// naiveAttempts bounds the attempts of the naive client.
 	naiveAttempts = 50
+	// refusals bounds how often a caller that was refused asks again, and
+	// askAgain is the time between.
+	refusals = 600
+	askAgain = 100 * time.Millisecond
 	// naiveTimeout is when the naive client takes a silent engine for dead.
 	naiveTimeout = 10 * time.Second
 	// detailBytes bounds what is kept of an error's body.
 	detailBytes = 512
 )
 
+// errBusy means that the entry refused the request before any engine saw it.
+var errBusy = errors.New("all engines are busy")
+
 // caller reads one answer. The killer's lock guards planned and hits.
 type caller struct {
 	run    *run
@@ -52,7 +59,13 @@
 func (c *caller) read(ctx context.Context) {
 	if c.run.opts.Prefer != Naive {
 		e := c.run.d.Entries[c.number%entries]
-		c.err = c.attempt(ctx, e.URL(), "")
+		for range refusals {
+			c.err = c.attempt(ctx, e.URL(), "")
+			if !errors.Is(c.err, errBusy) || ctx.Err() != nil {
+				return
+			}
+			time.Sleep(askAgain)
+		}
 		return
 	}
 	for i := range naiveAttempts {
@@ -88,6 +101,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" {
+		return errBusy
+	}
 	if resp.StatusCode != http.StatusOK {
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, detailBytes))
 		return fmt.Errorf("status %d: %s", resp.StatusCode, detail)
