Give the headroom to answers that resume and prefer latency

Recovery counts on the headroom for answers that prefer latency, but target processes admitted every attempt by its class, so a resumed long answer waited for a slot like new work. Change: an attempt that holds a prefix and prefers latency is admitted as short work. TestTableHeadroom fails before, passes after.

--- a/internal/coordination/attempt/table.go
+++ b/internal/coordination/attempt/table.go
@@ -141,7 +141,7 @@
 	}
 	r := &Record{Spec: s.Spec, Epoch: s.Epoch, Attempt: s.Attempt, State: Running}
 	r.ticket = admission.Ticket[*Record]{
-		Owner: r, Class: s.Spec.Class, Deadline: s.Spec.Deadline, Tokens: s.Spec.PromptTokens() + len(s.Prefix),
+		Owner: r, Class: urgency(&s), Deadline: s.Spec.Deadline, Tokens: s.Spec.PromptTokens() + len(s.Prefix),
 	}
 	if err := t.queue.Offer(now, &r.ticket); err != nil {
 		return nil, fault.Wrap("Table.add", refusalKind(err), err)
@@ -292,3 +292,13 @@
 	}
 	return last
 }
+
+// urgency returns the class by which an attempt is admitted. An answer that
+// goes on after a loss and prefers latency may use the headroom, as short work
+// does.
+func urgency(s *Start) generation.Class {
+	if len(s.Prefix) > 0 && s.Spec.Prefer == generation.PreferLatency {
+		return generation.Short
+	}
+	return s.Spec.Class
+}
--- a/internal/coordination/attempt/table_test.go
+++ b/internal/coordination/attempt/table_test.go
@@ -1,6 +1,7 @@
 package attempt_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -352,3 +353,31 @@
 	_, err = f.Start(begin, attempt.Start{Spec: late, Epoch: 1, Attempt: 1}, func() {})
 	f.refused(err, attempt.Deadline)
 }
+
+// A resumed answer that prefers latency takes the headroom at once; one that
+// prefers cost waits as new work does.
+func TestTableHeadroom(t *testing.T) {
+	for _, tt := range []struct {
+		prefer  generation.Prefer
+		prefix  int
+		waiting int
+	}{
+		{generation.PreferLatency, 10, 0},
+		{generation.PreferLatency, 0, 1},
+		{generation.PreferCost, 10, 1},
+	} {
+		t.Run(fmt.Sprint(tt.prefer, tt.prefix), func(t *testing.T) {
+			f := newFixture(t, limits())
+			for i, name := range []id.Request{"ans-a", "ans-b", "ans-c", "ans-d"} {
+				s := attempt.Start{Spec: spec(), Epoch: 1, Attempt: 1}
+				s.Spec.Request = name
+				if i == 3 {
+					s.Spec.Prefer, s.Prefix = tt.prefer, make([]generation.Token, tt.prefix)
+				}
+				_, err := f.Start(begin, s, func() {})
+				f.is.NoErr(err)
+				f.is.Equal(len(f.admit(begin)), 1-tt.waiting*(i/3))
+			}
+		})
+	}
+}
