--- a/internal/coordination/attempt/table.go
+++ b/internal/coordination/attempt/table.go
@@ -129,12 +129,17 @@
 // that is whole needs neither a slot nor the engine.
 func (t *Table) add(now time.Time, req *request, s Start) (*Record, error) {
 	r := &Record{Spec: s.Spec, Epoch: s.Epoch, Attempt: s.Attempt, State: Running}
+<<<<<<< HEAD
 	if s.whole() {
 		t.hold(req, r, s.Prefix)
 		t.Finish(now, r, generation.Length, Usage{PromptTokens: s.Spec.PromptTokens()})
 		// No engine computed the prompt for this attempt.
 		r.Finish.Prefilled = 0
 		return r, nil
+=======
+	r.ticket = admission.Ticket[*Record]{
+		Owner: r, Class: urgency(&s), Deadline: s.Spec.Deadline, Tokens: s.Spec.PromptTokens() + len(s.Prefix),
+>>>>>>> lab
 	}
 	if err := t.room(now, r, len(s.Prefix)); err != nil {
 		return nil, err
@@ -313,3 +318,13 @@
 	}
 	return last
 }
+
+// urgency returns the class by which an attempt is admitted. An answer that
+// goes on after a loss and prefers latency may use the headroom, as short work
+// does.
+func urgency(s *Start) generation.Class {
+	if len(s.Prefix) > 0 && s.Spec.Prefer == generation.PreferLatency {
+		return generation.Short
+	}
+	return s.Spec.Class
+}
