--- a/internal/coordination/attempt/table.go
+++ b/internal/coordination/attempt/table.go
@@ -129,17 +129,12 @@
 // that is whole needs neither a slot nor the engine.
 func (t *Table) add(now time.Time, req *request, s Start) (*Record, error) {
 	r := &Record{Spec: s.Spec, Epoch: s.Epoch, Attempt: s.Attempt, State: Running}
-<<<<<<< HEAD
 	if s.whole() {
 		t.hold(req, r, s.Prefix)
 		t.Finish(now, r, generation.Length, Usage{PromptTokens: s.Spec.PromptTokens()})
 		// No engine computed the prompt for this attempt.
 		r.Finish.Prefilled = 0
 		return r, nil
-=======
-	r.ticket = admission.Ticket[*Record]{
-		Owner: r, Class: urgency(&s), Deadline: s.Spec.Deadline, Tokens: s.Spec.PromptTokens() + len(s.Prefix),
->>>>>>> lab
 	}
 	if err := t.room(now, r, len(s.Prefix)); err != nil {
 		return nil, err
@@ -174,7 +169,7 @@
 		return fault.New("Table.room", Busy, "attempts that run or are read take %d bytes", t.bytes)
 	}
 	r.ticket = admission.Ticket[*Record]{
-		Owner: r, Class: r.Spec.Class, Deadline: r.Spec.Deadline, Tokens: r.Spec.PromptTokens() + prefix,
+		Owner: r, Class: urgency(r.Spec, prefix), Deadline: r.Spec.Deadline, Tokens: r.Spec.PromptTokens() + prefix,
 	}
 	if err := t.queue.Offer(now, &r.ticket); err != nil {
 		return fault.Wrap("Table.room", refusalKind(err), err)
@@ -322,9 +317,9 @@
 // urgency returns the class by which an attempt is admitted. An answer that
 // goes on after a loss and prefers latency may use the headroom, as short work
 // does.
-func urgency(s *Start) generation.Class {
-	if len(s.Prefix) > 0 && s.Spec.Prefer == generation.PreferLatency {
+func urgency(s *generation.Spec, prefix int) generation.Class {
+	if prefix > 0 && s.Prefer == generation.PreferLatency {
 		return generation.Short
 	}
-	return s.Spec.Class
+	return s.Class
 }
