Queue requests at the entry in a fair order, and refuse early

Cause: package overload stood beside the path; a burst of one contract filled the targets' queues, which order by class and deadline alone. Change: while no target has a free slot, first attempts wait in the model's queue at the entry by weight and class; a request that would start too late gets its final answer at once, with when to come back. Conclusion: fairness between contracts holds before the engines' own queues.

--- a/internal/coordination/policy/blame.go
+++ b/internal/coordination/policy/blame.go
@@ -107,6 +107,7 @@
 
 // End notes that a request runs no more.
 func (p *Policy) End(spec *generation.Spec, whole bool) {
+	p.queues.forget(spec.Model, spec.Request)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retry.Leave(spec.Request)
--- a/internal/coordination/policy/policy.go
+++ b/internal/coordination/policy/policy.go
@@ -67,7 +67,8 @@
 
 // Policy decides for the owner of requests. It is safe for concurrent use.
 type Policy struct {
-	tools Tools
+	tools  Tools
+	queues *queues
 
 	mu    sync.Mutex
 	retry *recovery.Budget
@@ -83,6 +84,7 @@
 	r := &tools.Conf().Deployment.Recovery
 	return &Policy{
 		tools:   tools,
+		queues:  newQueues(),
 		retry:   recovery.NewBudget(recovery.RetryBudget(r.RetryShare), now),
 		hedge:   recovery.NewBudget(recovery.HedgeBudget(r.HedgeShare), now),
 		kills:   quarantine.New(quarantineConfig(r)),
@@ -131,7 +133,7 @@
 	}
 	decision, ok := p.choose(ask, now)
 	if ok {
-		return p.goTo(decision)
+		return p.goInTurn(place, &decision, now)
 	}
 	if place.MayRestart && decision.Reason == route.NoReplica {
 		ask.Version = ""
@@ -150,6 +152,18 @@
 	return request.Choice{Action: request.GiveUp, Wait: comeBack, Reason: string(decision.Reason)}
 }
 
+// goInTurn sends a request on when it is its turn. One that has been refused by
+// a target keeps its turn.
+func (p *Policy) goInTurn(place *request.Placement, d *route.Decision, now time.Time) request.Choice {
+	if len(place.Losses) == 0 && place.Prefix == 0 {
+		item := p.itemOf(place.Spec, d)
+		if choice, goes := p.queues.turn(&item, place.Spec.Model, d.Free, now); !goes {
+			return choice
+		}
+	}
+	return p.goTo(*d)
+}
+
 func (p *Policy) choose(ask route.Ask, now time.Time) (route.Decision, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
