Ask again when others used a grant, and keep told times

Change: a request asks up to 16 times; an owner tells no time before one that it told; an entry keeps what its last share has saved for a caller it told. TestSameKeyWhileViewsDiffer -race -count=8 before this change: no failure.

--- a/internal/coordination/limit/local.go
+++ b/internal/coordination/limit/local.go
@@ -65,6 +65,9 @@
 	refusedUntil time.Time
 	refusedBy    Limit
 	nextAfter    time.Duration
+	// toldUntil is the latest time that a caller was told to come back at. Until
+	// then what a share has saved is kept for that caller.
+	toldUntil time.Time
 	contended    bool
 	tight        bool
 	renewAt      time.Time
@@ -164,6 +167,9 @@
 	if after == 0 {
 		after = slotRetry
 	}
+	if back := now.Add(min(after, longestWait)); missing != Concurrency && back.After(a.toldUntil) {
+		a.toldUntil = back
+	}
 	return &Refusal{Limit: missing, RetryAfter: after}
 }
 
@@ -288,6 +294,9 @@
 		ask.HeldRequestsPerSecond, ask.HeldTokensPerSecond = a.rateRequests, a.rateTokens
 		return ask
 	}
+	if a.keeps(now) {
+		return ask
+	}
 	ask.TokensBack = a.tokens
 	if a.tokens > 0 {
 		// Given back before it is known to have arrived, so that a lost
@@ -297,6 +306,12 @@
 	return ask
 }
 
+// keeps reports whether a caller that was told to come back is still awaited
+// and what the last share has saved is enough for it.
+func (a *localAccount) keeps(now time.Time) bool {
+	return !now.After(a.toldUntil) && a.requests >= 1 && a.tokens > 0
+}
+
 // Granted takes over the owner's answer.
 func (l *Local) Granted(g Grant, now time.Time) {
 	l.mu.Lock()
--- a/internal/coordination/limit/shares.go
+++ b/internal/coordination/limit/shares.go
@@ -35,6 +35,10 @@
 	refused  time.Time
 	// refusedSlot is when a slot was last refused.
 	refusedSlot time.Time
+	// toldUntil is the latest time that an entry was told to refuse until for a
+	// rate. No entry is told an earlier one, since callers may come back to
+	// another entry than the one that told them.
+	toldUntil time.Time
 }
 
 // holder is what one entry holds of a contract.
@@ -318,6 +322,8 @@
 		a.refusedSlot = now
 		return
 	}
+	grant.RetryAfter = max(grant.RetryAfter, a.toldUntil.Sub(now))
+	a.toldUntil = now.Add(grant.RetryAfter)
 	requests, tokens := a.freeRates(limits, part)
 	grant.NextAfter = seconds(max(float64(ask.Requests)/requests, ask.Tokens/tokens))
 }
--- a/internal/transport/entry/limits.go
+++ b/internal/transport/entry/limits.go
@@ -20,6 +20,9 @@
 const (
 	// askTimeout bounds the question to a limit's owner, while a caller waits.
 	askTimeout = 300 * time.Millisecond
+	// asksPerRequest bounds the asks for one request: requests that do not wait
+	// for the lock may use what was granted for it.
+	asksPerRequest = 16
 	// renewEvery is the time between two looks for asks that are due.
 	renewEvery = 250 * time.Millisecond
 )
@@ -70,11 +73,14 @@
 	asking.Lock()
 	defer asking.Unlock()
 	ticket, refused := l.local.Admit(c, cost, clock.Now())
-	if refused == nil || refused.Ask == nil {
-		return ticket, refused
+	for range asksPerRequest {
+		if refused == nil || refused.Ask == nil {
+			break
+		}
+		l.ask([]limit.Ask{*refused.Ask})
+		ticket, refused = l.local.Admit(c, cost, clock.Now())
 	}
-	l.ask([]limit.Ask{*refused.Ask})
-	return l.local.Admit(c, cost, clock.Now())
+	return ticket, refused
 }
 
 func (l *limits) lockOf(name id.Contract) *sync.Mutex {
