--- a/internal/transport/entry/once_test.go
+++ b/internal/transport/entry/once_test.go
@@ -145,9 +145,11 @@
 }
 
 func configured(is *is.I) *conf.Current {
-	value, err := json.Marshal(&contract.Contract{
+	c := contract.Contract{
 		Name: "staplerdienst", Keys: []contract.KeyHash{contract.HashKey("k")}, Services: contract.Services{{Name: "floor"}},
-	})
+	}
+	c.Defaults()
+	value, err := json.Marshal(&c)
 	is.NoErr(err)
 	s, err := conf.Empty().Apply(conf.Change{Revision: 1, Object: conf.ContractObject, Name: "staplerdienst", Value: value, At: time.Now()})
 	is.NoErr(err)
