--- a/internal/coordination/spread/receive.go
+++ b/internal/coordination/spread/receive.go
@@ -219,6 +219,7 @@
 func (s *Spreader) takeLoad(report member.TargetReport, now time.Time, from source) {
 	old, held := s.view.TargetReport(report.Target)
 	if !s.view.Target(report, now) {
+		s.noteHeld(&old, held, &report)
 		return
 	}
 	changed := !held || !sameKind(&old, &report)
@@ -230,6 +231,17 @@
 	rec.note(report.Sequence, now, loadNewsEvery(s.records.targets), changed)
 }
 
+// noteHeld makes the record of a report that the view has from elsewhere, such
+// as the target's own replies. Without it each digest of the target would be
+// asked for again and never taken.
+func (s *Spreader) noteHeld(old *member.TargetReport, held bool, report *member.TargetReport) {
+	key := TargetKey(report)
+	if !held || TargetKey(old) != key || s.records.byKey[key] != nil {
+		return
+	}
+	s.records.of(report.Target, "", key).sequence = old.Sequence
+}
+
 func (s *Spreader) takeLoadDigest(d LoadDigest, now time.Time) {
 	rec := s.records.byKey[d.Key]
 	if rec == nil || rec.target == "" {
