--- a/cmd/foxtailward-lab/recover_plot.go
+++ b/cmd/foxtailward-lab/recover_plot.go
@@ -19,6 +19,8 @@
 	plotHeight  = 5 * vg.Inch
 	markRadius  = 4
 	labelOffset = 6
+	// labelRoom widens the picture for the rightmost label.
+	labelRoom = 1.2
 )
 
 // setting is one point of the frontier. Shares below 0 are the defaults, as is
@@ -68,14 +70,12 @@
 	return failed
 }
 
-// drawFrontier draws the points on logarithmic axes.
+// drawFrontier draws the points.
 func drawFrontier(file string, points plotter.XYs, names []string) error {
 	p := plot.New()
 	p.Title.Text = "Recovery: waiting against work"
 	p.X.Label.Text = "extra engine time / useful engine time"
 	p.Y.Label.Text = "resume latency, 95th percentile, ms"
-	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	marks, err := plotter.NewScatter(points)
 	if err != nil {
 		return err
@@ -87,6 +87,7 @@
 	}
 	labels.Offset.X = labelOffset
 	p.Add(plotter.NewGrid(), marks, labels)
-	p.X.Max *= 2
+	p.X.Min, p.Y.Min = 0, 0
+	p.X.Max *= labelRoom
 	return p.Save(plotWidth, plotHeight, file)
 }
