--- a/internal/coordination/limit/local.go
+++ b/internal/coordination/limit/local.go
@@ -68,9 +68,9 @@
 	// toldUntil is the latest time that a caller was told to come back at. Until
 	// then what a share has saved is kept for that caller.
 	toldUntil time.Time
-	contended    bool
-	tight        bool
-	renewAt      time.Time
+	contended bool
+	tight     bool
+	renewAt   time.Time
 
 	// silent is since when the owner has not answered, at the rates of then.
 	silent         time.Time
--- a/internal/standin/deployment/failure_test.go
+++ b/internal/standin/deployment/failure_test.go
@@ -164,8 +164,9 @@
 			for _, e := range d.Entries[1:] {
 				rest := &caller{url: e.URL(), id: c.id, lastID: c.lastID}
 				rest.text.WriteString(c.text.String())
-				body, err = rest.open(t.Context(), true)
+				again, err := rest.open(t.Context(), true)
 				is.NoErr(err)
+				defer again.Close()
 				done, err := rest.read(all)
 				is.NoErr(err)
 				is.True(done)
