Keep told times when shares end, and grant bursts more at once

A caller that was told a time by one entry's share then waits for the debts of all entries. Change: an entry admits the caller it told, once until its account is even; it may ask for a slot alone. Above AsksPerSecond an owner grants more per ask, at most an eighth of the bucket over all holders. The package comment's bound and docs/design/limits.md do not yet state the one more request for each entry and the spare eighth.

--- a/internal/coordination/limit/local.go
+++ b/internal/coordination/limit/local.go
@@ -65,12 +65,16 @@
 	refusedUntil time.Time
 	refusedBy    Limit
 	nextAfter    time.Duration
-	// toldUntil is the latest time that a caller was told to come back at. Until
-	// then what a share has saved is kept for that caller.
+	// toldUntil is when the caller that was refused last was told to come back,
+	// if a share was in force; zero once a request is admitted. Until then what
+	// the share has saved is kept for that caller.
 	toldUntil time.Time
-	contended    bool
-	tight        bool
-	renewAt      time.Time
+	// owes is set when a request was admitted only because of a told time. No
+	// other one is until the account is even.
+	owes      bool
+	contended bool
+	tight     bool
+	renewAt   time.Time
 
 	// silent is since when the owner has not answered, at the rates of then.
 	silent         time.Time
@@ -127,12 +131,14 @@
 	a := l.account(c, now)
 	a.refill(now)
 	missing, after := a.missing(now)
-	if missing == "" {
-		a.requests--
-		a.tokens -= float64(cost)
-		a.running++
-		a.demand.add(float64(cost), now)
-		return Ticket{Contract: c.Name, tokens: float64(cost), begun: now}, nil
+	if missing == "" || (missing != Concurrency && a.promised(now)) {
+		return a.take(c.Name, cost, now), nil
+	}
+	if missing == Concurrency && a.promised(now) && a.silent.IsZero() && now.Sub(a.askedAt) >= slotRetry {
+		ask := a.ask(c.Name, now)
+		ask.Slots = 1
+		a.askedAt = now
+		return Ticket{}, &Refusal{Limit: missing, RetryAfter: slotRetry, Ask: &ask}
 	}
 	if a.mayAsk(missing, now) {
 		ask := a.ask(c.Name, now)
@@ -149,6 +155,19 @@
 	return Ticket{}, a.refuse(missing, after, cost, now)
 }
 
+// take admits a request. One that only a told time admits is owed until the
+// account is even again.
+func (a *localAccount) take(name id.Contract, cost int, now time.Time) Ticket {
+	even := a.requests >= 1 && a.tokens > 0
+	a.owes = !even
+	a.toldUntil = time.Time{}
+	a.requests--
+	a.tokens -= float64(cost)
+	a.running++
+	a.demand.add(float64(cost), now)
+	return Ticket{Contract: name, tokens: float64(cost), begun: now}
+}
+
 // refuse returns the refusal of a request that the owner is not asked for.
 // The caller may come back to another entry, so it is told a time by which
 // the limit holds one more request than it is known to hold now.
@@ -167,8 +186,8 @@
 	if after == 0 {
 		after = slotRetry
 	}
-	if back := now.Add(min(after, longestWait)); missing != Concurrency && back.After(a.toldUntil) {
-		a.toldUntil = back
+	if missing != Concurrency && requests > 0 {
+		a.toldUntil = now.Add(after)
 	}
 	return &Refusal{Limit: missing, RetryAfter: after}
 }
@@ -306,10 +325,20 @@
 	return ask
 }
 
+// toldGrace is how long after a told time its caller is awaited.
+const toldGrace = time.Second
+
 // keeps reports whether a caller that was told to come back is still awaited
 // and what the last share has saved is enough for it.
 func (a *localAccount) keeps(now time.Time) bool {
-	return !now.After(a.toldUntil) && a.requests >= 1 && a.tokens > 0
+	return !now.After(a.toldUntil.Add(toldGrace)) && a.requests >= 1 && a.tokens > 0
+}
+
+// promised reports whether a caller was told to come back now. It is admitted
+// also when the share has ended or become smaller since, and its debt was
+// handed to the owner, whose bucket then has the debts of others too.
+func (a *localAccount) promised(now time.Time) bool {
+	return !a.owes && !now.Before(a.toldUntil) && !now.After(a.toldUntil.Add(toldGrace))
 }
 
 // Granted takes over the owner's answer.
--- a/internal/coordination/limit/shares.go
+++ b/internal/coordination/limit/shares.go
@@ -306,7 +306,7 @@
 		a.requests -= float64(grant.Requests)
 		a.tokens -= grant.Tokens
 	}
-	if grant.Requests > 0 || grant.RequestsPerSecond > 0 {
+	if grant.Requests > 0 || grant.RequestsPerSecond > 0 || (ask.Requests == 0 && ask.Slots > 0) {
 		h.slots += given
 		grant.Slots = h.slots
 	}
@@ -329,12 +329,16 @@
 }
 
 // spare returns how many requests h is granted besides those it wants, so that
-// it does not ask for each one.
+// it does not ask for each one. Asks above AsksPerSecond get the more the more
+// there are, while the spare ones of all entries are a small part of the bucket.
 func (a *account) spare(h *holder, ask Ask) int {
-	if h.demandRequests < shareDemand || ask.Tokens*spareRequests > a.tokens*spareShare {
-		return 0
+	few := 0
+	if h.demandRequests >= shareDemand && ask.Tokens*spareRequests <= a.tokens*spareShare {
+		few = min(spareRequests, int(a.requests*spareShare))
 	}
-	return min(spareRequests, int(a.requests*spareShare))
+	each := spareShare / float64(len(a.holders))
+	many := min(float64(a.asks-AsksPerSecond), a.requests*each, a.tokens*each/max(1, ask.Tokens))
+	return max(few, int(many))
 }
 
 // refusal returns the limit that refuses what is wanted at once, and when it
