--- a/internal/coordination/limit/local.go
+++ b/internal/coordination/limit/local.go
@@ -65,9 +65,13 @@
 	refusedUntil time.Time
 	refusedBy    Limit
 	nextAfter    time.Duration
-	// toldUntil is the latest time that a caller was told to come back at. Until
-	// then what a share has saved is kept for that caller.
+	// toldUntil is when the caller that was refused last was told to come back,
+	// if a share was in force; zero once a request is admitted. Until then what
+	// the share has saved is kept for that caller.
 	toldUntil time.Time
+	// owes is set when a request was admitted only because of a told time. No
+	// other one is until the account is even.
+	owes      bool
 	contended bool
 	tight     bool
 	renewAt   time.Time
@@ -87,11 +91,30 @@
 	at       time.Time
 	requests float64
 	tokens   float64
+	// observed is the part of the smoothing time that was observed, 0 to 1. A
+	// young account's rate is taken over what was observed alone.
+	observed float64
 }
 
 // demandTime is the time over which demand is smoothed.
 const demandTime = 15 * time.Second
 
+// leastObserved is half a second's part of the smoothing time.
+var leastObserved = 1 - math.Exp(-0.5/demandTime.Seconds())
+
+// burstRequests is the number of recent requests from which a young account's
+// rate is taken for one; fewer may have come together by chance.
+const burstRequests = 10
+
+// rates returns the requests and tokens a second that callers want.
+func (d *demand) rates() (requests, tokens float64) {
+	if d.requests*demandTime.Seconds() < burstRequests {
+		return d.requests, d.tokens
+	}
+	part := max(d.observed, leastObserved)
+	return d.requests / part, d.tokens / part
+}
+
 func (d *demand) decay(now time.Time) {
 	elapsed := now.Sub(d.at).Seconds()
 	if d.at.IsZero() || elapsed < 0 {
@@ -100,6 +123,7 @@
 	keep := math.Exp(-elapsed / demandTime.Seconds())
 	d.requests *= keep
 	d.tokens *= keep
+	d.observed = d.observed*keep + 1 - keep
 	d.at = now
 }
 
@@ -127,12 +151,14 @@
 	a := l.account(c, now)
 	a.refill(now)
 	missing, after := a.missing(now)
-	if missing == "" {
-		a.requests--
-		a.tokens -= float64(cost)
-		a.running++
-		a.demand.add(float64(cost), now)
-		return Ticket{Contract: c.Name, tokens: float64(cost), begun: now}, nil
+	if missing == "" || (missing != Concurrency && a.promised(now)) {
+		return a.take(c.Name, cost, now), nil
+	}
+	if missing == Concurrency && a.promised(now) && a.silent.IsZero() && now.Sub(a.askedAt) >= slotRetry {
+		ask := a.ask(c.Name, now)
+		ask.Slots = 1
+		a.askedAt = now
+		return Ticket{}, &Refusal{Limit: missing, RetryAfter: slotRetry, Ask: &ask}
 	}
 	if a.mayAsk(missing, now) {
 		ask := a.ask(c.Name, now)
@@ -149,6 +175,19 @@
 	return Ticket{}, a.refuse(missing, after, cost, now)
 }
 
+// take admits a request. One that only a told time admits is owed until the
+// account is even again.
+func (a *localAccount) take(name id.Contract, cost int, now time.Time) Ticket {
+	even := a.requests >= 1 && a.tokens > 0
+	a.owes = !even
+	a.toldUntil = time.Time{}
+	a.requests--
+	a.tokens -= float64(cost)
+	a.running++
+	a.demand.add(float64(cost), now)
+	return Ticket{Contract: name, tokens: float64(cost), begun: now}
+}
+
 // refuse returns the refusal of a request that the owner is not asked for.
 // The caller may come back to another entry, so it is told a time by which
 // the limit holds one more request than it is known to hold now.
@@ -167,8 +206,8 @@
 	if after == 0 {
 		after = slotRetry
 	}
-	if back := now.Add(min(after, longestWait)); missing != Concurrency && back.After(a.toldUntil) {
-		a.toldUntil = back
+	if missing != Concurrency && requests > 0 {
+		a.toldUntil = now.Add(after)
 	}
 	return &Refusal{Limit: missing, RetryAfter: after}
 }
@@ -248,7 +287,8 @@
 // what a second brings, and the usual variation of what runs. While the limit
 // is far, a burst asks for a part of what runs, so that it needs few asks.
 func (a *localAccount) wantedSlots() int {
-	wanted := a.demand.requests + math.Sqrt(float64(a.running))
+	requests, _ := a.demand.rates()
+	wanted := requests + math.Sqrt(float64(a.running))
 	if !a.tight {
 		wanted = max(wanted, burstSlots*float64(a.running))
 	}
@@ -257,7 +297,7 @@
 
 // burstSlots is the part of the running requests whose number a burst asks for
 // as slots.
-const burstSlots = 0.25
+const burstSlots = 0.5
 
 // An unused share is kept for saved, and at least savedRequests of it.
 const (
@@ -284,10 +324,11 @@
 
 func (a *localAccount) ask(name id.Contract, now time.Time) Ask {
 	a.demand.decay(now)
+	wantRequests, wantTokens := a.demand.rates()
 	ask := Ask{
 		Contract:          name,
-		RequestsPerSecond: a.demand.requests,
-		TokensPerSecond:   a.demand.tokens,
+		RequestsPerSecond: wantRequests,
+		TokensPerSecond:   wantTokens,
 		Running:           a.running,
 	}
 	if now.Before(a.rateUntil) {
@@ -297,6 +338,11 @@
 	if a.keeps(now) {
 		return ask
 	}
+	if !a.silent.IsZero() {
+		// What the owner will not hear of is not given back.
+		ask.TokensBack = min(0, a.tokens)
+		return ask
+	}
 	ask.TokensBack = a.tokens
 	if a.tokens > 0 {
 		// Given back before it is known to have arrived, so that a lost
@@ -306,10 +352,20 @@
 	return ask
 }
 
+// toldGrace is how long after a told time its caller is awaited.
+const toldGrace = time.Second
+
 // keeps reports whether a caller that was told to come back is still awaited
 // and what the last share has saved is enough for it.
 func (a *localAccount) keeps(now time.Time) bool {
-	return !now.After(a.toldUntil) && a.requests >= 1 && a.tokens > 0
+	return !now.After(a.toldUntil.Add(toldGrace)) && a.requests >= 1 && a.tokens > 0
+}
+
+// promised reports whether a caller was told to come back now. It is admitted
+// also when the share has ended or become smaller since, and its debt was
+// handed to the owner, whose bucket then has the debts of others too.
+func (a *localAccount) promised(now time.Time) bool {
+	return !a.owes && !now.Before(a.toldUntil) && !now.After(a.toldUntil.Add(toldGrace))
 }
 
 // Granted takes over the owner's answer.
@@ -361,8 +417,9 @@
 	if requests == 0 {
 		// Without a share, what was admitted of late stands in for it.
 		a.demand.decay(now)
-		requests = min(a.demand.requests, float64(a.limits.RequestsPerSecond))
-		tokens = min(a.demand.tokens, float64(a.limits.TokensPerSecond))
+		wantRequests, wantTokens := a.demand.rates()
+		requests = min(wantRequests, float64(a.limits.RequestsPerSecond))
+		tokens = min(wantTokens, float64(a.limits.TokensPerSecond))
 	}
 	a.silent, a.silentRequests, a.silentTokens = now, requests, tokens
 	a.entries = max(1, entries)
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -314,9 +314,9 @@
 // and then rarely, to find those that it has missed, as when many processes
 // start together. It asks for one part in some rounds only.
 const (
-	walkSoon   = 40 * time.Second
+	walkSoon   = time.Minute
 	walkRarely = 30 * time.Minute
-	walkRounds = 4
+	walkRounds = 12
 )
 
 // walks reports whether the next part of a walk is due.
