--- a/internal/coordination/member/config.go
+++ b/internal/coordination/member/config.go
@@ -1,6 +1,9 @@
 package member
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Config.
 const (
@@ -53,22 +56,15 @@
 
 // Defaults fills in what c leaves out.
 func (c *Config) Defaults() {
-	setDefault(&c.ReportLife, DefaultReportLife)
-	setDefault(&c.EntryLife, DefaultEntryLife)
-	setDefault(&c.GoneAfter, DefaultGoneAfter)
-	setDefault(&c.ForgetAfter, DefaultForgetAfter)
-	setDefault(&c.FlapWindow, DefaultFlapWindow)
-	setDefault(&c.FlapHold, DefaultFlapHold)
-	setDefault(&c.FlapHoldMax, DefaultFlapHoldMax)
-	setDefault(&c.FlapLimit, DefaultFlapLimit)
-	setDefault(&c.ZoneShare, DefaultZoneShare)
-	setDefault(&c.ZoneWindow, DefaultZoneWindow)
-	setDefault(&c.ZoneMembers, DefaultZoneMembers)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.ReportLife = cmp.Or(c.ReportLife, DefaultReportLife)
+	c.EntryLife = cmp.Or(c.EntryLife, DefaultEntryLife)
+	c.GoneAfter = cmp.Or(c.GoneAfter, DefaultGoneAfter)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.FlapWindow = cmp.Or(c.FlapWindow, DefaultFlapWindow)
+	c.FlapHold = cmp.Or(c.FlapHold, DefaultFlapHold)
+	c.FlapHoldMax = cmp.Or(c.FlapHoldMax, DefaultFlapHoldMax)
+	c.FlapLimit = cmp.Or(c.FlapLimit, DefaultFlapLimit)
+	c.ZoneShare = cmp.Or(c.ZoneShare, DefaultZoneShare)
+	c.ZoneWindow = cmp.Or(c.ZoneWindow, DefaultZoneWindow)
+	c.ZoneMembers = cmp.Or(c.ZoneMembers, DefaultZoneMembers)
 }
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -21,6 +21,7 @@
 package overload
 
 import (
+	"cmp"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/generation"
@@ -106,17 +107,10 @@
 
 // Defaults fills in what c leaves out.
 func (c *Config) Defaults() {
-	setDefault(&c.MaxQueued, DefaultMaxQueued)
-	setDefault(&c.ShortPatience, DefaultShortPatience)
-	setDefault(&c.StandardPatience, DefaultStandardPatience)
-	setDefault(&c.LongPatience, DefaultLongPatience)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.MaxQueued = cmp.Or(c.MaxQueued, DefaultMaxQueued)
+	c.ShortPatience = cmp.Or(c.ShortPatience, DefaultShortPatience)
+	c.StandardPatience = cmp.Or(c.StandardPatience, DefaultStandardPatience)
+	c.LongPatience = cmp.Or(c.LongPatience, DefaultLongPatience)
 }
 
 // latestStart returns when item must start.
--- a/internal/coordination/recovery/candidate.go
+++ b/internal/coordination/recovery/candidate.go
@@ -1,6 +1,7 @@
 package recovery
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -116,8 +117,8 @@
 func weigh(view *View, loss *Loss, policy *Policy, r *member.TargetReport) candidate {
 	c := candidate{target: r.Target, place: r.Place, pace: r.Pace}
 	prefill := r.PrefillPerToken
-	setDefault(&c.pace, unknownPace)
-	setDefault(&prefill, unknownPrefill)
+	c.pace = cmp.Or(c.pace, unknownPace)
+	prefill = cmp.Or(prefill, unknownPrefill)
 	c.recompute = loss.Spec.PromptTokens() + loss.Held
 	if view.Cached != nil {
 		c.recompute = max(0, c.recompute-view.Cached(r.Target))
--- a/internal/coordination/recovery/recovery.go
+++ b/internal/coordination/recovery/recovery.go
@@ -21,6 +21,7 @@
 package recovery
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -141,19 +142,12 @@
 
 // Defaults fills in what p leaves out. The budgets and the headroom stay.
 func (p *Policy) Defaults() {
-	setDefault(&p.Prefer, generation.PreferLatency)
-	setDefault(&p.MaxAttempts, 8)
-	setDefault(&p.MaxAge, 3*time.Second)
-	setDefault(&p.ReturnAfter, 10*time.Second)
-	setDefault(&p.Reconnect, 10*time.Millisecond)
-	setDefault(&p.AskAgain, 200*time.Millisecond)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	p.Prefer = cmp.Or(p.Prefer, generation.PreferLatency)
+	p.MaxAttempts = cmp.Or(p.MaxAttempts, 8)
+	p.MaxAge = cmp.Or(p.MaxAge, 3*time.Second)
+	p.ReturnAfter = cmp.Or(p.ReturnAfter, 10*time.Second)
+	p.Reconnect = cmp.Or(p.Reconnect, 10*time.Millisecond)
+	p.AskAgain = cmp.Or(p.AskAgain, 200*time.Millisecond)
 }
 
 // Decision is how an answer goes on.
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -19,6 +19,7 @@
 package route
 
 import (
+	"cmp"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/generation"
@@ -145,24 +146,17 @@
 
 // Defaults fills in what c leaves out.
 func (c *Config) Defaults() {
-	setDefault(&c.Sample, DefaultSample)
+	c.Sample = cmp.Or(c.Sample, DefaultSample)
 	c.Sample = min(c.Sample, maxSample)
-	setDefault(&c.LookFurther, DefaultLookFurther)
-	setDefault(&c.HeadroomShare, DefaultHeadroomShare)
-	setDefault(&c.ZoneDelay, DefaultZoneDelay)
-	setDefault(&c.RegionDelay, DefaultRegionDelay)
-	setDefault(&c.AgeScale, DefaultAgeScale)
-	setDefault(&c.Aside, DefaultAside)
-	setDefault(&c.AsideMax, DefaultAsideMax)
-	setDefault(&c.SlowFactor, DefaultSlowFactor)
-	setDefault(&c.Failures, DefaultFailures)
-	setDefault(&c.AsideShare, DefaultAsideShare)
-	setDefault(&c.RebuildEvery, DefaultRebuildEvery)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.LookFurther = cmp.Or(c.LookFurther, DefaultLookFurther)
+	c.HeadroomShare = cmp.Or(c.HeadroomShare, DefaultHeadroomShare)
+	c.ZoneDelay = cmp.Or(c.ZoneDelay, DefaultZoneDelay)
+	c.RegionDelay = cmp.Or(c.RegionDelay, DefaultRegionDelay)
+	c.AgeScale = cmp.Or(c.AgeScale, DefaultAgeScale)
+	c.Aside = cmp.Or(c.Aside, DefaultAside)
+	c.AsideMax = cmp.Or(c.AsideMax, DefaultAsideMax)
+	c.SlowFactor = cmp.Or(c.SlowFactor, DefaultSlowFactor)
+	c.Failures = cmp.Or(c.Failures, DefaultFailures)
+	c.AsideShare = cmp.Or(c.AsideShare, DefaultAsideShare)
+	c.RebuildEvery = cmp.Or(c.RebuildEvery, DefaultRebuildEvery)
 }
--- a/internal/coordination/spread/spread.go
+++ b/internal/coordination/spread/spread.go
@@ -27,6 +27,7 @@
 package spread
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -208,24 +209,17 @@
 
 // Defaults fills in what c leaves out.
 func (c *Config) Defaults() {
-	setDefault(&c.RoundEvery, DefaultRoundEvery)
-	setDefault(&c.ReportTo, DefaultReportTo)
-	setDefault(&c.Watchers, DefaultWatchers)
-	setDefault(&c.UrgentPeers, DefaultUrgentPeers)
-	setDefault(&c.Sends, DefaultSends)
-	setDefault(&c.EntryDigests, DefaultEntryDigests)
-	setDefault(&c.LoadDigests, DefaultLoadDigests)
-	setDefault(&c.OldDigests, DefaultOldDigests)
-	setDefault(&c.KeptChanges, DefaultKeptChanges)
-	setDefault(&c.ReconnectEvery, DefaultReconnectEvery)
-	setDefault(&c.EntriesEvery, DefaultEntriesEvery)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.RoundEvery = cmp.Or(c.RoundEvery, DefaultRoundEvery)
+	c.ReportTo = cmp.Or(c.ReportTo, DefaultReportTo)
+	c.Watchers = cmp.Or(c.Watchers, DefaultWatchers)
+	c.UrgentPeers = cmp.Or(c.UrgentPeers, DefaultUrgentPeers)
+	c.Sends = cmp.Or(c.Sends, DefaultSends)
+	c.EntryDigests = cmp.Or(c.EntryDigests, DefaultEntryDigests)
+	c.LoadDigests = cmp.Or(c.LoadDigests, DefaultLoadDigests)
+	c.OldDigests = cmp.Or(c.OldDigests, DefaultOldDigests)
+	c.KeptChanges = cmp.Or(c.KeptChanges, DefaultKeptChanges)
+	c.ReconnectEvery = cmp.Or(c.ReconnectEvery, DefaultReconnectEvery)
+	c.EntriesEvery = cmp.Or(c.EntriesEvery, DefaultEntriesEvery)
 }
 
 // Intervals of heartbeats grow with the deployment, so that what a process
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -27,6 +27,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/http"
@@ -102,25 +103,18 @@
 
 // Defaults fills in what o leaves out.
 func (o *Options) Defaults() {
-	setDefault(&o.Model, defaultModel)
-	setDefault(&o.Version, defaultVersion)
-	setDefault(&o.Slots, defaultSlots)
-	setDefault(&o.CacheBlocks, defaultCacheBlocks)
-	setDefault(&o.PrefillChunk, defaultPrefillChunk)
-	setDefault(&o.ChunkTokens, DefaultChunkTokens)
-	setDefault(&o.Length, DefaultLength)
+	o.Model = cmp.Or(o.Model, defaultModel)
+	o.Version = cmp.Or(o.Version, defaultVersion)
+	o.Slots = cmp.Or(o.Slots, defaultSlots)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, defaultCacheBlocks)
+	o.PrefillChunk = cmp.Or(o.PrefillChunk, defaultPrefillChunk)
+	o.ChunkTokens = cmp.Or(o.ChunkTokens, DefaultChunkTokens)
+	o.Length = cmp.Or(o.Length, DefaultLength)
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate returns an error that names the first option that breaks a rule.
 func (o *Options) Validate() error {
 	const op = "Options.Validate"
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -16,6 +16,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -88,19 +89,12 @@
 
 // Defaults fills in what o leaves out.
 func (o *Options) Defaults() {
-	setDefault(&o.Model, "report")
-	setDefault(&o.Version, "v1")
-	setDefault(&o.Streams, 1)
-	setDefault(&o.Tokens, 100)
-	setDefault(&o.Rounds, 1)
-	setDefault(&o.Timeout, time.Minute)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	o.Model = cmp.Or(o.Model, "report")
+	o.Version = cmp.Or(o.Version, "v1")
+	o.Streams = cmp.Or(o.Streams, 1)
+	o.Tokens = cmp.Or(o.Tokens, 100)
+	o.Rounds = cmp.Or(o.Rounds, 1)
+	o.Timeout = cmp.Or(o.Timeout, time.Minute)
 }
 
 // Validate returns an error that names the first option that breaks a rule.
--- a/internal/standin/losses/losses.go
+++ b/internal/standin/losses/losses.go
@@ -15,6 +15,7 @@
 package losses
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -99,25 +100,18 @@
 
 // Defaults fills in what o leaves out.
 func (o *Options) Defaults() {
-	setDefault(&o.Engines, 12)
-	setDefault(&o.Requests, 200)
-	setDefault(&o.Prefer, Latency)
-	setDefault(&o.Concurrency, 2*o.Engines)
-	setDefault(&o.MostDeaths, maxDeaths)
-	setDefault(&o.Tokens, 200)
-	setDefault(&o.PromptTokens, 100)
-	setDefault(&o.Costs, engine.Costs{Step: 2 * time.Millisecond, Prefill: 20 * time.Microsecond})
+	o.Engines = cmp.Or(o.Engines, 12)
+	o.Requests = cmp.Or(o.Requests, 200)
+	o.Prefer = cmp.Or(o.Prefer, Latency)
+	o.Concurrency = cmp.Or(o.Concurrency, 2*o.Engines)
+	o.MostDeaths = cmp.Or(o.MostDeaths, maxDeaths)
+	o.Tokens = cmp.Or(o.Tokens, 200)
+	o.PromptTokens = cmp.Or(o.PromptTokens, 100)
+	o.Costs = cmp.Or(o.Costs, engine.Costs{Step: 2 * time.Millisecond, Prefill: 20 * time.Microsecond})
 	if o.Stall {
-		setDefault(&o.Down, Span{6 * time.Second, 12 * time.Second})
-	}
-	setDefault(&o.Down, Span{200 * time.Millisecond, 600 * time.Millisecond})
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		o.Down = cmp.Or(o.Down, Span{6 * time.Second, 12 * time.Second})
 	}
+	o.Down = cmp.Or(o.Down, Span{200 * time.Millisecond, 600 * time.Millisecond})
 }
 
 // Validate returns an error that names the first option that breaks a rule.
--- a/internal/state/conf/deployment.go
+++ b/internal/state/conf/deployment.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -109,23 +110,16 @@
 
 // Defaults fills in what d leaves out.
 func (d *Deployment) Defaults() {
-	setDefault(&d.Retention, defaultRetention)
-	setDefault(&d.Recovery.OrphanGrace, defaultOrphanGrace)
-	setDefault(&d.Recovery.AbandonGrace, defaultAbandonGrace)
-	setDefault(&d.Recovery.RetryShare, defaultRetryShare)
-	setDefault(&d.Recovery.HedgeShare, defaultHedgeShare)
-	setDefault(&d.Recovery.MaxAttempts, defaultMaxAttempts)
-	setDefault(&d.Recovery.KillThreshold, defaultKillThreshold)
-	setDefault(&d.Recovery.QuarantineTime, defaultQuarantineTime)
-	setDefault(&d.Routing.HeadroomShare, defaultHeadroomShare)
-	setDefault(&d.Placement.LoadsAtOnce, 2)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	d.Retention = cmp.Or(d.Retention, defaultRetention)
+	d.Recovery.OrphanGrace = cmp.Or(d.Recovery.OrphanGrace, defaultOrphanGrace)
+	d.Recovery.AbandonGrace = cmp.Or(d.Recovery.AbandonGrace, defaultAbandonGrace)
+	d.Recovery.RetryShare = cmp.Or(d.Recovery.RetryShare, defaultRetryShare)
+	d.Recovery.HedgeShare = cmp.Or(d.Recovery.HedgeShare, defaultHedgeShare)
+	d.Recovery.MaxAttempts = cmp.Or(d.Recovery.MaxAttempts, defaultMaxAttempts)
+	d.Recovery.KillThreshold = cmp.Or(d.Recovery.KillThreshold, defaultKillThreshold)
+	d.Recovery.QuarantineTime = cmp.Or(d.Recovery.QuarantineTime, defaultQuarantineTime)
+	d.Routing.HeadroomShare = cmp.Or(d.Routing.HeadroomShare, defaultHeadroomShare)
+	d.Placement.LoadsAtOnce = cmp.Or(d.Placement.LoadsAtOnce, 2)
 }
 
 // Validate returns an error that names the first field that breaks a rule.
--- a/internal/state/contract/contract.go
+++ b/internal/state/contract/contract.go
@@ -12,6 +12,7 @@
 package contract
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"regexp"
@@ -121,21 +122,14 @@
 
 // Defaults fills in what c leaves out.
 func (c *Contract) Defaults() {
-	setDefault(&c.Class, generation.Standard)
-	setDefault(&c.Recovery.Prefer, generation.PreferLatency)
-	setDefault(&c.Weight, defaultWeight)
-	setDefault(&c.Limits.TokensPerSecond, defaultTokensPerSecond)
-	setDefault(&c.Limits.RequestsPerSecond, defaultRequestsPerSecond)
-	setDefault(&c.Limits.Concurrency, defaultConcurrency)
-	setDefault(&c.Limits.AnswerTokens, defaultAnswerTokens)
-	setDefault(&c.Limits.PromptBytes, defaultPromptBytes)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.Class = cmp.Or(c.Class, generation.Standard)
+	c.Recovery.Prefer = cmp.Or(c.Recovery.Prefer, generation.PreferLatency)
+	c.Weight = cmp.Or(c.Weight, defaultWeight)
+	c.Limits.TokensPerSecond = cmp.Or(c.Limits.TokensPerSecond, defaultTokensPerSecond)
+	c.Limits.RequestsPerSecond = cmp.Or(c.Limits.RequestsPerSecond, defaultRequestsPerSecond)
+	c.Limits.Concurrency = cmp.Or(c.Limits.Concurrency, defaultConcurrency)
+	c.Limits.AnswerTokens = cmp.Or(c.Limits.AnswerTokens, defaultAnswerTokens)
+	c.Limits.PromptBytes = cmp.Or(c.Limits.PromptBytes, defaultPromptBytes)
 }
 
 var (
--- a/internal/state/settings/load.go
+++ b/internal/state/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -84,18 +85,11 @@
 	return fault.Wrap(op, Invalid, err)
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Defaults fills in what p leaves out.
 func (p *Platform) Defaults() {
-	setDefault(&p.HostListEvery, defaultHostListEvery)
-	setDefault(&p.StoreWritesPerSecond, defaultWritesPerSecond)
-	setDefault(&p.StoreReadsPerSecond, defaultReadsPerSecond)
+	p.HostListEvery = cmp.Or(p.HostListEvery, defaultHostListEvery)
+	p.StoreWritesPerSecond = cmp.Or(p.StoreWritesPerSecond, defaultWritesPerSecond)
+	p.StoreReadsPerSecond = cmp.Or(p.StoreReadsPerSecond, defaultReadsPerSecond)
 }
 
 // Validate returns a *KeyError for the first key that breaks a rule.
@@ -195,10 +189,10 @@
 
 // Defaults fills in what e leaves out.
 func (e *Engine) Defaults() {
-	setDefault(&e.Slots, defaultEngineSlots)
-	setDefault(&e.Queue, e.Slots)
-	setDefault(&e.LogBytes, defaultLogBytes)
-	setDefault(&e.Role, defaultRole)
+	e.Slots = cmp.Or(e.Slots, defaultEngineSlots)
+	e.Queue = cmp.Or(e.Queue, e.Slots)
+	e.LogBytes = cmp.Or(e.LogBytes, defaultLogBytes)
+	e.Role = cmp.Or(e.Role, defaultRole)
 }
 
 // Validate returns a *KeyError for the first key that breaks a rule.
@@ -225,9 +219,9 @@
 
 // Defaults fills in what v leaves out.
 func (v *Service) Defaults() {
-	setDefault(&v.Slots, defaultServiceSlots)
-	setDefault(&v.Queue, v.Slots)
-	setDefault(&v.ReplyBytes, defaultReplyBytes)
+	v.Slots = cmp.Or(v.Slots, defaultServiceSlots)
+	v.Queue = cmp.Or(v.Queue, v.Slots)
+	v.ReplyBytes = cmp.Or(v.ReplyBytes, defaultReplyBytes)
 }
 
 // Validate returns a *KeyError for the first key that breaks a rule.
--- a/internal/transport/caller/config.go
+++ b/internal/transport/caller/config.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/fault"
@@ -58,21 +59,14 @@
 
 // Defaults fills in what c leaves out.
 func (c *Config) Defaults() {
-	setDefault(&c.HeaderBytes, defaultHeaderBytes)
-	setDefault(&c.BodyBytes, defaultBodyBytes)
-	setDefault(&c.BodyMemory, defaultBodyMemory)
-	setDefault(&c.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&c.BodyTimeout, defaultBodyTimeout)
-	setDefault(&c.WriteTimeout, defaultWriteTimeout)
-	setDefault(&c.IdleTimeout, defaultIdleTimeout)
-	setDefault(&c.MaxTimeout, defaultMaxTimeout)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.HeaderBytes = cmp.Or(c.HeaderBytes, defaultHeaderBytes)
+	c.BodyBytes = cmp.Or(c.BodyBytes, defaultBodyBytes)
+	c.BodyMemory = cmp.Or(c.BodyMemory, defaultBodyMemory)
+	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, defaultHeaderTimeout)
+	c.BodyTimeout = cmp.Or(c.BodyTimeout, defaultBodyTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, defaultWriteTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdleTimeout)
+	c.MaxTimeout = cmp.Or(c.MaxTimeout, defaultMaxTimeout)
 }
 
 // Validate returns an error that names the first limit that breaks a rule.
--- a/internal/transport/etcd/client.go
+++ b/internal/transport/etcd/client.go
@@ -23,6 +23,7 @@
 package etcd
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -94,12 +95,12 @@
 
 // Defaults fills in what o leaves out.
 func (o *Options) Defaults() {
-	setDefault(&o.ReadsPerSecond, unlimited)
-	setDefault(&o.WritesPerSecond, unlimited)
-	setDefault(&o.MaxWait, defaultMaxWait)
-	setDefault(&o.Timeout, defaultTimeout)
-	setDefault(&o.BackoffFirst, defaultBackoffFirst)
-	setDefault(&o.BackoffLongest, max(o.BackoffFirst, defaultBackoffLongest))
+	o.ReadsPerSecond = cmp.Or(o.ReadsPerSecond, unlimited)
+	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, unlimited)
+	o.MaxWait = cmp.Or(o.MaxWait, defaultMaxWait)
+	o.Timeout = cmp.Or(o.Timeout, defaultTimeout)
+	o.BackoffFirst = cmp.Or(o.BackoffFirst, defaultBackoffFirst)
+	o.BackoffLongest = cmp.Or(o.BackoffLongest, max(o.BackoffFirst, defaultBackoffLongest))
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
@@ -111,13 +112,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate returns an error that names the first option that breaks a rule.
 func (o *Options) Validate() error {
 	const op = "Options.Validate"
