Start both daemons by one piece of code

Cause: flags, signals and their order stood twice in entry and target. Change: newDaemon and runUntilSignal.

--- a/cmd/foxtailward/entry.go
+++ b/cmd/foxtailward/entry.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
@@ -43,31 +40,17 @@
   hostList = "http://10.0.0.6:8080/hosts"`
 
 func newEntry() *cobra.Command {
-	var path string
-	cmd := &cobra.Command{
-		Use:   "entry --config FILE",
-		Short: "Run an entry",
-		Long:  usageEntry,
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.LoadEntry(path)
-			if err != nil {
-				return err
-			}
-			return runEntry(cmd.Context(), s, event.NewWriter(cmd.OutOrStdout(), clockwork.NewRealClock()))
-		},
-	}
-	cmd.Flags().StringVar(&path, "config", "", "the settings file")
-	// The flag was just defined, so marking it can't fail.
-	_ = cmd.MarkFlagRequired("config")
-	return cmd
+	return newDaemon("entry", "Run an entry", usageEntry, func(ctx context.Context, path string, log *event.Log) error {
+		s, err := settings.LoadEntry(path)
+		if err != nil {
+			return err
+		}
+		return runEntry(ctx, s, log)
+	})
 }
 
 // runEntry runs an entry until it has drained or was cut.
 func runEntry(ctx context.Context, s *settings.Entry, log *event.Log) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
 	registry := metrics.NewRegistry()
 	way, err := openPlatform(&s.Platform, log, registry)
 	if err != nil {
@@ -82,10 +65,5 @@
 	if err := p.Listen(); err != nil {
 		return err
 	}
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ctx, drain := context.WithCancel(ctx)
-	defer drain()
-	go obeySignals(serving, signals, drain, func() { p.Cut() })
-	return p.Run(ctx)
+	return runUntilSignal(ctx, p.Run, func() { p.Cut() })
 }
--- a/cmd/foxtailward/target.go
+++ b/cmd/foxtailward/target.go
@@ -4,9 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -54,31 +51,17 @@
 const targetLinger = 3 * time.Second
 
 func newTarget() *cobra.Command {
-	var path string
-	cmd := &cobra.Command{
-		Use:   "target --config FILE",
-		Short: "Run the process beside a target",
-		Long:  usageTarget,
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.LoadTarget(path)
-			if err != nil {
-				return err
-			}
-			return runTarget(cmd.Context(), s, event.NewWriter(cmd.OutOrStdout(), clockwork.NewRealClock()))
-		},
-	}
-	cmd.Flags().StringVar(&path, "config", "", "the settings file")
-	// The flag was just defined, so marking it can't fail.
-	_ = cmd.MarkFlagRequired("config")
-	return cmd
+	return newDaemon("target", "Run the process beside a target", usageTarget, func(ctx context.Context, path string, log *event.Log) error {
+		s, err := settings.LoadTarget(path)
+		if err != nil {
+			return err
+		}
+		return runTarget(ctx, s, log)
+	})
 }
 
 // runTarget runs a target process until it has drained or was cut.
 func runTarget(ctx context.Context, s *settings.Target, log *event.Log) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
 	registry := metrics.NewRegistry()
 	way, err := openPlatform(&s.Platform, log, registry)
 	if err != nil {
@@ -100,10 +83,7 @@
 	go way.readSeeds(serving)
 	served := make(chan error, 1)
 	go func() { served <- page.Run(serving, s.Operators) }()
-	ctx, drain := context.WithCancel(ctx)
-	defer drain()
-	go obeySignals(serving, signals, drain, func() { p.Cut() })
-	err = p.Run(ctx)
+	err = runUntilSignal(ctx, p.Run, func() { p.Cut() })
 	stop()
 	return errors.Join(err, <-served)
 }
@@ -123,19 +103,6 @@
 	return deps
 }
 
-// obeySignals drains at the first signal and cuts at the second, until ctx
-// ends.
-func obeySignals(ctx context.Context, signals <-chan os.Signal, drain, cut func()) {
-	for _, obey := range []func(){drain, cut} {
-		select {
-		case <-signals:
-			obey()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // targetReady returns why a target process takes no work; nil when it does.
 func targetReady(p *target.Process) error {
 	if state := p.Report().State; state != member.Ready {
--- a/internal/coordination/spread/spreader.go
+++ b/internal/coordination/spread/spreader.go
@@ -314,9 +314,9 @@
 // and then rarely, to find those that it has missed, as when many processes
 // start together. It asks for one part in some rounds only.
 const (
-	walkSoon   = time.Minute
+	walkSoon   = 40 * time.Second
 	walkRarely = 30 * time.Minute
-	walkRounds = 12
+	walkRounds = 4
 )
 
 // walks reports whether the next part of a walk is due.
