Tell other entries of a killing request before its caller hears of it

Cause: TestKiller: a request that ends engines, sent twenty times through two entries, ended 6: three for each entry, since the second heard of the quarantine up to 100 ms later, and did not look at what it had heard. Change: a quarantine is passed on and acknowledged before the refusal goes out; entries refuse what others have put under quarantine; a race that was not run gives its budget back.

--- a/internal/coordination/policy/policy.go
+++ b/internal/coordination/policy/policy.go
@@ -63,6 +63,9 @@
 	// Random is owned by the policy.
 	Random *rand.Rand
 	Log    *event.Log
+	// Alarm is called before a request is given up because it kills targets, so
+	// that others know it before its caller can send it again; nil does nothing.
+	Alarm func()
 }
 
 // Policy decides for the owner of requests. It is safe for concurrent use.
@@ -114,6 +117,9 @@
 // Place decides on the next attempt of a generation.
 func (p *Policy) Place(place request.Placement, now time.Time) request.Choice {
 	if choice, stop := p.judge(&place, now); stop {
+		if choice.Reason == reasonQuarantined && p.tools.Alarm != nil {
+			p.tools.Alarm()
+		}
 		return choice
 	}
 	if loss := place.LastStarted(); loss != nil {
--- a/internal/coordination/policy/recover.go
+++ b/internal/coordination/policy/recover.go
@@ -128,6 +128,9 @@
 	}
 	granted := p.retry.Ask(now, applicant)
 	if !granted {
+		if d.Choice == recovery.Race {
+			p.hedge.Refund(applicant.Cost)
+		}
 		p.tools.Log.Emit(event.BudgetExhausted, "request", place.Spec.Request, "budget", "retry", "waiting", p.retry.Waiting())
 	}
 	return granted
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -140,6 +140,7 @@
 	owner := policy.New(policy.Tools{
 		View: p.view, Router: p.router, Clock: deps.Clock, Conf: deps.Current.Snapshot,
 		Random: deps.Random, Log: deps.Log.With("entry", s.Name),
+		Alarm: func() { p.exchanger.Flush(p.life) },
 	})
 	p.policy = owner
 	p.relays = relays
@@ -181,7 +182,7 @@
 func (p *Process) gate() request.Gate {
 	return request.Gate{
 		Admit:  p.limits.admit,
-		Screen: p.policy.Screen,
+		Screen: p.screen,
 		Conf:   p.deps.Current.Snapshot,
 	}
 }
--- a/internal/transport/entry/exchange.go
+++ b/internal/transport/entry/exchange.go
@@ -4,11 +4,13 @@
 	"context"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/answer"
 	"foxtailward.example/foxtailward/internal/coordination/member"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/spread"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/generation"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/transport/peer"
 )
@@ -87,6 +89,22 @@
 	}
 }
 
+// screen refuses a request that kills targets, by what this entry saw and by
+// what others have told it.
+func (p *Process) screen(spec *generation.Spec) *answer.Refusal {
+	if refusal := p.policy.Screen(spec); refusal != nil {
+		return refusal
+	}
+	now := p.deps.Clock.Now()
+	q, refused := p.spreader.Quarantined(spec.Fingerprint(), now)
+	if !refused {
+		return nil
+	}
+	refusal := answer.Refuse(answer.CauseQuarantined, "this request ended %d targets and is refused for a time", len(q.Deaths))
+	refusal.RetryAfter = q.Until.Sub(now)
+	return refusal
+}
+
 func targetsOf(marks []quarantine.Mark) []id.Target {
 	out := make([]id.Target, len(marks))
 	for i, m := range marks {
--- a/internal/transport/peer/exchanger.go
+++ b/internal/transport/peer/exchanger.go
@@ -63,6 +63,17 @@
 	}
 }
 
+// Flush sends the messages that are due now and waits for their answers, so
+// that urgent news is with other processes before anybody acts on it.
+func (x *Exchanger) Flush(ctx context.Context) {
+	x.Before()
+	var swaps sync.WaitGroup
+	for _, m := range x.Spreader.Round(x.Clock.Now()) {
+		swaps.Go(func() { x.swap(ctx, &m) })
+	}
+	swaps.Wait()
+}
+
 // swap sends one message and takes the answer.
 func (x *Exchanger) swap(ctx context.Context, m *spread.Message) {
 	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
