Emit or take out what was declared and unused

Cause: four log events were never written and a fence of package placement had no user; the bounds of package limit no longer stood as stated. Change: dropped frames, refused recoveries and refused revisions are logged; the event of a granted share and placement.Gate are gone, since the target process keeps its own fence. The leader's test holds placement.MinFence in the Gate's place: the lowest valid number is the next leader's, and none is valid while nobody leads; the repeated order is tested at the target process. docs and the package comment of limit state the bounds anew.

--- a/internal/coordination/limit/limit.go
+++ b/internal/coordination/limit/limit.go
@@ -15,12 +15,16 @@
 // With L tokens (or requests) a second, over any time t in which the owner is
 // heard, at most L·t + L·1s + two requests for each entry that admits, or three
 // seconds of its share if that is more, are taken: the bucket's burst, what
-// entries have saved up, and what each one's last request goes into debt by. The debt is paid before the next request. Slots are never above the
-// limit while owners are heard. An owner grants only the part of the limit that live entries have of
-// the known ones, so the sides of a partition share the limit until the lost
-// side counts as gone; from then on each side may use the whole. Entries that
-// hear no owner use at most their last shares, halved each FallbackHalfLife,
-// and a quarter of the limit together in the end.
+// entries have saved up, and what each one's last request goes into debt by. An
+// entry may admit one request more, the one that it has told a time, when its
+// share ended meanwhile. The debt is paid before the next request.
+//
+// Slots are never above the limit while owners are heard. An owner grants only
+// the part of the limit that live entries have of the known ones, so the sides
+// of a partition share the limit until the lost side counts as gone; from then
+// on each side may use the whole. Entries that hear no owner use at most their
+// last shares, halved each FallbackHalfLife, and a quarter of the limit together
+// in the end; of the slots they have that quarter besides those they held.
 //
 // # Retry-After
 //
--- a/internal/coordination/placement/leader.go
+++ b/internal/coordination/placement/leader.go
@@ -120,43 +120,6 @@
 	return better < Candidates
 }
 
-// Gate refuses orders with an old fencing number, and tells a repeated order
-// from a new one. A target process keeps one, beside engines that check nothing.
-type Gate struct {
-	mu      sync.Mutex
-	highest id.Fence
-	done    map[OrderID]bool
-}
-
-// Admit returns whether the order may go to the engine, and whether it was
-// carried out before.
-func (g *Gate) Admit(o *Order) (admit, repeated bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if o.Fence < g.highest {
-		return false, false
-	}
-	g.highest = o.Fence
-	return !g.done[o.ID], g.done[o.ID]
-}
-
-// Done notes that an order was carried out.
-func (g *Gate) Done(o *Order) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.done == nil {
-		g.done = map[OrderID]bool{}
-	}
-	g.done[o.ID] = true
-}
-
-// Highest returns the highest fencing number that was seen.
-func (g *Gate) Highest() id.Fence {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.highest
-}
-
 // noLeader is above every fencing number: while nobody holds the lease, no
 // order is valid.
 const noLeader = id.Fence(math.MaxInt64)
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -190,18 +190,22 @@
 	next, _ := second.Fence(start.Add(11 * time.Second))
 	is.True(next > old)
 
-	gate := &placement.Gate{}
-	order := placement.Order{ID: "o"}
-	fromNext, fromOld := order.WithFence(next), order.WithFence(old)
-	admit, _ := gate.Admit(&fromNext)
-	is.True(admit)
-	gate.Done(&fromNext)
-	admit, repeated := gate.Admit(&fromNext)
-	is.True(!admit && repeated)
-	admit, repeated = gate.Admit(&fromOld)
-	is.True(!admit && !repeated)
+	// What target processes read before they carry out an order.
+	kv := m.store()
+	lowest, err := placement.MinFence(ctx, kv)
+	is.NoErr(err)
+	is.Equal(lowest, next)
+	is.True(old < lowest)
 	is.True(fault.Is(first.Step(ctx, start.Add(12*time.Second)), placement.NotLeader))
+	held := m.item
+	m.item = store.Item{}
+	lowest, err = placement.MinFence(ctx, kv)
+	is.NoErr(err)
+	is.True(next < lowest) // while nobody leads, no number is valid
+	m.item = held
 	m.down = true
+	_, err = placement.MinFence(ctx, kv)
+	is.True(fault.Is(err, placement.Unavailable))
 	is.True(fault.Is(second.Step(ctx, start.Add(14*time.Second)), placement.Unavailable))
 	_, ok = second.Fence(start.Add(30 * time.Second))
 	is.True(!ok)
--- a/internal/coordination/request/leg.go
+++ b/internal/coordination/request/leg.go
@@ -188,6 +188,7 @@
 		return f.Finish != nil, nil
 	case join.Fenced:
 		r.meter.Dropped(len(f.Tokens))
+		r.log.Emit(event.FrameDropped, "target", l.target.Target, "attempt", l.held, "first", f.First, "tokens", len(f.Tokens))
 		return false, nil
 	default:
 		return false, fault.New("runner.join", Corrupt, "frame at %d: %v", f.First, verdict)
--- a/internal/coordination/request/runner.go
+++ b/internal/coordination/request/runner.go
@@ -147,6 +147,8 @@
 	r.answer.note(Decision{At: now, Step: string(choice.Action), Target: choice.Target.Target, Reason: choice.Reason})
 	e := event.RouteChosen
 	switch {
+	case choice.Action == GiveUp && len(r.losses) > 0:
+		e = event.RecoveryRefused
 	case choice.Action == GiveUp || choice.Action == Hold:
 		e = event.RouteRefused
 	case len(r.losses) > 0:
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -48,7 +48,6 @@
 	ZoneLost       = Event{401, "zoneLost", Error, "Most members of an availability zone went silent at once.", "look at the zone"}
 	ZoneBack       = Event{402, "zoneBack", Info, "An availability zone that was lost reports again.", "none"}
 	HostListFailed = Event{403, "hostListFailed", Warn, "The host list could not be read; the last one stays in force.", "look at the host list"}
-	ShareGranted   = Event{404, "shareGranted", Debug, "An entry was given its share of a contract's limit.", "none"}
 	ShareStale     = Event{405, "shareStale", Warn, "The owner of a limit is silent; the last share stays in force.", "none"}
 )
 
@@ -86,7 +85,7 @@
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted,
-		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareGranted, ShareStale,
+		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale,
 		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost,
 		PlacementChosen, PlacementHeld, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -119,6 +119,8 @@
 	stored      []string
 	storeDown   bool
 	storeAnswer time.Time
+	// confRefused says that a newer revision could not be put in force.
+	confRefused bool
 }
 
 // New returns a process for settings that have been completed and checked.
--- a/internal/transport/entry/exchange.go
+++ b/internal/transport/entry/exchange.go
@@ -75,6 +75,18 @@
 		p.policy.Configure(&s.Deployment)
 		p.emit(event.RevisionInForce, "revision", s.Revision)
 	}
+	p.tellRefused(p.spreader.RefusedConfig())
+}
+
+// tellRefused logs once that a revision could not be put in force.
+func (p *Process) tellRefused(err error) {
+	p.mu.Lock()
+	news := err != nil && !p.confRefused
+	p.confRefused = err != nil
+	p.mu.Unlock()
+	if news {
+		p.emit(event.RevisionRefused, "error", err)
+	}
 }
 
 // spreadKills passes quarantines on in both directions.
