Serve through an outage of the store, also from a new host

Change: TestStoreDown: an answer survives an engine's death in the outage, and a new entry serves by what the others tell it. While an entry has no configuration it refuses with 503, notRun, and when to come back. Conclusion: a caller is never told that its key is wrong when it is not.

--- a/internal/coordination/answer/answer.go
+++ b/internal/coordination/answer/answer.go
@@ -54,6 +54,7 @@
 	CauseQuarantined  Cause = "quarantined"
 	CauseStoreDown    Cause = "storeDown"
 	CauseLeaving      Cause = "leaving"
+	CauseStarting     Cause = "starting"
 	CauseDeadline     Cause = "deadline"
 	CauseLost         Cause = "lost"
 	CauseConflict     Cause = "conflict"
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -160,7 +160,9 @@
 		return nil, err
 	}
 	for _, o := range opts.Entries {
-		if err := d.startEntry(o); err != nil {
+		current := conf.NewCurrent()
+		current.Put(d.Current.Snapshot())
+		if err := d.startEntry(o, current); err != nil {
 			d.Close()
 			return nil, err
 		}
@@ -219,14 +221,21 @@
 	return nil
 }
 
-func (d *Deployment) startEntry(o EntryOptions) error {
+// Join starts an entry that knows no configuration, as on a replaced host. It
+// learns it from the others or from the key-value service.
+func (d *Deployment) Join(o EntryOptions) (*Entry, error) {
+	if err := d.startEntry(o, conf.NewCurrent()); err != nil {
+		return nil, err
+	}
+	return d.Entries[len(d.Entries)-1], nil
+}
+
+func (d *Deployment) startEntry(o EntryOptions, current *conf.Current) error {
 	s := settings.Entry{Name: o.Name, Place: o.Place, Callers: o.Callers, Peers: anyPort, Operators: anyPort}
 	if s.Callers == "" {
 		s.Callers = anyPort
 	}
 	s.Defaults()
-	current := conf.NewCurrent()
-	current.Put(d.Current.Snapshot())
 	e := &Entry{done: make(chan error, 1)}
 	e.Process = entry.New(s, entry.Deps{
 		Clock: d.opts.Clock, Log: d.opts.Log, Current: current, Seeds: d.entryAddresses, Store: d.opts.Store,
--- /dev/null
+++ b/internal/standin/deployment/outage_test.go
@@ -0,0 +1,55 @@
+package deployment_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/standin/deployment"
+	"foxtailward.example/foxtailward/internal/standin/store"
+	"foxtailward.example/foxtailward/internal/state/settings"
+)
+
+// The key-value service is down: answers go on over an engine's death, and an
+// entry on a new host learns contracts and configuration from the others.
+func TestStoreDown(t *testing.T) {
+	is := is.New(t)
+	keys := store.New(store.Options{})
+	t.Cleanup(keys.Close)
+	direct := keys.Direct()
+	opts := options(3, 2)
+	opts.Store = &direct
+	d := start(t, opts)
+	is.NoErr(keys.SetOutage(true))
+	c := &caller{url: d.Entries[0].URL(), prompt: "p", tokens: 200}
+	body, err := c.open(t.Context(), false)
+	is.NoErr(err)
+	defer body.Close()
+	_, err = c.read(5)
+	is.NoErr(err)
+	carrier(d).Stand.Engine.Die()
+	done, err := c.read(all)
+	is.NoErr(err)
+	is.True(done)
+	is.Equal(c.text.String(), expect("p", 200))
+
+	fresh, err := d.Join(deployment.EntryOptions{Name: "entry-new", Place: settings.Place{Host: "n", Zone: "z1", Region: "ch"}})
+	is.NoErr(err)
+	for end := time.Now().Add(30 * time.Second); fresh.Process.Sees() < 2; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(end)) // it sees the targets some time
+	}
+	for i := range 4 {
+		text, err := ask(t.Context(), fresh.URL(), fmt.Sprint("new ", i), 20, true)
+		for err != nil && strings.Contains(err.Error(), "starting") {
+			// It says that nothing ran and when to come back.
+			is.True(strings.Contains(err.Error(), `"outcome":"notRun"`))
+			time.Sleep(50 * time.Millisecond)
+			text, err = ask(t.Context(), fresh.URL(), fmt.Sprint("new ", i), 20, true)
+		}
+		is.NoErr(err)
+		is.Equal(text, expect(fmt.Sprint("new ", i), 20))
+	}
+}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -31,6 +31,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	peermsg "foxtailward.example/foxtailward/internal/protocol/peer"
 	"foxtailward.example/foxtailward/internal/protocol/peer/peerpb"
+	"foxtailward.example/foxtailward/internal/protocol/problem"
 	"foxtailward.example/foxtailward/internal/state/conf"
 	"foxtailward.example/foxtailward/internal/state/contract"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -235,6 +236,25 @@
 		Reopen:       p.desk.Reopen,
 		Call:         p.counter.Open,
 	}, tools)
+	p.callers.Handler = p.whileConfigured(p.callers.Handler)
+}
+
+// startingRetry is when a caller that met a starting entry may come back.
+const startingRetry = time.Second
+
+// whileConfigured refuses requests before this entry knows any contract; a key
+// would be taken for a wrong one.
+func (p *Process) whileConfigured(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.deps.Current.Revision() > 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		refusal := answer.Refuse(answer.CauseStarting, "this entry has no configuration yet")
+		refusal.RetryAfter = startingRetry
+		// A caller that is gone gets no answer.
+		_ = problem.From(refusal).Write(w)
+	})
 }
 
 func (p *Process) authenticate(key string) (*contract.Contract, bool) {
