Read a whole answer's stream to its end, so that its connection is used again

Cause: looking for the time added to the first token: after the end's event the engine's client closed the stream at once, which could cost its connection. Change: Stream.Drain reads what follows, bounded in bytes and time.

--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"time"
 
 	"foxtailward.example/foxtailward/internal/protocol/engine"
 	"foxtailward.example/foxtailward/internal/state/fault"
@@ -68,6 +69,21 @@
 	_ = s.body.Close()
 }
 
+// Limits of what is read after a stream's end.
+const (
+	drainBytes = 4 << 10
+	drainTime  = time.Second
+)
+
+// Drain reads what follows the end of a whole answer, so that its connection
+// can carry the next one.
+func (s *Stream) Drain() {
+	late := time.AfterFunc(drainTime, s.cancel)
+	defer late.Stop()
+	// A connection that cannot be used again is closed by Close.
+	_, _ = io.CopyN(io.Discard, s.reader, drainBytes)
+}
+
 // Next waits for the next tokens. They are valid until the next call. At the
 // end of a whole answer it returns io.EOF; any other error is an *Error, of
 // kind Cut when the stream ended before its end.
--- a/internal/transport/target/runner.go
+++ b/internal/transport/target/runner.go
@@ -225,6 +225,7 @@
 		tokens, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			r.finish(rec, stream)
+			stream.Drain()
 			return
 		}
 		if err != nil {
