Ask a tight owner for slots at once, and wait only when it refuses

An owner that has just begun calls itself tight while its bucket fills, and an entry that had asked for slots within 100 ms was then refused without asking again. Ruled out: a silent owner, whose floor is far higher. Change: the entry asks; an owner without a slot says when to come back, which spaces the asks as before. Conclusion: a cold owner no longer refuses a burst far below the limit.

--- a/internal/coordination/limit/local.go
+++ b/internal/coordination/limit/local.go
@@ -314,7 +314,8 @@
 	case now.After(a.rateUntil):
 		return true
 	case missing == Concurrency:
-		return !a.tight || now.Sub(a.missedAt) >= slotRetry
+		// An owner that has no slot says when to ask again.
+		return true
 	case a.contended:
 		return now.Sub(a.missedAt) >= a.askAfter
 	}
