--- a/internal/standin/losses/losses.go
+++ b/internal/standin/losses/losses.go
@@ -78,7 +78,8 @@
 	// Scarce leaves each engine about as many slots as the answers need.
 	Scarce bool
 	// MostDeaths is how many failures one request may meet. The run's
-	// killThreshold is two above it, so that chance quarantines nobody.
+	// killThreshold is above all deaths of the run, so that chance quarantines
+	// nobody.
 	MostDeaths int
 	// Tokens is the length of each answer, PromptTokens the longest prompt.
 	Tokens, PromptTokens int
