Close a pool's connections where the pool is closed

Cause: Pool.Keep, which closed the connections to addresses not listed, had no caller but Close. Change: Close alone. Connections to processes that are gone stay until they idle, as before. Conclusion: nothing else changes.

--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -95,23 +95,14 @@
 	return c, nil
 }
 
-// Keep closes the connections to addresses that are not listed.
-func (p *Pool) Keep(addresses map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, c := range p.conns {
-		if !addresses[address] {
-			// Closing fails only when it is closed already.
-			_ = c.Close()
-			delete(p.conns, address)
-		}
-	}
-}
-
 // Close closes all connections.
 func (p *Pool) Close() {
-	p.Keep(nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	for address, c := range p.conns {
+		// Closing fails only when it is closed already.
+		_ = c.Close()
+		delete(p.conns, address)
+	}
 }
