--- a/cmd/foxtailward/daemon.go
+++ b/cmd/foxtailward/daemon.go
@@ -57,3 +57,25 @@
 		}
 	}
 }
+
+// onHangup calls reload for each SIGHUP until the function that it returns is
+// called.
+func onHangup(reload func()) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+				reload()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
--- /dev/null
+++ b/cmd/foxtailward/direct.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"runtime/debug"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"github.com/spf13/cobra"
+
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/direct"
+	"foxtailward.example/foxtailward/platform"
+)
+
+const usageDirect = `Run an entry that reaches its targets directly, on the users' platform.
+
+It needs no target processes: it reads the operator's configuration and the
+targets from the platform's store, and passes on requests of any path. On
+SIGTERM or SIGINT it says that it is not ready, finishes what runs within its
+grace time and ends. SIGHUP reads the settings again; what has changed is
+logged and is in force from the next start.
+
+The file holds name, clients, readiness, operators, peers, store, and the tables
+place, limits and retries:
+
+  name = "entry-1"
+  clients = "10.0.1.2:8740"
+  readiness = "10.0.1.2:8749"
+  operators = "10.0.1.2:8748"
+  peers = "10.0.1.2:7200"
+  store = "10.200.1.7:8742"
+
+  [place]
+  host = "olten-2"
+  zone = "olten"
+  region = "ch-mittelland"
+
+  [limits]
+  memoryMB = 284
+  graceSeconds = 8
+
+  [retries]
+  ratio = 0.8
+  slack = 150
+  windowSeconds = 10`
+
+// memoryShare is the part of a process's memory that the collector works
+// towards.
+const memoryShare = 0.7
+
+func newDirect() *cobra.Command {
+	return newDaemon("direct", "Run an entry that reaches its targets directly", usageDirect, func(ctx context.Context, path string, log *event.Log) error {
+		s, err := settings.LoadDirect(path)
+		if err != nil {
+			return err
+		}
+		return runDirect(ctx, path, s, log)
+	})
+}
+
+// runDirect runs an entry until it has drained or its grace time is over.
+func runDirect(ctx context.Context, path string, s *settings.Direct, log *event.Log) error {
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
+	}
+	e := direct.New(*s, direct.Deps{
+		Clock: clockwork.NewRealClock(), Log: log, Metrics: metrics.NewRegistry(),
+		Store:   platform.NewStore(s.Store).Store(),
+		Codec:   platformCodec(),
+		Dialect: platform.Dialect(),
+		Random:  rand.Float64,
+	})
+	if err := e.Listen(); err != nil {
+		return err
+	}
+	stop := onHangup(func() { reload(path, s, log) })
+	defer stop()
+	return runUntilSignal(ctx, e.Run, func() {})
+}
+
+func platformCodec() direct.Codec {
+	return direct.Codec{
+		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
+		Config: platform.DecodeConfig, Target: platform.DecodeTarget, TargetID: platform.TargetID,
+	}
+}
+
+// reload reads the settings again and logs whether they are in order. They
+// never change while the process runs.
+func reload(path string, running *settings.Direct, log *event.Log) {
+	s, err := settings.LoadDirect(path)
+	if err != nil {
+		log.Emit(event.SettingsRead, "error", err)
+		return
+	}
+	log.Emit(event.SettingsRead, "changed", *s != *running)
+}
--- a/cmd/foxtailward/platform.go
+++ b/cmd/foxtailward/platform.go
@@ -26,8 +26,8 @@
 	seedsTimeout = 5 * time.Second
 )
 
-// platform is a daemon's way to the platform's services.
-type platform struct {
+// platformAccess is a daemon's way to the platform's services.
+type platformAccess struct {
 	settings *settings.Platform
 	log      *event.Log
 	client   *etcd.Client
@@ -38,8 +38,8 @@
 }
 
 // openPlatform returns the way to the services that the settings name.
-func openPlatform(s *settings.Platform, log *event.Log, registry metrics.Registry) (*platform, error) {
-	p := &platform{settings: s, log: log}
+func openPlatform(s *settings.Platform, log *event.Log, registry metrics.Registry) (*platformAccess, error) {
+	p := &platformAccess{settings: s, log: log}
 	if len(s.Stores) == 0 {
 		return p, nil
 	}
@@ -55,14 +55,14 @@
 	return p, nil
 }
 
-func (p *platform) close() {
+func (p *platformAccess) close() {
 	if p.client != nil {
 		p.client.Close()
 	}
 }
 
 // hosts reads the host list until ctx ends.
-func (p *platform) hosts(ctx context.Context, take func(member.HostDoc)) {
+func (p *platformAccess) hosts(ctx context.Context, take func(member.HostDoc)) {
 	if p.settings.HostList == "" {
 		return
 	}
@@ -80,7 +80,7 @@
 
 // known returns the addresses of entries from the settings and the key-value
 // service.
-func (p *platform) known() []string {
+func (p *platformAccess) known() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Concat(p.settings.Seeds, p.seeds)
@@ -88,7 +88,7 @@
 
 // readSeeds reads the entries' addresses from the key-value service until ctx
 // ends.
-func (p *platform) readSeeds(ctx context.Context) {
+func (p *platformAccess) readSeeds(ctx context.Context) {
 	for p.store != nil && ctx.Err() == nil {
 		pause := seedsRefresh
 		if p.readOnce(ctx) == 0 {
@@ -101,7 +101,7 @@
 	}
 }
 
-func (p *platform) readOnce(ctx context.Context) int {
+func (p *platformAccess) readOnce(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, seedsTimeout)
 	defer cancel()
 	page, err := p.store.List(ctx, store.SeedPrefix)
--- a/cmd/foxtailward/root.go
+++ b/cmd/foxtailward/root.go
@@ -32,7 +32,7 @@
 		return wrongUsage(err)
 	})
 	root.AddCommand(newDev(), newEntry(), newVersion())
-	root.AddCommand(newTarget())
+	root.AddCommand(newTarget(), newDirect())
 	addOperatorCommands(root, o)
 	return root
 }
--- a/cmd/foxtailward/target.go
+++ b/cmd/foxtailward/target.go
@@ -88,7 +88,7 @@
 	return errors.Join(err, <-served)
 }
 
-func targetDeps(way *platform, log *event.Log, registry metrics.Registry) target.Deps {
+func targetDeps(way *platformAccess, log *event.Log, registry metrics.Registry) target.Deps {
 	current := conf.NewCurrent()
 	deps := target.Deps{
 		Clock: clockwork.NewRealClock(), Log: log, Metrics: registry, Linger: targetLinger,
--- /dev/null
+++ b/internal/coordination/balance/balance.go
@@ -0,0 +1,184 @@
+// Package balance chooses the target of a request, and the engine that holds a
+// copy of its run, from what one entry has sent and what became of it.
+//
+// Reports of targets are old when they arrive and all entries read the same
+// ones, so the choice rests on the entry's own requests in flight and on their
+// outcomes. It answers two loads: prompts whose computation delays all runs of
+// an engine, and the loss of most engines of an availability zone at once.
+//
+// # Usage
+//
+//	b := balance.New(zone, rand.Float64)
+//	choice, ok := b.Choose(now, ask, targets, tried)
+//	run := b.Start(now, choice, ask)
+//	run.Began()
+//	run.End(now, balance.Good)
+//
+// A Balancer is safe for concurrent use.
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Ask is what a request needs of its target.
+type Ask struct {
+	// Engine is nil for plain services.
+	Engine       *catalog.Engine
+	PromptTokens int
+	OutputTokens int
+}
+
+func (a *Ask) memory() int { return a.PromptTokens + a.OutputTokens }
+
+// Choice is a target and, for engines that back each other up, the engine that
+// gets a copy of the run.
+type Choice struct {
+	Target *catalog.Target
+	Backup *catalog.Target
+	// Reason is a word for the log.
+	Reason Reason
+}
+
+// Reason says why a target was chosen.
+type Reason string
+
+// Reasons.
+const (
+	// LeastCost targets are expected to answer first.
+	LeastCost Reason = "leastCost"
+	// LastResort targets are suspected, as are all others.
+	LastResort Reason = "lastResort"
+)
+
+// Outcome is what became of a request at a target.
+type Outcome string
+
+// Outcomes.
+const (
+	// Good requests were answered.
+	Good Outcome = "good"
+	// Failed requests were answered with a failure of the target's own.
+	Failed Outcome = "failed"
+	// Refused requests were not run, by the target's word.
+	Refused Outcome = "refused"
+	// Lost requests ended with their connection, or with silence.
+	Lost Outcome = "lost"
+	// Unreached targets took no connection.
+	Unreached Outcome = "unreached"
+	// Left requests were cancelled by their client.
+	Left Outcome = "left"
+)
+
+// Balancer holds the load and the health of targets as one entry sees them.
+type Balancer struct {
+	zone   id.Zone
+	random func() float64
+
+	mu      sync.Mutex
+	targets map[id.Target]*record
+	groups  map[group]*zoneRecord
+}
+
+// New returns a Balancer of an entry in the zone. random draws from [0, 1).
+func New(zone id.Zone, random func() float64) *Balancer {
+	return &Balancer{
+		zone: zone, random: random,
+		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{},
+	}
+}
+
+// Choose returns the target of least cost among those that take work and were
+// not tried, or false if there is none.
+func (b *Balancer) Choose(now time.Time, ask Ask, targets catalog.Targets, tried map[id.Target]bool) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best *catalog.Target
+	least := 0.0
+	for _, t := range targets {
+		if t.State != catalog.Ready || tried[t.ID] {
+			continue
+		}
+		cost := b.cost(now, ask, t)
+		if best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	c := Choice{Target: best, Reason: LeastCost}
+	if least >= suspectCost {
+		c.Reason = LastResort
+	}
+	c.Backup = b.backup(now, ask, targets, best, tried)
+	return c, true
+}
+
+// BackupFor returns the engine that gets the next copy of a run that goes on at
+// the target, or nil.
+func (b *Balancer) BackupFor(now time.Time, ask Ask, targets catalog.Targets, runner *catalog.Target, tried map[id.Target]bool) *catalog.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.backup(now, ask, targets, runner, tried)
+}
+
+// backup returns the engine of another zone with the least in its memory.
+func (b *Balancer) backup(now time.Time, ask Ask, targets catalog.Targets, runner *catalog.Target, tried map[id.Target]bool) *catalog.Target {
+	if ask.Engine == nil || !ask.Engine.Backups {
+		return nil
+	}
+	var best *catalog.Target
+	least := 0.0
+	for _, t := range targets {
+		if t.State != catalog.Ready || t.ID == runner.ID || t.Zone == runner.Zone || tried[t.ID] {
+			continue
+		}
+		cost := b.backupCost(now, ask, t)
+		if cost < suspectCost && (best == nil || cost < least) {
+			best, least = t, cost
+		}
+	}
+	return best
+}
+
+// Suspected reports whether new requests avoid the target.
+func (b *Balancer) Suspected(now time.Time, t *catalog.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.record(t).suspectUntil) || b.zoneRecord(t).lost(now)
+}
+
+// Forget drops what is known of targets that are gone.
+func (b *Balancer) Forget(gone catalog.Targets) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range gone {
+		delete(b.targets, t.ID)
+	}
+}
+
+// record returns the record of the target's present incarnation.
+func (b *Balancer) record(t *catalog.Target) *record {
+	r := b.targets[t.ID]
+	if r == nil || r.incarnation != t.Incarnation {
+		r = &record{incarnation: t.Incarnation}
+		b.targets[t.ID] = r
+	}
+	return r
+}
+
+// zoneRecord returns the record of the target's service in its zone.
+func (b *Balancer) zoneRecord(t *catalog.Target) *zoneRecord {
+	g := group{t.Service, t.Zone}
+	z := b.groups[g]
+	if z == nil {
+		z = &zoneRecord{losses: map[id.Target]time.Time{}}
+		b.groups[g] = z
+	}
+	return z
+}
--- /dev/null
+++ b/internal/coordination/directory/directory.go
@@ -0,0 +1,186 @@
+// Package directory keeps what an entry believes of the configuration and of
+// the targets, from what the key-value service says and from its silence.
+//
+// The configuration's version only rises. A target that the service no longer
+// lists is gone, unless the service has just come back: entries of targets lapse
+// while it is away, and are written again soon after. Until then they are kept.
+//
+// # Usage
+//
+//	d := directory.New(now)
+//	d.Adopt(cfg)
+//	d.Replace(now, targets)
+//	d.Remove(now, name)
+//	view := d.View()
+//	for _, t := range view.Targets[service].Ready() { … }
+//
+// One goroutine changes a Directory; any goroutine may call View.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// rejoinTime is how long after the key-value service's return a live target may
+// take to be listed again.
+const rejoinTime = 2 * time.Second
+
+// View is what is believed at one moment. It never changes.
+type View struct {
+	// Config is nil until one is known.
+	Config  *catalog.Config
+	Targets map[id.Service]catalog.Targets
+}
+
+// Directory is the belief of one process.
+type Directory struct {
+	view    atomic.Pointer[View]
+	config  *catalog.Config
+	targets map[id.Target]*catalog.Target
+	// missing holds when a target was last listed that is no longer.
+	missing map[id.Target]time.Time
+	// away says that the key-value service does not answer.
+	away bool
+	back time.Time
+}
+
+// New returns a Directory that knows nothing.
+func New() *Directory {
+	d := &Directory{targets: map[id.Target]*catalog.Target{}, missing: map[id.Target]time.Time{}}
+	d.publish()
+	return d
+}
+
+// View returns the present belief.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Adopt puts a configuration in force unless it is older than the one that is,
+// and reports whether it did.
+func (d *Directory) Adopt(cfg *catalog.Config) bool {
+	if d.config != nil && cfg.Version <= d.config.Version {
+		return false
+	}
+	d.config = cfg
+	d.publish()
+	return true
+}
+
+// Put notes a target as it is listed now, and reports whether that changed the
+// belief.
+func (d *Directory) Put(t *catalog.Target) bool {
+	delete(d.missing, t.ID)
+	old, known := d.targets[t.ID]
+	d.targets[t.ID] = t
+	if known && old.State == t.State && old.Incarnation == t.Incarnation && old.Address == t.Address {
+		return false
+	}
+	d.publish()
+	return true
+}
+
+// Replace notes the whole list of targets, as it was read at now. It returns
+// the targets that are gone.
+func (d *Directory) Replace(now time.Time, listed catalog.Targets) catalog.Targets {
+	names := make(map[id.Target]bool, len(listed))
+	for _, t := range listed {
+		names[t.ID] = true
+		delete(d.missing, t.ID)
+		d.targets[t.ID] = t
+	}
+	var gone catalog.Targets
+	for name := range d.targets {
+		if names[name] {
+			continue
+		}
+		if t := d.unlist(now, name); t != nil {
+			gone = append(gone, t)
+		}
+	}
+	d.publish()
+	return gone
+}
+
+// Remove notes that a target is no longer listed. It returns the target if it
+// counts as gone at once.
+func (d *Directory) Remove(now time.Time, name id.Target) *catalog.Target {
+	gone := d.unlist(now, name)
+	d.publish()
+	return gone
+}
+
+// unlist forgets a target, or notes it as missing while it may come back.
+func (d *Directory) unlist(now time.Time, name id.Target) *catalog.Target {
+	t, known := d.targets[name]
+	if !known {
+		return nil
+	}
+	if t.State == catalog.Ready && d.unsettled(now) {
+		if _, noted := d.missing[name]; !noted {
+			d.missing[name] = now
+		}
+		return nil
+	}
+	delete(d.targets, name)
+	delete(d.missing, name)
+	return t
+}
+
+// unsettled reports whether the key-value service's list may lack live targets.
+func (d *Directory) unsettled(now time.Time) bool {
+	return d.away || (!d.back.IsZero() && now.Before(d.back.Add(rejoinTime)))
+}
+
+// Away notes that the key-value service does not answer, and reports whether
+// that is news.
+func (d *Directory) Away() bool {
+	news := !d.away
+	d.away = true
+	return news
+}
+
+// Back notes that the key-value service answers, and reports whether it was
+// away.
+func (d *Directory) Back(now time.Time) bool {
+	if !d.away {
+		return false
+	}
+	d.away, d.back = false, now
+	return true
+}
+
+// Settle removes the targets that are still missing when they should have been
+// listed again, and returns them.
+func (d *Directory) Settle(now time.Time) catalog.Targets {
+	if len(d.missing) == 0 || d.unsettled(now) {
+		return nil
+	}
+	var gone catalog.Targets
+	for name := range d.missing {
+		if t, known := d.targets[name]; known {
+			gone = append(gone, t)
+		}
+		delete(d.targets, name)
+	}
+	clear(d.missing)
+	d.publish()
+	return gone
+}
+
+// publish makes the belief visible. Targets are in the order of their names.
+func (d *Directory) publish() {
+	v := &View{Config: d.config, Targets: map[id.Service]catalog.Targets{}}
+	for t := range maps.Values(d.targets) {
+		v.Targets[t.Service] = append(v.Targets[t.Service], t)
+	}
+	for _, ts := range v.Targets {
+		slices.SortFunc(ts, func(a, b *catalog.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
+	d.view.Store(v)
+}
--- /dev/null
+++ b/internal/protocol/direct/direct.go
@@ -0,0 +1,100 @@
+// Package direct holds the messages between clients, an entry and the targets
+// that it reaches directly: any method, path and body, with typed notes beside
+// them. How the notes are spelled in HTTP headers is a Dialect's matter.
+//
+// # Usage
+//
+//	ask, err := dialect.Ask(r.Header)
+//	dialect.Strip(h)
+//	dialect.Tell(h, direct.Order{Left: left, Target: t.ID})
+//	note := dialect.Note(res.Header)
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// AttemptID identifies one attempt of a client. The client makes it; an answer
+// to the attempt repeats it.
+type AttemptID string
+
+// EventID is the id of an event in a stream. It rises within a stream; empty
+// means before the first event.
+type EventID string
+
+// Ask is what a client says beside its request.
+type Ask struct {
+	Attempt AttemptID
+	// Timeout is how long the client waits; 0 where it does not say.
+	Timeout time.Duration
+	Key     catalog.Key
+	// LastEvent is the last event that the client has, when it goes on with a
+	// stream.
+	LastEvent EventID
+	// PromptTokens and OutputTokens are the size of a generation; the second is
+	// a bound.
+	PromptTokens int
+	OutputTokens int
+}
+
+// Order is what an entry tells a target beside a request.
+type Order struct {
+	// Left is how long the target may work.
+	Left time.Duration
+	// Target is the target that is meant; any other one refuses.
+	Target  id.Target
+	Account catalog.Account
+	// LastEvent is the last event that the client has.
+	LastEvent EventID
+	// BackupTo is the address of the engine that gets a copy of the run's
+	// memory while it grows; empty for none.
+	BackupTo string
+	// ContinueFrom is the address of the engine that holds a copy of the run's
+	// memory, from which the run goes on; empty for none.
+	ContinueFrom string
+	// Attempt names the run to go on with.
+	Attempt AttemptID
+}
+
+// Note is what a target says beside its answer.
+type Note struct {
+	Attempt AttemptID
+	// Signed says that the answer carries the target's signature.
+	Signed bool
+	// NotRun says that the target did not run the request and never will.
+	NotRun bool
+	Load   Load
+}
+
+// Load is what a target says of its load.
+type Load struct {
+	// Known is false where the target says nothing.
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Dialect reads and writes the notes in HTTP headers. All fields are set.
+type Dialect struct {
+	// Ask reads a client's notes.
+	Ask func(h http.Header) Ask
+	// Strip removes from a client's headers what only an entry may set and
+	// what targets must not see.
+	Strip func(h http.Header)
+	// Tell writes an entry's notes.
+	Tell func(h http.Header, o Order)
+	// Note reads a target's notes.
+	Note func(status int, h http.Header) Note
+	// Refusal adds to the headers of an answer of the entry's own which attempt
+	// it answers.
+	Refusal func(h http.Header, attempt AttemptID)
+	// ReportPath is where a target tells its load without using a slot.
+	ReportPath string
+	// ReadyPath is where the platform asks whether an entry takes work.
+	ReadyPath string
+}
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -10,6 +10,7 @@
 	DrainWaiting   = Event{103, "drainWaiting", Info, "A stopping process still holds work.", "wait; a second signal cuts the work that is named"}
 	DrainEnded     = Event{104, "drainEnded", Info, "A stopping process holds no work and ends.", "none"}
 	WorkCut        = Event{105, "workCut", Error, "A second signal ended a process that still held work.", "none; the callers were told"}
+	SettingsRead   = Event{107, "settingsRead", Info, "A hangup signal made the process read its settings again.", "restart the process if they changed"}
 	LoopFailed     = Event{106, "loopFailed", Error, "A duty of the process ended with an error.", "read the error; the process goes on or ends as the line says"}
 )
 
@@ -39,6 +40,7 @@
 	RequestSuspected  = Event{309, "requestSuspected", Warn, "A request's fingerprint was running when its target died alone.", "none"}
 	RequestQuarantine = Event{310, "requestQuarantined", Error, "A fingerprint is refused because it kills targets.", "look at the prompt with the contract's owner"}
 	HedgeStarted      = Event{311, "hedgeStarted", Info, "A second attempt races the first.", "none"}
+	SendEnded         = Event{313, "sendEnded", Info, "A request that was sent to a target ended there.", "see the outcome; none when it is good"}
 	BudgetExhausted   = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is used up.", "look for the loss that uses it"}
 )
 
@@ -62,6 +64,7 @@
 	ClaimRefused     = Event{506, "claimRefused", Warn, "A claim could not be made, and the call was not run.", "look at the key-value service"}
 	ClaimUnknown     = Event{507, "claimUnknown", Error, "It cannot be known whether a call that may not be repeated ran.", "ask the service's owner about the call"}
 	LeadershipGained = Event{508, "leadershipGained", Info, "This process decides on placement.", "none"}
+	WatchEnded       = Event{510, "watchEnded", Info, "A watch of the key-value service broke; the keys are read again.", "none unless it repeats"}
 	LeadershipLost   = Event{509, "leadershipLost", Info, "This process no longer decides on placement.", "none"}
 )
 
@@ -82,11 +85,11 @@
 // All returns the catalogue in the order of its numbers.
 func All() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed,
+		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed, SettingsRead,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
-		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted,
+		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted, SendEnded,
 		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale,
-		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost,
+		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded,
 		PlacementChosen, PlacementHeld, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
 }
--- /dev/null
+++ b/internal/state/settings/direct.go
@@ -0,0 +1,104 @@
+package settings
+
+import (
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Direct is the settings of an entry that reaches its targets directly.
+type Direct struct {
+	Name  id.Entry `toml:"name"`
+	Place Place    `toml:"place"`
+	// Clients is the address that clients reach, as host:port.
+	Clients string `toml:"clients"`
+	// Readiness is the address at which the platform asks whether the entry
+	// takes work.
+	Readiness string `toml:"readiness"`
+	// Operators is the address for status, metrics and health; empty for none.
+	Operators string `toml:"operators"`
+	// Peers is the address that other entries reach.
+	Peers string `toml:"peers"`
+	// Store is the key-value service's address, as host:port.
+	Store   string  `toml:"store"`
+	Limits  Process `toml:"limits"`
+	Retries Retries `toml:"retries"`
+}
+
+// Process bounds a process.
+type Process struct {
+	// MemoryMB is the memory above which the host ends the process, in MB.
+	MemoryMB float64 `toml:"memoryMB"`
+	// GraceSeconds is the time between the signal to stop and the kill.
+	GraceSeconds float64 `toml:"graceSeconds"`
+}
+
+// Grace returns the time between the signal to stop and the kill.
+func (p *Process) Grace() time.Duration {
+	return time.Duration(p.GraceSeconds * float64(time.Second))
+}
+
+// Retries bounds what all entries together send again to a service.
+type Retries struct {
+	// Ratio times the requests of a window may be sent again.
+	Ratio float64 `toml:"ratio"`
+	// Slack may be sent again besides.
+	Slack float64 `toml:"slack"`
+	// WindowSeconds is the length of the window.
+	WindowSeconds float64 `toml:"windowSeconds"`
+}
+
+// Defaults of what a file leaves out.
+const (
+	defaultGraceSeconds  = 8
+	defaultRetryRatio    = 0.2
+	defaultWindowSeconds = 10
+)
+
+// LoadDirect reads, completes and checks the settings of an entry that reaches
+// its targets directly. The error is an *Error that names the file, the line,
+// the key and what was expected.
+func LoadDirect(path string) (*Direct, error) {
+	s := &Direct{}
+	return s, load(path, s, func() error { s.Defaults(); return s.Validate() })
+}
+
+// Defaults fills in what s leaves out.
+func (s *Direct) Defaults() {
+	if s.Limits.GraceSeconds == 0 {
+		s.Limits.GraceSeconds = defaultGraceSeconds
+	}
+	if s.Retries == (Retries{}) {
+		s.Retries.Ratio = defaultRetryRatio
+	}
+	if s.Retries.WindowSeconds == 0 {
+		s.Retries.WindowSeconds = defaultWindowSeconds
+	}
+}
+
+// Validate returns a *KeyError for the first key that breaks a rule.
+func (s *Direct) Validate() error {
+	if s.Name == "" {
+		return refuse("name", "is empty, want the entry's name")
+	}
+	if err := s.Place.Validate(); err != nil {
+		return err
+	}
+	switch {
+	case s.Limits.MemoryMB < 0:
+		return refuse("limits.memoryMB", "is %v, want a number above 0, or none", s.Limits.MemoryMB)
+	case s.Limits.GraceSeconds < 0:
+		return refuse("limits.graceSeconds", "is %v, want a number above 0", s.Limits.GraceSeconds)
+	case s.Retries.Ratio < 0:
+		return refuse("retries.ratio", "is %v, want a number of 0 or more", s.Retries.Ratio)
+	case s.Retries.Slack < 0:
+		return refuse("retries.slack", "is %v, want a number of 0 or more", s.Retries.Slack)
+	case s.Retries.WindowSeconds < 0:
+		return refuse("retries.windowSeconds", "is %v, want a number above 0", s.Retries.WindowSeconds)
+	}
+	addresses := []address{{"clients", s.Clients}, {"readiness", s.Readiness}, {"store", s.Store}, {"peers", s.Peers}}
+	if s.Operators != "" {
+		addresses = append(addresses, address{"operators", s.Operators})
+	}
+	return checkAddresses(addresses...)
+}
--- /dev/null
+++ b/internal/transport/direct/direct.go
@@ -0,0 +1,162 @@
+// Package direct is the shell of an entry that reaches its targets directly,
+// without target processes: it takes clients' requests of any method, path and
+// body, and passes each on to a target of its route.
+//
+// # Usage
+//
+//	s := direct.New(cfg, deps)
+//	if err := s.Listen(); err != nil { … }
+//	err := s.Run(ctx) // until ctx ends and what runs is finished
+//
+// Decisions are taken elsewhere: coordination/directory says what is believed,
+// coordination/balance which target is asked, coordination/retry whether a
+// request is sent again, coordination/detect when a stream counts as stalled.
+package direct
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/directory"
+	"foxtailward.example/foxtailward/internal/coordination/retry"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/upstream"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Address means that the entry can't listen.
+	Address Kind = "address"
+	// Unfinished means that the grace time ended before the requests did.
+	Unfinished Kind = "unfinished"
+)
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// Codec decodes what the key-value service holds.
+type Codec struct {
+	// ConfigPrefix and TargetPrefix are watched; ConfigKey is below the first.
+	ConfigPrefix string
+	ConfigKey    string
+	TargetPrefix string
+	Config       func(data []byte) (*catalog.Config, error)
+	Target       func(i store.Item, now time.Time) (*catalog.Target, error)
+	TargetID     func(key string) (id.Target, bool)
+}
+
+// Deps are what an entry uses. All are set.
+type Deps struct {
+	Clock   clockwork.Clock
+	Log     *event.Log
+	Metrics metrics.Registry
+	Store   *store.Store
+	Codec   Codec
+	Dialect direct.Dialect
+	// Random draws from [0, 1).
+	Random func() float64
+}
+
+// Entry is an entry that reaches its targets directly.
+type Entry struct {
+	cfg  settings.Direct
+	deps Deps
+
+	directory *directory.Directory
+	balancer  *balance.Balancer
+	pool      *upstream.Pool
+	meters    *meters
+
+	retriesMu sync.Mutex
+	retries   map[id.Service]*retry.Budget
+
+	clients   net.Listener
+	readiness net.Listener
+	server    *http.Server
+	idle      *idleConns
+
+	// listed says that the targets have been read once.
+	listed   atomic.Bool
+	draining atomic.Bool
+	// drainStart is when the entry was told to stop, or nil.
+	drainStart atomic.Pointer[time.Time]
+	active     atomic.Int64
+}
+
+// New returns an entry that does not listen yet.
+func New(cfg settings.Direct, deps Deps) *Entry {
+	e := &Entry{
+		cfg: cfg, deps: deps,
+		directory: directory.New(),
+		balancer:  balance.New(cfg.Place.Zone, deps.Random),
+		meters:    newMeters(deps.Metrics),
+		retries:   map[id.Service]*retry.Budget{},
+		idle:      newIdleConns(),
+	}
+	e.pool = upstream.NewPool(upstream.Options{Opened: func() { e.meters.connections.Inc(1) }})
+	e.server = &http.Server{
+		Handler:           http.HandlerFunc(e.serve),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         e.idle.changed,
+	}
+	return e
+}
+
+// mayRepeat reports whether the retry budget of a service allows one more send.
+func (e *Entry) mayRepeat(service id.Service) bool {
+	e.retriesMu.Lock()
+	defer e.retriesMu.Unlock()
+	return e.budget(service).Again(e.deps.Clock.Now())
+}
+
+// sentFirst notes the first send of a request to a service.
+func (e *Entry) sentFirst(service id.Service) {
+	e.retriesMu.Lock()
+	defer e.retriesMu.Unlock()
+	e.budget(service).First(e.deps.Clock.Now())
+}
+
+func (e *Entry) budget(service id.Service) *retry.Budget {
+	b := e.retries[service]
+	if b == nil {
+		b = retry.New(retryConfig(e.cfg.Retries), e.deps.Clock.Now())
+		e.retries[service] = b
+	}
+	return b
+}
+
+// Shares of what all entries may send again.
+const (
+	// ratioShare is left of the ratio, since windows of entries do not end
+	// together.
+	ratioShare = 0.8
+	// slackShare is one entry's part of the fixed number, for up to some 30
+	// entries.
+	slackShare = 1.0 / 30
+)
+
+// retryConfig returns one entry's part of what all may send again.
+func retryConfig(r settings.Retries) retry.Config {
+	return retry.Config{
+		Ratio:  ratioShare * r.Ratio,
+		Slack:  slackShare * r.Slack,
+		Window: time.Duration(r.WindowSeconds * float64(time.Second)),
+	}
+}
--- /dev/null
+++ b/internal/transport/direct/follow.go
@@ -0,0 +1,187 @@
+package direct
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
+)
+
+// Pauses of the follower.
+const (
+	// followPause is the time between two tries to reach the key-value service;
+	// up to as much again is added at random.
+	followPause = 150 * time.Millisecond
+	// settleEvery is the time between two looks for targets that stay missing.
+	settleEvery = 250 * time.Millisecond
+)
+
+// follower keeps the directory in step with the key-value service.
+type follower struct {
+	e *Entry
+	// mu makes it one writer of the directory.
+	mu sync.Mutex
+	// badItems holds the revision of items that could not be decoded, so that
+	// each is logged once.
+	badItems map[string]int64
+}
+
+func newFollower(e *Entry) *follower { return &follower{e: e, badItems: map[string]int64{}} }
+
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { f.follow(ctx, f.e.deps.Codec.ConfigPrefix, f.replaceConfig, f.changeConfig) })
+	duties.Go(func() { f.follow(ctx, f.e.deps.Codec.TargetPrefix, f.replaceTargets, f.changeTarget) })
+	duties.Go(func() { f.settle(ctx) })
+	duties.Wait()
+}
+
+// follow reads the keys with a prefix and then their changes, again and again.
+func (f *follower) follow(ctx context.Context, prefix string, replace func(store.Page), change func(store.Change)) {
+	for ctx.Err() == nil {
+		page, err := f.e.deps.Store.List(ctx, prefix)
+		if err != nil {
+			f.lost(prefix, err)
+			f.pause(ctx)
+			continue
+		}
+		f.locked(func() {
+			f.regained()
+			replace(page)
+		})
+		err = f.e.deps.Store.Watch(ctx, prefix, page.Revision, func(c store.Change) {
+			f.locked(func() { change(c) })
+		})
+		if ctx.Err() == nil && !fault.Is(err, store.Compacted) {
+			f.e.deps.Log.Emit(event.WatchEnded, "prefix", prefix, "error", err)
+		}
+	}
+}
+
+func (f *follower) locked(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *follower) lost(prefix string, err error) {
+	f.locked(func() {
+		if f.e.directory.Away() {
+			f.e.deps.Log.Emit(event.StoreDown, "prefix", prefix, "error", err)
+		}
+	})
+}
+
+func (f *follower) regained() {
+	if f.e.directory.Back(f.e.deps.Clock.Now()) {
+		f.e.deps.Log.Emit(event.StoreBack)
+	}
+}
+
+func (f *follower) pause(ctx context.Context) {
+	wait := followPause + time.Duration(f.e.deps.Random()*float64(followPause))
+	select {
+	case <-ctx.Done():
+	case <-f.e.deps.Clock.After(wait):
+	}
+}
+
+func (f *follower) replaceConfig(page store.Page) {
+	for i := range page.Items {
+		f.adopt(page.Items[i])
+	}
+}
+
+func (f *follower) changeConfig(c store.Change) {
+	if !c.Deleted {
+		f.adopt(c.Item)
+	}
+}
+
+func (f *follower) adopt(i store.Item) {
+	if i.Key != f.e.deps.Codec.ConfigKey {
+		return
+	}
+	cfg, err := f.e.deps.Codec.Config(i.Value)
+	if err != nil {
+		f.refused(i, err)
+		return
+	}
+	if f.e.directory.Adopt(cfg) {
+		f.e.deps.Log.Emit(event.RevisionInForce, "version", cfg.Version, "revision", i.ModRevision, "routes", len(cfg.Routes))
+	}
+}
+
+// refused logs an item that can't be decoded, once for each revision.
+func (f *follower) refused(i store.Item, err error) {
+	if f.badItems[i.Key] == i.ModRevision {
+		return
+	}
+	f.badItems[i.Key] = i.ModRevision
+	f.e.deps.Log.Emit(event.RevisionRefused, "key", i.Key, "revision", i.ModRevision, "error", err)
+}
+
+func (f *follower) replaceTargets(page store.Page) {
+	now := f.e.deps.Clock.Now()
+	var listed catalog.Targets
+	for i := range page.Items {
+		t, err := f.e.deps.Codec.Target(page.Items[i], now)
+		if err != nil {
+			f.refused(page.Items[i], err)
+			continue
+		}
+		listed = append(listed, t)
+	}
+	f.gone(f.e.directory.Replace(now, listed))
+	f.e.listed.Store(true)
+}
+
+func (f *follower) changeTarget(c store.Change) {
+	now := f.e.deps.Clock.Now()
+	name, ok := f.e.deps.Codec.TargetID(c.Item.Key)
+	if !ok {
+		return
+	}
+	if c.Deleted {
+		if t := f.e.directory.Remove(now, name); t != nil {
+			f.gone(catalog.Targets{t})
+		}
+		return
+	}
+	t, err := f.e.deps.Codec.Target(c.Item, now)
+	if err != nil {
+		f.refused(c.Item, err)
+		return
+	}
+	if f.e.directory.Put(t) {
+		f.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", t.State, "zone", t.Zone, "incarnation", t.Incarnation, "revision", c.Item.ModRevision)
+	}
+}
+
+// gone forgets what was known of targets that have left.
+func (f *follower) gone(ts catalog.Targets) {
+	for _, t := range ts {
+		f.e.pool.Drop(t.Address)
+		f.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", "gone", "zone", t.Zone)
+	}
+	f.e.balancer.Forget(ts)
+}
+
+// settle removes targets that did not return after the service did.
+func (f *follower) settle(ctx context.Context) {
+	ticker := f.e.deps.Clock.NewTicker(settleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			f.locked(func() { f.gone(f.e.directory.Settle(f.e.deps.Clock.Now())) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/direct/stream.go
@@ -0,0 +1,268 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/detect"
+	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/protocol/eventstream"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/transport/upstream"
+)
+
+const (
+	// extraStreamSends is how many targets more than maxRuns a stream may be
+	// sent to when they refuse it unrun.
+	extraStreamSends = 6
+	// writeTimeout bounds the time that a client takes for one event.
+	writeTimeout = 2 * time.Second
+	// prefillPerToken is the time that an engine takes for a prompt's token.
+	prefillPerToken = 125 * time.Microsecond
+)
+
+// stallBounds say when the silence of an engine counts as its loss. The ceiling
+// leaves enough of the usual objective for gaps, 700 ms, to go on elsewhere.
+func stallBounds() detect.Config {
+	return detect.Config{
+		Floor:           350 * time.Millisecond,
+		Ceiling:         450 * time.Millisecond,
+		Deviations:      5.5,
+		LongestFactor:   2,
+		LongestHalfLife: time.Minute,
+		FirstFloor:      time.Second,
+		FirstFactor:     1.5,
+	}
+}
+
+// stream is the answer to a request whose answer is a stream of events.
+type stream struct {
+	c    *call
+	out  *http.ResponseController
+	last direct.EventID
+	// number is the last event's id, where ids are numbers.
+	number int64
+	// begun says that the head of the answer has been sent.
+	begun bool
+	// copyAt is the engine that holds a copy of the run that was lost.
+	copyAt *catalog.Target
+	// failure is a target's own failure, for a request that no other one takes.
+	failure *reply
+}
+
+// attempt is one run of a stream at one target.
+type attempt struct {
+	choice balance.Choice
+	// resumes says that the run goes on from the copy at the target.
+	resumes bool
+}
+
+// stream passes on a request whose answer is a stream, and goes on with it at
+// another target when one is lost.
+func (c *call) stream(ctx context.Context) {
+	s := &stream{c: c, out: http.NewResponseController(c.w), last: c.ask.LastEvent}
+	s.number, _ = (&eventstream.Event{ID: string(s.last)}).Number()
+	for c.ran < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.late() {
+		a, ok := s.next()
+		if !ok || !c.send() {
+			break
+		}
+		outcome := s.run(ctx, a)
+		if c.clientLeft() {
+			c.abandon()
+		}
+		if outcome == balance.Good {
+			s.finish()
+			return
+		}
+	}
+	s.fail()
+}
+
+// next chooses where the stream goes on: at the copy of the lost run if there
+// is one, else anew.
+func (s *stream) next() (attempt, bool) {
+	c := s.c
+	now := c.now()
+	if t := s.copyAt; t != nil {
+		s.copyAt = nil
+		if !c.tried[t.ID] && !c.e.balancer.Suspected(now, t) {
+			backup := c.e.balancer.BackupFor(now, c.need, c.targets, t, c.tried)
+			return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: "holdsCopy"}, resumes: true}, true
+		}
+	}
+	choice, ok := c.e.balancer.Choose(now, c.need, c.targets, c.tried)
+	return attempt{choice: choice}, ok
+}
+
+// run sends the request to one target and passes on its events.
+func (s *stream) run(ctx context.Context, a attempt) balance.Outcome {
+	c := s.c
+	c.tried[a.choice.Target.ID] = true
+	need := c.need
+	if a.resumes {
+		need.PromptTokens, need.OutputTokens = 0, c.need.PromptTokens+c.need.OutputTokens
+	}
+	run := c.e.balancer.Start(a.choice, need)
+	sent := c.now()
+	if c.sends > 1 {
+		c.log(event.RecoveryChosen, "target", a.choice.Target.ID, "reason", a.choice.Reason, "lastEvent", s.last)
+	}
+	outcome, err := s.relay(ctx, a, run)
+	if c.clientLeft() {
+		outcome = balance.Left
+	}
+	if outcome != balance.Refused && outcome != balance.Unreached {
+		c.ran++
+		s.copyAt = a.choice.Backup
+	}
+	c.refusedBusy = c.refusedBusy || outcome == balance.Refused
+	c.ended(run, a.choice, outcome, sent, err)
+	return outcome
+}
+
+// relay passes on the events of one run until it ends or is lost.
+func (s *stream) relay(ctx context.Context, a attempt, run *balance.Run) (balance.Outcome, error) {
+	c := s.c
+	expect := detect.Expectation{Pace: c.route.GapObjective / 20, PrefillPerToken: prefillPerToken}
+	if !a.resumes {
+		expect.Prefill = c.need.PromptTokens
+	}
+	detector := detect.New(stallBounds(), c.now(), expect)
+	answer, err := c.e.pool.Do(ctx, a.choice.Target.Address, s.request(a), s.due(detector))
+	if err != nil {
+		return lossOutcome(err), err
+	}
+	defer answer.Close()
+	if outcome, err := s.checkHead(answer); outcome != balance.Good {
+		return outcome, err
+	}
+	events := eventstream.NewReader(answer.Body)
+	for {
+		answer.ReadUntil(s.due(detector))
+		next, err := events.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return balance.Good, s.begin(answer)
+		case err != nil:
+			return balance.Lost, err
+		}
+		run.Began()
+		detector.Tokens(c.now(), 1)
+		if err := s.pass(answer, &next); err != nil {
+			return balance.Left, err
+		}
+	}
+}
+
+func (s *stream) request(a attempt) *upstream.Request {
+	c := s.c
+	order := c.order(a.choice)
+	order.LastEvent = s.last
+	if a.resumes {
+		order.ContinueFrom = a.choice.Target.Address
+	}
+	header := c.header.Clone()
+	c.e.deps.Dialect.Tell(header, order)
+	return &upstream.Request{Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
+}
+
+// due returns until when the next bytes must come.
+func (s *stream) due(d *detect.Detector) time.Time {
+	_, due := d.Verdict(s.c.now())
+	if due.IsZero() {
+		due = s.c.now()
+	}
+	if due.After(s.c.deadline) {
+		return s.c.deadline
+	}
+	return due
+}
+
+// checkHead says whether the events of an answer may be passed on.
+func (s *stream) checkHead(a *upstream.Answer) (balance.Outcome, error) {
+	c := s.c
+	note := c.e.deps.Dialect.Note(a.Status, a.Header)
+	switch {
+	case note.Attempt != c.ask.Attempt:
+		return balance.Lost, errForeign
+	case note.NotRun:
+		return balance.Refused, nil
+	case a.Status < http.StatusMultipleChoices && note.Signed:
+		return balance.Good, nil
+	case a.Status < http.StatusMultipleChoices:
+		return balance.Lost, errUnsigned
+	}
+	a.ReadUntil(c.deadline)
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	if err == nil {
+		s.failure = &reply{status: a.Status, header: a.Header, note: note, body: body}
+	}
+	return balance.Failed, err
+}
+
+// begin sends the head of the first run's answer.
+func (s *stream) begin(a *upstream.Answer) error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	copyHeaders(s.c.w.Header(), a.Header)
+	s.c.w.WriteHeader(a.Status)
+	s.c.e.meters.firstEvent.Update(s.c.now().Sub(s.c.start))
+	return s.out.Flush()
+}
+
+// pass writes one event to the client, unless the client has it already.
+func (s *stream) pass(a *upstream.Answer, next *eventstream.Event) error {
+	number, numbered := next.Number()
+	if numbered && number <= s.number {
+		s.c.log(event.FrameDropped, "eventID", next.ID)
+		return nil
+	}
+	if err := s.begin(a); err != nil {
+		return err
+	}
+	if err := s.out.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := s.c.w.Write(next.Raw); err != nil {
+		return err
+	}
+	if next.ID != "" {
+		s.last = direct.EventID(next.ID)
+	}
+	if numbered {
+		s.number = number
+	}
+	return s.out.Flush()
+}
+
+// finish ends a whole answer.
+func (s *stream) finish() {
+	c := s.c
+	// The connection is used again, without a bound on its writes.
+	_ = s.out.SetWriteDeadline(time.Time{})
+	c.e.meters.answered(c.now().Sub(c.start))
+	c.log(event.RequestFinished, "sends", c.sends, "lastEvent", s.last, "after", c.now().Sub(c.start))
+}
+
+// fail ends an answer that can't be made whole.
+func (s *stream) fail() {
+	c := s.c
+	switch {
+	case s.begun:
+		c.e.meters.broken.Inc(1)
+		c.log(event.RequestFailed, "reason", "streamBroken", "sends", c.sends, "lastEvent", s.last, "after", c.now().Sub(c.start))
+		c.abort()
+	case s.failure != nil && !c.clientLeft():
+		c.relay(s.failure)
+	default:
+		c.giveUp()
+	}
+}
--- /dev/null
+++ b/internal/transport/upstream/pool.go
@@ -0,0 +1,175 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options are the bounds of a Pool; zero values mean the defaults.
+type Options struct {
+	// DialTimeout bounds the time to open a connection.
+	DialTimeout time.Duration
+	// KeepTime is how long an idle connection is kept whose target does not
+	// say how long it keeps it.
+	KeepTime time.Duration
+	// KeepMost is how many idle connections are kept for each target.
+	KeepMost int
+	// Opened is called for each new connection; nil for none.
+	Opened func()
+}
+
+// Defaults of Options.
+const (
+	defaultDialTimeout = 150 * time.Millisecond
+	defaultKeepTime    = 4 * time.Second
+	defaultKeepMost    = 16
+
+	// keepMargin is taken off the time that a target keeps a connection, so
+	// that a request does not meet its close.
+	keepMargin = time.Second
+
+	// probeEvery is the time between two keep-alive probes of a connection.
+	probeEvery = time.Second
+	probeCount = 2
+)
+
+// Pool keeps idle connections to targets. It is safe for concurrent use.
+type Pool struct {
+	opts   Options
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// NewPool returns an empty Pool.
+func NewPool(o Options) *Pool {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.KeepTime == 0 {
+		o.KeepTime = defaultKeepTime
+	}
+	if o.KeepMost == 0 {
+		o.KeepMost = defaultKeepMost
+	}
+	return &Pool{
+		opts: o,
+		dialer: net.Dialer{
+			Timeout:         o.DialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
+		},
+		idle: map[string][]*conn{},
+	}
+}
+
+// get returns a kept connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		if c.usable(now) {
+			return c, nil
+		}
+		c.abort()
+	}
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.opts.Opened != nil {
+		p.opts.Opened()
+	}
+	return newConn(c, address), nil
+}
+
+// take returns the connection that was used last, or nil.
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	c := kept[len(kept)-1]
+	p.idle[address] = kept[:len(kept)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn, life time.Duration) {
+	if life == 0 {
+		life = p.opts.KeepTime
+	}
+	c.since, c.life = time.Now(), life
+	p.mu.Lock()
+	kept := p.idle[c.address]
+	full := len(kept) >= p.opts.KeepMost
+	if !full {
+		p.idle[c.address] = append(kept, c)
+	}
+	p.mu.Unlock()
+	if full {
+		c.abort()
+	}
+}
+
+// Sweep closes the idle connections whose time is over.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	var over []*conn
+	p.mu.Lock()
+	for address, kept := range p.idle {
+		fresh := kept[:0]
+		for _, c := range kept {
+			if now.Sub(c.since) > c.life {
+				over = append(over, c)
+				continue
+			}
+			fresh = append(fresh, c)
+		}
+		p.idle[address] = fresh
+		if len(fresh) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range over {
+		c.abort()
+	}
+}
+
+// Drop closes the idle connections to an address, whose target is gone.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	kept := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range kept {
+		c.abort()
+	}
+}
+
+// keepAlive returns how long the target says that it keeps the connection, less
+// a margin; 0 where it says nothing.
+func keepAlive(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil || seconds < 0 {
+			return 0
+		}
+		return max(time.Duration(seconds)*time.Second-keepMargin, 1)
+	}
+	return 0
+}
