Avoid targets that were known before their zone was lost, and move what waits there

Requests without a first event waited for a timeout in zones that were dark.

Change: two losses of one service and zone within 0.8 s make all targets suspect that were known by then, for 4 s; ids listed later are trusted. 421 drops the id. Requests without a first event in a lost zone are cancelled and sent elsewhere at once.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -10,7 +10,7 @@
 //
 //	b := balance.New(zone, rand.Float64)
 //	choice, ok := b.Choose(now, ask, targets, tried)
-//	run := b.Start(now, choice, ask)
+//	run := b.Start(now, choice, ask, cancel)
 //	run.Began()
 //	run.End(now, balance.Good)
 //
@@ -70,6 +70,8 @@
 	Lost Outcome = "lost"
 	// Unreached targets took no connection.
 	Unreached Outcome = "unreached"
+	// Replaced targets have ended; their address answers for another one.
+	Replaced Outcome = "replaced"
 	// Left requests were cancelled by their client.
 	Left Outcome = "left"
 )
@@ -82,13 +84,15 @@
 	mu      sync.Mutex
 	targets map[id.Target]*record
 	groups  map[group]*zoneRecord
+	// waiting holds the requests that have not begun to be answered.
+	waiting map[*Run]struct{}
 }
 
 // New returns a Balancer of an entry in the zone. random draws from [0, 1).
 func New(zone id.Zone, random func() float64) *Balancer {
 	return &Balancer{
 		zone: zone, random: random,
-		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{},
+		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, waiting: map[*Run]struct{}{},
 	}
 }
 
@@ -150,7 +154,12 @@
 func (b *Balancer) Suspected(now time.Time, t *catalog.Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.record(t).suspectUntil) || b.zoneRecord(t).lost(now)
+	return b.suspected(now, t)
+}
+
+func (b *Balancer) suspected(now time.Time, t *catalog.Target) bool {
+	r := b.record(now, t)
+	return now.Before(r.suspectUntil) || b.zoneRecord(t).lost(now, r.since)
 }
 
 // Forget drops what is known of targets that are gone.
@@ -163,10 +172,10 @@
 }
 
 // record returns the record of the target's present incarnation.
-func (b *Balancer) record(t *catalog.Target) *record {
+func (b *Balancer) record(now time.Time, t *catalog.Target) *record {
 	r := b.targets[t.ID]
 	if r == nil || r.incarnation != t.Incarnation {
-		r = &record{incarnation: t.Incarnation}
+		r = &record{incarnation: t.Incarnation, since: now}
 		b.targets[t.ID] = r
 	}
 	return r
--- /dev/null
+++ b/internal/coordination/balance/balance_test.go
@@ -0,0 +1,165 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+func engine() *catalog.Engine {
+	return &catalog.Engine{Slots: 12, MemoryTokens: 88000, Backups: true}
+}
+
+func report() balance.Ask {
+	return balance.Ask{Engine: engine(), PromptTokens: 8000, OutputTokens: 1000}
+}
+
+// targets returns n ready targets of a service in each zone.
+func targets(service id.Service, n int, zones ...id.Zone) catalog.Targets {
+	var ts catalog.Targets
+	for _, zone := range zones {
+		for i := range n {
+			ts = append(ts, &catalog.Target{
+				ID: id.Target(fmt.Sprintf("%s-%s-%d", service, zone, i)), Service: service, Zone: zone,
+				Address: fmt.Sprintf("10.0.0.%d:80", len(ts)+1), Slots: 12, State: catalog.Ready,
+			})
+		}
+	}
+	return ts
+}
+
+func newBalancer() *balance.Balancer { return balance.New("a", func() float64 { return 0 }) }
+
+func TestChoose(t *testing.T) {
+	tests := []struct {
+		name    string
+		targets catalog.Targets
+		tried   map[id.Target]bool
+		before  func(b *balance.Balancer, ts catalog.Targets)
+		want    id.Target
+	}{
+		{name: "none", want: ""},
+		{name: "own zone first", targets: targets("m", 1, "b", "a"), want: "m-a-0"},
+		{name: "not the tried one", targets: targets("m", 1, "b", "a"), tried: map[id.Target]bool{"m-a-0": true}, want: "m-b-0"},
+		{name: "least prefill", targets: targets("m", 1, "b", "a"), want: "m-b-0", before: func(b *balance.Balancer, ts catalog.Targets) {
+			b.Start(start, balance.Choice{Target: ts[1]}, report(), nil)
+		}},
+		{name: "not a draining one", targets: targets("m", 1, "b", "a"), want: "m-b-0", before: func(_ *balance.Balancer, ts catalog.Targets) {
+			ts[1].State = catalog.Draining
+		}},
+		{name: "not one that was just lost", targets: targets("m", 1, "b", "a"), want: "m-b-0", before: func(b *balance.Balancer, ts catalog.Targets) {
+			b.Start(start, balance.Choice{Target: ts[1]}, report(), nil).End(start, balance.Lost)
+		}},
+		{name: "not one whose address was given away", targets: targets("m", 1, "b", "a"), want: "m-b-0", before: func(b *balance.Balancer, ts catalog.Targets) {
+			b.Start(start, balance.Choice{Target: ts[1]}, report(), nil).End(start, balance.Replaced)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer()
+			if tt.before != nil {
+				tt.before(b, tt.targets)
+			}
+			choice, ok := b.Choose(start, report(), tt.targets, tt.tried)
+			is.Equal(ok, tt.want != "")
+			if ok {
+				is.Equal(choice.Target.ID, tt.want)
+			}
+		})
+	}
+}
+
+// A run is copied to another availability zone, since zones fail as one.
+func TestChooseBackup(t *testing.T) {
+	is := is.New(t)
+	ts := targets("m", 2, "a", "b")
+	choice, ok := newBalancer().Choose(start, report(), ts, nil)
+	is.True(ok)
+	is.True(choice.Backup != nil)
+	is.True(choice.Backup.Zone != choice.Target.Zone)
+
+	choice, ok = newBalancer().Choose(start, report(), ts[:2], nil)
+	is.True(ok)
+	is.True(choice.Backup == nil) // there is no other zone
+}
+
+// Two losses in one zone within a moment make all of its targets suspect that
+// were known before, and none that was listed later.
+func TestChooseZoneLost(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 3, "a", "b")
+	_, ok := b.Choose(start, report(), ts, nil)
+	is.True(ok)
+	first := b.Start(start, balance.Choice{Target: ts[0]}, report(), nil)
+	second := b.Start(start, balance.Choice{Target: ts[1]}, report(), nil)
+	is.True(!first.End(start, balance.Lost))
+	is.True(second.End(start.Add(100*time.Millisecond), balance.Lost)) // the zone is lost with it
+	later := start.Add(time.Second)
+	is.True(b.Suspected(later, ts[2]))
+
+	choice, ok := b.Choose(later, report(), ts, nil)
+	is.True(ok)
+	is.Equal(choice.Target.Zone, id.Zone("b"))
+
+	again := &catalog.Target{ID: "m-a-new", Service: "m", Zone: "a", Address: "10.0.0.1:80", State: catalog.Ready}
+	choice, ok = b.Choose(later, report(), append(ts, again), nil)
+	is.True(ok)
+	is.Equal(choice.Target.ID, again.ID)
+	is.True(!b.Suspected(start.Add(5*time.Second), ts[2])) // it answers for itself by then
+}
+
+// Requests that wait for their first event in a zone that is lost are
+// cancelled, so that they are sent elsewhere; those that run are left alone.
+func TestStartCancel(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 4, "a", "b")
+	cancelled := map[string]int{}
+	begin := func(name string, target *catalog.Target) *balance.Run {
+		return b.Start(start, balance.Choice{Target: target}, report(), func() { cancelled[name]++ })
+	}
+	begin("waits", ts[0])
+	begin("runs", ts[1]).Began(start)
+	begin("elsewhere", ts[4])
+	begin("first", ts[2]).End(start, balance.Lost)
+	is.Equal(len(cancelled), 0)
+	begin("second", ts[3]).End(start, balance.Lost)
+	is.Equal(cancelled, map[string]int{"waits": 1})
+}
+
+func TestRunEnd(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 1, "a", "b")
+	run := b.Start(start, balance.Choice{Target: ts[0], Backup: ts[1]}, report(), nil)
+	run.End(start, balance.Good)
+	run.End(start, balance.Lost) // a second word changes nothing
+	choice, ok := b.Choose(start, report(), ts, nil)
+	is.True(ok)
+	is.Equal(choice.Target.ID, ts[0].ID)
+}
+
+// A target that fails part of its requests gets fewer, and is tried again.
+func TestChooseOutlier(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("app", 1, "a", "b")
+	ask := balance.Ask{}
+	for range 10 {
+		b.Start(start, balance.Choice{Target: ts[0]}, ask, nil).End(start, balance.Failed)
+	}
+	choice, _ := b.Choose(start, ask, ts, nil)
+	is.Equal(choice.Target.ID, ts[1].ID)
+	choice, _ = b.Choose(start.Add(20*time.Second), ask, ts, nil)
+	is.Equal(choice.Target.ID, ts[0].ID)
+}
--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -34,7 +34,7 @@
 )
 
 func (b *Balancer) cost(now time.Time, ask Ask, t *catalog.Target) float64 {
-	r := b.record(t)
+	r := b.record(now, t)
 	cost := jitter*b.random() + badCost*r.badShare(now)
 	if ask.Engine != nil {
 		cost += b.engineCost(ask, r, t)
@@ -44,10 +44,7 @@
 	if now.Before(t.ColdUntil) {
 		cost *= coldFactor
 	}
-	if now.Before(r.suspectUntil) {
-		cost += suspectCost
-	}
-	if b.zoneRecord(t).lost(now) {
+	if b.suspected(now, t) {
 		cost += suspectCost
 	}
 	return cost
@@ -70,10 +67,10 @@
 }
 
 func (b *Balancer) backupCost(now time.Time, ask Ask, t *catalog.Target) float64 {
-	r := b.record(t)
+	r := b.record(now, t)
 	cost := jitter*b.random() + runCost*float64(r.running+r.backups) + memoryCost*memoryShare(ask, r)
 	cost += float64(r.prefill) / prefillPerSecond
-	if now.Before(r.suspectUntil) || b.zoneRecord(t).lost(now) {
+	if b.suspected(now, t) {
 		cost += suspectCost
 	}
 	return cost
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -21,8 +21,14 @@
 	// zoneLosses is the number of targets whose loss within zoneWindow makes the
 	// whole zone suspect.
 	zoneLosses = 2
-	// zoneAvoid is how long a zone is avoided after the last such loss.
-	zoneAvoid = 1200 * time.Millisecond
+	// zoneAvoid is how long the targets of a zone that were known before its
+	// loss are avoided. Those that have ended are no longer listed by then, and
+	// those that start again are new ones.
+	zoneAvoid = 4 * time.Second
+
+	// replacedAvoid is how long a target is avoided whose address answers for
+	// another one. It is no longer listed by then.
+	replacedAvoid = 10 * time.Second
 
 	// badHalfLife is the time in which the share of bad outcomes halves while
 	// nothing is sent.
@@ -34,6 +40,8 @@
 // record is what is known of one incarnation of a target.
 type record struct {
 	incarnation id.Incarnation
+	// since is when the target was first seen.
+	since time.Time
 	// running counts the entry's requests in flight, prefill the prompt tokens
 	// of those that have not begun to answer.
 	running int
@@ -78,11 +86,16 @@
 
 // zoneRecord holds the recent losses of a group of targets.
 type zoneRecord struct {
-	losses     map[id.Target]time.Time
-	avoidUntil time.Time
+	losses map[id.Target]time.Time
+	// lostAt is when the group was last lost.
+	lostAt time.Time
 }
 
-func (z *zoneRecord) lost(now time.Time) bool { return now.Before(z.avoidUntil) }
+// lost reports whether a target that was first seen at since may have been lost
+// with its group.
+func (z *zoneRecord) lost(now, since time.Time) bool {
+	return !z.lostAt.IsZero() && now.Sub(z.lostAt) < zoneAvoid && !since.After(z.lostAt)
+}
 
 // lose notes the loss of a target, and reports whether the zone has become
 // suspect by it.
@@ -96,8 +109,8 @@
 	if len(z.losses) < zoneLosses {
 		return false
 	}
-	news := !z.lost(now)
-	z.avoidUntil = now.Add(zoneAvoid)
+	news := z.lostAt.IsZero() || now.Sub(z.lostAt) > zoneWindow
+	z.lostAt = now
 	return news
 }
 
@@ -110,37 +123,44 @@
 	backup *catalog.Target
 	began  bool
 	ended  bool
+	// cancel is called when the run's group is lost before the run began.
+	cancel func()
 }
 
-// Start counts a request at the choice's target, and its copy at the backup.
-func (b *Balancer) Start(c Choice, ask Ask) *Run {
+// Start counts a request at the choice's target, and its copy at the backup. If
+// the target is lost with its zone before the request began, cancel is called;
+// it may be nil, and must not block.
+func (b *Balancer) Start(now time.Time, c Choice, ask Ask, cancel func()) *Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.record(c.Target)
+	r := b.record(now, c.Target)
 	r.running++
 	r.prefill += ask.PromptTokens
 	r.memory += ask.memory()
 	if c.Backup != nil {
-		held := b.record(c.Backup)
+		held := b.record(now, c.Backup)
 		held.backups++
 		held.memory += ask.memory()
 	}
-	return &Run{b: b, ask: ask, target: c.Target, backup: c.Backup}
+	run := &Run{b: b, ask: ask, target: c.Target, backup: c.Backup, cancel: cancel}
+	b.waiting[run] = struct{}{}
+	return run
 }
 
 // Began notes that the target has begun to answer.
-func (r *Run) Began() {
+func (r *Run) Began(now time.Time) {
 	r.b.mu.Lock()
 	defer r.b.mu.Unlock()
-	r.begin()
+	r.begin(now)
 }
 
-func (r *Run) begin() {
+func (r *Run) begin(now time.Time) {
 	if r.began {
 		return
 	}
 	r.began = true
-	rec := r.b.record(r.target)
+	delete(r.b.waiting, r)
+	rec := r.b.record(now, r.target)
 	rec.prefill = max(0, rec.prefill-r.ask.PromptTokens)
 }
 
@@ -153,26 +173,43 @@
 		return false
 	}
 	r.ended = true
-	r.begin()
-	r.release()
+	r.begin(now)
+	r.release(now)
 	return r.b.judge(now, r.target, o)
 }
 
 // release gives back what Start counted. An incarnation that has ended since
 // then has nothing to give back.
-func (r *Run) release() {
-	rec := r.b.record(r.target)
+func (r *Run) release(now time.Time) {
+	rec := r.b.record(now, r.target)
 	rec.running = max(0, rec.running-1)
 	rec.memory = max(0, rec.memory-r.ask.memory())
 	if r.backup != nil {
-		held := r.b.record(r.backup)
+		held := r.b.record(now, r.backup)
 		held.backups = max(0, held.backups-1)
 		held.memory = max(0, held.memory-r.ask.memory())
 	}
 }
 
+// lose notes the loss of a target, and reports whether its group was lost with
+// it. Requests that wait for a target of the group would wait in vain.
+func (b *Balancer) lose(now time.Time, t *catalog.Target) bool {
+	z := b.zoneRecord(t)
+	news := z.lose(now, t.ID)
+	if z.lostAt.IsZero() || now.Sub(z.lostAt) > zoneWindow {
+		return news
+	}
+	for run := range b.waiting {
+		same := run.target.Service == t.Service && run.target.Zone == t.Zone
+		if same && run.cancel != nil && z.lost(now, b.record(now, run.target).since) {
+			run.cancel()
+		}
+	}
+	return news
+}
+
 func (b *Balancer) judge(now time.Time, t *catalog.Target, o Outcome) bool {
-	rec := b.record(t)
+	rec := b.record(now, t)
 	switch o {
 	case Good:
 		rec.losses = 0
@@ -183,7 +220,9 @@
 	case Lost, Unreached:
 		rec.note(now, 1)
 		rec.suspect(now)
-		return b.zoneRecord(t).lose(now, t.ID)
+		return b.lose(now, t)
+	case Replaced:
+		rec.suspectUntil = now.Add(replacedAvoid)
 	case Left:
 	}
 	return false
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -68,13 +68,13 @@
 // once sends the request to one target and reads its whole answer.
 func (c *call) once(ctx context.Context, choice balance.Choice) (*reply, balance.Outcome) {
 	c.tried[choice.Target.ID] = true
-	run := c.e.balancer.Start(choice, c.need)
 	sent := c.now()
+	run := c.e.balancer.Start(sent, choice, c.need, nil)
 	answer, outcome, err := c.exchange(ctx, choice)
 	if c.clientLeft() {
 		outcome = balance.Left
 	}
-	if outcome != balance.Refused && outcome != balance.Unreached {
+	if mayHaveRun(outcome) {
 		c.ran++
 	}
 	c.ended(run, choice, outcome, sent, err)
@@ -144,6 +144,8 @@
 // was not run are believed only with the target's own word.
 func (c *call) judge(a *reply) balance.Outcome {
 	switch {
+	case a.status == http.StatusMisdirectedRequest:
+		return balance.Replaced
 	case a.note.NotRun:
 		return balance.Refused
 	case a.status >= http.StatusInternalServerError, promisesNotRun(a.status):
@@ -183,6 +185,15 @@
 	c.log(event.RequestFinished, "status", a.status, "sends", c.sends, "after", c.now().Sub(c.start))
 }
 
+// mayHaveRun reports whether a target may have run a request that ended so.
+func mayHaveRun(o balance.Outcome) bool {
+	switch o {
+	case balance.Refused, balance.Unreached, balance.Replaced:
+		return false
+	}
+	return true
+}
+
 // lossOutcome says what an error of the upstream connection means.
 func lossOutcome(err error) balance.Outcome {
 	if fault.Is(err, upstream.NotSent) {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -35,8 +35,8 @@
 		Deviations:      5.5,
 		LongestFactor:   2,
 		LongestHalfLife: time.Minute,
-		FirstFloor:      time.Second,
-		FirstFactor:     1.5,
+		FirstFloor:      2 * time.Second,
+		FirstFactor:     2,
 	}
 }
 
@@ -108,8 +108,10 @@
 	if a.resumes {
 		need.PromptTokens, need.OutputTokens = 0, c.need.PromptTokens+c.need.OutputTokens
 	}
-	run := c.e.balancer.Start(a.choice, need)
 	sent := c.now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run := c.e.balancer.Start(sent, a.choice, need, cancel)
 	if c.sends > 1 {
 		c.log(event.RecoveryChosen, "target", a.choice.Target.ID, "reason", a.choice.Reason, "lastEvent", s.last)
 	}
@@ -117,7 +119,7 @@
 	if c.clientLeft() {
 		outcome = balance.Left
 	}
-	if outcome != balance.Refused && outcome != balance.Unreached {
+	if mayHaveRun(outcome) {
 		c.ran++
 		s.copyAt = a.choice.Backup
 	}
@@ -152,7 +154,7 @@
 		case err != nil:
 			return balance.Lost, err
 		}
-		run.Began()
+		run.Began(c.now())
 		detector.Tokens(c.now(), 1)
 		if err := s.pass(answer, &next); err != nil {
 			return balance.Left, err
@@ -191,6 +193,8 @@
 	switch {
 	case note.Attempt != c.ask.Attempt:
 		return balance.Lost, errForeign
+	case a.Status == http.StatusMisdirectedRequest:
+		return balance.Replaced, nil
 	case note.NotRun:
 		return balance.Refused, nil
 	case a.Status < http.StatusMultipleChoices && note.Signed:
