Choose targets from what is known now, and end a drain in time

Change: each choice reads the directory anew; a copy's holder must still be ready. A stopping entry waits for its streams, then refuses what comes, unrun, and ends once nothing is in hand; it takes no request that its grace time would cut.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -51,6 +51,8 @@
 const (
 	// LeastCost targets are expected to answer first.
 	LeastCost Reason = "leastCost"
+	// HoldsCopy targets hold a copy of the run that goes on.
+	HoldsCopy Reason = "holdsCopy"
 	// LastResort targets are suspected, as are all others.
 	LastResort Reason = "lastResort"
 )
--- a/internal/state/catalog/target.go
+++ b/internal/state/catalog/target.go
@@ -46,3 +46,13 @@
 	}
 	return ready
 }
+
+// Find returns the target with the name, or nil.
+func (ts Targets) Find(name id.Target) *Target {
+	for _, t := range ts {
+		if t.ID == name {
+			return t
+		}
+	}
+	return nil
+}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -14,6 +14,7 @@
 package direct
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -61,7 +62,7 @@
 	TargetID     func(key string) (id.Target, bool)
 }
 
-// Deps are what an entry uses. All are set.
+// Deps are what an entry uses. All are set but for the last two.
 type Deps struct {
 	Clock   clockwork.Clock
 	Log     *event.Log
@@ -71,6 +72,10 @@
 	Dialect direct.Dialect
 	// Random draws from [0, 1).
 	Random func() float64
+	// Listen opens an address, as host:port, and Dial connects to one; nil
+	// means TCP.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Entry is an entry that reaches its targets directly.
@@ -96,11 +101,18 @@
 	draining atomic.Bool
 	// drainStart is when the entry was told to stop, or nil.
 	drainStart atomic.Pointer[time.Time]
-	active     atomic.Int64
+	// closing says that the entry takes no request any more.
+	closing atomic.Bool
+	// active counts the requests in hand, streams those that are streams.
+	active  atomic.Int64
+	streams atomic.Int64
 }
 
 // New returns an entry that does not listen yet.
 func New(cfg settings.Direct, deps Deps) *Entry {
+	if deps.Listen == nil {
+		deps.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	e := &Entry{
 		cfg: cfg, deps: deps,
 		directory: directory.New(),
@@ -109,7 +121,7 @@
 		retries:   map[id.Service]*retry.Budget{},
 		idle:      newIdleConns(),
 	}
-	e.pool = upstream.NewPool(upstream.Options{Opened: func() { e.meters.connections.Inc(1) }})
+	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Opened: func() { e.meters.connections.Inc(1) }})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -36,7 +36,6 @@
 	route   *catalog.Route
 	account *catalog.ClientAccount
 	service id.Service
-	targets catalog.Targets
 	need    balance.Ask
 	body    []byte
 	// header is what every target gets of the client's headers.
@@ -68,6 +67,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Repeat == catalog.Streaming {
+		e.streams.Add(1)
+		defer e.streams.Add(-1)
 		c.stream(ctx)
 		return
 	}
@@ -98,19 +99,29 @@
 		c.account = account
 	}
 	c.service = route.Pick(c.e.deps.Random())
-	c.targets = view.Targets[c.service]
 	c.need = balance.Ask{
 		Engine:       c.cfg.Services[c.service].Engine,
 		PromptTokens: c.ask.PromptTokens, OutputTokens: c.ask.OutputTokens,
 	}
 	c.setDeadline()
-	if c.route.Repeat == catalog.Streaming && c.e.leavesBefore(c.start.Add(streamTime)) {
+	if c.e.leavesBefore(c.start.Add(c.usualTime())) {
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "draining", retryAfter: otherEntryRetryAfter})
 		return false
 	}
 	return true
 }
 
+// usualTime returns how long a request of the route takes at most, as a rule.
+func (c *call) usualTime() time.Duration {
+	if c.route.Repeat == catalog.Streaming {
+		return streamTime
+	}
+	return plainTime
+}
+
+// targets returns the targets of the request's service as they are known now.
+func (c *call) targets() catalog.Targets { return c.e.directory.View().Targets[c.service] }
+
 func (c *call) setDeadline() {
 	timeout := c.route.Timeout
 	if timeout == 0 {
--- a/internal/transport/direct/meters.go
+++ b/internal/transport/direct/meters.go
@@ -9,6 +9,12 @@
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 )
 
+// The histograms keep a sample that leans to the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
+
 // meters are the entry's counters and latency histograms.
 type meters struct {
 	registry    metrics.Registry
@@ -16,8 +22,8 @@
 	abandoned   metrics.Counter
 	broken      metrics.Counter
 	connections metrics.Counter
-	whole       metrics.Timer
-	firstEvent  metrics.Timer
+	whole       metrics.Histogram
+	firstEvent  metrics.Histogram
 }
 
 func newMeters(r metrics.Registry) *meters {
@@ -27,13 +33,16 @@
 		abandoned:   metrics.NewRegisteredCounter("requestsAbandoned", r),
 		broken:      metrics.NewRegisteredCounter("streamsBroken", r),
 		connections: metrics.NewRegisteredCounter("targetConnections", r),
-		whole:       metrics.NewRegisteredTimer("answers", r),
-		firstEvent:  metrics.NewRegisteredTimer("firstEvents", r),
+		whole:       newLatency("answersUs", r),
+		firstEvent:  newLatency("firstEventsUs", r),
 	}
 }
 
 // answered notes a whole answer and the time that it took.
-func (m *meters) answered(took time.Duration) { m.whole.Update(took) }
+func (m *meters) answered(took time.Duration) { m.whole.Update(took.Microseconds()) }
+
+// begun notes the time to the first event of a stream.
+func (m *meters) begun(took time.Duration) { m.firstEvent.Update(took.Microseconds()) }
 
 // refusal counts a failure of the entry's own.
 func (m *meters) refusal(f refusal) {
@@ -42,5 +51,15 @@
 
 // sent notes the outcome of one send to a target.
 func (m *meters) sent(o balance.Outcome, took time.Duration) {
-	metrics.GetOrRegisterTimer("sends."+string(o), m.registry).Update(took)
+	h := m.registry.GetOrRegister("sendsUs."+string(o), newSampled)
+	h.(metrics.Histogram).Update(took.Microseconds())
 }
+
+// newLatency registers a histogram of times, in microseconds.
+func newLatency(name string, r metrics.Registry) metrics.Histogram {
+	return metrics.NewRegisteredHistogram(name, r, newSample())
+}
+
+func newSampled() metrics.Histogram { return metrics.NewHistogram(newSample()) }
+
+func newSample() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleDecay) }
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -40,7 +40,7 @@
 func (c *call) plain(ctx context.Context) {
 	var kept *reply
 	for c.sends < c.maxRuns()+extraSends && c.ran < c.maxRuns() && !c.late() {
-		choice, ok := c.e.balancer.Choose(c.now(), c.need, c.targets, c.tried)
+		choice, ok := c.e.balancer.Choose(c.now(), c.need, c.targets(), c.tried)
 		if !ok || !c.send() {
 			break
 		}
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -20,8 +20,9 @@
 	rotationTime = 2500 * time.Millisecond
 	// graceMargin is left of the grace time when what still runs is cut.
 	graceMargin = 400 * time.Millisecond
-	// streamTime is how long a stream usually takes.
+	// streamTime and plainTime are how long requests take at most, as a rule.
 	streamTime = 6 * time.Second
+	plainTime  = time.Second
 	// lookEvery is the time between two looks whether requests still run.
 	lookEvery = 50 * time.Millisecond
 	// sweepEvery is the time between two looks for connections idle too long.
@@ -34,11 +35,11 @@
 
 // Listen opens the entry's addresses.
 func (e *Entry) Listen() error {
-	clients, err := net.Listen("tcp", e.cfg.Clients)
+	clients, err := e.deps.Listen(e.cfg.Clients)
 	if err != nil {
 		return fault.Wrap("Entry.Listen", Address, err)
 	}
-	readiness, err := net.Listen("tcp", e.cfg.Readiness)
+	readiness, err := e.deps.Listen(e.cfg.Readiness)
 	if err != nil {
 		return fault.Wrap("Entry.Listen", Address, err)
 	}
@@ -120,18 +121,20 @@
 	return nil
 }
 
-// drain waits until no request runs and clients are no longer sent here, or
-// until the grace time ends.
+// drain waits until no stream runs and clients are no longer sent here, then
+// takes no request any more and waits for the rest. It ends with the grace time.
 func (e *Entry) drain() error {
 	start := e.deps.Clock.Now()
 	e.drainStart.Store(&start)
 	e.draining.Store(true)
-	e.deps.Log.Emit(event.DrainStarted, "active", e.active.Load())
-	end := start.Add(e.cfg.Limits.Grace() - graceMargin)
+	e.deps.Log.Emit(event.DrainStarted, "active", e.active.Load(), "streams", e.streams.Load())
+	end := e.drainEnd(start)
 	for now := start; now.Before(end); now = e.deps.Clock.Now() {
-		if now.Sub(start) >= rotationTime && e.active.Load() == 0 {
-			e.deps.Log.Emit(event.DrainEnded, "took", now.Sub(start))
-			return nil
+		if now.Sub(start) >= rotationTime && e.streams.Load() == 0 {
+			e.closing.Store(true)
+		}
+		if e.closing.Load() && e.active.Load() == 0 {
+			break
 		}
 		e.deps.Clock.Sleep(lookEvery)
 	}
@@ -144,10 +147,14 @@
 	return fault.New("Entry.drain", Unfinished, "%d requests were cut at the end of the grace time", left)
 }
 
+func (e *Entry) drainEnd(start time.Time) time.Time {
+	return start.Add(e.cfg.Limits.Grace() - graceMargin)
+}
+
 // leavesBefore reports whether the entry stops before the time.
 func (e *Entry) leavesBefore(t time.Time) bool {
 	start := e.drainStart.Load()
-	return start != nil && start.Add(e.cfg.Limits.Grace()-graceMargin).Before(t)
+	return start != nil && (e.closing.Load() || e.drainEnd(*start).Before(t))
 }
 
 // sweep closes connections that have been idle for too long, until ctx ends.
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -89,17 +89,29 @@
 func (s *stream) next() (attempt, bool) {
 	c := s.c
 	now := c.now()
-	if t := s.copyAt; t != nil {
-		s.copyAt = nil
-		if !c.tried[t.ID] && !c.e.balancer.Suspected(now, t) {
-			backup := c.e.balancer.BackupFor(now, c.need, c.targets, t, c.tried)
-			return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: "holdsCopy"}, resumes: true}, true
-		}
+	targets := c.targets()
+	if t := s.holder(now, targets); t != nil {
+		backup := c.e.balancer.BackupFor(now, c.need, targets, t, c.tried)
+		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsCopy}, resumes: true}, true
 	}
-	choice, ok := c.e.balancer.Choose(now, c.need, c.targets, c.tried)
+	choice, ok := c.e.balancer.Choose(now, c.need, targets, c.tried)
 	return attempt{choice: choice}, ok
 }
 
+// holder returns the engine that holds a copy of the lost run, if it takes work
+// now. A copy is asked for once.
+func (s *stream) holder(now time.Time, targets catalog.Targets) *catalog.Target {
+	if s.copyAt == nil {
+		return nil
+	}
+	t := targets.Find(s.copyAt.ID)
+	s.copyAt = nil
+	if t == nil || t.State != catalog.Ready || s.c.tried[t.ID] || s.c.e.balancer.Suspected(now, t) {
+		return nil
+	}
+	return t
+}
+
 // run sends the request to one target and passes on its events.
 func (s *stream) run(ctx context.Context, a attempt) balance.Outcome {
 	c := s.c
@@ -218,7 +230,7 @@
 	s.begun = true
 	copyHeaders(s.c.w.Header(), a.Header)
 	s.c.w.WriteHeader(a.Status)
-	s.c.e.meters.firstEvent.Update(s.c.now().Sub(s.c.start))
+	s.c.e.meters.begun(s.c.now().Sub(s.c.start))
 	return s.out.Flush()
 }
 
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -85,7 +85,12 @@
 	if now.Sub(c.since) > c.life {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		// There is no way to look without taking bytes.
+		return false
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -19,6 +19,8 @@
 	KeepTime time.Duration
 	// KeepMost is how many idle connections are kept for each target.
 	KeepMost int
+	// Dial opens a connection to an address, as host:port; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Opened is called for each new connection; nil for none.
 	Opened func()
 }
@@ -40,8 +42,7 @@
 
 // Pool keeps idle connections to targets. It is safe for concurrent use.
 type Pool struct {
-	opts   Options
-	dialer net.Dialer
+	opts Options
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -58,14 +59,17 @@
 	if o.KeepMost == 0 {
 		o.KeepMost = defaultKeepMost
 	}
-	return &Pool{
-		opts: o,
-		dialer: net.Dialer{
-			Timeout:         o.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
-		},
-		idle: map[string][]*conn{},
+	if o.Dial == nil {
+		o.Dial = dialTCP
 	}
+	return &Pool{opts: o, idle: map[string][]*conn{}}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
+	}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // get returns a kept connection that is still open, or a new one.
@@ -81,7 +85,9 @@
 		}
 		c.abort()
 	}
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	c, err := p.opts.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
