--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -170,6 +170,8 @@
 		w.stop()
 		<-w.ended
 	}
+	// Handlers of targets that sleep see then that their connection is closed.
+	time.Sleep(time.Second)
 }
 
 // start starts the entry.
