Let entries tell each other what they have in flight; refuse what can't be finished

Change: datagrams between entries with loads, losses and the version in force; an entry without the store reads the belief of a peer; slack is shared by the entries heard. Copies are used once a run has begun. A stream whose time is shorter than a short, fast one needs is refused unrun. Among engines of nearly the least cost the prompt's name decides, so that a repeated prompt meets its cache.

--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"reflect"
 	"runtime/debug"
 
 	"github.com/jonboulle/clockwork"
@@ -23,7 +24,7 @@
 grace time and ends. SIGHUP reads the settings again; what has changed is
 logged and is in force from the next start.
 
-The file holds name, clients, readiness, operators, peers, store, and the tables
+The file holds name, clients, readiness, operators, peers, seeds, store, and the tables
 place, limits and retries:
 
   name = "entry-1"
@@ -31,6 +32,7 @@
   readiness = "10.0.1.2:8749"
   operators = "10.0.1.2:8748"
   peers = "10.0.1.2:7200"
+  seeds = ["10.0.2.2:8748"]
   store = "10.200.1.7:8742"
 
   [place]
@@ -96,5 +98,5 @@
 		log.Emit(event.SettingsRead, "error", err)
 		return
 	}
-	log.Emit(event.SettingsRead, "changed", *s != *running)
+	log.Emit(event.SettingsRead, "changed", !reflect.DeepEqual(s, running))
 }
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -21,6 +21,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -31,6 +33,9 @@
 	Engine       *catalog.Engine
 	PromptTokens int
 	OutputTokens int
+	// Prompt names the prompt, so that one that comes again meets the engine
+	// that has read it; empty for none.
+	Prompt string
 }
 
 func (a *Ask) memory() int { return a.PromptTokens + a.OutputTokens }
@@ -86,6 +91,11 @@
 	mu      sync.Mutex
 	targets map[id.Target]*record
 	groups  map[group]*zoneRecord
+	// peers holds what the other entries have in flight, others the sum of it.
+	peers  map[id.Entry]peerLoads
+	others map[id.Target]Load
+	// lost holds when targets were lost lately, to tell the other entries.
+	lost map[id.Target]time.Time
 	// waiting holds the requests that have not begun to be answered.
 	waiting map[*Run]struct{}
 }
@@ -95,6 +105,7 @@
 	return &Balancer{
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, waiting: map[*Run]struct{}{},
+		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[id.Target]time.Time{},
 	}
 }
 
@@ -103,17 +114,7 @@
 func (b *Balancer) Choose(now time.Time, ask Ask, targets catalog.Targets, tried map[id.Target]bool) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best *catalog.Target
-	least := 0.0
-	for _, t := range targets {
-		if t.State != catalog.Ready || tried[t.ID] {
-			continue
-		}
-		cost := b.cost(now, ask, t)
-		if best == nil || cost < least {
-			best, least = t, cost
-		}
-	}
+	best, least := b.cheapest(now, ask, targets, tried)
 	if best == nil {
 		return Choice{}, false
 	}
@@ -125,6 +126,40 @@
 	return c, true
 }
 
+// cheapest returns the target of least cost. Among engines that cost nearly as
+// little it is the one that the prompt's name points to, which may still have
+// the prompt in its memory.
+func (b *Balancer) cheapest(now time.Time, ask Ask, targets catalog.Targets, tried map[id.Target]bool) (*catalog.Target, float64) {
+	costs := make(map[*catalog.Target]float64, len(targets))
+	var best *catalog.Target
+	for _, t := range targets {
+		if t.State != catalog.Ready || tried[t.ID] {
+			continue
+		}
+		costs[t] = b.cost(now, ask, t)
+		if best == nil || costs[t] < costs[best] {
+			best = t
+		}
+	}
+	if best == nil || ask.Engine == nil || ask.Prompt == "" {
+		return best, costs[best]
+	}
+	least := costs[best]
+	var highest uint64
+	for t, cost := range costs {
+		score := affinity(ask.Prompt, t)
+		if cost <= least+affinityCost && score > highest {
+			best, highest = t, score
+		}
+	}
+	return best, costs[best]
+}
+
+// affinity returns the rank of a target for a prompt, by rendezvous hashing.
+func affinity(prompt string, t *catalog.Target) uint64 {
+	return xxhash.Sum64String(prompt + "/" + string(t.ID))
+}
+
 // BackupFor returns the engine that gets the next copy of a run that goes on at
 // the target, or nil.
 func (b *Balancer) BackupFor(now time.Time, ask Ask, targets catalog.Targets, runner *catalog.Target, tried map[id.Target]bool) *catalog.Target {
--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -27,6 +27,9 @@
 	badCost = 1.5
 	// memoryCost times the share of an engine's memory that is in use.
 	memoryCost = 0.5
+	// affinityCost is what may be paid to meet the engine that a prompt points to.
+	// It is less than the wait for another prompt.
+	affinityCost = 0.35
 	// jitter spreads the choices of entries that see the same costs.
 	jitter = 0.03
 	// suspectCost is beyond every cost of a target that is not suspected.
@@ -51,15 +54,16 @@
 }
 
 func (b *Balancer) engineCost(ask Ask, r *record, t *catalog.Target) float64 {
-	cost := float64(r.prefill)/prefillPerSecond + runCost*float64(r.running) + backupHeldCost*float64(r.backups)
+	l := b.total(r, t)
+	cost := float64(l.Prefill)/prefillPerSecond + runCost*float64(l.Running) + backupHeldCost*float64(l.Backups)
 	if t.Zone != b.zone {
 		cost += farCost
 	}
-	return cost + memoryCost*memoryShare(ask, r)
+	return cost + memoryCost*memoryShare(ask, l)
 }
 
 func (b *Balancer) serviceCost(r *record, t *catalog.Target) float64 {
-	cost := float64(r.running) / float64(max(1, t.Slots))
+	cost := float64(b.total(r, t).Running) / float64(max(1, t.Slots))
 	if t.Zone != b.zone {
 		cost += farShare
 	}
@@ -67,9 +71,9 @@
 }
 
 func (b *Balancer) backupCost(now time.Time, ask Ask, t *catalog.Target) float64 {
-	r := b.record(now, t)
-	cost := jitter*b.random() + runCost*float64(r.running+r.backups) + memoryCost*memoryShare(ask, r)
-	cost += float64(r.prefill) / prefillPerSecond
+	l := b.total(b.record(now, t), t)
+	cost := jitter*b.random() + runCost*float64(l.Running+l.Backups) + memoryCost*memoryShare(ask, l)
+	cost += float64(l.Prefill) / prefillPerSecond
 	if b.suspected(now, t) {
 		cost += suspectCost
 	}
@@ -78,9 +82,9 @@
 
 // memoryShare is the part of an engine's memory that is in use once the request
 // is there, as far as this entry knows.
-func memoryShare(ask Ask, r *record) float64 {
+func memoryShare(ask Ask, l Load) float64 {
 	if ask.Engine.MemoryTokens == 0 {
 		return 0
 	}
-	return float64(r.memory+ask.memory()) / float64(ask.Engine.MemoryTokens)
+	return float64(l.Memory+ask.memory()) / float64(ask.Engine.MemoryTokens)
 }
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -42,14 +42,8 @@
 	incarnation id.Incarnation
 	// since is when the target was first seen.
 	since time.Time
-	// running counts the entry's requests in flight, prefill the prompt tokens
-	// of those that have not begun to answer.
-	running int
-	prefill int
-	// backups counts the copies of runs that the target holds for this entry,
-	// memory the tokens of its runs and copies.
-	backups int
-	memory  int
+	// Load is what this entry has in flight there.
+	Load
 
 	// losses counts losses in a row.
 	losses       int
@@ -121,8 +115,11 @@
 	ask    Ask
 	target *catalog.Target
 	backup *catalog.Target
-	began  bool
-	ended  bool
+	// began says that the run no longer waits, answered that it has begun to be
+	// answered.
+	began    bool
+	answered bool
+	ended    bool
 	// cancel is called when the run's group is lost before the run began.
 	cancel func()
 }
@@ -134,13 +131,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.record(now, c.Target)
-	r.running++
-	r.prefill += ask.PromptTokens
-	r.memory += ask.memory()
+	r.Running++
+	r.Prefill += ask.PromptTokens
+	r.Memory += ask.memory()
 	if c.Backup != nil {
 		held := b.record(now, c.Backup)
-		held.backups++
-		held.memory += ask.memory()
+		held.Backups++
+		held.Memory += ask.memory()
 	}
 	run := &Run{b: b, ask: ask, target: c.Target, backup: c.Backup, cancel: cancel}
 	b.waiting[run] = struct{}{}
@@ -151,9 +148,17 @@
 func (r *Run) Began(now time.Time) {
 	r.b.mu.Lock()
 	defer r.b.mu.Unlock()
+	r.answered = true
 	r.begin(now)
 }
 
+// HasBegun reports whether the target began to answer.
+func (r *Run) HasBegun() bool {
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	return r.answered
+}
+
 func (r *Run) begin(now time.Time) {
 	if r.began {
 		return
@@ -161,7 +166,7 @@
 	r.began = true
 	delete(r.b.waiting, r)
 	rec := r.b.record(now, r.target)
-	rec.prefill = max(0, rec.prefill-r.ask.PromptTokens)
+	rec.Prefill = max(0, rec.Prefill-r.ask.PromptTokens)
 }
 
 // End notes what became of the request. It reports whether the target's zone
@@ -182,12 +187,12 @@
 // then has nothing to give back.
 func (r *Run) release(now time.Time) {
 	rec := r.b.record(now, r.target)
-	rec.running = max(0, rec.running-1)
-	rec.memory = max(0, rec.memory-r.ask.memory())
+	rec.Running = max(0, rec.Running-1)
+	rec.Memory = max(0, rec.Memory-r.ask.memory())
 	if r.backup != nil {
 		held := r.b.record(now, r.backup)
-		held.backups = max(0, held.backups-1)
-		held.memory = max(0, held.memory-r.ask.memory())
+		held.Backups = max(0, held.Backups-1)
+		held.Memory = max(0, held.Memory-r.ask.memory())
 	}
 }
 
@@ -220,6 +225,7 @@
 	case Lost, Unreached:
 		rec.note(now, 1)
 		rec.suspect(now)
+		b.lost[t.ID] = now
 		return b.lose(now, t)
 	case Replaced:
 		rec.suspectUntil = now.Add(replacedAvoid)
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -2,15 +2,15 @@
 // over any span of a fixed length.
 //
 // All entries together may send again a share of the requests and a fixed
-// number. The share is counted from this entry's own requests; of the fixed
-// number each entry takes a small part, so that the sum holds without the
-// entries telling each other what they spent.
+// number. The share is counted from this entry's own requests; the fixed number
+// is divided by the number of entries, so that the sum holds without the entries
+// telling each other what they spent.
 //
 // # Usage
 //
-//	b := retry.New(retry.Config{Ratio: 0.8, Slack: 5, Window: 10 * time.Second}, now)
+//	b := retry.New(retry.Config{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, now)
 //	b.First(now)
-//	if b.Again(now) { … }
+//	if b.Again(now, entries) { … }
 package retry
 
 import (
@@ -21,7 +21,7 @@
 type Config struct {
 	// Ratio times the number of requests may be sent again.
 	Ratio float64
-	// Slack may be sent again besides.
+	// Slack may be sent again besides, by all entries together.
 	Slack float64
 	// Window is the span over which both are counted.
 	Window time.Duration
@@ -50,10 +50,12 @@
 	b.first[b.slot()]++
 }
 
-// Again reports whether a request may be sent once more, and counts it if so.
-func (b *Budget) Again(now time.Time) bool {
+// Again reports whether one of so many entries may send a request once more, and
+// counts it if so.
+func (b *Budget) Again(now time.Time, entries int) bool {
 	b.turn(now)
-	if float64(sum(b.again[:])+1) > b.cfg.Ratio*float64(sum(b.first[:]))+b.cfg.Slack {
+	slack := b.cfg.Slack / float64(max(1, entries))
+	if float64(sum(b.again[:])+1) > b.cfg.Ratio*float64(sum(b.first[:]))+slack {
 		return false
 	}
 	b.again[b.slot()]++
--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -39,6 +39,9 @@
 	// a bound.
 	PromptTokens int
 	OutputTokens int
+	// Prompt names the part of the prompt that is the request's own; empty where
+	// the client does not say.
+	Prompt string
 }
 
 // Order is what an entry tells a target beside a request.
--- /dev/null
+++ b/internal/protocol/direct/news.go
@@ -0,0 +1,83 @@
+package direct
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Kind is the kind of this package's errors.
+type Kind string
+
+// Malformed means that a message of another entry can't be used.
+const Malformed Kind = "malformed"
+
+// Error is this package's error.
+type Error = fault.Error[Kind]
+
+// MaxNewsBytes bounds one message of news.
+const MaxNewsBytes = 60 << 10
+
+// News is what an entry tells the others, again and again: the whole of it each
+// time, so that a lost datagram does no harm.
+type News struct {
+	From id.Entry `json:"from"`
+	// Incarnation and Sequence order the messages of an entry.
+	Incarnation id.Incarnation `json:"incarnation"`
+	Sequence    id.Sequence    `json:"sequence"`
+	// Address is where the entry takes news, as IP:PORT.
+	Address string `json:"address"`
+	// Version is the configuration that is in force there; 0 for none.
+	Version catalog.Version `json:"version"`
+	// Known holds the addresses of the other entries that it hears.
+	Known []string `json:"known,omitempty"`
+	// Loads is what the entry has in flight at each target.
+	Loads map[id.Target]balance.Load `json:"loads,omitempty"`
+	// Losses are the targets that it lost a moment ago.
+	Losses []Loss `json:"losses,omitempty"`
+}
+
+// Loss is the loss of a target.
+type Loss struct {
+	Target id.Target `json:"target"`
+	// AgoMS is how long ago it was when the message was sent, in milliseconds.
+	AgoMS int64 `json:"agoMs"`
+}
+
+// Ago returns how long ago the loss was when the message was sent.
+func (l *Loss) Ago() time.Duration { return time.Duration(l.AgoMS) * time.Millisecond }
+
+// Encode returns the message's bytes.
+func (n *News) Encode() ([]byte, error) {
+	data, err := json.Marshal(n)
+	return data, fault.Wrap("News.Encode", Malformed, err)
+}
+
+// DecodeNews decodes a message and checks it.
+func DecodeNews(data []byte) (*News, error) {
+	const op = "direct.DecodeNews"
+	n := &News{}
+	if err := json.Unmarshal(data, n); err != nil {
+		return nil, fault.Wrap(op, Malformed, err)
+	}
+	if _, err := netip.ParseAddrPort(n.Address); err != nil {
+		return nil, fault.New(op, Malformed, "address %q: want IP:PORT", n.Address)
+	}
+	if n.From == "" {
+		return nil, fault.New(op, Malformed, "the sender has no name")
+	}
+	return n, nil
+}
+
+// Belief is what an entry knows from the key-value service, for one that can't
+// reach the service: the items as they were read.
+type Belief struct {
+	Config  store.Item   `json:"config"`
+	Targets []store.Item `json:"targets"`
+}
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -50,6 +50,8 @@
 	ZoneLost       = Event{401, "zoneLost", Error, "Most members of an availability zone went silent at once.", "look at the zone"}
 	ZoneBack       = Event{402, "zoneBack", Info, "An availability zone that was lost reports again.", "none"}
 	HostListFailed = Event{403, "hostListFailed", Warn, "The host list could not be read; the last one stays in force.", "look at the host list"}
+	NewsRefused    = Event{406, "newsRefused", Warn, "A message of another entry, or its answer, could not be used.", "none unless it repeats"}
+	BeliefTaken    = Event{407, "beliefTaken", Info, "The targets were learned from another entry, before the key-value service could be read.", "look at the key-value service if it lasts"}
 	ShareStale     = Event{405, "shareStale", Warn, "The owner of a limit is silent; the last share stays in force.", "none"}
 )
 
@@ -88,7 +90,7 @@
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed, SettingsRead,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted, SendEnded,
-		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale,
+		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale, NewsRefused, BeliefTaken,
 		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded,
 		PlacementChosen, PlacementHeld, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -17,8 +18,12 @@
 	Readiness string `toml:"readiness"`
 	// Operators is the address for status, metrics and health; empty for none.
 	Operators string `toml:"operators"`
-	// Peers is the address that other entries reach.
+	// Peers is the address that other entries reach; its port is the same on all
+	// hosts.
 	Peers string `toml:"peers"`
+	// Seeds are the operators' addresses of a few other entries, which may be
+	// stale.
+	Seeds []string `toml:"seeds"`
 	// Store is the key-value service's address, as host:port.
 	Store   string  `toml:"store"`
 	Limits  Process `toml:"limits"`
@@ -96,6 +101,11 @@
 	case s.Retries.WindowSeconds < 0:
 		return refuse("retries.windowSeconds", "is %v, want a number above 0", s.Retries.WindowSeconds)
 	}
+	for i, seed := range s.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			return refuse("seeds", "element %d is %q, want host:port", i, seed)
+		}
+	}
 	addresses := []address{{"clients", s.Clients}, {"readiness", s.Readiness}, {"store", s.Store}, {"peers", s.Peers}}
 	if s.Operators != "" {
 		addresses = append(addresses, address{"operators", s.Operators})
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -26,9 +26,12 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/directory"
+	"foxtailward.example/foxtailward/internal/coordination/pace"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
+	"foxtailward.example/foxtailward/internal/coordination/roster"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/protocol/eventstream"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/fault"
@@ -84,12 +87,18 @@
 	deps Deps
 
 	directory *directory.Directory
-	balancer  *balance.Balancer
-	pool      *upstream.Pool
-	meters    *meters
+	follower  *follower
+	roster    *roster.Roster
+	// exchange is nil where no address is set for other entries.
+	exchange *exchange
+	balancer *balance.Balancer
+	pool     *upstream.Pool
+	meters   *meters
 
 	retriesMu sync.Mutex
 	retries   map[id.Service]*retry.Budget
+	pacesMu   sync.Mutex
+	paces     map[id.Service]*pace.Pace
 
 	clients   net.Listener
 	readiness net.Listener
@@ -119,8 +128,11 @@
 		balancer:  balance.New(cfg.Place.Zone, deps.Random),
 		meters:    newMeters(deps.Metrics),
 		retries:   map[id.Service]*retry.Budget{},
+		paces:     map[id.Service]*pace.Pace{},
 		idle:      newIdleConns(),
+		roster:    roster.New(cfg.Peers, seedPeers(cfg.Peers, cfg.Seeds)),
 	}
+	e.follower = newFollower(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Opened: func() { e.meters.connections.Inc(1) }})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
@@ -135,7 +147,8 @@
 func (e *Entry) mayRepeat(service id.Service) bool {
 	e.retriesMu.Lock()
 	defer e.retriesMu.Unlock()
-	return e.budget(service).Again(e.deps.Clock.Now())
+	now := e.deps.Clock.Now()
+	return e.budget(service).Again(now, e.roster.Count(now))
 }
 
 // sentFirst notes the first send of a request to a service.
@@ -154,17 +167,43 @@
 	return b
 }
 
+// finished notes a whole stream of a service.
+func (e *Entry) finished(service id.Service, events int, took time.Duration) {
+	e.pacesMu.Lock()
+	defer e.pacesMu.Unlock()
+	e.pace(service).Finished(events, took)
+}
+
+// leastTime returns the least time in which a stream can be finished.
+func (e *Entry) leastTime(service id.Service, ask *direct.Ask) time.Duration {
+	last := eventstream.Event{ID: string(ask.LastEvent)}
+	// An id that is no number says nothing of how much is done.
+	done, _ := last.Number()
+	e.pacesMu.Lock()
+	defer e.pacesMu.Unlock()
+	return e.pace(service).Least(ask.PromptTokens, int(done))
+}
+
+func (e *Entry) pace(service id.Service) *pace.Pace {
+	p := e.paces[service]
+	if p == nil {
+		p = pace.New()
+		e.paces[service] = p
+	}
+	return p
+}
+
 // Shares of what all entries may send again.
 const (
 	// ratioShare is left of the ratio, since windows of entries do not end
 	// together.
 	ratioShare = 0.8
-	// slackShare is one entry's part of the fixed number, for up to some 30
-	// entries.
-	slackShare = 1.0 / 30
+	// slackShare is the part of the fixed number that the entries share out. The
+	// rest is for entries that do not know of each other yet.
+	slackShare = 0.6
 )
 
-// retryConfig returns one entry's part of what all may send again.
+// retryConfig returns what all entries may send again.
 func retryConfig(r settings.Retries) retry.Config {
 	return retry.Config{
 		Ratio:  ratioShare * r.Ratio,
--- a/internal/transport/direct/follow.go
+++ b/internal/transport/direct/follow.go
@@ -28,9 +28,14 @@
 	// badItems holds the revision of items that could not be decoded, so that
 	// each is logged once.
 	badItems map[string]int64
+	// configItem and targetItems are what was read, for other entries.
+	configItem  store.Item
+	targetItems map[string]store.Item
 }
 
-func newFollower(e *Entry) *follower { return &follower{e: e, badItems: map[string]int64{}} }
+func newFollower(e *Entry) *follower {
+	return &follower{e: e, badItems: map[string]int64{}, targetItems: map[string]store.Item{}}
+}
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
@@ -113,6 +118,7 @@
 		return
 	}
 	if f.e.directory.Adopt(cfg) {
+		f.configItem = i
 		f.e.deps.Log.Emit(event.RevisionInForce, "version", cfg.Version, "revision", i.ModRevision, "routes", len(cfg.Routes))
 	}
 }
@@ -129,12 +135,14 @@
 func (f *follower) replaceTargets(page store.Page) {
 	now := f.e.deps.Clock.Now()
 	var listed catalog.Targets
+	clear(f.targetItems)
 	for i := range page.Items {
 		t, err := f.e.deps.Codec.Target(page.Items[i], now)
 		if err != nil {
 			f.refused(page.Items[i], err)
 			continue
 		}
+		f.targetItems[page.Items[i].Key] = page.Items[i]
 		listed = append(listed, t)
 	}
 	f.gone(f.e.directory.Replace(now, listed))
@@ -148,6 +156,7 @@
 		return
 	}
 	if c.Deleted {
+		delete(f.targetItems, c.Item.Key)
 		if t := f.e.directory.Remove(now, name); t != nil {
 			f.gone(catalog.Targets{t})
 		}
@@ -158,6 +167,7 @@
 		f.refused(c.Item, err)
 		return
 	}
+	f.targetItems[c.Item.Key] = c.Item
 	if f.e.directory.Put(t) {
 		f.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", t.State, "zone", t.Zone, "incarnation", t.Incarnation, "revision", c.Item.ModRevision)
 	}
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -64,6 +64,8 @@
 	if !c.admit() || !c.readBody() {
 		return
 	}
+	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
+		"promptTokens", c.ask.PromptTokens, "lastEvent", c.ask.LastEvent, "left", c.left())
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Repeat == catalog.Streaming {
@@ -101,13 +103,17 @@
 	c.service = route.Pick(c.e.deps.Random())
 	c.need = balance.Ask{
 		Engine:       c.cfg.Services[c.service].Engine,
-		PromptTokens: c.ask.PromptTokens, OutputTokens: c.ask.OutputTokens,
+		PromptTokens: c.ask.PromptTokens, OutputTokens: c.ask.OutputTokens, Prompt: c.ask.Prompt,
 	}
 	c.setDeadline()
 	if c.e.leavesBefore(c.start.Add(c.usualTime())) {
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "draining", retryAfter: otherEntryRetryAfter})
 		return false
 	}
+	if c.route.Repeat == catalog.Streaming && c.left() < c.e.leastTime(c.service, &c.ask) {
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeoutTooShort"})
+		return false
+	}
 	return true
 }
 
--- /dev/null
+++ b/internal/transport/direct/news.go
@@ -0,0 +1,273 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/roster"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Times of the exchange between entries.
+const (
+	// tellEvery is the time between two messages to each of a few entries; with
+	// more of them it grows by tellEach for each, so that the traffic of one
+	// entry stays the same.
+	tellEvery = 150 * time.Millisecond
+	tellEach  = 40 * time.Millisecond
+	// beliefTimeout bounds the time to read another entry's belief.
+	beliefTimeout = time.Second
+	// beliefPause is the time between two such reads.
+	beliefPause = 300 * time.Millisecond
+	// maxBeliefBytes bounds another entry's belief.
+	maxBeliefBytes = 16 << 20
+	// beliefPath is where an entry tells its belief.
+	beliefPath = "/belief"
+)
+
+// exchange tells the other entries what this one has in flight and lost, and
+// takes what they tell. It lets an entry that can't reach the key-value service
+// read the configuration and the targets from one that can.
+type exchange struct {
+	e        *Entry
+	roster   *roster.Roster
+	follower *follower
+	conn     net.PacketConn
+	listener net.Listener
+	started  id.Incarnation
+	sequence id.Sequence
+	client   *http.Client
+
+	mu sync.Mutex
+	// askedAt is when a belief was last read from another entry.
+	askedAt time.Time
+}
+
+// openExchange opens the entry's addresses for other entries.
+func openExchange(e *Entry, f *follower) (*exchange, error) {
+	const op = "direct.openExchange"
+	conn, err := net.ListenPacket("udp", e.cfg.Peers)
+	if err != nil {
+		return nil, fault.Wrap(op, Address, err)
+	}
+	listener, err := net.Listen("tcp", e.cfg.Peers)
+	if err != nil {
+		_ = conn.Close()
+		return nil, fault.Wrap(op, Address, err)
+	}
+	return &exchange{
+		e: e, roster: e.roster, follower: f, conn: conn, listener: listener,
+		started: id.Incarnation(e.deps.Clock.Now().UnixMilli()),
+		client:  &http.Client{Timeout: beliefTimeout},
+	}, nil
+}
+
+// seedPeers returns where the seeds take news: at the port that all entries use.
+func seedPeers(self string, seeds []string) []string {
+	_, port, err := net.SplitHostPort(self)
+	if err != nil {
+		return nil
+	}
+	var peers []string
+	for _, seed := range seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			peers = append(peers, net.JoinHostPort(host, port))
+		}
+	}
+	return peers
+}
+
+// run exchanges news until ctx ends.
+func (x *exchange) run(ctx context.Context) {
+	server := &http.Server{Handler: http.HandlerFunc(x.serveBelief), ReadTimeout: readinessTimeout, WriteTimeout: readinessTimeout}
+	var duties sync.WaitGroup
+	duties.Go(func() { x.e.serveOn(server, x.listener) })
+	duties.Go(func() { x.listen(ctx) })
+	duties.Go(func() { x.tellAll(ctx) })
+	<-ctx.Done()
+	// Nothing is left to be done about errors of closing.
+	_ = x.conn.Close()
+	_ = server.Close()
+	duties.Wait()
+}
+
+// tellAll sends this entry's news to the others, again and again.
+func (x *exchange) tellAll(ctx context.Context) {
+	for {
+		addresses := x.roster.Addresses(x.e.deps.Clock.Now())
+		x.tell(addresses)
+		pause := max(tellEvery, time.Duration(len(addresses))*tellEach)
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.e.deps.Clock.After(pause):
+		}
+	}
+}
+
+func (x *exchange) tell(addresses []string) {
+	now := x.e.deps.Clock.Now()
+	data, err := x.news(now).Encode()
+	if err != nil || len(data) > direct.MaxNewsBytes {
+		x.e.deps.Log.Emit(event.LoopFailed, "duty", "news", "bytes", len(data), "error", err)
+		return
+	}
+	for _, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			continue
+		}
+		// A datagram that can't be sent is one that is lost; the next one holds
+		// all of it.
+		_, _ = x.conn.WriteTo(data, to)
+	}
+}
+
+func (x *exchange) news(now time.Time) *direct.News {
+	x.sequence++
+	n := &direct.News{
+		From: x.e.cfg.Name, Incarnation: x.started, Sequence: x.sequence, Address: x.e.cfg.Peers,
+		Known: x.roster.Alive(now), Loads: x.e.balancer.Loads(),
+	}
+	if cfg := x.e.directory.View().Config; cfg != nil {
+		n.Version = cfg.Version
+	}
+	for target, ago := range x.e.balancer.Losses(now) {
+		n.Losses = append(n.Losses, direct.Loss{Target: target, AgoMS: ago.Milliseconds()})
+	}
+	return n
+}
+
+// listen takes the others' news until ctx ends.
+func (x *exchange) listen(ctx context.Context) {
+	buffer := make([]byte, direct.MaxNewsBytes)
+	for ctx.Err() == nil {
+		n, _, err := x.conn.ReadFrom(buffer)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			// An earlier datagram was refused by its host, which tells nothing.
+			continue
+		}
+		news, err := direct.DecodeNews(buffer[:n])
+		if err != nil {
+			x.e.deps.Log.Emit(event.NewsRefused, "error", err)
+			continue
+		}
+		x.take(ctx, news)
+	}
+}
+
+func (x *exchange) take(ctx context.Context, n *direct.News) {
+	now := x.e.deps.Clock.Now()
+	peer := roster.Peer{Name: n.From, Address: n.Address, Incarnation: n.Incarnation, Sequence: n.Sequence}
+	if !x.roster.Heard(now, peer, n.Known) {
+		return
+	}
+	x.e.balancer.HeardLoads(now, n.From, n.Loads)
+	for i := range n.Losses {
+		x.takeLoss(now, n.From, &n.Losses[i])
+	}
+	if x.lacks(n.Version) && x.mayAsk(now) {
+		go x.readBelief(ctx, n.Address)
+	}
+}
+
+func (x *exchange) takeLoss(now time.Time, from id.Entry, l *direct.Loss) {
+	for _, targets := range x.e.directory.View().Targets {
+		t := targets.Find(l.Target)
+		if t != nil && x.e.balancer.HeardLoss(now, t, l.Ago()) {
+			x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Ago())
+		}
+	}
+}
+
+// lacks reports whether an entry with the version knows more than this one.
+func (x *exchange) lacks(v catalog.Version) bool {
+	cfg := x.e.directory.View().Config
+	if cfg == nil {
+		return v > 0
+	}
+	return v > cfg.Version || !x.e.listed.Load()
+}
+
+func (x *exchange) mayAsk(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.askedAt.IsZero() && now.Sub(x.askedAt) < beliefPause {
+		return false
+	}
+	x.askedAt = now
+	return true
+}
+
+// readBelief reads what another entry knows of the key-value service.
+func (x *exchange) readBelief(ctx context.Context, address string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+beliefPath, nil)
+	if err != nil {
+		x.e.deps.Log.Emit(event.NewsRefused, "peer", address, "error", err)
+		return
+	}
+	res, err := x.client.Do(req)
+	if err != nil {
+		x.e.deps.Log.Emit(event.NewsRefused, "peer", address, "error", err)
+		return
+	}
+	defer res.Body.Close()
+	var b direct.Belief
+	if err := json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxBeliefBytes)).Decode(&b); err != nil {
+		x.e.deps.Log.Emit(event.NewsRefused, "peer", address, "error", err)
+		return
+	}
+	x.follower.takeBelief(&b)
+}
+
+// serveBelief tells another entry what this one knows of the key-value service.
+func (x *exchange) serveBelief(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != beliefPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may be gone, which is its own matter.
+	_ = json.NewEncoder(w).Encode(x.follower.belief())
+}
+
+// belief returns the items that are believed, for an entry that can't read them.
+func (f *follower) belief() direct.Belief {
+	var b direct.Belief
+	f.locked(func() {
+		b.Config = f.configItem
+		for _, i := range f.targetItems {
+			b.Targets = append(b.Targets, i)
+		}
+	})
+	slices.SortFunc(b.Targets, func(a, c store.Item) int { return strings.Compare(a.Key, c.Key) })
+	return b
+}
+
+// takeBelief notes what another entry knows. Its list of targets serves only
+// until this entry has read its own.
+func (f *follower) takeBelief(b *direct.Belief) {
+	f.locked(func() {
+		f.adopt(b.Config)
+		if f.e.listed.Load() || len(b.Targets) == 0 {
+			return
+		}
+		f.replaceTargets(store.Page{Items: b.Targets})
+		f.e.deps.Log.Emit(event.BeliefTaken, "targets", len(b.Targets))
+	})
+}
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -44,6 +44,12 @@
 		return fault.Wrap("Entry.Listen", Address, err)
 	}
 	e.clients, e.readiness = clients, readiness
+	if e.cfg.Peers != "" {
+		e.exchange, err = openExchange(e, e.follower)
+		if err != nil {
+			return err
+		}
+	}
 	e.deps.Log.Emit(event.ProcessStarted, "name", e.cfg.Name, "zone", e.cfg.Place.Zone, "clients", clients.Addr())
 	return nil
 }
@@ -57,7 +63,10 @@
 	ready := e.readinessServer()
 	duties.Go(func() { e.serveOn(ready, e.readiness) })
 	duties.Go(func() { e.serveOn(e.server, e.clients) })
-	duties.Go(func() { newFollower(e).run(serving) })
+	duties.Go(func() { e.follower.run(serving) })
+	if e.exchange != nil {
+		duties.Go(func() { e.exchange.run(serving) })
+	}
 	duties.Go(func() { e.sweep(serving) })
 	if e.cfg.Operators != "" {
 		duties.Go(func() { e.serveOperators(serving) })
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -47,8 +47,11 @@
 	last direct.EventID
 	// number is the last event's id, where ids are numbers.
 	number int64
-	// begun says that the head of the answer has been sent.
-	begun bool
+	// begun says that the head of the answer has been sent, at firstAt; events
+	// counts the events passed on.
+	begun   bool
+	firstAt time.Time
+	events  int
 	// copyAt is the engine that holds a copy of the run that was lost.
 	copyAt *catalog.Target
 	// failure is a target's own failure, for a request that no other one takes.
@@ -133,6 +136,9 @@
 	}
 	if mayHaveRun(outcome) {
 		c.ran++
+	}
+	if run.HasBegun() {
+		// A copy is of use only once the prompt has been read.
 		s.copyAt = a.choice.Backup
 	}
 	c.refusedBusy = c.refusedBusy || outcome == balance.Refused
@@ -230,7 +236,8 @@
 	s.begun = true
 	copyHeaders(s.c.w.Header(), a.Header)
 	s.c.w.WriteHeader(a.Status)
-	s.c.e.meters.begun(s.c.now().Sub(s.c.start))
+	s.firstAt = s.c.now()
+	s.c.e.meters.begun(s.firstAt.Sub(s.c.start))
 	return s.out.Flush()
 }
 
@@ -250,6 +257,7 @@
 	if _, err := s.c.w.Write(next.Raw); err != nil {
 		return err
 	}
+	s.events++
 	if next.ID != "" {
 		s.last = direct.EventID(next.ID)
 	}
@@ -264,6 +272,9 @@
 	c := s.c
 	// The connection is used again, without a bound on its writes.
 	_ = s.out.SetWriteDeadline(time.Time{})
+	if c.ask.LastEvent == "" {
+		c.e.finished(c.service, s.events, c.now().Sub(s.firstAt))
+	}
 	c.e.meters.answered(c.now().Sub(c.start))
 	c.log(event.RequestFinished, "sends", c.sends, "lastEvent", s.last, "after", c.now().Sub(c.start))
 }
