--- /dev/null
+++ b/internal/coordination/directory/directory_test.go
@@ -0,0 +1,113 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/coordination/directory"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+func target(name id.Target) *catalog.Target {
+	return &catalog.Target{ID: name, Service: "m", Address: "10.0.0.1:80", Zone: "a", State: catalog.Ready}
+}
+
+func names(d *directory.Directory) []id.Target {
+	var out []id.Target
+	for _, t := range d.View().Targets["m"] {
+		out = append(out, t.ID)
+	}
+	return out
+}
+
+func TestAdopt(t *testing.T) {
+	tests := []struct {
+		name     string
+		versions []catalog.Version
+		want     catalog.Version
+	}{
+		{"first", []catalog.Version{3}, 3},
+		{"newer", []catalog.Version{3, 7}, 7},
+		{"older", []catalog.Version{7, 3}, 7},
+		{"the same", []catalog.Version{7, 7}, 7},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := directory.New()
+			for _, v := range tt.versions {
+				d.Adopt(&catalog.Config{Version: v})
+			}
+			is.Equal(d.View().Config.Version, tt.want)
+		})
+	}
+}
+
+func TestRemove(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(d *directory.Directory)
+		want []id.Target
+	}{
+		{"no longer listed", func(d *directory.Directory) {
+			d.Remove(start, "t1")
+		}, []id.Target{"t2"}},
+		{"while the service is away", func(d *directory.Directory) {
+			d.Away()
+			d.Remove(start, "t1")
+		}, []id.Target{"t1", "t2"}},
+		{"a moment after its return", func(d *directory.Directory) {
+			d.Away()
+			d.Back(start)
+			d.Replace(start.Add(time.Second), catalog.Targets{target("t2")})
+			d.Settle(start.Add(1900 * time.Millisecond))
+		}, []id.Target{"t1", "t2"}},
+		{"and still missing later", func(d *directory.Directory) {
+			d.Away()
+			d.Back(start)
+			d.Replace(start.Add(time.Second), catalog.Targets{target("t2")})
+			d.Settle(start.Add(2 * time.Second))
+		}, []id.Target{"t2"}},
+		{"listed again in time", func(d *directory.Directory) {
+			d.Away()
+			d.Back(start)
+			d.Replace(start, catalog.Targets{target("t2")})
+			d.Put(target("t1"))
+			d.Settle(start.Add(3 * time.Second))
+		}, []id.Target{"t1", "t2"}},
+		{"a draining one while the service is away", func(d *directory.Directory) {
+			leaving := target("t1")
+			leaving.State = catalog.Draining
+			d.Put(leaving)
+			d.Away()
+			d.Remove(start, "t1")
+		}, []id.Target{"t2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := directory.New()
+			d.Replace(start, catalog.Targets{target("t2"), target("t1")})
+			tt.play(d)
+			is.Equal(names(d), tt.want)
+		})
+	}
+}
+
+// A target that starts again under its name is news, since nothing of what was
+// known of it holds.
+func TestPutRestarted(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	is.True(d.Put(target("t1")))
+	is.True(!d.Put(target("t1")))
+	again := target("t1")
+	again.Incarnation = 5
+	is.True(d.Put(again))
+	is.Equal(d.View().Targets["m"][0].Incarnation, id.Incarnation(5))
+}
--- /dev/null
+++ b/internal/coordination/retry/retry_test.go
@@ -0,0 +1,80 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"foxtailward.example/foxtailward/internal/coordination/retry"
+)
+
+var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+func TestAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		first   int
+		entries int
+		want    int
+	}{
+		{"slack alone", 0, 1, 10},
+		{"slack of four entries", 0, 4, 2},
+		{"a share of the requests", 100, 1, 60},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := retry.New(retry.Config{Ratio: 0.5, Slack: 10, Window: 10 * time.Second}, start)
+			for range tt.first {
+				b.First(start)
+			}
+			allowed := 0
+			for range 1000 {
+				if b.Again(start, tt.entries) {
+					allowed++
+				}
+			}
+			is.Equal(allowed, tt.want)
+		})
+	}
+}
+
+// In every span of the window's length no more is sent again than the bound
+// allows, reckoned over that span and the window before.
+func TestAgainSlides(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.New(retry.Config{Ratio: 0.5, Slack: 6, Window: window}, start)
+		now := start
+		var firsts, agains []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.First(now)
+				firsts = append(firsts, now)
+			} else if b.Again(now, 1) {
+				agains = append(agains, now)
+			}
+		}
+		for _, end := range agains {
+			sent := within(agains, end.Add(-window), end)
+			// The budget counts requests of one part more than the window.
+			of := within(firsts, end.Add(-window-window/50), end)
+			if float64(sent) > 0.5*float64(of)+6 {
+				t.Fatalf("%d were sent again of %d in the window that ends at %v", sent, of, end.Sub(start))
+			}
+		}
+	})
+}
+
+func within(times []time.Time, after, until time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(after) && !at.After(until) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -29,6 +29,8 @@
 	// countTime is how long an entry counts for shares of common limits. It is
 	// longer than the windows of those limits.
 	countTime = 15 * time.Second
+	// restartTime is how long an entry that has stopped takes to serve again.
+	restartTime = time.Second
 	// maxPeers bounds what others may add.
 	maxPeers = 1000
 )
@@ -39,6 +41,9 @@
 	Address     string
 	Incarnation id.Incarnation
 	Sequence    id.Sequence
+	// StopsIn is how long the entry finishes its work before it ends; 0 while it
+	// serves.
+	StopsIn time.Duration
 }
 
 // newer reports whether p was said after o by the same entry.
@@ -153,3 +158,25 @@
 	}
 	return n
 }
+
+// NextServing returns how long it takes until another entry takes new work: 0
+// if one does now, else the time until the first of those that are stopping has
+// started again. It is false where no other entry is known.
+func (r *Roster) NextServing(now time.Time) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	soonest, known := time.Duration(0), false
+	for _, k := range r.peers {
+		if k.heard.IsZero() || now.Sub(k.heard) > aliveTime {
+			continue
+		}
+		wait := time.Duration(0)
+		if k.peer.StopsIn > 0 {
+			wait = max(0, k.peer.StopsIn-now.Sub(k.heard)) + restartTime
+		}
+		if !known || wait < soonest {
+			soonest, known = wait, true
+		}
+	}
+	return soonest, known
+}
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -52,3 +52,28 @@
 	is.Equal(r.Count(later), 2) // it still shares the limits of the window
 	is.Equal(r.Addresses(start.Add(time.Minute)), []string{"s"})
 }
+
+// A client that is refused by an entry that stops is told when another one
+// takes its request: now, or when the first one has started again.
+func TestNextServing(t *testing.T) {
+	is := is.New(t)
+	r := roster.New("a", nil)
+	_, known := r.NextServing(start)
+	is.True(!known)
+
+	b := peer("b", 1, 1)
+	b.StopsIn = 3 * time.Second
+	c := peer("c", 1, 1)
+	c.StopsIn = 5 * time.Second
+	r.Heard(start, b, nil)
+	r.Heard(start, c, nil)
+	wait, known := r.NextServing(start.Add(time.Second))
+	is.True(known)
+	is.Equal(wait, 3*time.Second) // 2 s to its end and 1 s to its start
+
+	c.Sequence, c.StopsIn = 2, 0
+	r.Heard(start, c, nil)
+	wait, known = r.NextServing(start.Add(time.Second))
+	is.True(known)
+	is.Equal(wait, time.Duration(0))
+}
--- a/internal/protocol/direct/news.go
+++ b/internal/protocol/direct/news.go
@@ -35,6 +35,9 @@
 	Address string `json:"address"`
 	// Version is the configuration that is in force there; 0 for none.
 	Version catalog.Version `json:"version"`
+	// StopsInMS is how long the entry still finishes its work, in milliseconds; 0
+	// while it serves.
+	StopsInMS int64 `json:"stopsInMs,omitempty"`
 	// Known holds the addresses of the other entries that it hears.
 	Known []string `json:"known,omitempty"`
 	// Loads is what the entry has in flight at each target.
@@ -43,6 +46,9 @@
 	Losses []Loss `json:"losses,omitempty"`
 }
 
+// StopsIn returns how long the entry still finishes its work.
+func (n *News) StopsIn() time.Duration { return time.Duration(n.StopsInMS) * time.Millisecond }
+
 // Loss is the loss of a target.
 type Loss struct {
 	Target id.Target `json:"target"`
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -105,9 +105,12 @@
 	server    *http.Server
 	idle      *idleConns
 
-	// listed says that the targets have been read once.
-	listed   atomic.Bool
-	draining atomic.Bool
+	// listed says that the targets have been read once; configured is closed when
+	// the configuration is known besides.
+	listed     atomic.Bool
+	configured chan struct{}
+	configure  sync.Once
+	draining   atomic.Bool
 	// drainStart is when the entry was told to stop, or nil.
 	drainStart atomic.Pointer[time.Time]
 	// closing says that the entry takes no request any more.
@@ -124,13 +127,14 @@
 	}
 	e := &Entry{
 		cfg: cfg, deps: deps,
-		directory: directory.New(),
-		balancer:  balance.New(cfg.Place.Zone, deps.Random),
-		meters:    newMeters(deps.Metrics),
-		retries:   map[id.Service]*retry.Budget{},
-		paces:     map[id.Service]*pace.Pace{},
-		idle:      newIdleConns(),
-		roster:    roster.New(cfg.Peers, seedPeers(cfg.Peers, cfg.Seeds)),
+		directory:  directory.New(),
+		balancer:   balance.New(cfg.Place.Zone, deps.Random),
+		meters:     newMeters(deps.Metrics),
+		retries:    map[id.Service]*retry.Budget{},
+		paces:      map[id.Service]*pace.Pace{},
+		idle:       newIdleConns(),
+		configured: make(chan struct{}),
+		roster:     roster.New(cfg.Peers, seedPeers(cfg.Peers, cfg.Seeds)),
 	}
 	e.follower = newFollower(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Opened: func() { e.meters.connections.Inc(1) }})
--- a/internal/transport/direct/follow.go
+++ b/internal/transport/direct/follow.go
@@ -68,10 +68,14 @@
 	}
 }
 
+// locked carries out a change of what is believed.
 func (f *follower) locked(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	change()
+	if f.e.directory.View().Config != nil && f.e.listed.Load() {
+		f.e.configure.Do(func() { close(f.e.configured) })
+	}
 }
 
 func (f *follower) lost(prefix string, err error) {
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -80,8 +80,8 @@
 // admit finds the route and the client account, and answers the request if it
 // can't be served.
 func (c *call) admit() bool {
-	view := c.e.directory.View()
-	c.cfg = view.Config
+	c.e.awaitConfig(c.r.Context())
+	c.cfg = c.e.directory.View().Config
 	if c.cfg == nil {
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "noConfig", retryAfter: startRetryAfter})
 		return false
@@ -107,7 +107,7 @@
 	}
 	c.setDeadline()
 	if c.e.leavesBefore(c.start.Add(c.usualTime())) {
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "draining", retryAfter: otherEntryRetryAfter})
+		c.refuseDraining()
 		return false
 	}
 	if c.route.Repeat == catalog.Streaming && c.left() < c.e.leastTime(c.service, &c.ask) {
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -144,6 +144,9 @@
 	if cfg := x.e.directory.View().Config; cfg != nil {
 		n.Version = cfg.Version
 	}
+	if start := x.e.drainStart.Load(); start != nil {
+		n.StopsInMS = max(1, x.e.drainEnd(*start).Sub(now).Milliseconds())
+	}
 	for target, ago := range x.e.balancer.Losses(now) {
 		n.Losses = append(n.Losses, direct.Loss{Target: target, AgoMS: ago.Milliseconds()})
 	}
@@ -173,7 +176,7 @@
 
 func (x *exchange) take(ctx context.Context, n *direct.News) {
 	now := x.e.deps.Clock.Now()
-	peer := roster.Peer{Name: n.From, Address: n.Address, Incarnation: n.Incarnation, Sequence: n.Sequence}
+	peer := roster.Peer{Name: n.From, Address: n.Address, Incarnation: n.Incarnation, Sequence: n.Sequence, StopsIn: n.StopsIn()}
 	if !x.roster.Heard(now, peer, n.Known) {
 		return
 	}
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -12,7 +12,7 @@
 const (
 	// startRetryAfter is for an entry that has no configuration yet.
 	startRetryAfter = 500 * time.Millisecond
-	// otherEntryRetryAfter is for an entry that is about to stop: any other one
+	// otherEntryRetryAfter is for an entry that is about to stop while another one
 	// can take the request at once.
 	otherEntryRetryAfter = 50 * time.Millisecond
 	// busyRetryAfter is for targets that are all full.
@@ -30,6 +30,13 @@
 	retryAfter time.Duration
 }
 
+// refuseDraining refuses a request that the entry could not finish before it
+// stops. The client is told when another entry takes it.
+func (c *call) refuseDraining() {
+	wait, _ := c.e.roster.NextServing(c.now())
+	c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "draining", retryAfter: max(wait, otherEntryRetryAfter)})
+}
+
 // refuse answers the request with a failure of the entry's own.
 func (c *call) refuse(f refusal) {
 	h := c.w.Header()
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -23,6 +23,9 @@
 	// streamTime and plainTime are how long requests take at most, as a rule.
 	streamTime = 6 * time.Second
 	plainTime  = time.Second
+	// startWait is how long a request waits for the first configuration and list
+	// of targets.
+	startWait = 400 * time.Millisecond
 	// lookEvery is the time between two looks whether requests still run.
 	lookEvery = 50 * time.Millisecond
 	// sweepEvery is the time between two looks for connections idle too long.
@@ -117,6 +120,21 @@
 	errNoList   = errors.New("the targets are not known")
 )
 
+// awaitConfig waits a moment for the first configuration. A process that has
+// just started usually has it before a client could come back.
+func (e *Entry) awaitConfig(ctx context.Context) {
+	select {
+	case <-e.configured:
+		return
+	default:
+	}
+	select {
+	case <-e.configured:
+	case <-ctx.Done():
+	case <-e.deps.Clock.After(startWait):
+	}
+}
+
 // ready returns nil while the entry takes work.
 func (e *Entry) ready() error {
 	switch {
--- /dev/null
+++ b/internal/transport/upstream/upstream_test.go
@@ -0,0 +1,229 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/transport/upstream"
+)
+
+// server answers each request on a connection by the next script, over real
+// sockets, and counts what it reads.
+type server struct {
+	address     string
+	requests    atomic.Int64
+	connections atomic.Int64
+}
+
+// script writes an answer and reports whether the connection stays open.
+type script func(c net.Conn, n int64) bool
+
+func serve(t *testing.T, answer script) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{address: l.Addr().String()}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.handle(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) handle(c net.Conn, answer script) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if !answer(c, s.requests.Add(1)) {
+			return
+		}
+	}
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// far is a deadline that no test reaches.
+func far() time.Time { return time.Now().Add(time.Minute) }
+
+func ask(p *upstream.Pool, address, method string) (string, error) {
+	a, err := p.Do(context.Background(), address, &upstream.Request{Method: method, URI: "/x", Host: "h", Header: http.Header{}}, far())
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+// A request is never sent twice by the connection's own doing, also where
+// net/http would repeat it: on a kept connection that is dropped after the
+// request was read.
+func TestDoNeverRepeats(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "POST", "DELETE"} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(c net.Conn, n int64) bool {
+				if n > 1 {
+					return false
+				}
+				if method == "HEAD" {
+					return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+				}
+				return write(c, whole)
+			})
+			p := upstream.NewPool(upstream.Options{})
+			_, err := ask(p, s.address, method)
+			is.NoErr(err)
+			_, err = ask(p, s.address, method)
+			is.True(fault.Is(err, upstream.Lost))
+			is.Equal(s.requests.Load(), int64(2))
+			is.Equal(s.connections.Load(), int64(1)) // the connection was used again
+		})
+	}
+}
+
+func TestDo(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		body   string
+		// fails says that the answer is not whole.
+		fails bool
+		// kept says that the connection is used for the next request.
+		kept bool
+	}{
+		{"a length", whole, "ok", false, true},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", false, true},
+		{"an early hint first", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole, "ok", false, true},
+		{"asked to close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", "ok", false, false},
+		{"bytes behind the answer", whole + "HTTP/1.1 200 OK\r\n", "ok", false, false},
+		{"cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok", "", true, false},
+		{"cut length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", "", true, false},
+		{"no answer in the protocol", "\x00\x01garbage\r\n\r\n", "", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(c net.Conn, n int64) bool {
+				if n > 1 {
+					return write(c, whole)
+				}
+				return write(c, tt.answer) && !tt.fails
+			})
+			p := upstream.NewPool(upstream.Options{})
+			body, err := ask(p, s.address, "GET")
+			is.Equal(err != nil, tt.fails)
+			if !tt.fails {
+				is.Equal(body, tt.body)
+			}
+			body, err = ask(p, s.address, "GET")
+			is.NoErr(err)
+			is.Equal(body, "ok")
+			is.Equal(s.connections.Load() == 1, tt.kept)
+		})
+	}
+}
+
+func TestDoErrors(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = ask(upstream.NewPool(upstream.Options{}), address, "POST")
+	is.True(fault.Is(err, upstream.NotSent)) // nobody listens there
+
+	silent := serve(t, func(net.Conn, int64) bool { select {} })
+	p := upstream.NewPool(upstream.Options{})
+	_, err = p.Do(context.Background(), silent.address, &upstream.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}, time.Now().Add(20*time.Millisecond))
+	is.True(fault.Is(err, upstream.Silent))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, err = p.Do(ctx, silent.address, &upstream.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}, far())
+	is.True(fault.Is(err, upstream.Lost)) // a cancelled request may have run
+}
+
+// A target may answer before it has read a long request; its connection is not
+// used again, and the answer is passed on.
+func TestDoEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.ReadFull(c, make([]byte, 10))
+	}()
+	p := upstream.NewPool(upstream.Options{})
+	body := []byte(strings.Repeat("x", 8<<20))
+	a, err := p.Do(context.Background(), l.Addr().String(), &upstream.Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: body}, far())
+	is.NoErr(err)
+	is.Equal(a.Status, 413)
+	a.Close()
+}
+
+// Framing is the connection's own: no header of the client changes it.
+func TestDoFraming(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		got <- fmt.Sprint(req.Method, " ", req.RequestURI, " ", req.Host, " ", req.ContentLength, " ", req.TransferEncoding, " ", string(body), " ", err)
+		write(c, whole)
+	}()
+	p := upstream.NewPool(upstream.Options{})
+	a, err := p.Do(context.Background(), l.Addr().String(), &upstream.Request{Method: "POST", URI: "/a%2Fb?c", Host: "shop", Header: http.Header{"X": {"1"}}, Body: []byte("hello")}, far())
+	is.NoErr(err)
+	a.Close()
+	is.Equal(<-got, "POST /a%2Fb?c shop 5 [] hello <nil>")
+	is.True(!errors.Is(err, io.EOF))
+}
