Take a zone for lost only if its other targets are silent

Change: targets that have sent something since the first of the losses speak against the loss of their zone; each single target that sent something since is not avoided. A finished stream's log line has its first event and longest pause.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -196,7 +196,7 @@
 
 func (b *Balancer) suspected(now time.Time, t *catalog.Target) bool {
 	r := b.record(now, t)
-	return now.Before(r.suspectUntil) || b.zoneRecord(t).lost(now, r.since)
+	return now.Before(r.suspectUntil) || b.zoneRecord(t).lost(now, r)
 }
 
 // Forget drops what is known of targets that are gone.
@@ -212,7 +212,7 @@
 func (b *Balancer) record(now time.Time, t *catalog.Target) *record {
 	r := b.targets[t.ID]
 	if r == nil || r.incarnation != t.Incarnation {
-		r = &record{incarnation: t.Incarnation, since: now}
+		r = &record{incarnation: t.Incarnation, group: groupOf(t), since: now}
 		b.targets[t.ID] = r
 	}
 	return r
@@ -220,7 +220,7 @@
 
 // zoneRecord returns the record of the target's service in its zone.
 func (b *Balancer) zoneRecord(t *catalog.Target) *zoneRecord {
-	g := group{t.Service, t.Zone}
+	g := groupOf(t)
 	z := b.groups[g]
 	if z == nil {
 		z = &zoneRecord{losses: map[id.Target]time.Time{}}
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -118,6 +118,26 @@
 	is.True(!b.Suspected(start.Add(5*time.Second), ts[2])) // it answers for itself by then
 }
 
+// Single losses in a zone whose other targets go on are not the zone's loss.
+func TestChooseZoneAlive(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 5, "a", "b")
+	var runs []*balance.Run
+	cancelled := 0
+	for _, target := range ts[:5] {
+		runs = append(runs, b.Start(start, balance.Choice{Target: target}, report(), nil))
+	}
+	b.Start(start, balance.Choice{Target: ts[4]}, report(), func() { cancelled++ })
+	runs[0].End(start, balance.Lost)
+	for i := 2; i < 5; i++ {
+		runs[i].Alive(start.Add(200 * time.Millisecond))
+	}
+	is.True(!runs[1].End(start.Add(400*time.Millisecond), balance.Lost))
+	is.Equal(cancelled, 0)
+	is.True(!b.Suspected(start.Add(500*time.Millisecond), ts[4]))
+}
+
 // Requests that wait for their first event in a zone that is lost are
 // cancelled, so that they are sent elsewhere; those that run are left alone.
 func TestStartCancel(t *testing.T) {
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -18,8 +18,9 @@
 	// zoneWindow is the span in which losses of several targets of one zone
 	// count as one.
 	zoneWindow = 800 * time.Millisecond
-	// zoneLosses is the number of targets whose loss within zoneWindow makes the
-	// whole zone suspect.
+	// zoneLosses is the least number of targets whose loss within zoneWindow makes
+	// the whole zone suspect. Targets that sent something since the first of the
+	// losses speak against it.
 	zoneLosses = 2
 	// zoneAvoid is how long the targets of a zone that were known before its
 	// loss are avoided. Those that have ended are no longer listed by then, and
@@ -40,11 +41,15 @@
 // record is what is known of one incarnation of a target.
 type record struct {
 	incarnation id.Incarnation
+	group       group
 	// since is when the target was first seen.
 	since time.Time
 	// Load is what this entry has in flight there.
 	Load
 
+	// aliveAt is when the target last sent something.
+	aliveAt time.Time
+
 	// losses counts losses in a row.
 	losses       int
 	suspectUntil time.Time
@@ -78,6 +83,8 @@
 	zone    id.Zone
 }
 
+func groupOf(t *catalog.Target) group { return group{t.Service, t.Zone} }
+
 // zoneRecord holds the recent losses of a group of targets.
 type zoneRecord struct {
 	losses map[id.Target]time.Time
@@ -85,27 +92,28 @@
 	lostAt time.Time
 }
 
-// lost reports whether a target that was first seen at since may have been lost
-// with its group.
-func (z *zoneRecord) lost(now, since time.Time) bool {
-	return !z.lostAt.IsZero() && now.Sub(z.lostAt) < zoneAvoid && !since.After(z.lostAt)
+// lost reports whether a target may have been lost with its group: one that was
+// known by then and has sent nothing since.
+func (z *zoneRecord) lost(now time.Time, r *record) bool {
+	recent := !z.lostAt.IsZero() && now.Sub(z.lostAt) < zoneAvoid
+	return recent && !r.since.After(z.lostAt) && !r.aliveAt.After(z.lostAt)
 }
 
-// lose notes the loss of a target, and reports whether the zone has become
-// suspect by it.
-func (z *zoneRecord) lose(now time.Time, name id.Target) bool {
+// note notes the loss of a target and returns how many targets were lost lately,
+// and when the first of them was.
+func (z *zoneRecord) note(now time.Time, name id.Target) (int, time.Time) {
+	z.losses[name] = now
+	first := now
 	for other, at := range z.losses {
 		if now.Sub(at) > zoneWindow {
 			delete(z.losses, other)
+			continue
+		}
+		if at.Before(first) {
+			first = at
 		}
 	}
-	z.losses[name] = now
-	if len(z.losses) < zoneLosses {
-		return false
-	}
-	news := z.lostAt.IsZero() || now.Sub(z.lostAt) > zoneWindow
-	z.lostAt = now
-	return news
+	return len(z.losses), first
 }
 
 // Run is one request at one target. Began and End are called at most once each;
@@ -159,6 +167,13 @@
 	return r.answered
 }
 
+// Alive notes that the target has sent something.
+func (r *Run) Alive(now time.Time) {
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	r.b.record(now, r.target).aliveAt = now
+}
+
 func (r *Run) begin(now time.Time) {
 	if r.began {
 		return
@@ -200,23 +215,36 @@
 // it. Requests that wait for a target of the group would wait in vain.
 func (b *Balancer) lose(now time.Time, t *catalog.Target) bool {
 	z := b.zoneRecord(t)
-	news := z.lose(now, t.ID)
-	if z.lostAt.IsZero() || now.Sub(z.lostAt) > zoneWindow {
-		return news
+	lost, first := z.note(now, t.ID)
+	if lost < zoneLosses || lost <= b.alive(groupOf(t), first) {
+		return false
 	}
+	news := z.lostAt.IsZero() || now.Sub(z.lostAt) > zoneWindow
+	z.lostAt = now
 	for run := range b.waiting {
-		same := run.target.Service == t.Service && run.target.Zone == t.Zone
-		if same && run.cancel != nil && z.lost(now, b.record(now, run.target).since) {
+		if groupOf(run.target) == groupOf(t) && run.cancel != nil && b.suspected(now, run.target) {
 			run.cancel()
 		}
 	}
 	return news
 }
 
+// alive returns how many targets of a group have sent something since the time.
+func (b *Balancer) alive(g group, since time.Time) int {
+	n := 0
+	for _, r := range b.targets {
+		if r.group == g && r.aliveAt.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *Balancer) judge(now time.Time, t *catalog.Target, o Outcome) bool {
 	rec := b.record(now, t)
 	switch o {
 	case Good:
+		rec.aliveAt = now
 		rec.losses = 0
 		rec.suspectUntil = time.Time{}
 		rec.note(now, 0)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -52,6 +52,9 @@
 	begun   bool
 	firstAt time.Time
 	events  int
+	// lastAt is when the last event was passed on, longest the longest pause.
+	lastAt  time.Time
+	longest time.Duration
 	// copyAt is the engine that holds a copy of the run that was lost.
 	copyAt *catalog.Target
 	// failure is a target's own failure, for a request that no other one takes.
@@ -173,6 +176,7 @@
 			return balance.Lost, err
 		}
 		run.Began(c.now())
+		run.Alive(c.now())
 		detector.Tokens(c.now(), 1)
 		if err := s.pass(answer, &next); err != nil {
 			return balance.Left, err
@@ -257,7 +261,7 @@
 	if _, err := s.c.w.Write(next.Raw); err != nil {
 		return err
 	}
-	s.events++
+	s.notePause()
 	if next.ID != "" {
 		s.last = direct.EventID(next.ID)
 	}
@@ -267,6 +271,16 @@
 	return s.out.Flush()
 }
 
+// notePause notes the pause before an event that was passed on.
+func (s *stream) notePause() {
+	now := s.c.now()
+	if s.events > 0 {
+		s.longest = max(s.longest, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.events++
+}
+
 // finish ends a whole answer.
 func (s *stream) finish() {
 	c := s.c
@@ -276,7 +290,8 @@
 		c.e.finished(c.service, s.events, c.now().Sub(s.firstAt))
 	}
 	c.e.meters.answered(c.now().Sub(c.start))
-	c.log(event.RequestFinished, "sends", c.sends, "lastEvent", s.last, "after", c.now().Sub(c.start))
+	c.log(event.RequestFinished, "sends", c.sends, "lastEvent", s.last, "firstEvent", s.firstAt.Sub(c.start),
+		"longestPause", s.longest, "after", c.now().Sub(c.start))
 }
 
 // fail ends an answer that can't be made whole.
