Copy a run again when the engine that holds its copy is lost

Change: the entry looks at a run's copy every 0.2 s; when its holder is gone or suspected, the running engine is told to copy the run to another zone, and again every 3.5 s; the copy is freed when the stream ends.

--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -56,11 +56,17 @@
 	// BackupTo is the address of the engine that gets a copy of the run's
 	// memory while it grows; empty for none.
 	BackupTo string
-	// ContinueFrom is the address of the engine that holds a copy of the run's
-	// memory, from which the run goes on; empty for none.
-	ContinueFrom string
-	// Attempt names the run to go on with.
-	Attempt AttemptID
+	// ContinueFrom is the copy of a lost run's memory that the target holds, from
+	// which the run goes on; the zero value for none.
+	ContinueFrom Copy
+}
+
+// Copy names a copy of a run's memory.
+type Copy struct {
+	// Address is the engine at which the copy is registered, as IP:PORT.
+	Address string
+	// Handle names the copy there.
+	Handle string
 }
 
 // Note is what a target says beside its answer.
@@ -82,6 +88,14 @@
 	Slots   int
 }
 
+// Call is a call to a target itself.
+type Call struct {
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
 // Dialect reads and writes the notes in HTTP headers. All fields are set.
 type Dialect struct {
 	// Ask reads a client's notes.
@@ -93,11 +107,17 @@
 	Tell func(h http.Header, o Order)
 	// Note reads a target's notes.
 	Note func(status int, h http.Header) Note
+	// FreeCall returns the call that frees a copy, at the engine that made it.
+	FreeCall func(handle string) Call
 	// Refusal adds to the headers of an answer of the entry's own which attempt
 	// it answers.
 	Refusal func(h http.Header, attempt AttemptID)
-	// ReportPath is where a target tells its load without using a slot.
-	ReportPath string
+	// CopyCall returns the call that makes a running engine copy a run's memory
+	// to the engine at the address while the run goes on. A second call for the
+	// same run copies what is new.
+	CopyCall func(run AttemptID, to string) (Call, error)
+	// CopyHandle reads the handle of the copy from the answer.
+	CopyHandle func(status int, body []byte) (string, error)
 	// ReadyPath is where the platform asks whether an entry takes work.
 	ReadyPath string
 }
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -41,6 +41,8 @@
 	RequestQuarantine = Event{310, "requestQuarantined", Error, "A fingerprint is refused because it kills targets.", "look at the prompt with the contract's owner"}
 	HedgeStarted      = Event{311, "hedgeStarted", Info, "A second attempt races the first.", "none"}
 	SendEnded         = Event{313, "sendEnded", Info, "A request that was sent to a target ended there.", "see the outcome; none when it is good"}
+	CopyOrdered       = Event{314, "copyOrdered", Info, "An engine was asked to copy a run to another one, since the run's copy was lost.", "none"}
+	CopyFreed         = Event{315, "copyFreed", Debug, "An engine did not free a run's copy when it was told to; it does so by itself later.", "none"}
 	BudgetExhausted   = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is used up.", "look for the loss that uses it"}
 )
 
@@ -89,7 +91,7 @@
 	return []Event{
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed, SettingsRead,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
-		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted, SendEnded,
+		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyFreed,
 		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale, NewsRefused, BeliefTaken,
 		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded,
 		PlacementChosen, PlacementHeld, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -254,11 +254,24 @@
 			h.Set("Account", string(o.Account))
 			h.Set("Last", string(o.LastEvent))
 			h.Set("Copy-To", o.BackupTo)
-			h.Set("Copy-At", o.ContinueFrom)
+			h.Set("Copy-At", o.ContinueFrom.Address)
+			h.Set("Copy-Handle", o.ContinueFrom.Handle)
 		},
 		Note: func(_ int, h http.Header) protocol.Note {
 			return protocol.Note{Attempt: protocol.AttemptID(h.Get("Attempt")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
 		},
+		CopyCall: func(run protocol.AttemptID, to string) (protocol.Call, error) {
+			return protocol.Call{Method: "POST", Path: "/copy", Header: http.Header{"Attempt": {string(run)}, "Copy-To": {to}}}, nil
+		},
+		CopyHandle: func(status int, body []byte) (string, error) {
+			if status != http.StatusOK {
+				return "", fmt.Errorf("status %d", status)
+			}
+			return string(body), nil
+		},
+		FreeCall: func(handle string) protocol.Call {
+			return protocol.Call{Method: "DELETE", Path: "/free/" + handle}
+		},
 		Refusal:   func(h http.Header, a protocol.AttemptID) { h.Set("Attempt", string(a)) },
 		ReadyPath: "/ready",
 	}
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -163,7 +163,7 @@
 
 // order returns what the target is told beside the request.
 func (c *call) order(choice balance.Choice) direct.Order {
-	o := direct.Order{Left: c.left(), Target: choice.Target.ID, Attempt: c.ask.Attempt}
+	o := direct.Order{Left: c.left(), Target: choice.Target.ID}
 	if c.account != nil {
 		o.Account = c.account.Name
 	}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -55,8 +55,8 @@
 	// lastAt is when the last event was passed on, longest the longest pause.
 	lastAt  time.Time
 	longest time.Duration
-	// copyAt is the engine that holds a copy of the run that was lost.
-	copyAt *catalog.Target
+	// copies is where the run's memory is copied to.
+	copies copies
 	// failure is a target's own failure, for a request that no other one takes.
 	failure *reply
 }
@@ -64,14 +64,18 @@
 // attempt is one run of a stream at one target.
 type attempt struct {
 	choice balance.Choice
-	// resumes says that the run goes on from the copy at the target.
-	resumes bool
+	// from is the copy at the target from which the run goes on, if any.
+	from direct.Copy
 }
 
+// resumes reports whether the run goes on from a copy.
+func (a *attempt) resumes() bool { return a.from != (direct.Copy{}) }
+
 // stream passes on a request whose answer is a stream, and goes on with it at
 // another target when one is lost.
 func (c *call) stream(ctx context.Context) {
 	s := &stream{c: c, out: http.NewResponseController(c.w), last: c.ask.LastEvent}
+	defer s.freeCopy()
 	s.number, _ = (&eventstream.Event{ID: string(s.last)}).Number()
 	for c.ran < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.late() {
 		a, ok := s.next()
@@ -96,26 +100,26 @@
 	c := s.c
 	now := c.now()
 	targets := c.targets()
-	if t := s.holder(now, targets); t != nil {
+	if t, from := s.holder(now, targets); t != nil {
 		backup := c.e.balancer.BackupFor(now, c.need, targets, t, c.tried)
-		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsCopy}, resumes: true}, true
+		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsCopy}, from: from}, true
 	}
 	choice, ok := c.e.balancer.Choose(now, c.need, targets, c.tried)
 	return attempt{choice: choice}, ok
 }
 
 // holder returns the engine that holds a copy of the lost run, if it takes work
-// now. A copy is asked for once.
-func (s *stream) holder(now time.Time, targets catalog.Targets) *catalog.Target {
-	if s.copyAt == nil {
-		return nil
+// now, and the copy. A copy is asked for once.
+func (s *stream) holder(now time.Time, targets catalog.Targets) (*catalog.Target, direct.Copy) {
+	held, from := s.copies.take()
+	if held == nil {
+		return nil, direct.Copy{}
 	}
-	t := targets.Find(s.copyAt.ID)
-	s.copyAt = nil
+	t := targets.Find(held.ID)
 	if t == nil || t.State != catalog.Ready || s.c.tried[t.ID] || s.c.e.balancer.Suspected(now, t) {
-		return nil
+		return nil, direct.Copy{}
 	}
-	return t
+	return t, from
 }
 
 // run sends the request to one target and passes on its events.
@@ -123,7 +127,7 @@
 	c := s.c
 	c.tried[a.choice.Target.ID] = true
 	need := c.need
-	if a.resumes {
+	if a.resumes() {
 		need.PromptTokens, need.OutputTokens = 0, c.need.PromptTokens+c.need.OutputTokens
 	}
 	sent := c.now()
@@ -140,9 +144,9 @@
 	if mayHaveRun(outcome) {
 		c.ran++
 	}
-	if run.HasBegun() {
+	if !run.HasBegun() {
 		// A copy is of use only once the prompt has been read.
-		s.copyAt = a.choice.Backup
+		s.copies.take()
 	}
 	c.refusedBusy = c.refusedBusy || outcome == balance.Refused
 	c.ended(run, a.choice, outcome, sent, err)
@@ -153,10 +157,11 @@
 func (s *stream) relay(ctx context.Context, a attempt, run *balance.Run) (balance.Outcome, error) {
 	c := s.c
 	expect := detect.Expectation{Pace: c.route.GapObjective / 20, PrefillPerToken: prefillPerToken}
-	if !a.resumes {
+	if !a.resumes() {
 		expect.Prefill = c.need.PromptTokens
 	}
 	detector := detect.New(stallBounds(), c.now(), expect)
+	s.copies.begin(a.choice.Backup, c.ask.Attempt)
 	answer, err := c.e.pool.Do(ctx, a.choice.Target.Address, s.request(a), s.due(detector))
 	if err != nil {
 		return lossOutcome(err), err
@@ -181,6 +186,7 @@
 		if err := s.pass(answer, &next); err != nil {
 			return balance.Left, err
 		}
+		s.keepCopy(ctx, a.choice.Target)
 	}
 }
 
@@ -188,8 +194,8 @@
 	c := s.c
 	order := c.order(a.choice)
 	order.LastEvent = s.last
-	if a.resumes {
-		order.ContinueFrom = a.choice.Target.Address
+	if a.resumes() {
+		order.ContinueFrom = a.from
 	}
 	header := c.header.Clone()
 	c.e.deps.Dialect.Tell(header, order)
--- a/internal/transport/direct/stream_test.go
+++ b/internal/transport/direct/stream_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -121,6 +122,39 @@
 	})
 }
 
+// When the engine that holds the copy is lost while the run goes on, the run is
+// copied to another engine, and goes on there when its own is lost in turn.
+func TestStreamCopiedAgain(t *testing.T) {
+	play(t, func(w *world) {
+		w.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/copy" {
+				reply(http.StatusOK, "h7")(rw, r)
+				return
+			}
+			events(rw, after(r), 15, 100*time.Millisecond)
+			panic(http.ErrAbortHandler)
+		})
+		w.target("t2", "10.0.2.1:80", "b", engineAt)
+		w.target("t3", "10.0.3.1:80", "c", engineAt)
+		w.start()
+		c := w.client()
+		c.send("POST", "/r/x", "a1", "prompt")
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			w.leaves("t2", "10.0.2.1:80", "b")
+			w.changes <- store.Change{Item: store.Item{Key: "t2"}, Deleted: true}
+		}()
+		a := c.receive()
+		w.is.Equal(a.body, wholeStream(20))
+		got := w.requests()
+		w.is.Equal(len(got), 3)
+		w.is.Equal(got[1].order.Get("Copy-To"), "10.0.3.1:80") // t1 copies the run to t3
+		w.is.Equal(got[2].target, id.Target("t3"))
+		w.is.Equal(got[2].order.Get("Copy-At"), "10.0.1.1:80")
+		w.is.Equal(got[2].order.Get("Copy-Handle"), "h7")
+	})
+}
+
 // A target that has said that it leaves gets no request, even from one that was
 // accepted before: the choice after a loss is made from what is known then.
 func TestStreamResumedWhileDraining(t *testing.T) {
