Queue log lines, so that nothing waits for who reads them

Cause: each line was written under a lock by the request that caused it; a reader that stalls would have stalled requests.

Change: a bounded queue in front of the writer, for all daemons. Past three quarters of it only warnings and errors are taken, past all of it none; a line says how many were dropped. Waiting lines are written together.

--- a/cmd/foxtailward/daemon.go
+++ b/cmd/foxtailward/daemon.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
@@ -22,7 +24,9 @@
 		Long:  long,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return run(cmd.Context(), path, event.NewWriter(cmd.OutOrStdout(), clockwork.NewRealClock()))
+			log, closeLog := openLog(cmd.OutOrStdout())
+			defer closeLog()
+			return run(cmd.Context(), path, log)
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "the settings file")
@@ -31,6 +35,24 @@
 	return cmd
 }
 
+// logCloseTimeout bounds the wait for the last log lines of a process that ends.
+const logCloseTimeout = 200 * time.Millisecond
+
+// openLog returns a log that never makes its callers wait, and what writes its
+// last lines.
+func openLog(w io.Writer) (*event.Log, func()) {
+	q := event.NewQueue(w, clockwork.NewRealClock())
+	ctx, cancel := context.WithCancel(context.Background())
+	go q.Run(ctx)
+	return q.Log(), func() {
+		cancel()
+		select {
+		case <-q.Done():
+		case <-time.After(logCloseTimeout):
+		}
+	}
+}
+
 // runUntilSignal runs a process until the first signal, which makes it drain.
 // A second one cuts its work.
 func runUntilSignal(ctx context.Context, run func(context.Context) error, cut func()) error {
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -11,6 +11,7 @@
 	DrainEnded     = Event{104, "drainEnded", Info, "A stopping process holds no work and ends.", "none"}
 	WorkCut        = Event{105, "workCut", Error, "A second signal ended a process that still held work.", "none; the callers were told"}
 	SettingsRead   = Event{107, "settingsRead", Info, "A hangup signal made the process read its settings again.", "restart the process if they changed"}
+	LinesDropped   = Event{108, "linesDropped", Warn, "Log lines came faster than they were written, and some were dropped.", "look at what reads the log"}
 	LoopFailed     = Event{106, "loopFailed", Error, "A duty of the process ended with an error.", "read the error; the process goes on or ends as the line says"}
 )
 
@@ -89,7 +90,7 @@
 // All returns the catalogue in the order of its numbers.
 func All() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed, SettingsRead,
+		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyFreed,
 		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale, NewsRefused, BeliefTaken,
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -47,6 +47,8 @@
 type Log struct {
 	logger log.Logger
 	clock  clockwork.Clock
+	// queue is nil for a Log whose callers wait for the writer.
+	queue *Queue
 }
 
 // NewLog returns a Log that writes to logger and takes the time from clock.
@@ -64,13 +66,13 @@
 	if l == nil {
 		return nil
 	}
-	return &Log{logger: log.With(l.logger, fields...), clock: l.clock}
+	return &Log{logger: log.With(l.logger, fields...), clock: l.clock, queue: l.queue}
 }
 
 // Emit writes one line for e. The fields are pairs of a key in camel case and
 // a value; values are never secrets.
 func (l *Log) Emit(e Event, fields ...any) {
-	if l == nil {
+	if l == nil || (l.queue != nil && !l.queue.takes(e.Level)) {
 		return
 	}
 	line := make([]any, 0, 8+len(fields))
