Go on with a stream that another entry lost from the copy of its run

Change: entries tell each other where their unfinished runs are copied to, and tell of the runs of one that fell silent or started again. A request that comes back with a last event goes on from that copy, by the request's own contents as its key. An entry that has just started is told at once.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	r := roster.New(self, seeds)
-//	if r.Heard(now, roster.Peer{…}, known) { … }
+//	if r.Heard(now, roster.Peer{…}, known) != roster.Stale { … }
 //	for _, address := range r.Addresses(now) { … }
 //	n := r.Count(now)
 //
@@ -77,20 +77,30 @@
 	return &Roster{self: self, seeds: seeds, peers: map[string]*known{}}
 }
 
-// Heard notes a message of a peer, which names the addresses that it hears. It
-// reports false for a message that is older than one before.
-func (r *Roster) Heard(now time.Time, p Peer, names []string) bool {
+// Verdict says what a message is to the one that hears it.
+type Verdict string
+
+// Verdicts.
+const (
+	// Stale messages are older than one that was heard before, or its own.
+	Stale Verdict = "stale"
+	// First messages are the first of their entry's incarnation.
+	First Verdict = "first"
+	// Next messages are newer than all before.
+	Next Verdict = "next"
+)
+
+// Heard notes a message of a peer, which names the addresses that it hears.
+func (r *Roster) Heard(now time.Time, p Peer, names []string) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.Address == r.self {
-		return false
-	}
 	k := r.at(p.Address)
-	if k == nil {
-		return false
+	if k == nil || (!k.heard.IsZero() && !p.newer(&k.peer)) {
+		return Stale
 	}
-	if !k.heard.IsZero() && !p.newer(&k.peer) {
-		return false
+	verdict := Next
+	if k.heard.IsZero() || k.peer.Incarnation != p.Incarnation {
+		verdict = First
 	}
 	k.peer, k.heard, k.named = p, now, now
 	for _, name := range names {
@@ -98,7 +108,7 @@
 			other.named = now
 		}
 	}
-	return true
+	return verdict
 }
 
 // at returns what is known of an address; nil for the own one and beyond the
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -20,20 +20,20 @@
 	tests := []struct {
 		name string
 		then roster.Peer
-		want bool
+		want roster.Verdict
 	}{
-		{"the next", peer("b", 1, 6), true},
-		{"the same again", peer("b", 1, 5), false},
-		{"an older one", peer("b", 1, 4), false},
-		{"the first after a restart", peer("b", 2, 1), true},
-		{"a late one from before", peer("b", 0, 9), false},
-		{"its own", peer("a", 1, 1), false},
+		{"the next", peer("b", 1, 6), roster.Next},
+		{"the same again", peer("b", 1, 5), roster.Stale},
+		{"an older one", peer("b", 1, 4), roster.Stale},
+		{"the first after a restart", peer("b", 2, 1), roster.First},
+		{"a late one from before", peer("b", 0, 9), roster.Stale},
+		{"its own", peer("a", 1, 1), roster.Stale},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			r := roster.New("a", nil)
-			is.True(r.Heard(start, peer("b", 1, 5), nil))
+			is.Equal(r.Heard(start, peer("b", 1, 5), nil), roster.First)
 			is.Equal(r.Heard(start, tt.then, nil), tt.want)
 		})
 	}
--- a/internal/protocol/direct/news.go
+++ b/internal/protocol/direct/news.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
@@ -42,6 +43,8 @@
 	Known []string `json:"known,omitempty"`
 	// Loads is what the entry has in flight at each target.
 	Loads map[id.Target]balance.Load `json:"loads,omitempty"`
+	// Runs are its unfinished streams' runs that are copied elsewhere.
+	Runs []handover.Run `json:"runs,omitempty"`
 	// Losses are the targets that it lost a moment ago.
 	Losses []Loss `json:"losses,omitempty"`
 }
--- a/internal/transport/direct/copies.go
+++ b/internal/transport/direct/copies.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -32,6 +33,8 @@
 	mu     sync.Mutex
 	holder *catalog.Target
 	from   direct.Copy
+	// told is the copy that other entries were told of.
+	told direct.Copy
 	// ordered says that the copy was made by a call of the entry.
 	ordered bool
 	// run numbers the stream's runs, so that a call for an earlier one changes
@@ -54,6 +57,22 @@
 	}
 }
 
+// inherit notes the copy of a run that another connection had.
+func (k *copies) inherit(holder *catalog.Target, from direct.Copy) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.holder, k.from = holder, from
+}
+
+// news returns the copy if it has changed since it was last asked for.
+func (k *copies) news() (holder *catalog.Target, from direct.Copy, changed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	changed = k.holder != nil && k.from != k.told
+	k.told = k.from
+	return k.holder, k.from, changed
+}
+
 // take returns the holder and the copy, and forgets both.
 func (k *copies) take() (*catalog.Target, direct.Copy) {
 	k.mu.Lock()
@@ -95,6 +114,14 @@
 	}
 }
 
+// tellCopy lets other entries know where the run is copied to.
+func (s *stream) tellCopy() {
+	holder, from, changed := s.copies.news()
+	if changed {
+		s.c.e.handover.Put(handover.Run{Key: s.key, Holder: holder.ID, Address: from.Address, Handle: from.Handle})
+	}
+}
+
 // keepCopy has the run copied to another engine once the copy's holder is lost.
 func (s *stream) keepCopy(ctx context.Context, runner *catalog.Target) {
 	c := s.c
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -26,6 +26,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/directory"
+	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/pace"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/coordination/roster"
@@ -92,6 +93,7 @@
 	// exchange is nil where no address is set for other entries.
 	exchange *exchange
 	balancer *balance.Balancer
+	handover *handover.Registry
 	pool     *upstream.Pool
 	meters   *meters
 
@@ -129,6 +131,7 @@
 		cfg: cfg, deps: deps,
 		directory:  directory.New(),
 		balancer:   balance.New(cfg.Place.Zone, deps.Random),
+		handover:   handover.New(),
 		meters:     newMeters(deps.Metrics),
 		retries:    map[id.Service]*retry.Budget{},
 		paces:      map[id.Service]*pace.Pace{},
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/roster"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -47,9 +48,12 @@
 	conn     net.PacketConn
 	listener net.Listener
 	started  id.Incarnation
-	sequence id.Sequence
 	client   *http.Client
 
+	// telling makes one message at a time.
+	telling  sync.Mutex
+	sequence id.Sequence
+
 	mu sync.Mutex
 	// askedAt is when a belief was last read from another entry.
 	askedAt time.Time
@@ -118,6 +122,8 @@
 }
 
 func (x *exchange) tell(addresses []string) {
+	x.telling.Lock()
+	defer x.telling.Unlock()
 	now := x.e.deps.Clock.Now()
 	data, err := x.news(now).Encode()
 	if err != nil || len(data) > direct.MaxNewsBytes {
@@ -139,7 +145,7 @@
 	x.sequence++
 	n := &direct.News{
 		From: x.e.cfg.Name, Incarnation: x.started, Sequence: x.sequence, Address: x.e.cfg.Peers,
-		Known: x.roster.Alive(now), Loads: x.e.balancer.Loads(),
+		Known: x.roster.Alive(now), Loads: x.e.balancer.Loads(), Runs: x.e.handover.Runs(now),
 	}
 	if cfg := x.e.directory.View().Config; cfg != nil {
 		n.Version = cfg.Version
@@ -177,10 +183,16 @@
 func (x *exchange) take(ctx context.Context, n *direct.News) {
 	now := x.e.deps.Clock.Now()
 	peer := roster.Peer{Name: n.From, Address: n.Address, Incarnation: n.Incarnation, Sequence: n.Sequence, StopsIn: n.StopsIn()}
-	if !x.roster.Heard(now, peer, n.Known) {
+	verdict := x.roster.Heard(now, peer, n.Known)
+	if verdict == roster.Stale {
 		return
 	}
 	x.e.balancer.HeardLoads(now, n.From, n.Loads)
+	x.e.handover.Heard(now, handover.Owner{Name: n.From, Incarnation: n.Incarnation}, n.Runs)
+	if verdict == roster.First {
+		// An entry that has just started learns at once what goes on.
+		x.tell([]string{n.Address})
+	}
 	for i := range n.Losses {
 		x.takeLoss(now, n.From, &n.Losses[i])
 	}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -9,6 +9,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/detect"
+	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/protocol/eventstream"
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -55,6 +56,10 @@
 	// lastAt is when the last event was passed on, longest the longest pause.
 	lastAt  time.Time
 	longest time.Duration
+	// key identifies the request to other entries; whole says that its answer was
+	// passed on to its end.
+	key   handover.Key
+	whole bool
 	// copies is where the run's memory is copied to.
 	copies copies
 	// failure is a target's own failure, for a request that no other one takes.
@@ -75,7 +80,8 @@
 // another target when one is lost.
 func (c *call) stream(ctx context.Context) {
 	s := &stream{c: c, out: http.NewResponseController(c.w), last: c.ask.LastEvent}
-	defer s.freeCopy()
+	s.key = c.key()
+	defer s.end()
 	s.number, _ = (&eventstream.Event{ID: string(s.last)}).Number()
 	for c.ran < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.late() {
 		a, ok := s.next()
@@ -100,6 +106,9 @@
 	c := s.c
 	now := c.now()
 	targets := c.targets()
+	if c.sends == 0 && s.last != "" {
+		s.inherit(now, targets)
+	}
 	if t, from := s.holder(now, targets); t != nil {
 		backup := c.e.balancer.BackupFor(now, c.need, targets, t, c.tried)
 		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsCopy}, from: from}, true
@@ -187,6 +196,7 @@
 			return balance.Left, err
 		}
 		s.keepCopy(ctx, a.choice.Target)
+		s.tellCopy()
 	}
 }
 
@@ -287,9 +297,41 @@
 	s.events++
 }
 
+// key identifies the request, whichever attempt of the client brings it.
+func (c *call) key() handover.Key {
+	account := ""
+	if c.account != nil {
+		account = string(c.account.Name)
+	}
+	return handover.KeyOf(account, c.r.Host, c.r.Method, c.r.RequestURI, c.ask.Prompt, string(c.body))
+}
+
+// inherit takes over the copy of a run that another connection of the client
+// had, at this entry or at another one.
+func (s *stream) inherit(now time.Time, targets catalog.Targets) {
+	run, ok := s.c.e.handover.Find(now, s.key)
+	if !ok {
+		return
+	}
+	holder := targets.Find(run.Holder)
+	s.c.log(event.RequestAdopted, "holder", run.Holder, "listed", holder != nil, "handle", run.Handle, "lastEvent", s.last)
+	if holder != nil {
+		s.copies.inherit(holder, direct.Copy{Address: run.Address, Handle: run.Handle})
+	}
+}
+
+// end forgets the stream, or lets another entry go on with it.
+func (s *stream) end() {
+	s.c.e.handover.End(s.c.now(), s.key, s.whole)
+	if s.whole {
+		s.freeCopy()
+	}
+}
+
 // finish ends a whole answer.
 func (s *stream) finish() {
 	c := s.c
+	s.whole = true
 	// The connection is used again, without a bound on its writes.
 	_ = s.out.SetWriteDeadline(time.Time{})
 	if c.ask.LastEvent == "" {
