Keep unfinished runs in the store, for the time when all entries end at once

Change: each entry writes the runs of its unfinished streams once a second, one call, and reads all entries' when it starts.

--- a/internal/coordination/handover/handover.go
+++ b/internal/coordination/handover/handover.go
@@ -138,6 +138,28 @@
 	return runs
 }
 
+// Own returns the runs of this entry.
+func (r *Registry) Own() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := make([]Run, 0, len(r.own))
+	for _, run := range r.own {
+		runs = append(runs, run)
+	}
+	return runs
+}
+
+// Remember notes runs that were kept elsewhere, unless more is known of them.
+func (r *Registry) Remember(now time.Time, runs []Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range runs {
+		if _, known := r.peers[run.Key]; !known {
+			r.peers[run.Key] = heard{run: run, at: now}
+		}
+	}
+}
+
 // told returns the run with its age.
 func (h *heard) told(now time.Time) Run {
 	run := h.run
--- a/internal/coordination/store/store.go
+++ b/internal/coordination/store/store.go
@@ -141,6 +141,8 @@
 	ClaimPrefix = Root + "claim/"
 	// SeedPrefix comes before the name of an entry whose address is kept.
 	SeedPrefix = Root + "seed/"
+	// RunsPrefix comes before the name of an entry whose unfinished runs are kept.
+	RunsPrefix = Root + "runs/"
 	// LeaderKey is held by the process that decides on placement.
 	LeaderKey = Root + "placement/leader"
 	// OrderPrefix comes before the id of a standing order.
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -70,6 +70,8 @@
 	ClaimUnknown     = Event{507, "claimUnknown", Error, "It cannot be known whether a call that may not be repeated ran.", "ask the service's owner about the call"}
 	LeadershipGained = Event{508, "leadershipGained", Info, "This process decides on placement.", "none"}
 	WatchEnded       = Event{510, "watchEnded", Info, "A watch of the key-value service broke; the keys are read again.", "none unless it repeats"}
+	RunsUnkept       = Event{511, "runsUnkept", Info, "The runs of unfinished streams could not be written to the key-value service.", "none; they matter only if all entries end at once"}
+	RunsUnread       = Event{512, "runsUnread", Info, "The runs that entries kept before could not be read.", "none; streams that come back start anew"}
 	LeadershipLost   = Event{509, "leadershipLost", Info, "This process no longer decides on placement.", "none"}
 )
 
@@ -94,7 +96,7 @@
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyFreed,
 		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale, NewsRefused, BeliefTaken,
-		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded,
+		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsUnkept, RunsUnread,
 		PlacementChosen, PlacementHeld, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
 }
--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -119,9 +119,11 @@
 	ended   chan error
 	changes chan store.Change
 
-	mu       sync.Mutex
-	got      []received
-	targets  []store.Item
+	mu      sync.Mutex
+	got     []received
+	targets []store.Item
+	// kept is what the entry wrote last.
+	kept     []store.Item
 	config   *catalog.Config
 	servers  map[string]*http.Server
 	shutdown []func()
@@ -189,6 +191,22 @@
 	synctest.Wait()
 }
 
+// restart kills the entry and starts another one, which knows only what lies in
+// the key-value service.
+func (w *world) restart() {
+	w.mu.Lock()
+	kept := w.kept
+	w.mu.Unlock()
+	w.net.remove(clients)
+	w.net.remove(readiness)
+	old := w.stop
+	w.shutdown = append(w.shutdown, old)
+	w.start()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kept = kept
+}
+
 func (w *world) settings() settings.Direct {
 	s := settings.Direct{
 		Name: "e", Clients: clients, Readiness: readiness,
@@ -207,8 +225,20 @@
 			}
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if prefix == store.RunsPrefix {
+				return store.Page{Revision: 1, Items: w.kept}, nil
+			}
 			return store.Page{Revision: 1, Items: w.targets}, nil
 		},
+		Commit: func(_ context.Context, txn store.Txn) (store.Result, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.kept = nil
+			for _, p := range txn.Puts {
+				w.kept = append(w.kept, store.Item{Key: p.Key, Value: p.Value, ModRevision: 1})
+			}
+			return store.Result{Succeeded: true}, nil
+		},
 		Watch: func(ctx context.Context, prefix string, _ int64, each func(store.Change)) error {
 			for {
 				changes := w.changes
--- /dev/null
+++ b/internal/transport/direct/keep.go
@@ -0,0 +1,84 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/state/event"
+)
+
+const (
+	// keepEvery is the time between two writes of an entry's runs.
+	keepEvery = time.Second
+	// keepTimeout bounds a write or read of them.
+	keepTimeout = time.Second
+)
+
+// keeper keeps the entry's unfinished runs in the key-value service, for the
+// time when all entries end at once and none is left to tell of them.
+type keeper struct {
+	e *Entry
+	// kept says that the service holds runs of this entry.
+	kept bool
+}
+
+// run reads what all entries kept, and then keeps this one's runs until ctx
+// ends.
+func (k *keeper) run(ctx context.Context) {
+	k.read(ctx)
+	ticker := k.e.deps.Clock.NewTicker(keepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			k.write(ctx)
+		}
+	}
+}
+
+// read takes the runs that entries kept before they ended. How old they are is
+// not known; a copy that is gone is refused by its engine.
+func (k *keeper) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	page, err := k.e.deps.Store.List(ctx, store.RunsPrefix)
+	if err != nil {
+		k.e.deps.Log.Emit(event.RunsUnread, "error", err)
+		return
+	}
+	now := k.e.deps.Clock.Now()
+	for i := range page.Items {
+		var runs []handover.Run
+		if err := json.Unmarshal(page.Items[i].Value, &runs); err != nil {
+			k.e.deps.Log.Emit(event.RunsUnread, "key", page.Items[i].Key, "error", err)
+			continue
+		}
+		k.e.handover.Remember(now, runs)
+	}
+}
+
+// write keeps the runs that there are, and nothing while there were none before.
+func (k *keeper) write(ctx context.Context) {
+	runs := k.e.handover.Own()
+	if len(runs) == 0 && !k.kept {
+		return
+	}
+	value, err := json.Marshal(runs)
+	if err != nil {
+		k.e.deps.Log.Emit(event.RunsUnkept, "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	_, err = k.e.deps.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: store.RunsPrefix + string(k.e.cfg.Name), Value: value}}})
+	if err != nil {
+		k.e.deps.Log.Emit(event.RunsUnkept, "runs", len(runs), "error", err)
+		return
+	}
+	k.kept = len(runs) > 0
+}
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -70,6 +70,7 @@
 	if e.exchange != nil {
 		duties.Go(func() { e.exchange.run(serving) })
 	}
+	duties.Go(func() { (&keeper{e: e}).run(serving) })
 	duties.Go(func() { e.sweep(serving) })
 	if e.cfg.Operators != "" {
 		duties.Go(func() { e.serveOperators(serving) })
--- a/internal/transport/direct/stream_test.go
+++ b/internal/transport/direct/stream_test.go
@@ -155,6 +155,39 @@
 	})
 }
 
+// A client that comes back with the same request and its last event goes on from
+// the copy of the run that it had before: after its connection broke, and after
+// all entries have ended and started again.
+func TestStreamInherited(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		play(t, func(w *world) {
+			w.target("t1", "10.0.1.1:80", "a", stalls(40))
+			w.target("t2", "10.0.2.1:80", "b", engineAt)
+			w.start()
+			c := w.client()
+			c.send("POST", "/r/x", "a1", "prompt")
+			go func() { _, _ = c.r.WriteTo(discard{}) }()
+			time.Sleep(1200 * time.Millisecond)
+			if restart {
+				w.restart()
+			}
+			_ = c.conn.Close()
+			time.Sleep(10 * time.Millisecond)
+			a := w.ask("POST", "/r/x", "a2", "prompt", "Last", "12")
+			w.is.Equal(a.body, wholeStream(20)[len(wholeStream(12)):])
+			got := w.requests()
+			w.is.Equal(len(got), 2)
+			w.is.Equal(got[1].target, id.Target("t2"))
+			w.is.Equal(got[1].order.Get("Copy-Handle"), "a1") // the copy of the first attempt's run
+			w.is.Equal(got[1].order.Get("Attempt"), "a2")
+
+			// Another request does not get the copy.
+			w.ask("POST", "/r/x", "a3", "another prompt", "Last", "12")
+			w.is.Equal(w.requests()[2].order.Get("Copy-Handle"), "")
+		})
+	}
+}
+
 // A target that has said that it leaves gets no request, even from one that was
 // accepted before: the choice after a loss is made from what is known then.
 func TestStreamResumedWhileDraining(t *testing.T) {
