Pool the retry budget, tell losses at once, and learn targets from entries that reach the store

Change: entries tell what they sent again, and each reckons with the sum; the part of entries that fell silent stays unused. News goes out every 15 ms an entry and at once after a loss. What was cancelled for its zone is no sign of a loss. An entry without the store takes the targets from one that has it. Watches pause and runs are kept by the number of entries.

--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"runtime/debug"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
@@ -68,9 +69,11 @@
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
 	}
-	e := direct.New(*s, direct.Deps{
+	var e *direct.Entry
+	kv := platform.NewStore(s.Store, func() time.Duration { return e.WatchPause() })
+	e = direct.New(*s, direct.Deps{
 		Clock: clockwork.NewRealClock(), Log: log, Metrics: metrics.NewRegistry(),
-		Store:   platform.NewStore(s.Store).Store(),
+		Store:   kv.Store(),
 		Codec:   platformCodec(),
 		Dialect: platform.Dialect(),
 		Random:  rand.Float64,
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -79,6 +79,9 @@
 	Unreached Outcome = "unreached"
 	// Replaced targets have ended; their address answers for another one.
 	Replaced Outcome = "replaced"
+	// Moved requests were cancelled, since the target's group was lost. That says
+	// nothing of the target itself.
+	Moved Outcome = "moved"
 	// Left requests were cancelled by their client.
 	Left Outcome = "left"
 )
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -157,6 +157,51 @@
 	is.Equal(cancelled, map[string]int{"waits": 1})
 }
 
+// Requests that were cancelled because their zone was lost are no sign of
+// further losses, or one alarm would bring the next.
+func TestRunEndMoved(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 4, "a", "b")
+	begin := func(target *catalog.Target) *balance.Run {
+		return b.Start(start, balance.Choice{Target: target}, report(), nil)
+	}
+	first, second := begin(ts[0]), begin(ts[1])
+	first.End(start, balance.Moved)
+	is.True(!second.End(start, balance.Moved))
+	is.Equal(len(b.Losses(start)), 0)
+	is.True(!b.Suspected(start, ts[0]))
+	is.True(!b.Suspected(start, ts[2]))
+}
+
+// Losses that other entries tell count like the own ones.
+func TestHeardLoss(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 4, "a", "b")
+	cancelled := 0
+	b.Start(start.Add(-time.Second), balance.Choice{Target: ts[0]}, report(), func() { cancelled++ })
+	is.True(!b.HeardLoss(start, ts[1], 50*time.Millisecond))
+	is.True(!b.HeardLoss(start, ts[1], 60*time.Millisecond)) // the same loss, told again
+	is.Equal(cancelled, 0)
+	is.True(b.HeardLoss(start, ts[2], 20*time.Millisecond))
+	is.Equal(cancelled, 1)
+	is.Equal(len(b.Losses(start)), 0) // only the own losses are told on
+}
+
+// What others have in flight counts until they have been silent for a while.
+func TestHeardLoads(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 1, "a", "b")
+	b.HeardLoads(start, "e2", map[id.Target]balance.Load{ts[0].ID: {Running: 1, Prefill: 8000, Memory: 9000}})
+	choice, _ := b.Choose(start, report(), ts, nil)
+	is.Equal(choice.Target.ID, ts[1].ID)
+	b.HeardLoads(start.Add(3*time.Second), "e3", nil)
+	choice, _ = b.Choose(start.Add(3*time.Second), report(), ts, nil)
+	is.Equal(choice.Target.ID, ts[0].ID)
+}
+
 func TestRunEnd(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -257,7 +257,7 @@
 		return b.lose(now, t)
 	case Replaced:
 		rec.suspectUntil = now.Add(replacedAvoid)
-	case Left:
+	case Left, Moved:
 	}
 	return false
 }
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -107,6 +107,29 @@
 	return gone
 }
 
+// ReplaceHeard notes the whole list of targets as another entry knows it, which
+// reaches the key-value service while this one does not. It returns the targets
+// that are gone.
+func (d *Directory) ReplaceHeard(listed catalog.Targets) catalog.Targets {
+	heard := make(map[id.Target]*catalog.Target, len(listed))
+	for _, t := range listed {
+		heard[t.ID] = t
+	}
+	var gone catalog.Targets
+	for name, t := range d.targets {
+		if heard[name] == nil {
+			gone = append(gone, t)
+		}
+	}
+	d.targets = heard
+	clear(d.missing)
+	d.publish()
+	return gone
+}
+
+// IsAway reports whether the key-value service does not answer this entry.
+func (d *Directory) IsAway() bool { return d.away }
+
 // Remove notes that a target is no longer listed. It returns the target if it
 // counts as gone at once.
 func (d *Directory) Remove(now time.Time, name id.Target) *catalog.Target {
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -99,6 +99,19 @@
 	}
 }
 
+// While the service is away, the list of an entry that reaches it is taken as it
+// is: what is missing there is gone.
+func TestReplaceHeard(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	d.Replace(start, catalog.Targets{target("t1"), target("t2")})
+	d.Away()
+	gone := d.ReplaceHeard(catalog.Targets{target("t2"), target("t3")})
+	is.Equal(len(gone), 1)
+	is.Equal(gone[0].ID, id.Target("t1"))
+	is.Equal(names(d), []id.Target{"t2", "t3"})
+}
+
 // A target that starts again under its name is news, since nothing of what was
 // known of it holds.
 func TestPutRestarted(t *testing.T) {
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -2,15 +2,16 @@
 // over any span of a fixed length.
 //
 // All entries together may send again a share of the requests and a fixed
-// number. The share is counted from this entry's own requests; the fixed number
-// is divided by the number of entries, so that the sum holds without the entries
-// telling each other what they spent.
+// number. Entries tell each other their counts, so that one which meets many
+// losses may use what the others leave. Of the fixed number only the part is
+// used that belongs to the entries which are heard, so that the bound holds when
+// they lose sight of each other.
 //
 // # Usage
 //
 //	b := retry.New(retry.Config{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, now)
 //	b.First(now)
-//	if b.Again(now, entries) { … }
+//	if b.Again(now, others, part) { … }
 package retry
 
 import (
@@ -50,12 +51,27 @@
 	b.first[b.slot()]++
 }
 
-// Again reports whether one of so many entries may send a request once more, and
-// counts it if so.
-func (b *Budget) Again(now time.Time, entries int) bool {
+// Counts are the requests of a window that were sent first and again.
+type Counts struct {
+	First int `json:"first,omitempty"`
+	Again int `json:"again,omitempty"`
+}
+
+// Add returns the sum of both.
+func (c Counts) Add(o Counts) Counts { return Counts{c.First + o.First, c.Again + o.Again} }
+
+// Counts returns what this entry has sent within the window.
+func (b *Budget) Counts(now time.Time) Counts {
 	b.turn(now)
-	slack := b.cfg.Slack / float64(max(1, entries))
-	if float64(sum(b.again[:])+1) > b.cfg.Ratio*float64(sum(b.first[:]))+slack {
+	return Counts{sum(b.first[:]), sum(b.again[:])}
+}
+
+// Again reports whether a request may be sent once more, and counts it if so.
+// others is what the other entries sent within the window, as they told; part is
+// the part of the fixed number that all of them together may use.
+func (b *Budget) Again(now time.Time, others Counts, part float64) bool {
+	all := b.Counts(now).Add(others)
+	if float64(all.Again+1) > b.cfg.Ratio*float64(all.First)+b.cfg.Slack*part {
 		return false
 	}
 	b.again[b.slot()]++
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -31,6 +31,8 @@
 	countTime = 15 * time.Second
 	// restartTime is how long an entry that has stopped takes to serve again.
 	restartTime = time.Second
+	// leastEntries is how many entries are reckoned with before they are known.
+	leastEntries = 4
 	// maxPeers bounds what others may add.
 	maxPeers = 1000
 )
@@ -156,6 +158,13 @@
 	return addresses
 }
 
+// Part returns the part of a common limit that the entries which hear each other
+// may use together: all of it while none of those counted is silent.
+func (r *Roster) Part(now time.Time) float64 {
+	alive := 1 + len(r.Alive(now))
+	return float64(alive) / float64(max(r.Count(now), leastEntries))
+}
+
 // Count returns how many entries share common limits, this one included.
 func (r *Roster) Count(now time.Time) int {
 	r.mu.Lock()
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -77,3 +77,15 @@
 	is.True(known)
 	is.Equal(wait, time.Duration(0))
 }
+
+// An entry that hears nobody uses its own part of common limits, not all.
+func TestPart(t *testing.T) {
+	is := is.New(t)
+	r := roster.New("a", nil)
+	is.Equal(r.Part(start), 0.25)
+	for _, address := range []string{"b", "c", "d"} {
+		r.Heard(start, peer(address, 1, 1), nil)
+	}
+	is.Equal(r.Part(start), 1.0)
+	is.Equal(r.Part(start.Add(5*time.Second)), 0.25) // all have fallen silent
+}
--- a/internal/protocol/direct/news.go
+++ b/internal/protocol/direct/news.go
@@ -7,6 +7,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
@@ -39,12 +40,16 @@
 	// StopsInMS is how long the entry still finishes its work, in milliseconds; 0
 	// while it serves.
 	StopsInMS int64 `json:"stopsInMs,omitempty"`
+	// ReachesStore says that the key-value service answers the entry.
+	ReachesStore bool `json:"reachesStore,omitempty"`
 	// Known holds the addresses of the other entries that it hears.
 	Known []string `json:"known,omitempty"`
 	// Loads is what the entry has in flight at each target.
 	Loads map[id.Target]balance.Load `json:"loads,omitempty"`
 	// Runs are its unfinished streams' runs that are copied elsewhere.
 	Runs []handover.Run `json:"runs,omitempty"`
+	// Retries is what the entry sent to each service lately, first and again.
+	Retries map[id.Service]retry.Counts `json:"retries,omitempty"`
 	// Losses are the targets that it lost a moment ago.
 	Losses []Loss `json:"losses,omitempty"`
 }
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -54,7 +54,7 @@
 	ZoneBack       = Event{402, "zoneBack", Info, "An availability zone that was lost reports again.", "none"}
 	HostListFailed = Event{403, "hostListFailed", Warn, "The host list could not be read; the last one stays in force.", "look at the host list"}
 	NewsRefused    = Event{406, "newsRefused", Warn, "A message of another entry, or its answer, could not be used.", "none unless it repeats"}
-	BeliefTaken    = Event{407, "beliefTaken", Info, "The targets were learned from another entry, before the key-value service could be read.", "look at the key-value service if it lasts"}
+	BeliefTaken    = Event{407, "beliefTaken", Info, "The targets were learned from another entry, since the key-value service does not answer this one.", "look at the key-value service if it lasts"}
 	ShareStale     = Event{405, "shareStale", Warn, "The owner of a limit is silent; the last share stays in force.", "none"}
 )
 
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -28,7 +28,6 @@
 	"foxtailward.example/foxtailward/internal/coordination/directory"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/pace"
-	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/coordination/roster"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -97,10 +96,9 @@
 	pool     *upstream.Pool
 	meters   *meters
 
-	retriesMu sync.Mutex
-	retries   map[id.Service]*retry.Budget
-	pacesMu   sync.Mutex
-	paces     map[id.Service]*pace.Pace
+	retries *retries
+	pacesMu sync.Mutex
+	paces   map[id.Service]*pace.Pace
 
 	clients   net.Listener
 	readiness net.Listener
@@ -133,7 +131,7 @@
 		balancer:   balance.New(cfg.Place.Zone, deps.Random),
 		handover:   handover.New(),
 		meters:     newMeters(deps.Metrics),
-		retries:    map[id.Service]*retry.Budget{},
+		retries:    newRetries(retryConfig(cfg.Retries)),
 		paces:      map[id.Service]*pace.Pace{},
 		idle:       newIdleConns(),
 		configured: make(chan struct{}),
@@ -150,30 +148,6 @@
 	return e
 }
 
-// mayRepeat reports whether the retry budget of a service allows one more send.
-func (e *Entry) mayRepeat(service id.Service) bool {
-	e.retriesMu.Lock()
-	defer e.retriesMu.Unlock()
-	now := e.deps.Clock.Now()
-	return e.budget(service).Again(now, e.roster.Count(now))
-}
-
-// sentFirst notes the first send of a request to a service.
-func (e *Entry) sentFirst(service id.Service) {
-	e.retriesMu.Lock()
-	defer e.retriesMu.Unlock()
-	e.budget(service).First(e.deps.Clock.Now())
-}
-
-func (e *Entry) budget(service id.Service) *retry.Budget {
-	b := e.retries[service]
-	if b == nil {
-		b = retry.New(retryConfig(e.cfg.Retries), e.deps.Clock.Now())
-		e.retries[service] = b
-	}
-	return b
-}
-
 // finished notes a whole stream of a service.
 func (e *Entry) finished(service id.Service, events int, took time.Duration) {
 	e.pacesMu.Lock()
@@ -199,22 +173,3 @@
 	}
 	return p
 }
-
-// Shares of what all entries may send again.
-const (
-	// ratioShare is left of the ratio, since windows of entries do not end
-	// together.
-	ratioShare = 0.8
-	// slackShare is the part of the fixed number that the entries share out. The
-	// rest is for entries that do not know of each other yet.
-	slackShare = 0.6
-)
-
-// retryConfig returns what all entries may send again.
-func retryConfig(r settings.Retries) retry.Config {
-	return retry.Config{
-		Ratio:  ratioShare * r.Ratio,
-		Slack:  slackShare * r.Slack,
-		Window: time.Duration(r.WindowSeconds * float64(time.Second)),
-	}
-}
--- a/internal/transport/direct/follow.go
+++ b/internal/transport/direct/follow.go
@@ -137,20 +137,26 @@
 }
 
 func (f *follower) replaceTargets(page store.Page) {
+	listed := f.decodeTargets(page.Items)
+	f.gone(f.e.directory.Replace(f.e.deps.Clock.Now(), listed))
+	f.e.listed.Store(true)
+}
+
+// decodeTargets returns the targets of a list, without what can't be decoded.
+func (f *follower) decodeTargets(items []store.Item) catalog.Targets {
 	now := f.e.deps.Clock.Now()
 	var listed catalog.Targets
 	clear(f.targetItems)
-	for i := range page.Items {
-		t, err := f.e.deps.Codec.Target(page.Items[i], now)
+	for i := range items {
+		t, err := f.e.deps.Codec.Target(items[i], now)
 		if err != nil {
-			f.refused(page.Items[i], err)
+			f.refused(items[i], err)
 			continue
 		}
-		f.targetItems[page.Items[i].Key] = page.Items[i]
+		f.targetItems[items[i].Key] = items[i]
 		listed = append(listed, t)
 	}
-	f.gone(f.e.directory.Replace(now, listed))
-	f.e.listed.Store(true)
+	return listed
 }
 
 func (f *follower) changeTarget(c store.Change) {
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -49,6 +49,8 @@
 	ran int
 	// refusedBusy says that a target refused the request as one too many.
 	refusedBusy bool
+	// overBudget says that the retry budget ended the request.
+	overBudget bool
 }
 
 // serve answers one request of a client.
@@ -195,10 +197,12 @@
 // send notes that the request is about to be sent, and reports whether the
 // retry budget allows it.
 func (c *call) send() bool {
+	now := c.now()
 	if c.sends == 0 {
-		c.e.sentFirst(c.service)
-	} else if !c.e.mayRepeat(c.service) {
-		c.log(event.BudgetExhausted, "service", c.service)
+		c.e.retries.first(now, c.service)
+	} else if !c.e.retries.again(now, c.service, c.e.roster.Part(now)) {
+		c.overBudget = true
+		c.log(event.BudgetExhausted, "service", c.service, "entries", c.e.roster.Count(now))
 		return false
 	}
 	c.sends++
--- a/internal/transport/direct/keep.go
+++ b/internal/transport/direct/keep.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// keepEvery is the time between two writes of an entry's runs.
+	// keepEvery is the time between two writes of an entry's runs. With many
+	// entries it is keepEach for each, since they share the service's rate.
 	keepEvery = time.Second
+	keepEach  = 90 * time.Millisecond
 	// keepTimeout bounds a write or read of them.
 	keepTimeout = time.Second
 )
@@ -29,13 +31,12 @@
 // ends.
 func (k *keeper) run(ctx context.Context) {
 	k.read(ctx)
-	ticker := k.e.deps.Clock.NewTicker(keepEvery)
-	defer ticker.Stop()
 	for {
+		pause := max(keepEvery, keepEach*time.Duration(k.e.roster.Count(k.e.deps.Clock.Now())))
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
+		case <-k.e.deps.Clock.After(pause):
 			k.write(ctx)
 		}
 	}
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -27,7 +27,7 @@
 	// more of them it grows by tellEach for each, so that the traffic of one
 	// entry stays the same.
 	tellEvery = 150 * time.Millisecond
-	tellEach  = 40 * time.Millisecond
+	tellEach  = 15 * time.Millisecond
 	// beliefTimeout bounds the time to read another entry's belief.
 	beliefTimeout = time.Second
 	// beliefPause is the time between two such reads.
@@ -49,6 +49,8 @@
 	listener net.Listener
 	started  id.Incarnation
 	client   *http.Client
+	// urgent asks for a message before the next one is due.
+	urgent chan struct{}
 
 	// telling makes one message at a time.
 	telling  sync.Mutex
@@ -75,6 +77,7 @@
 		e: e, roster: e.roster, follower: f, conn: conn, listener: listener,
 		started: id.Incarnation(e.deps.Clock.Now().UnixMilli()),
 		client:  &http.Client{Timeout: beliefTimeout},
+		urgent:  make(chan struct{}, 1),
 	}, nil
 }
 
@@ -116,11 +119,21 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-x.urgent:
 		case <-x.e.deps.Clock.After(pause):
 		}
 	}
 }
 
+// hurry has the next message sent at once, since what it tells can't wait. It
+// never blocks.
+func (x *exchange) hurry() {
+	select {
+	case x.urgent <- struct{}{}:
+	default:
+	}
+}
+
 func (x *exchange) tell(addresses []string) {
 	x.telling.Lock()
 	defer x.telling.Unlock()
@@ -146,10 +159,12 @@
 	n := &direct.News{
 		From: x.e.cfg.Name, Incarnation: x.started, Sequence: x.sequence, Address: x.e.cfg.Peers,
 		Known: x.roster.Alive(now), Loads: x.e.balancer.Loads(), Runs: x.e.handover.Runs(now),
+		Retries: x.e.retries.counts(now),
 	}
 	if cfg := x.e.directory.View().Config; cfg != nil {
 		n.Version = cfg.Version
 	}
+	n.ReachesStore = x.e.listed.Load() && !x.follower.away()
 	if start := x.e.drainStart.Load(); start != nil {
 		n.StopsInMS = max(1, x.e.drainEnd(*start).Sub(now).Milliseconds())
 	}
@@ -188,6 +203,7 @@
 		return
 	}
 	x.e.balancer.HeardLoads(now, n.From, n.Loads)
+	x.e.retries.heard(now, n.From, n.Retries)
 	x.e.handover.Heard(now, handover.Owner{Name: n.From, Incarnation: n.Incarnation}, n.Runs)
 	if verdict == roster.First {
 		// An entry that has just started learns at once what goes on.
@@ -196,7 +212,8 @@
 	for i := range n.Losses {
 		x.takeLoss(now, n.From, &n.Losses[i])
 	}
-	if x.lacks(n.Version) && x.mayAsk(now) {
+	outdated := n.ReachesStore && x.follower.away()
+	if (outdated || x.lacks(n.Version)) && x.mayAsk(now) {
 		go x.readBelief(ctx, n.Address)
 	}
 }
@@ -274,15 +291,26 @@
 	return b
 }
 
-// takeBelief notes what another entry knows. Its list of targets serves only
-// until this entry has read its own.
+// takeBelief notes what another entry knows. Its list of targets serves while
+// this entry does not reach the key-value service.
 func (f *follower) takeBelief(b *direct.Belief) {
 	f.locked(func() {
 		f.adopt(b.Config)
-		if f.e.listed.Load() || len(b.Targets) == 0 {
+		if len(b.Targets) == 0 || (f.e.listed.Load() && !f.e.directory.IsAway()) {
 			return
 		}
-		f.replaceTargets(store.Page{Items: b.Targets})
-		f.e.deps.Log.Emit(event.BeliefTaken, "targets", len(b.Targets))
+		first := !f.e.listed.Swap(true)
+		gone := f.e.directory.ReplaceHeard(f.decodeTargets(b.Targets))
+		f.gone(gone)
+		if first || len(gone) > 0 {
+			f.e.deps.Log.Emit(event.BeliefTaken, "targets", len(b.Targets), "gone", len(gone))
+		}
 	})
 }
+
+// away reports whether the key-value service does not answer.
+func (f *follower) away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.e.directory.IsAway()
+}
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -85,6 +85,10 @@
 func (c *call) ended(run *balance.Run, choice balance.Choice, outcome balance.Outcome, sent time.Time, err error) {
 	now := c.now()
 	zoneLost := run.End(now, outcome)
+	if c.e.exchange != nil && c.need.Engine != nil && outcome == balance.Lost {
+		// Requests at other entries may wait for the same zone.
+		c.e.exchange.hurry()
+	}
 	c.e.meters.sent(outcome, now.Sub(sent))
 	fields := []any{"target", choice.Target.ID, "zone", choice.Target.Zone, "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	if err != nil {
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -69,6 +69,8 @@
 		c.abandon()
 	case c.ran == 0 && c.refusedBusy:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targetsBusy", retryAfter: busyRetryAfter})
+	case c.ran == 0 && c.overBudget:
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "retryBudget", retryAfter: noTargetRetryAfter})
 	case c.ran == 0 && !c.late():
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "noTarget", retryAfter: noTargetRetryAfter})
 	case c.ran == 0:
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -34,6 +34,10 @@
 	// configuration is known.
 	defaultIdleTimeout = time.Minute
 	readinessTimeout   = 5 * time.Second
+	// watchPauseEach is the part of WatchPause for each entry. maxWatchPause is
+	// well within the time in which changes must be in force.
+	watchPauseEach = 50 * time.Millisecond
+	maxWatchPause  = time.Second
 )
 
 // Listen opens the entry's addresses.
@@ -200,6 +204,13 @@
 	}
 }
 
+// WatchPause returns how long to wait between a change in the key-value service
+// and the next watch. It grows with the number of entries, which share the
+// service's rate.
+func (e *Entry) WatchPause() time.Duration {
+	return min(watchPauseEach*time.Duration(e.roster.Count(e.deps.Clock.Now())), maxWatchPause)
+}
+
 func (e *Entry) idleTimeout() time.Duration {
 	cfg := e.directory.View().Config
 	if cfg == nil || cfg.Limits.IdleTimeout == 0 {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
@@ -142,13 +143,20 @@
 	sent := c.now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	run := c.e.balancer.Start(sent, a.choice, need, cancel)
+	var moved atomic.Bool
+	run := c.e.balancer.Start(sent, a.choice, need, func() {
+		moved.Store(true)
+		cancel()
+	})
 	if c.sends > 1 {
 		c.log(event.RecoveryChosen, "target", a.choice.Target.ID, "reason", a.choice.Reason, "lastEvent", s.last)
 	}
 	outcome, err := s.relay(ctx, a, run)
-	if c.clientLeft() {
+	switch {
+	case c.clientLeft():
 		outcome = balance.Left
+	case outcome == balance.Lost && moved.Load():
+		outcome = balance.Moved
 	}
 	if mayHaveRun(outcome) {
 		c.ran++
