--- a/cmd/foxtailward/check.go
+++ b/cmd/foxtailward/check.go
@@ -12,7 +12,7 @@
 )
 
 const usageCheck = `Check files without applying them: contracts, the deployment's configuration, and
-the settings of entry and target processes. Each fault names the file, the line,
+the settings of entry, target and direct entry processes. Each fault names the file, the line,
 the key and what was expected. The form is told by the keys, or by --as.`
 
 // checked is what a file was found to be.
@@ -33,7 +33,7 @@
 		RunE: func(cmd *cobra.Command, files []string) error {
 			form := conffile.Form(as)
 			if as != "" && !form.Valid() {
-				return fault.New("check", usage, "--as is %q, want contract, config, entry or target", as)
+				return fault.New("check", usage, "--as is %q, want contract, config, entry, target or direct", as)
 			}
 			results := make([]checked, 0, len(files))
 			var problems []error
@@ -48,7 +48,7 @@
 			return errors.Join(problems...)
 		},
 	}
-	cmd.Flags().StringVar(&as, "as", "", "form of the files: contract, config, entry or target")
+	cmd.Flags().StringVar(&as, "as", "", "form of the files: contract, config, entry, target or direct")
 	return cmd
 }
 
--- a/internal/state/conffile/check.go
+++ b/internal/state/conffile/check.go
@@ -20,6 +20,7 @@
 	DeploymentForm Form = "config"
 	EntryForm      Form = "entry"
 	TargetForm     Form = "target"
+	DirectForm     Form = "direct"
 )
 
 // forms lists the types of all forms; of two that fit equally well the first
@@ -32,6 +33,7 @@
 	{DeploymentForm, reflect.TypeFor[conf.Deployment]()},
 	{EntryForm, reflect.TypeFor[settings.Entry]()},
 	{TargetForm, reflect.TypeFor[settings.Target]()},
+	{DirectForm, reflect.TypeFor[settings.Direct]()},
 }
 
 // FormOf guesses what a file describes by the keys that it has.
@@ -107,6 +109,8 @@
 		_, err = settings.LoadEntry(path)
 	case TargetForm:
 		_, err = settings.LoadTarget(path)
+	case DirectForm:
+		_, err = settings.LoadDirect(path)
 	default:
 		_, err = DecodeContract(path, data)
 	}
