Put losses in several zones at once down to the own host

Change: when a second zone of a service is lost within 0.8 s, what was concluded is taken back, other entries are not told, and broken connections say nothing of targets for that time; one that takes no connection is avoided by itself.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -99,6 +99,9 @@
 	others map[id.Target]Load
 	// lost holds when targets were lost lately, to tell the other entries.
 	lost map[id.Target]time.Time
+	// ownTroubleAt is when losses in several zones at once were last put down to
+	// the entry's own host.
+	ownTroubleAt time.Time
 	// waiting holds the requests that have not begun to be answered.
 	waiting map[*Run]struct{}
 }
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -157,6 +157,35 @@
 	is.Equal(cancelled, map[string]int{"waits": 1})
 }
 
+// Losses in several zones at once are put down to the own host: nothing is
+// avoided, and other entries are told nothing.
+func TestRunEndOwnHost(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 3, "a", "b", "c")
+	var runs []*balance.Run
+	for _, target := range ts {
+		runs = append(runs, b.Start(start, balance.Choice{Target: target}, report(), nil))
+	}
+	at := start.Add(time.Second)
+	for i, run := range runs {
+		if i%3 == 2 {
+			continue // the third target of each zone goes on
+		}
+		run.End(at.Add(time.Duration(i)*time.Millisecond), balance.Lost)
+	}
+	later := at.Add(10 * time.Millisecond)
+	for _, target := range ts {
+		is.True(!b.Suspected(later, target))
+	}
+	is.Equal(len(b.Losses(later)), 0)
+
+	// A target that takes no connection is still avoided by itself.
+	b.Start(later, balance.Choice{Target: ts[0]}, report(), nil).End(later, balance.Unreached)
+	is.True(b.Suspected(later, ts[0]))
+	is.True(!b.Suspected(later, ts[1]))
+}
+
 // Requests that were cancelled because their zone was lost are no sign of
 // further losses, or one alarm would bring the next.
 func TestRunEndMoved(t *testing.T) {
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -99,6 +99,10 @@
 	return recent && !r.since.After(z.lostAt) && !r.aliveAt.After(z.lostAt)
 }
 
+func (z *zoneRecord) lostLately(now time.Time) bool {
+	return !z.lostAt.IsZero() && now.Sub(z.lostAt) <= zoneWindow
+}
+
 // note notes the loss of a target and returns how many targets were lost lately,
 // and when the first of them was.
 func (z *zoneRecord) note(now time.Time, name id.Target) (int, time.Time) {
@@ -214,12 +218,19 @@
 // lose notes the loss of a target, and reports whether its group was lost with
 // it. Requests that wait for a target of the group would wait in vain.
 func (b *Balancer) lose(now time.Time, t *catalog.Target) bool {
+	if b.ownTrouble(now) {
+		return false
+	}
 	z := b.zoneRecord(t)
 	lost, first := z.note(now, t.ID)
 	if lost < zoneLosses || lost <= b.alive(groupOf(t), first) {
 		return false
 	}
-	news := z.lostAt.IsZero() || now.Sub(z.lostAt) > zoneWindow
+	if b.othersLost(now, groupOf(t)) {
+		b.blameOwnHost(now, t.Service)
+		return false
+	}
+	news := !z.lostLately(now)
 	z.lostAt = now
 	for run := range b.waiting {
 		if groupOf(run.target) == groupOf(t) && run.cancel != nil && b.suspected(now, run.target) {
@@ -229,6 +240,43 @@
 	return news
 }
 
+// othersLost reports whether another zone of the group's service has just been
+// lost. Zones do not fail together; an entry's own host or link does that to all.
+func (b *Balancer) othersLost(now time.Time, of group) bool {
+	for g, z := range b.groups {
+		if g.service == of.service && g.zone != of.zone && z.lostLately(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// blameOwnHost takes back what was concluded of a service's targets from their
+// losses, and of those that follow at once.
+func (b *Balancer) blameOwnHost(now time.Time, service id.Service) {
+	b.ownTroubleAt = now
+	for g, z := range b.groups {
+		if g.service != service {
+			continue
+		}
+		if z.lostLately(now) {
+			z.lostAt = time.Time{}
+		}
+		for name := range z.losses {
+			delete(b.lost, name)
+			if r := b.targets[name]; r != nil {
+				r.losses, r.suspectUntil = 0, time.Time{}
+			}
+		}
+		clear(z.losses)
+	}
+}
+
+// ownTrouble reports whether losses say more of the own host than of targets.
+func (b *Balancer) ownTrouble(now time.Time) bool {
+	return !b.ownTroubleAt.IsZero() && now.Sub(b.ownTroubleAt) < zoneWindow
+}
+
 // alive returns how many targets of a group have sent something since the time.
 func (b *Balancer) alive(g group, since time.Time) int {
 	n := 0
@@ -251,6 +299,9 @@
 	case Failed, Refused:
 		rec.note(now, 1)
 	case Lost, Unreached:
+		if o == Lost && b.ownTrouble(now) {
+			return false
+		}
 		rec.note(now, 1)
 		rec.suspect(now)
 		b.lost[t.ID] = now
