Charge only sends that arrive, and tell others of ids that are gone

Change: a send that reached nobody is not charged, and the one after it is the first. An id whose address answers 421 is told to the other entries.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -99,6 +99,8 @@
 	others map[id.Target]Load
 	// lost holds when targets were lost lately, to tell the other entries.
 	lost map[id.Target]time.Time
+	// replaced holds when the addresses of targets answered for others lately.
+	replaced map[id.Target]time.Time
 	// ownTroubleAt is when losses in several zones at once were last put down to
 	// the entry's own host.
 	ownTroubleAt time.Time
@@ -112,6 +114,7 @@
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, waiting: map[*Run]struct{}{},
 		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[id.Target]time.Time{},
+		replaced: map[id.Target]time.Time{},
 	}
 }
 
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -218,6 +218,22 @@
 	is.Equal(len(b.Losses(start)), 0) // only the own losses are told on
 }
 
+func TestHeardReplaced(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 1, "a")
+	b.Start(start, balance.Choice{Target: ts[0]}, report(), nil).End(start, balance.Replaced)
+	told := b.Replaced(start.Add(100 * time.Millisecond))
+	is.Equal(told, map[id.Target]time.Duration{ts[0].ID: 100 * time.Millisecond})
+
+	other := newBalancer()
+	other.HeardReplaced(start, ts[0], told[ts[0].ID])
+	is.True(other.Suspected(start.Add(5*time.Second), ts[0]))
+	again := *ts[0]
+	again.Incarnation = 7
+	is.True(!other.Suspected(start.Add(5*time.Second), &again)) // it has started again
+}
+
 // What others have in flight counts until they have been silent for a while.
 func TestHeardLoads(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -92,15 +92,36 @@
 func (b *Balancer) Losses(now time.Time) map[id.Target]time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	losses := make(map[id.Target]time.Duration)
-	for name, at := range b.lost {
+	return lately(now, b.lost)
+}
+
+// Replaced returns the targets whose addresses lately answered for others, with
+// how long ago.
+func (b *Balancer) Replaced(now time.Time) map[id.Target]time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return lately(now, b.replaced)
+}
+
+// lately returns how long ago what is told was, and forgets the rest.
+func lately(now time.Time, times map[id.Target]time.Time) map[id.Target]time.Duration {
+	ago := make(map[id.Target]time.Duration)
+	for name, at := range times {
 		if now.Sub(at) > tellLosses {
-			delete(b.lost, name)
+			delete(times, name)
 			continue
 		}
-		losses[name] = now.Sub(at)
+		ago[name] = now.Sub(at)
 	}
-	return losses
+	return ago
+}
+
+// HeardReplaced notes that a target's address answers for another one, by
+// another entry's word.
+func (b *Balancer) HeardReplaced(now time.Time, t *catalog.Target, ago time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record(now, t).suspectUntil = now.Add(replacedAvoid - ago)
 }
 
 // HeardLoss notes that another entry lost a target. It reports whether the
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -308,6 +308,7 @@
 		return b.lose(now, t)
 	case Replaced:
 		rec.suspectUntil = now.Add(replacedAvoid)
+		b.replaced[t.ID] = now
 	case Left, Moved:
 	}
 	return false
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -78,6 +78,12 @@
 	return true
 }
 
+// Undo takes back a send that Again allowed and that did not reach the service.
+func (b *Budget) Undo(now time.Time) {
+	b.turn(now)
+	b.again[b.slot()] = max(0, b.again[b.slot()]-1)
+}
+
 // turn clears the counters of the parts that have left the window.
 func (b *Budget) turn(now time.Time) {
 	part := now.Sub(b.start).Nanoseconds() / max(1, b.cfg.Window.Nanoseconds()/parts)
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -44,6 +44,15 @@
 	}
 }
 
+func TestUndo(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.Config{Slack: 1, Window: 10 * time.Second}, start)
+	is.True(b.Again(start, retry.Counts{}, 1))
+	is.True(!b.Again(start, retry.Counts{}, 1))
+	b.Undo(start)
+	is.True(b.Again(start, retry.Counts{}, 1))
+}
+
 // In every span of the window's length no more is sent again than the bound
 // allows, reckoned over that span and the window before.
 func TestAgainSlides(t *testing.T) {
--- a/internal/protocol/direct/news.go
+++ b/internal/protocol/direct/news.go
@@ -60,6 +60,8 @@
 // Loss is the loss of a target.
 type Loss struct {
 	Target id.Target `json:"target"`
+	// Replaced says that its address answers for another target.
+	Replaced bool `json:"replaced,omitempty"`
 	// AgoMS is how long ago it was when the message was sent, in milliseconds.
 	AgoMS int64 `json:"agoMs"`
 }
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -45,6 +45,9 @@
 	// tried holds the targets that the request was sent to; sends counts them.
 	tried map[id.Target]bool
 	sends int
+	// arrived says that one of the sends reached its target. What did not is no
+	// load for the service, and the next send is the first that is.
+	arrived bool
 	// ran counts the sends whose request may have run.
 	ran int
 	// refusedBusy says that a target refused the request as one too many.
@@ -200,7 +203,7 @@
 	now := c.now()
 	if c.sends == 0 {
 		c.e.retries.first(now, c.service)
-	} else if !c.e.retries.again(now, c.service, c.e.roster.Part(now)) {
+	} else if c.arrived && !c.e.retries.again(now, c.service, c.e.roster.Part(now)) {
 		c.overBudget = true
 		c.log(event.BudgetExhausted, "service", c.service, "entries", c.e.roster.Count(now))
 		return false
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -171,6 +171,9 @@
 	for target, ago := range x.e.balancer.Losses(now) {
 		n.Losses = append(n.Losses, direct.Loss{Target: target, AgoMS: ago.Milliseconds()})
 	}
+	for target, ago := range x.e.balancer.Replaced(now) {
+		n.Losses = append(n.Losses, direct.Loss{Target: target, Replaced: true, AgoMS: ago.Milliseconds()})
+	}
 	return n
 }
 
@@ -221,6 +224,10 @@
 func (x *exchange) takeLoss(now time.Time, from id.Entry, l *direct.Loss) {
 	for _, targets := range x.e.directory.View().Targets {
 		t := targets.Find(l.Target)
+		if t != nil && l.Replaced {
+			x.e.balancer.HeardReplaced(now, t, l.Ago())
+			continue
+		}
 		if t != nil && x.e.balancer.HeardLoss(now, t, l.Ago()) {
 			x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Ago())
 		}
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -84,6 +84,10 @@
 // ended notes the outcome of one send.
 func (c *call) ended(run *balance.Run, choice balance.Choice, outcome balance.Outcome, sent time.Time, err error) {
 	now := c.now()
+	if outcome == balance.Unreached && c.arrived {
+		c.e.retries.undo(now, c.service)
+	}
+	c.arrived = c.arrived || outcome != balance.Unreached
 	zoneLost := run.End(now, outcome)
 	if c.e.exchange != nil && c.need.Engine != nil && outcome == balance.Lost {
 		// Requests at other entries may wait for the same zone.
--- a/internal/transport/direct/retries.go
+++ b/internal/transport/direct/retries.go
@@ -73,6 +73,13 @@
 	return r.budget(now, service).Again(now, others, part)
 }
 
+// undo takes back a send that did not reach the service.
+func (r *retries) undo(now time.Time, service id.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(now, service).Undo(now)
+}
+
 // counts returns what this entry sent, for the others.
 func (r *retries) counts(now time.Time) map[id.Service]retry.Counts {
 	r.mu.Lock()
