--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -51,6 +51,9 @@
 	// Target is the target that is meant; any other one refuses.
 	Target  id.Target
 	Account catalog.Account
+	// Priority is the rank of the request at an engine; 0 is the most urgent. Nil
+	// leaves it to the engine.
+	Priority *int
 	// LastEvent is the last event that the client has.
 	LastEvent EventID
 	// BackupTo is the address of the engine that gets a copy of the run's
@@ -76,16 +79,6 @@
 	Signed bool
 	// NotRun says that the target did not run the request and never will.
 	NotRun bool
-	Load   Load
-}
-
-// Load is what a target says of its load.
-type Load struct {
-	// Known is false where the target says nothing.
-	Known   bool
-	Running int
-	Waiting int
-	Slots   int
 }
 
 // Call is a call to a target itself.
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -62,32 +62,25 @@
 // Service is what routes lead to.
 type Service struct {
 	Name id.Service
-	// MaxConnections bounds a target's connections, from all callers together;
-	// 0 is no bound.
-	MaxConnections int
 	// Engine is set for a service of model engines.
 	Engine *Engine
 }
 
 // Engine is what the engines of a service have in common.
 type Engine struct {
-	// Slots is how many generations an engine runs at once.
-	Slots int
 	// MemoryTokens is the size of an engine's memory, in tokens.
 	MemoryTokens int
 	// Backups says that an engine can copy a run's memory to another one while
 	// the run goes on.
 	Backups bool
-	// BackupLife is how long a copy is kept after its last part arrived.
-	BackupLife time.Duration
 }
 
 // Limits bound what clients send.
 type Limits struct {
-	HeaderBytes   int64
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes bounds a request's body; 0 is the entry's own bound.
+	BodyBytes int64
+	// IdleTimeout is how long a client's connection may stay without a request.
+	IdleTimeout time.Duration
 }
 
 // Index checks the configuration and prepares the look-ups. It is called once,
--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -145,7 +145,7 @@
 			{Name: "u", Host: "h", PathPrefix: "/u/", Services: one, Repeat: catalog.Unsafe, MaxAttempts: 1, Timeout: time.Second, LatencyObjective: 150 * time.Millisecond},
 			{Name: "s", Host: "h", PathPrefix: "/s/", Services: one, Repeat: catalog.Safe, MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 150 * time.Millisecond},
 		},
-		Services: map[id.Service]catalog.Service{service: {Name: service, Engine: &catalog.Engine{Slots: 12, MemoryTokens: 88000, Backups: true}}},
+		Services: map[id.Service]catalog.Service{service: {Name: service, Engine: &catalog.Engine{MemoryTokens: 88000, Backups: true}}},
 		Accounts: []catalog.ClientAccount{{Name: "acme", Keys: []catalog.Key{"k1"}}},
 	}
 }
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -172,6 +172,10 @@
 	if c.account != nil {
 		o.Account = c.account.Name
 	}
+	if c.need.Engine != nil {
+		priority := c.cfg.PriorityOf(c.route, c.account)
+		o.Priority = &priority
+	}
 	if choice.Backup != nil {
 		o.BackupTo = choice.Backup.Address
 	}
