--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -31,6 +32,35 @@
 // The tests run in a bubble of package synctest: all connections are pipes, and
 // time passes only while everything waits.
 
+// lockedBuffer holds log lines.
+type lockedBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// of returns the names of the events that tell of a request, in order, and the
+// text of their lines.
+func (b *lockedBuffer) of(request string) (names []string, text string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.lines.String()) {
+		if !strings.Contains(line, "request="+request+" ") {
+			continue
+		}
+		_, rest, _ := strings.Cut(line, " name=")
+		name, _, _ := strings.Cut(rest, " ")
+		names = append(names, name)
+		text += line
+	}
+	return names, text
+}
+
 // pipeListener is a listener whose connections are pipes.
 type pipeListener struct {
 	conns chan net.Conn
@@ -122,6 +152,8 @@
 	mu      sync.Mutex
 	got     []received
 	targets []store.Item
+	// log is what the entry logged.
+	log lockedBuffer
 	// kept is what the entry wrote last.
 	kept     []store.Item
 	config   *catalog.Config
@@ -180,7 +212,7 @@
 func (w *world) start() {
 	w.is.NoErr(w.config.Index())
 	w.entry = direct.New(w.settings(), direct.Deps{
-		Clock: clockwork.NewRealClock(), Log: event.NewWriter(w.t.Output(), clockwork.NewRealClock()),
+		Clock: clockwork.NewRealClock(), Log: event.NewWriter(io.MultiWriter(w.t.Output(), &w.log), clockwork.NewRealClock()),
 		Metrics: metrics.NewRegistry(), Store: w.store(), Codec: w.codec(), Dialect: dialect(),
 		Random: func() float64 { return 0 }, Listen: w.net.Listen, Dial: w.net.Dial,
 	})
