End a stream at once when the client takes nothing any more

Cause: TestStreamInherited failed once in two runs with -race: a deadline that could not be set on the client's closed connection ended the run as left, but the request's context did not know yet, and the stream was begun elsewhere for nobody.

Change: a run that ended as left ends the request. TestStreamWriteFails brings it about without the race, and failed before.

Conclusion: a real fault, mended.

--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -90,6 +91,30 @@
 	listeners map[string]*pipeListener
 	// dark addresses take no connection and send nothing back.
 	dark map[string]bool
+	// deaf makes writes to clients fail, while their side of the connection stays
+	// open for reading.
+	deaf atomic.Bool
+}
+
+// clientConn is the entry's end of a client's connection.
+type clientConn struct {
+	net.Conn
+	deaf *atomic.Bool
+}
+
+func (c *clientConn) Write(p []byte) (int, error) {
+	if c.deaf.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.Conn.Write(p)
+}
+
+// SetWriteDeadline fails like that of a pipe whose other end is closed.
+func (c *clientConn) SetWriteDeadline(t time.Time) error {
+	if c.deaf.Load() {
+		return syscall.EPIPE
+	}
+	return c.Conn.SetWriteDeadline(t)
 }
 
 func (n *network) Listen(address string) (net.Listener, error) {
@@ -111,7 +136,11 @@
 	if l == nil {
 		return nil, syscall.ECONNREFUSED
 	}
-	near, far := net.Pipe()
+	near, end := net.Pipe()
+	far := end
+	if address == clients {
+		far = &clientConn{Conn: end, deaf: &n.deaf}
+	}
 	select {
 	case l.conns <- far:
 		return near, nil
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -90,7 +90,7 @@
 			break
 		}
 		outcome := s.run(ctx, a)
-		if c.clientLeft() {
+		if outcome == balance.Left || c.clientLeft() {
 			c.abandon()
 		}
 		if outcome == balance.Good {
--- a/internal/transport/direct/stream_test.go
+++ b/internal/transport/direct/stream_test.go
@@ -232,6 +232,23 @@
 	})
 }
 
+// A client that takes nothing any more has left, also before its connection is
+// seen to be closed: its stream is not begun elsewhere.
+func TestStreamWriteFails(t *testing.T) {
+	play(t, func(w *world) {
+		w.target("t1", "10.0.1.1:80", "a", engineAt)
+		w.target("t2", "10.0.2.1:80", "b", engineAt)
+		w.start()
+		c := w.client()
+		c.send("POST", "/r/x", "a1", "prompt")
+		go func() { _, _ = c.r.WriteTo(discard{}) }()
+		time.Sleep(200 * time.Millisecond)
+		w.net.deaf.Store(true)
+		time.Sleep(time.Second)
+		w.is.Equal(len(w.requests()), 1)
+	})
+}
+
 type discard struct{}
 
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
