Copy only streams that may be resumed; keep news short

Cause, found at reading: a stream of a route without resume was copied to a second engine for nothing, and with a last event could have gone on from a copy; news beyond the length of a datagram would not have gone out at all.

Change: copies and handover are for resumable routes; news that is too long goes out without its runs.

--- a/internal/protocol/direct/news.go
+++ b/internal/protocol/direct/news.go
@@ -69,10 +69,20 @@
 // Ago returns how long ago the loss was when the message was sent.
 func (l *Loss) Ago() time.Duration { return time.Duration(l.AgoMS) * time.Millisecond }
 
-// Encode returns the message's bytes.
+// Encode returns the message's bytes. One that would be too long is told without
+// its runs, which matter least.
 func (n *News) Encode() ([]byte, error) {
+	const op = "News.Encode"
 	data, err := json.Marshal(n)
-	return data, fault.Wrap("News.Encode", Malformed, err)
+	if err == nil && len(data) > MaxNewsBytes {
+		short := *n
+		short.Runs = nil
+		data, err = json.Marshal(&short)
+	}
+	if err == nil && len(data) > MaxNewsBytes {
+		return nil, fault.New(op, Malformed, "%d bytes are too many for one message", len(data))
+	}
+	return data, fault.Wrap(op, Malformed, err)
 }
 
 // DecodeNews decodes a message and checks it.
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -107,7 +107,7 @@
 	}
 	c.service = route.Pick(c.e.deps.Random())
 	c.need = balance.Ask{
-		Engine:       c.cfg.Services[c.service].Engine,
+		Engine:       c.engine(),
 		PromptTokens: c.ask.PromptTokens, OutputTokens: c.ask.OutputTokens, Prompt: c.ask.Prompt,
 	}
 	c.setDeadline()
@@ -122,6 +122,18 @@
 	return true
 }
 
+// engine returns what the engines of the service have in common, or nil for a
+// plain service. A stream that can't go on elsewhere has no use for copies.
+func (c *call) engine() *catalog.Engine {
+	e := c.cfg.Services[c.service].Engine
+	if e == nil || c.route.Resumable {
+		return e
+	}
+	plain := *e
+	plain.Backups = false
+	return &plain
+}
+
 // usualTime returns how long a request of the route takes at most, as a rule.
 func (c *call) usualTime() time.Duration {
 	if c.route.Repeat == catalog.Streaming {
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -134,8 +134,8 @@
 	defer x.telling.Unlock()
 	now := x.e.deps.Clock.Now()
 	data, err := x.news(now).Encode()
-	if err != nil || len(data) > direct.MaxNewsBytes {
-		x.e.deps.Log.Emit(event.LoopFailed, "duty", "news", "bytes", len(data), "error", err)
+	if err != nil {
+		x.e.deps.Log.Emit(event.LoopFailed, "duty", "news", "error", err)
 		return
 	}
 	for _, address := range addresses {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -107,7 +107,7 @@
 	c := s.c
 	now := c.now()
 	targets := c.targets()
-	if c.sends == 0 && s.last != "" {
+	if c.sends == 0 && s.last != "" && c.route.Resumable {
 		s.inherit(now, targets)
 	}
 	if t, from := s.holder(now, targets); t != nil {
--- a/internal/transport/direct/stream_test.go
+++ b/internal/transport/direct/stream_test.go
@@ -264,6 +264,22 @@
 	})
 }
 
+// A stream that may not be resumed runs once: it is copied nowhere, and is ended
+// as broken when its engine is lost.
+func TestStreamNotResumable(t *testing.T) {
+	play(t, func(w *world) {
+		w.config.Routes[0].Resumable = false
+		w.target("t1", "10.0.1.1:80", "a", breaks(7))
+		w.target("t2", "10.0.2.1:80", "b", engineAt)
+		w.start()
+		a := w.ask("POST", "/r/x", "a1", "prompt")
+		w.is.True(a.broken)
+		got := w.requests()
+		w.is.Equal(len(got), 1)
+		w.is.Equal(got[0].order.Get("Copy-To"), "")
+	})
+}
+
 // An answer that is not to this request is never passed on.
 func TestStreamForeignAnswer(t *testing.T) {
 	play(t, func(w *world) {
