--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -45,6 +45,13 @@
 	return b.lines.Write(p)
 }
 
+// count returns how many lines hold the text.
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.lines.String(), text)
+}
+
 // of returns the names of the events that tell of a request, in order, and the
 // text of their lines.
 func (b *lockedBuffer) of(request string) (names []string, text string) {
@@ -178,6 +185,9 @@
 	ended   chan error
 	changes chan store.Change
 
+	// watch replaces the watch of targets, unless it is nil.
+	watch func(ctx context.Context) error
+
 	mu      sync.Mutex
 	got     []received
 	targets []store.Item
@@ -301,6 +311,9 @@
 			return store.Result{Succeeded: true}, nil
 		},
 		Watch: func(ctx context.Context, prefix string, _ int64, each func(store.Change)) error {
+			if w.watch != nil && prefix != "config/" {
+				return w.watch(ctx)
+			}
 			for {
 				changes := w.changes
 				if prefix == "config/" {
