--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -133,12 +133,12 @@
 		meters:     newMeters(deps.Metrics),
 		retries:    newRetries(retryConfig(cfg.Retries)),
 		paces:      map[id.Service]*pace.Pace{},
-		idle:       newIdleConns(),
+		idle:       newIdleConns(deps.Clock),
 		configured: make(chan struct{}),
 		roster:     roster.New(cfg.Peers, seedPeers(cfg.Peers, cfg.Seeds)),
 	}
 	e.follower = newFollower(e)
-	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Opened: func() { e.meters.connections.Inc(1) }})
+	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, Opened: func() { e.meters.connections.Inc(1) }})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/transport/direct/idle.go
+++ b/internal/transport/direct/idle.go
@@ -5,23 +5,29 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 // idleConns tracks the clients' connections that carry no request, so that
 // their time may change with the configuration. The server's own limit can't.
 type idleConns struct {
+	clock clockwork.Clock
+
 	mu    sync.Mutex
 	since map[net.Conn]time.Time
 }
 
-func newIdleConns() *idleConns { return &idleConns{since: map[net.Conn]time.Time{}} }
+func newIdleConns(clock clockwork.Clock) *idleConns {
+	return &idleConns{clock: clock, since: map[net.Conn]time.Time{}}
+}
 
 // changed is the server's ConnState.
 func (i *idleConns) changed(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if state == http.StateIdle {
-		i.since[c] = time.Now()
+		i.since[c] = i.clock.Now()
 		return
 	}
 	delete(i.since, c)
@@ -32,7 +38,7 @@
 func (i *idleConns) closeOlder(limit time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := time.Now()
+	now := i.clock.Now()
 	for c, since := range i.since {
 		if now.Sub(since) > limit {
 			delete(i.since, c)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -279,7 +279,7 @@
 	if err := s.begin(a); err != nil {
 		return err
 	}
-	if err := s.out.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := s.out.SetWriteDeadline(s.c.now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	if _, err := s.c.w.Write(next.Raw); err != nil {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 // Options are the bounds of a Pool; zero values mean the defaults.
@@ -21,6 +23,8 @@
 	KeepMost int
 	// Dial opens a connection to an address, as host:port; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Clock tells how long connections are idle; nil means the real one.
+	Clock clockwork.Clock
 	// Opened is called for each new connection; nil for none.
 	Opened func()
 }
@@ -59,6 +63,9 @@
 	if o.KeepMost == 0 {
 		o.KeepMost = defaultKeepMost
 	}
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
@@ -74,7 +81,7 @@
 
 // get returns a kept connection that is still open, or a new one.
 func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
-	now := time.Now()
+	now := p.opts.Clock.Now()
 	for {
 		c := p.take(address)
 		if c == nil {
@@ -114,7 +121,7 @@
 	if life == 0 {
 		life = p.opts.KeepTime
 	}
-	c.since, c.life = time.Now(), life
+	c.since, c.life = p.opts.Clock.Now(), life
 	p.mu.Lock()
 	kept := p.idle[c.address]
 	full := len(kept) >= p.opts.KeepMost
@@ -129,7 +136,7 @@
 
 // Sweep closes the idle connections whose time is over.
 func (p *Pool) Sweep() {
-	now := time.Now()
+	now := p.opts.Clock.Now()
 	var over []*conn
 	p.mu.Lock()
 	for address, kept := range p.idle {
