Admit a request whose limit has room within 10 ms

Change: entries and owners admit a request whose wait is at most 10 ms. It takes its whole cost, so that a share is never ahead by more than that.

--- a/internal/coordination/limit/local.go
+++ b/internal/coordination/limit/local.go
@@ -151,7 +151,7 @@
 	a := l.account(c, now)
 	a.refill(now)
 	missing, after := a.missing(now)
-	if missing == "" || (missing != Concurrency && a.promised(now)) {
+	if missing == "" || (missing != Concurrency && (a.promised(now) || a.soonEven(after, now))) {
 		return a.take(c.Name, cost, now), nil
 	}
 	if missing == Concurrency && a.promised(now) && a.silent.IsZero() && now.Sub(a.askedAt) >= slotRetry {
@@ -178,7 +178,8 @@
 // take admits a request. One that only a told time admits is owed until the
 // account is even again.
 func (a *localAccount) take(name id.Contract, cost int, now time.Time) Ticket {
-	even := a.requests >= 1 && a.tokens > 0
+	missing, after := a.missing(now)
+	even := missing == "" || missing == Concurrency || a.soonEven(after, now)
 	a.owes = !even
 	a.toldUntil = time.Time{}
 	a.requests--
@@ -309,7 +310,7 @@
 // An entry with a share keeps to its renewal while the limit is contended.
 func (a *localAccount) mayAsk(missing Limit, now time.Time) bool {
 	switch {
-	case !a.silent.IsZero() || now.Before(a.refusedUntil):
+	case !a.silent.IsZero() || a.refusedUntil.Sub(now) > creditTime:
 		return false
 	case now.After(a.rateUntil):
 		return true
@@ -369,6 +370,18 @@
 	return !a.owes && !now.Before(a.toldUntil) && !now.After(a.toldUntil.Add(toldGrace))
 }
 
+// creditTime is the longest wait for which a request is admitted at once: to
+// send its caller away and back takes longer.
+const creditTime = 10 * time.Millisecond
+
+// soonEven reports whether a share in force has what is missing within
+// creditTime. The request takes its whole cost, so the share is never ahead by
+// more than creditTime.
+func (a *localAccount) soonEven(after time.Duration, now time.Time) bool {
+	requests, tokens := a.rates(now)
+	return requests > 0 && tokens > 0 && after <= creditTime
+}
+
 // Granted takes over the owner's answer.
 func (l *Local) Granted(g Grant, now time.Time) {
 	l.mu.Lock()
--- a/internal/coordination/limit/shares.go
+++ b/internal/coordination/limit/shares.go
@@ -301,7 +301,7 @@
 	given := min(ask.Slots, a.freeSlots(ask, limits, part, now))
 	grant.Refused, grant.RetryAfter = a.refusal(ask, given, limits, part)
 	if grant.Refused == "" && ask.Requests > 0 {
-		grant.Requests = min(ask.Requests+a.spare(h, ask), int(a.requests), given)
+		grant.Requests = min(ask.Requests+a.spare(h, ask), max(1, int(a.requests)), given)
 		grant.Tokens = ask.Tokens * float64(grant.Requests) / float64(ask.Requests)
 		a.requests -= float64(grant.Requests)
 		a.tokens -= grant.Tokens
@@ -344,15 +344,18 @@
 // refusal returns the limit that refuses what is wanted at once, and when it
 // would be granted.
 func (a *account) refusal(ask Ask, slots int, limits contract.Limits, part float64) (Limit, time.Duration) {
+	wait := a.retryAfter(limits, part)
 	switch {
 	case ask.Requests == 0:
-		return "", a.retryAfter(limits, part)
+		return "", wait
 	case slots == 0:
 		return Concurrency, slotRetry
+	case wait <= creditTime:
+		return "", 0
 	case a.requests < 1:
-		return RequestsPerSecond, a.retryAfter(limits, part)
+		return RequestsPerSecond, wait
 	case a.tokens <= 0:
-		return TokensPerSecond, a.retryAfter(limits, part)
+		return TokensPerSecond, wait
 	}
 	return "", 0
 }
