Refuse requests that end the targets that run them, at every entry

Cause: an entry on the platform sent a request on and on that ends each replica which begins to run it; nothing but the route's attempts bounded that.

Change: a connection that breaks while a request runs is noted as a death in the product's quarantine list, with what is asked and for whom; losses of other targets of the zone, own or told, make it a larger loss that blames nobody; an answer clears. Deaths that blame a request are told to the other entries for a second, and all of them to an entry that has just started. After three the request is refused unrun.

--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -23,10 +23,11 @@
 // Record is what a List tells another of one fingerprint. The fingerprint 0
 // stands for deaths at which nothing is known to have run.
 type Record struct {
-	Fingerprint id.Fingerprint
-	// Remaining is how long the quarantine still lasts; 0 when there is none.
-	Remaining time.Duration
-	Marks     []Mark
+	Fingerprint id.Fingerprint `json:"fingerprint"`
+	// Remaining is how long the quarantine still lasts; 0 when there is none. It
+	// follows from the marks, so that it is not sent as JSON.
+	Remaining time.Duration `json:"-"`
+	Marks     []Mark        `json:"marks"`
 }
 
 // Mark is one death at which a fingerprint ran.
--- a/internal/protocol/direct/news.go
+++ b/internal/protocol/direct/news.go
@@ -7,6 +7,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -52,6 +53,9 @@
 	Retries map[id.Service]retry.Counts `json:"retries,omitempty"`
 	// Losses are the targets that it lost a moment ago.
 	Losses []Loss `json:"losses,omitempty"`
+	// Deaths are the deaths of targets that it learned of a moment ago, by the
+	// requests that ran there.
+	Deaths []quarantine.Record `json:"deaths,omitempty"`
 }
 
 // StopsIn returns how long the entry still finishes its work.
@@ -70,13 +74,13 @@
 func (l *Loss) Ago() time.Duration { return time.Duration(l.AgoMS) * time.Millisecond }
 
 // Encode returns the message's bytes. One that would be too long is told without
-// its runs, which matter least.
+// its deaths and runs, which matter least.
 func (n *News) Encode() ([]byte, error) {
 	const op = "News.Encode"
 	data, err := json.Marshal(n)
 	if err == nil && len(data) > MaxNewsBytes {
 		short := *n
-		short.Runs = nil
+		short.Runs, short.Deaths = nil, nil
 		data, err = json.Marshal(&short)
 	}
 	if err == nil && len(data) > MaxNewsBytes {
--- a/internal/protocol/direct/news_test.go
+++ b/internal/protocol/direct/news_test.go
@@ -8,6 +8,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -18,6 +19,7 @@
 		Loads:  map[id.Target]balance.Load{"t1": {Running: 2, Prefill: 8000, Memory: 18000}},
 		Runs:   []handover.Run{{Key: "k", Holder: "t2", Address: "10.0.0.9:80", Handle: "a1"}},
 		Losses: []direct.Loss{{Target: "t3", AgoMS: 40}, {Target: "t4", Replaced: true}},
+		Deaths: []quarantine.Record{{Fingerprint: 1<<63 + 5, Marks: []quarantine.Mark{{Target: "t3", Incarnation: 9, Zone: "a", AgeMs: 40}}}},
 	}
 }
 
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -97,6 +97,7 @@
 	meters   *meters
 
 	retries *retries
+	killers *killers
 	pacesMu sync.Mutex
 	paces   map[id.Service]*pace.Pace
 
@@ -132,6 +133,7 @@
 		handover:   handover.New(),
 		meters:     newMeters(deps.Metrics),
 		retries:    newRetries(retryConfig(cfg.Retries)),
+		killers:    newKillers(),
 		paces:      map[id.Service]*pace.Pace{},
 		idle:       newIdleConns(deps.Clock),
 		configured: make(chan struct{}),
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -54,6 +54,10 @@
 	refusedBusy bool
 	// overBudget says that the retry budget ended the request.
 	overBudget bool
+	// print identifies what is asked for. quarantine is how long it is refused,
+	// since it ends the targets that run it; 0 for no quarantine.
+	print      id.Fingerprint
+	quarantine time.Duration
 }
 
 // serve answers one request of a client.
@@ -173,6 +177,7 @@
 		return false
 	}
 	c.body = body
+	c.print = c.fingerprint()
 	c.header = forwarded(c.r.Header)
 	c.e.deps.Dialect.Strip(c.header)
 	return true
@@ -181,9 +186,7 @@
 // order returns what the target is told beside the request.
 func (c *call) order(choice balance.Choice) direct.Order {
 	o := direct.Order{Left: c.left(), Target: choice.Target.ID}
-	if c.account != nil {
-		o.Account = c.account.Name
-	}
+	o.Account = c.accountName()
 	if c.need.Engine != nil {
 		priority := c.cfg.PriorityOf(c.route, c.account)
 		o.Priority = &priority
@@ -214,9 +217,12 @@
 }
 
 // send notes that the request is about to be sent, and reports whether the
-// retry budget allows it.
+// retry budget and the quarantine allow it.
 func (c *call) send() bool {
 	now := c.now()
+	if c.quarantined(now) {
+		return false
+	}
 	if c.sends == 0 {
 		c.e.retries.first(now, c.service)
 	} else if c.arrived && !c.e.retries.again(now, c.service, c.e.roster.Part(now)) {
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/roster"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -108,8 +109,9 @@
 // tellAll sends this entry's news to the others, again and again.
 func (x *exchange) tellAll(ctx context.Context) {
 	for {
-		addresses := x.roster.Addresses(x.e.deps.Clock.Now())
-		x.tell(addresses)
+		now := x.e.deps.Clock.Now()
+		addresses := x.roster.Addresses(now)
+		x.tell(addresses, x.e.killers.news(now))
 		pause := max(tellEvery, time.Duration(len(addresses))*tellEach)
 		select {
 		case <-ctx.Done():
@@ -129,11 +131,13 @@
 	}
 }
 
-func (x *exchange) tell(addresses []string) {
+// tell sends this entry's news and what is known of targets' deaths.
+func (x *exchange) tell(addresses []string, deaths []quarantine.Record) {
 	x.telling.Lock()
 	defer x.telling.Unlock()
-	now := x.e.deps.Clock.Now()
-	data, err := x.news(now).Encode()
+	n := x.news(x.e.deps.Clock.Now())
+	n.Deaths = deaths
+	data, err := n.Encode()
 	if err != nil {
 		x.e.deps.Log.Emit(event.LoopFailed, "duty", "news", "error", err)
 		return
@@ -202,10 +206,11 @@
 	}
 	x.e.balancer.HeardLoads(now, n.From, n.Loads)
 	x.e.retries.heard(now, n.From, n.Retries)
+	x.e.killers.heard(now, n.Deaths)
 	x.e.handover.Heard(now, handover.Owner{Name: n.From, Incarnation: n.Incarnation}, n.Runs)
 	if verdict == roster.First {
 		// An entry that has just started learns at once what goes on.
-		x.tell([]string{n.Address})
+		x.tell([]string{n.Address}, x.e.killers.all(now))
 	}
 	for i := range n.Losses {
 		x.takeLoss(now, n.From, &n.Losses[i])
@@ -219,11 +224,15 @@
 func (x *exchange) takeLoss(now time.Time, from id.Entry, l *direct.Loss) {
 	for _, targets := range x.e.directory.View().Targets {
 		t := targets.Find(l.Target)
-		if t != nil && l.Replaced {
+		if t == nil {
+			continue
+		}
+		if l.Replaced {
 			x.e.balancer.HeardReplaced(now, t, l.Ago())
 			continue
 		}
-		if t != nil && x.e.balancer.HeardLoss(now, t, l.Ago()) {
+		x.e.killers.lost(now.Add(-l.Ago()), t)
+		if x.e.balancer.HeardLoss(now, t, l.Ago()) {
 			x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Ago())
 		}
 	}
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -67,6 +67,8 @@
 	switch {
 	case c.clientLeft():
 		c.abandon()
+	case c.ran == 0 && c.quarantine > 0:
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "quarantine", retryAfter: c.quarantine})
 	case c.ran == 0 && c.refusedBusy:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targetsBusy", retryAfter: busyRetryAfter})
 	case c.ran == 0 && c.overBudget:
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -307,11 +307,7 @@
 
 // key identifies the request, whichever attempt of the client brings it.
 func (c *call) key() handover.Key {
-	account := ""
-	if c.account != nil {
-		account = string(c.account.Name)
-	}
-	return handover.KeyOf(account, c.r.Host, c.r.Method, c.r.RequestURI, c.ask.Prompt, string(c.body))
+	return handover.KeyOf(string(c.accountName()), c.r.Host, c.r.Method, c.r.RequestURI, c.ask.Prompt, string(c.body))
 }
 
 // inherit takes over the copy of a run that another connection of the client
