--- a/cmd/foxtailward/cli_test.go
+++ b/cmd/foxtailward/cli_test.go
@@ -14,6 +14,7 @@
 
 	main "foxtailward.example/foxtailward/cmd/foxtailward"
 	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/protocol/logfile"
 	"foxtailward.example/foxtailward/internal/protocol/status"
 	"foxtailward.example/foxtailward/internal/standin/store"
 	"foxtailward.example/foxtailward/internal/state/contract"
@@ -192,6 +193,9 @@
 		{"store's URL", []string{"contract", "list", "--store", "x"}, 2, "want a URL such as"},
 		{"no such request", []string{"explain", "ans-00000000-0b", "--entry", b.entry.URL}, 1, "no entry that was asked knows"},
 		{"no request id", []string{"explain", "x", "--entry", b.entry.URL}, 2, "is no request id"},
+		{"no such log", []string{"explain", "a1", "--log", b.dir + "/none-*.log"}, 1, "there is no log"},
+		{"not in the log", []string{"explain", "a1", "--log", wrong}, 1, "tells of request a1"},
+		{"a log's pattern", []string{"explain", "a1", "--log", "[-"}, 2, "syntax error in pattern"},
 		{"entry down", []string{"status", "--entry", "127.0.0.1:1"}, 1, "127.0.0.1:1"},
 	}
 	for _, tt := range tests {
@@ -224,6 +228,26 @@
 	is.Equal(e.Decisions[0].Target, id.Target("t1"))
 }
 
+// A request's story is found in logs, without any process that runs.
+func TestExplainLogs(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.file("e1.log", "time=2026-12-04T10:00:00.250Z level=info event=F0201 name=requestRefused request=a1 status=503 reason=noTarget\n")
+	b.file("e2.log", "time=2026-12-04T10:00:00.350Z level=info event=F0204 name=requestFinished request=a2 status=200\n")
+	out, _, code := b.run("explain", "a1", "--log", b.dir+"/e*.log")
+	is.Equal(code, 0)
+	for _, want := range []string{"a1: requestRefused, reason noTarget", "e1", "F0201", "status=503"} {
+		is.True(strings.Contains(out, want))
+	}
+	is.True(!strings.Contains(out, "a2"))
+	out, _, code = b.run("explain", "a2", "--log", b.dir+"/e1.log", "--log", b.dir+"/e2.log", "--output", "json")
+	is.Equal(code, 0)
+	var story logfile.Story
+	is.NoErr(json.Unmarshal([]byte(out), &story))
+	is.Equal(story.Outcome, "requestFinished")
+	is.Equal(story.Chapters[0].Process, logfile.Process("e2"))
+}
+
 func TestContractKey(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -43,6 +43,9 @@
 	Action string
 }
 
+// Code returns the event's number as log lines have it.
+func (e Event) Code() string { return fmt.Sprintf("F%04d", e.Number) }
+
 // Log writes events. A nil Log drops them.
 type Log struct {
 	logger log.Logger
@@ -79,7 +82,7 @@
 	line = append(line,
 		"time", l.clock.Now().UTC().Format("2006-01-02T15:04:05.000Z"),
 		"level", string(e.Level),
-		"event", fmt.Sprintf("F%04d", e.Number),
+		"event", e.Code(),
 		"name", e.Name)
 	// A log that cannot be written must not stop the service.
 	_ = l.logger.Log(append(line, fields...)...)
--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -23,6 +23,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	protocol "foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/protocol/logfile"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -52,19 +53,21 @@
 	return strings.Count(b.lines.String(), text)
 }
 
-// of returns the names of the events that tell of a request, in order, and the
-// text of their lines.
+// of returns the names of the events that tell of a request, in order, and what
+// their lines say, as `foxtailward explain --log` finds them.
 func (b *lockedBuffer) of(request string) (names []string, text string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for line := range strings.Lines(b.lines.String()) {
-		if !strings.Contains(line, "request="+request+" ") {
-			continue
+	// Reading from memory can't fail.
+	lines, _ := logfile.Read(strings.NewReader(b.lines.String()), "e")
+	story, _ := lines.Story(request)
+	for _, c := range story.Chapters {
+		for _, line := range c.Lines {
+			if line.Get("request") == request {
+				names = append(names, line.Name)
+				text += line.Detail() + " "
+			}
 		}
-		_, rest, _ := strings.Cut(line, " name=")
-		name, _, _ := strings.Cut(rest, " ")
-		names = append(names, name)
-		text += line
 	}
 	return names, text
 }
