Stand-ins: listen again although a program that starts holds the socket

Between fork and exec a child holds its parent's sockets, also a listener that was just closed; an entry was restarted at that moment. Not the cause: the closed listener's accept (waiting for it changed nothing), connections that come in.

TestStartAtOnce starts programs meanwhile and failed at once before; tries are counted.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -13,6 +13,7 @@
 package server
 
 import (
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -83,7 +84,7 @@
 	if s.http != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := s.listen()
 	if err != nil {
 		return fault.Wrap("Server.Start", Unreachable, err)
 	}
@@ -105,6 +106,24 @@
 	return nil
 }
 
+// Bounds of the tries to listen again.
+const (
+	listenTries = 400
+	listenPause = 5 * time.Millisecond
+)
+
+// listen listens at the held address. Programs that this process starts hold its
+// sockets for a moment, also the one that was just closed.
+func (s *Server) listen() (net.Listener, error) {
+	for try := 1; ; try++ {
+		listener, err := net.Listen("tcp", s.address)
+		if !errors.Is(err, syscall.EADDRINUSE) || try == listenTries {
+			return listener, err
+		}
+		time.Sleep(listenPause)
+	}
+}
+
 // Stop closes the listener and all connections at once.
 func (s *Server) Stop() {
 	s.mu.Lock()
--- a/internal/standin/server/server_test.go
+++ b/internal/standin/server/server_test.go
@@ -1,9 +1,12 @@
 package server_test
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
@@ -79,3 +82,28 @@
 		is.NoErr(s.Start())
 	}
 }
+
+// A server that is stopped and started again at once takes its address back, also
+// while programs are started: between fork and exec they hold its socket too.
+func TestStartAtOnce(t *testing.T) {
+	is := is.New(t)
+	s, err := server.New("127.0.0.1:0", http.NotFoundHandler())
+	is.NoErr(err)
+	defer s.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	var programs sync.WaitGroup
+	defer programs.Wait()
+	defer stop()
+	for range 4 {
+		programs.Go(func() {
+			for ctx.Err() == nil {
+				// What the program says does not matter.
+				_ = exec.Command(os.Args[0], "-test.run", "^$").Run()
+			}
+		})
+	}
+	for range 1000 {
+		s.Stop()
+		is.NoErr(s.Start())
+	}
+}
