--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -142,7 +142,7 @@
 	costs := make(map[*catalog.Target]float64, len(targets))
 	var best *catalog.Target
 	for _, t := range targets {
-		if t.State != catalog.Ready || tried[t.ID] {
+		if t.State != catalog.Ready || tried[t.ID] || b.replacedNow(now, t) {
 			continue
 		}
 		costs[t] = b.cost(now, ask, t)
@@ -185,7 +185,7 @@
 	var best *catalog.Target
 	least := 0.0
 	for _, t := range targets {
-		if t.State != catalog.Ready || t.ID == runner.ID || t.Zone == runner.Zone || tried[t.ID] {
+		if t.State != catalog.Ready || t.ID == runner.ID || t.Zone == runner.Zone || tried[t.ID] || b.replacedNow(now, t) {
 			continue
 		}
 		cost := b.backupCost(now, ask, t)
@@ -205,7 +205,13 @@
 
 func (b *Balancer) suspected(now time.Time, t *catalog.Target) bool {
 	r := b.record(now, t)
-	return now.Before(r.suspectUntil) || b.zoneRecord(t).lost(now, r)
+	return now.Before(r.suspectUntil) || now.Before(r.replacedUntil) || b.zoneRecord(t).lost(now, r)
+}
+
+// replacedNow reports whether the target's address answers for another one, so
+// that a request sent there is surely refused.
+func (b *Balancer) replacedNow(now time.Time, t *catalog.Target) bool {
+	return now.Before(b.record(now, t).replacedUntil)
 }
 
 // Forget drops what is known of targets that are gone.
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -273,3 +273,18 @@
 	choice, _ = b.Choose(start.Add(20*time.Second), ask, ts, nil)
 	is.Equal(choice.Target.ID, ts[0].ID)
 }
+
+// A target whose address answers for another one gets nothing, not even when no
+// other one is left: the refusal would only use the retry budget up.
+func TestChooseReplaced(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 2, "a")
+	for _, target := range ts {
+		b.Start(start, balance.Choice{Target: target}, report(), nil).End(start, balance.Replaced)
+	}
+	_, ok := b.Choose(start.Add(time.Second), report(), ts, nil)
+	is.True(!ok)
+	_, ok = b.Choose(start.Add(11*time.Second), report(), ts, nil)
+	is.True(ok)
+}
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -121,7 +121,7 @@
 func (b *Balancer) HeardReplaced(now time.Time, t *catalog.Target, ago time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.record(now, t).suspectUntil = now.Add(replacedAvoid - ago)
+	b.record(now, t).replacedUntil = now.Add(replacedAvoid - ago)
 }
 
 // HeardLoss notes that another entry lost a target. It reports whether the
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -14,8 +14,8 @@
 	suspectLeast = 400 * time.Millisecond
 	suspectMost  = 3200 * time.Millisecond
 
-	// replacedAvoid is how long a target is avoided whose address answers for
-	// another one. It is no longer listed by then.
+	// replacedAvoid is how long nothing is sent to a target whose address answers
+	// for another one. It is no longer listed by then.
 	replacedAvoid = 10 * time.Second
 
 	// badHalfLife is the time in which the share of bad outcomes halves while
@@ -40,6 +40,9 @@
 	// losses counts losses in a row.
 	losses       int
 	suspectUntil time.Time
+	// replacedUntil is until when the target's address is taken to answer for
+	// another one. Nothing is sent there under the old name.
+	replacedUntil time.Time
 
 	bad   float64
 	badAt time.Time
--- a/internal/coordination/balance/run.go
+++ b/internal/coordination/balance/run.go
@@ -120,7 +120,7 @@
 		b.lost[t.ID] = now
 		return b.lose(now, t)
 	case Replaced:
-		rec.suspectUntil = now.Add(replacedAvoid)
+		rec.replacedUntil = now.Add(replacedAvoid)
 		b.replaced[t.ID] = now
 	case Left, Moved:
 	}
