Find engines that start again while the store is away

Each zone that crashed stayed lost until the store's return, and requests met 421 or no target.

Change: a lost target's address is asked for its name each 200 ms, while the address can't have gone to another service: until reuse-after-s, less 200 ms, after the last byte of the lost target. An answer with as many slots names its successor, which takes its place and is told to the other entries. The store's list goes before it once it is there.

--- a/cmd/foxtailward-lab/soak.go
+++ b/cmd/foxtailward-lab/soak.go
@@ -77,6 +77,9 @@
 					failed = err
 				} else {
 					fmt.Fprintf(cmd.ErrOrStderr(), "seed %d: %d attempts, %d broken promises\n", seed, r.Attempts, len(r.Broken))
+					for _, b := range r.Broken {
+						fmt.Fprintf(cmd.ErrOrStderr(), "seed %d: %v\n", seed, b)
+					}
 					sum.Add(r)
 				}
 				mu.Unlock()
--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -44,6 +44,7 @@
   [limits]
   memoryMB = 284
   graceSeconds = 8
+  addressReuseSeconds = 2
 
   [retries]
   ratio = 0.8
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -214,6 +214,13 @@
 	return now.Before(b.record(now, t).replacedUntil)
 }
 
+// AliveAt returns when the target last sent something; zero for never.
+func (b *Balancer) AliveAt(now time.Time, t *catalog.Target) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.record(now, t).aliveAt
+}
+
 // Forget drops what is known of targets that are gone.
 func (b *Balancer) Forget(gone catalog.Targets) {
 	b.mu.Lock()
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -39,6 +39,10 @@
 	Targets map[id.Service]catalog.Targets
 }
 
+// foundTime is how long a target that was found may take until it is listed,
+// while the key-value service answers.
+const foundTime = 3 * time.Second
+
 // Directory is the belief of one process.
 type Directory struct {
 	view    atomic.Pointer[View]
@@ -46,6 +50,8 @@
 	targets map[id.Target]*catalog.Target
 	// missing holds when a target was last listed that is no longer.
 	missing map[id.Target]time.Time
+	// found holds when a target was found that has not been listed yet.
+	found map[id.Target]time.Time
 	// away says that the key-value service does not answer.
 	away bool
 	back time.Time
@@ -53,7 +59,7 @@
 
 // New returns a Directory that knows nothing.
 func New() *Directory {
-	d := &Directory{targets: map[id.Target]*catalog.Target{}, missing: map[id.Target]time.Time{}}
+	d := &Directory{targets: map[id.Target]*catalog.Target{}, missing: map[id.Target]time.Time{}, found: map[id.Target]time.Time{}}
 	d.publish()
 	return d
 }
@@ -75,7 +81,7 @@
 // Put notes a target as it is listed now, and reports whether that changed the
 // belief.
 func (d *Directory) Put(t *catalog.Target) bool {
-	delete(d.missing, t.ID)
+	d.listed(t.ID)
 	old, known := d.targets[t.ID]
 	d.targets[t.ID] = t
 	if known && old.State == t.State && old.Incarnation == t.Incarnation && old.Address == t.Address {
@@ -91,12 +97,12 @@
 	names := make(map[id.Target]bool, len(listed))
 	for _, t := range listed {
 		names[t.ID] = true
-		delete(d.missing, t.ID)
+		d.listed(t.ID)
 		d.targets[t.ID] = t
 	}
 	var gone catalog.Targets
 	for name := range d.targets {
-		if names[name] {
+		if _, found := d.found[name]; found || names[name] {
 			continue
 		}
 		if t := d.unlist(now, name); t != nil {
@@ -123,10 +129,35 @@
 	}
 	d.targets = heard
 	clear(d.missing)
+	clear(d.found)
 	d.publish()
 	return gone
 }
 
+// listed notes that a target is listed.
+func (d *Directory) listed(name id.Target) {
+	delete(d.missing, name)
+	delete(d.found, name)
+}
+
+// Found notes that a target which is not listed answers at the address of one
+// that is, and so has taken its place. It returns the new target, or nil if the
+// old one is not known or the new one is.
+func (d *Directory) Found(now time.Time, of, name id.Target) *catalog.Target {
+	old, known := d.targets[of]
+	if _, there := d.targets[name]; !known || there {
+		return nil
+	}
+	t := *old
+	t.ID, t.State, t.Incarnation = name, catalog.Ready, 0
+	delete(d.targets, of)
+	delete(d.missing, of)
+	d.targets[name] = &t
+	d.found[name] = now
+	d.publish()
+	return &t
+}
+
 // IsAway reports whether the key-value service does not answer this entry.
 func (d *Directory) IsAway() bool { return d.away }
 
@@ -181,7 +212,16 @@
 // Settle removes the targets that are still missing when they should have been
 // listed again, and returns them.
 func (d *Directory) Settle(now time.Time) catalog.Targets {
-	if len(d.missing) == 0 || d.unsettled(now) {
+	if d.unsettled(now) {
+		return nil
+	}
+	for name, at := range d.found {
+		if now.Sub(at) > foundTime {
+			d.missing[name] = at
+			delete(d.found, name)
+		}
+	}
+	if len(d.missing) == 0 {
 		return nil
 	}
 	var gone catalog.Targets
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -124,3 +124,37 @@
 	is.True(d.Put(again))
 	is.Equal(d.View().Targets["m"][0].Incarnation, id.Incarnation(5))
 }
+
+// A target that was found takes the place of the one whose address it has. It
+// stays while the key-value service is away, and for a while afterwards.
+func TestFound(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	d.Put(target("t1"))
+	is.Equal(d.Found(start, "t9", "t2"), nil) // whose place it takes is not known
+	found := d.Found(start, "t1", "t2")
+	is.Equal(found.ID, id.Target("t2"))
+	is.Equal(found.Address, "10.0.0.1:80")
+	is.Equal(names(d), []id.Target{"t2"})
+	is.Equal(d.Found(start, "t1", "t2"), nil) // it is known by now
+	d.Away()
+	is.Equal(len(d.Settle(start.Add(time.Minute))), 0)
+	d.Replace(start.Add(time.Minute), nil)
+	is.Equal(names(d), []id.Target{"t2"})
+	d.Back(start.Add(time.Minute))
+	is.Equal(len(d.Settle(start.Add(time.Minute+time.Second))), 0)
+	is.Equal(len(d.Settle(start.Add(time.Minute+4*time.Second))), 1)
+	is.Equal(len(names(d)), 0)
+}
+
+// Once it is listed, it is a target like any other.
+func TestFoundListed(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	d.Put(target("t1"))
+	d.Found(start, "t1", "t2")
+	d.Put(target("t2"))
+	is.Equal(len(d.Settle(start.Add(time.Minute))), 0)
+	is.Equal(names(d), []id.Target{"t2"})
+	is.Equal(d.Remove(start, "t2").ID, id.Target("t2"))
+}
--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -89,6 +89,12 @@
 	Body   []byte
 }
 
+// Identity is what a target says of itself.
+type Identity struct {
+	Target id.Target
+	Slots  int
+}
+
 // Dialect reads and writes the notes in HTTP headers. All fields are set.
 type Dialect struct {
 	// Ask reads a client's notes.
@@ -100,6 +106,9 @@
 	Tell func(h http.Header, o Order)
 	// Note reads a target's notes.
 	Note func(status int, h http.Header) Note
+	// Identity reads which target answered a health check, and reports whether it
+	// told enough.
+	Identity func(status int, h http.Header) (Identity, bool)
 	// FreeCall returns the call that frees a copy, at the engine that made it.
 	FreeCall func(handle string) Call
 	// Refusal adds to the headers of an answer of the entry's own which attempt
--- a/internal/protocol/direct/news.go
+++ b/internal/protocol/direct/news.go
@@ -53,6 +53,9 @@
 	Retries map[id.Service]retry.Counts `json:"retries,omitempty"`
 	// Losses are the targets that it lost a moment ago.
 	Losses []Loss `json:"losses,omitempty"`
+	// Successors are the targets that it found a moment ago at the addresses of
+	// others.
+	Successors []Successor `json:"successors,omitempty"`
 	// Deaths are the deaths of targets that it learned of a moment ago, by the
 	// requests that ran there.
 	Deaths []quarantine.Record `json:"deaths,omitempty"`
@@ -61,6 +64,12 @@
 // StopsIn returns how long the entry still finishes its work.
 func (n *News) StopsIn() time.Duration { return time.Duration(n.StopsInMS) * time.Millisecond }
 
+// Successor is a target that answers at the address of one that has ended.
+type Successor struct {
+	Target id.Target `json:"target"`
+	Of     id.Target `json:"of"`
+}
+
 // Loss is the loss of a target.
 type Loss struct {
 	Target id.Target `json:"target"`
--- a/internal/protocol/direct/news_test.go
+++ b/internal/protocol/direct/news_test.go
@@ -16,10 +16,11 @@
 func news() *direct.News {
 	return &direct.News{
 		From: "e1", Incarnation: 5, Sequence: 7, Address: "10.0.0.1:7200", Version: 3, ReachesStore: true,
-		Loads:  map[id.Target]balance.Load{"t1": {Running: 2, Prefill: 8000, Memory: 18000}},
-		Runs:   []handover.Run{{Key: "k", Holder: "t2", Address: "10.0.0.9:80", Handle: "a1"}},
-		Losses: []direct.Loss{{Target: "t3", AgoMS: 40}, {Target: "t4", Replaced: true}},
-		Deaths: []quarantine.Record{{Fingerprint: 1<<63 + 5, Marks: []quarantine.Mark{{Target: "t3", Incarnation: 9, Zone: "a", AgeMs: 40}}}},
+		Loads:      map[id.Target]balance.Load{"t1": {Running: 2, Prefill: 8000, Memory: 18000}},
+		Runs:       []handover.Run{{Key: "k", Holder: "t2", Address: "10.0.0.9:80", Handle: "a1"}},
+		Losses:     []direct.Loss{{Target: "t3", AgoMS: 40}, {Target: "t4", Replaced: true}},
+		Successors: []direct.Successor{{Target: "t9", Of: "t3"}},
+		Deaths:     []quarantine.Record{{Fingerprint: 1<<63 + 5, Marks: []quarantine.Mark{{Target: "t3", Incarnation: 9, Zone: "a", AgeMs: 40}}}},
 	}
 }
 
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -60,6 +60,9 @@
 	linkDelay   = 120 * time.Millisecond
 	storeDelay  = 300 * time.Millisecond
 	lostAnswers = 5
+	// reuseTime is the least time between a target's end and the use of its address
+	// for another service.
+	reuseTime = 2 * time.Second
 	// turnPause is the time between two entries that are stopped in turn.
 	turnPause = 3 * time.Second
 )
@@ -218,11 +221,13 @@
 		other = modelService
 	}
 	p.crash()
+	wait(ctx, reuseTime)
 	p.back(ctx, w.newTarget(), other)
 	w.mustCommit(ctx, func() error { return w.removeTarget(ctx, before.ID) })
 	wait(ctx, s.lasts)
 	between := p.identity().ID
 	p.crash()
+	wait(ctx, reuseTime)
 	p.back(ctx, w.newTarget(), before.Service)
 	w.mustCommit(ctx, func() error { return w.removeTarget(ctx, between) })
 }
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -104,6 +104,11 @@
 		p.serveCopy(w, order)
 		return
 	}
+	identity := p.identity()
+	if r.URL.Path == healthPath {
+		platform.EncodeIdentity(w.Header(), direct.Identity{Target: identity.ID, Slots: identity.Slots})
+		return
+	}
 	told := platform.DecodeTold(r.Header)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -112,7 +117,6 @@
 	if told.Key != "" {
 		p.w.ledger.breaks(Asked, told.Attempt, "a target was shown the client's key")
 	}
-	identity := p.identity()
 	if told.Target != identity.ID {
 		platform.EncodeNote(w.Header(), told.Attempt, "", true)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -266,6 +270,8 @@
 	unsafePath = "/u/"
 	safePath   = "/s/"
 	streamPath = "/r/"
+	// healthPath is where targets tell their names.
+	healthPath = "/health"
 	// extraPath comes before the number of a route that a change adds.
 	extraPath = "/x"
 )
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -109,8 +109,8 @@
 			route(streamPath, catalog.Streaming, 6, streamTimeout),
 		},
 		Services: map[id.Service]catalog.Service{
-			modelService: {Name: modelService, Engine: &catalog.Engine{MemoryTokens: 88000, Backups: true}},
-			shopService:  {Name: shopService},
+			modelService: {Name: modelService, HealthPath: healthPath, Engine: &catalog.Engine{MemoryTokens: 88000, Backups: true}},
+			shopService:  {Name: shopService, HealthPath: healthPath},
 		},
 		Accounts: []catalog.ClientAccount{{Name: account, Keys: []catalog.Key{mainKey}}},
 	}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -64,6 +64,9 @@
 	Name id.Service
 	// Engine is set for a service of model engines.
 	Engine *Engine
+	// HealthPath is where a target says whether it is healthy, and which one it
+	// is; empty where it does not.
+	HealthPath string
 }
 
 // Engine is what the engines of a service have in common.
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -36,6 +36,15 @@
 	MemoryMB float64 `toml:"memoryMB"`
 	// GraceSeconds is the time between the signal to stop and the kill.
 	GraceSeconds float64 `toml:"graceSeconds"`
+	// AddressReuseSeconds is the least time between a target's end and the use of
+	// its address for another service; 0 for none that is promised.
+	AddressReuseSeconds float64 `toml:"addressReuseSeconds"`
+}
+
+// AddressReuse returns the least time between a target's end and the use of its
+// address for another service.
+func (p *Process) AddressReuse() time.Duration {
+	return time.Duration(p.AddressReuseSeconds * float64(time.Second))
 }
 
 // Grace returns the time between the signal to stop and the kill.
@@ -94,6 +103,8 @@
 		return refuse("limits.memoryMB", "is %v, want a number above 0, or none", s.Limits.MemoryMB)
 	case s.Limits.GraceSeconds < 0:
 		return refuse("limits.graceSeconds", "is %v, want a number above 0", s.Limits.GraceSeconds)
+	case s.Limits.AddressReuseSeconds < 0:
+		return refuse("limits.addressReuseSeconds", "is %v, want a number of 0 or more", s.Limits.AddressReuseSeconds)
 	case s.Retries.Ratio < 0:
 		return refuse("retries.ratio", "is %v, want a number of 0 or more", s.Retries.Ratio)
 	case s.Retries.Slack < 0:
--- a/internal/state/settings/direct_test.go
+++ b/internal/state/settings/direct_test.go
@@ -28,6 +28,7 @@
 [limits]
 memoryMB = 284
 graceSeconds = 8
+addressReuseSeconds = 2
 
 [retries]
 ratio = 0.8
@@ -48,6 +49,7 @@
 	s, err := settings.LoadDirect(writeDirect(t, directFile))
 	is.NoErr(err)
 	is.Equal(s.Limits.Grace(), 8*time.Second)
+	is.Equal(s.Limits.AddressReuse(), 2*time.Second)
 	is.Equal(s.Retries.Slack, 150.0)
 	is.Equal(s.Seeds, []string{"10.1.0.20:8748"})
 }
@@ -55,6 +57,7 @@
 func TestLoadDirectWrong(t *testing.T) {
 	tests := []struct{ name, old, put, want string }{
 		{"no name", `name = "edge-1"`, ``, "name: is empty"},
+		{"a negative time", "addressReuseSeconds = 2", "addressReuseSeconds = -2", "limits.addressReuseSeconds: is -2"},
 		{"no store", `store = "10.200.1.7:8742"`, ``, "store: is empty"},
 		{"a bad address", "10.1.0.19:8740", "nowhere", "clients: is \"nowhere\""},
 		{"a bad seed", "10.1.0.20:8748", "nowhere", "seeds: element 0"},
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -98,8 +98,10 @@
 
 	retries *retries
 	killers *killers
-	pacesMu sync.Mutex
-	paces   map[id.Service]*pace.Pace
+	// searches looks for the targets that take the places of lost ones.
+	searches *searches
+	pacesMu  sync.Mutex
+	paces    map[id.Service]*pace.Pace
 
 	clients   net.Listener
 	readiness net.Listener
@@ -140,6 +142,7 @@
 		roster:     roster.New(cfg.Peers, seedPeers(cfg.Peers, cfg.Seeds)),
 	}
 	e.follower = newFollower(e)
+	e.searches = newSearches(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, Opened: func() { e.meters.connections.Inc(1) }})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
--- a/internal/transport/direct/follow.go
+++ b/internal/transport/direct/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/fault"
@@ -183,6 +184,20 @@
 	}
 }
 
+// found notes that a target has taken another one's place, and reports whether
+// that is news.
+func (f *follower) found(s direct.Successor) bool {
+	var t *catalog.Target
+	f.locked(func() {
+		if t = f.e.directory.Found(f.e.deps.Clock.Now(), s.Of, s.Target); t == nil {
+			return
+		}
+		f.gone(catalog.Targets{{ID: s.Of, Service: t.Service, Address: t.Address, Zone: t.Zone}})
+		f.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", "found", "zone", t.Zone, "of", s.Of)
+	})
+	return t != nil
+}
+
 // gone forgets what was known of targets that have left.
 func (f *follower) gone(ts catalog.Targets) {
 	for _, t := range ts {
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -170,6 +170,7 @@
 	for target, ago := range x.e.balancer.Losses(now) {
 		n.Losses = append(n.Losses, direct.Loss{Target: target, AgoMS: ago.Milliseconds()})
 	}
+	n.Successors = x.e.searches.found(now)
 	for target, ago := range x.e.balancer.Replaced(now) {
 		n.Losses = append(n.Losses, direct.Loss{Target: target, Replaced: true, AgoMS: ago.Milliseconds()})
 	}
@@ -212,6 +213,9 @@
 		// An entry that has just started learns at once what goes on.
 		x.tell([]string{n.Address}, x.e.killers.all(now))
 	}
+	for _, s := range n.Successors {
+		x.follower.found(s)
+	}
 	for i := range n.Losses {
 		x.takeLoss(now, n.From, &n.Losses[i])
 	}
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -90,6 +90,9 @@
 	c.arrived = c.arrived || outcome != balance.Unreached
 	zoneLost := run.End(now, outcome)
 	c.noteDeath(now, choice.Target, outcome, err)
+	if outcome == balance.Lost || outcome == balance.Unreached {
+		c.e.searches.begin(choice.Target)
+	}
 	if c.e.exchange != nil && c.need.Engine != nil && outcome == balance.Lost {
 		// Requests at other entries may wait for the same zone.
 		c.e.exchange.hurry()
