Do not find again what has left

Change: names of targets that left are kept for a minute and are not found again; a listed entry does not bring back the incarnation whose place was taken.

Both tests failed before.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -43,6 +43,10 @@
 // while the key-value service answers.
 const foundTime = 3 * time.Second
 
+// leftTime is how long the names of targets that have left are kept. Others tell
+// of a target for a second after it was found.
+const leftTime = time.Minute
+
 // Directory is the belief of one process.
 type Directory struct {
 	view    atomic.Pointer[View]
@@ -52,6 +56,10 @@
 	missing map[id.Target]time.Time
 	// found holds when a target was found that has not been listed yet.
 	found map[id.Target]time.Time
+	// left holds when targets left, and succeeded the incarnations whose places
+	// others took.
+	left      map[id.Target]time.Time
+	succeeded map[id.Target]id.Incarnation
 	// away says that the key-value service does not answer.
 	away bool
 	back time.Time
@@ -59,7 +67,10 @@
 
 // New returns a Directory that knows nothing.
 func New() *Directory {
-	d := &Directory{targets: map[id.Target]*catalog.Target{}, missing: map[id.Target]time.Time{}, found: map[id.Target]time.Time{}}
+	d := &Directory{
+		targets: map[id.Target]*catalog.Target{}, missing: map[id.Target]time.Time{}, found: map[id.Target]time.Time{},
+		left: map[id.Target]time.Time{}, succeeded: map[id.Target]id.Incarnation{},
+	}
 	d.publish()
 	return d
 }
@@ -81,6 +92,9 @@
 // Put notes a target as it is listed now, and reports whether that changed the
 // belief.
 func (d *Directory) Put(t *catalog.Target) bool {
+	if d.hasSuccessor(t) {
+		return false
+	}
 	d.listed(t.ID)
 	old, known := d.targets[t.ID]
 	d.targets[t.ID] = t
@@ -96,6 +110,9 @@
 func (d *Directory) Replace(now time.Time, listed catalog.Targets) catalog.Targets {
 	names := make(map[id.Target]bool, len(listed))
 	for _, t := range listed {
+		if d.hasSuccessor(t) {
+			continue
+		}
 		names[t.ID] = true
 		d.listed(t.ID)
 		d.targets[t.ID] = t
@@ -140,16 +157,26 @@
 	delete(d.found, name)
 }
 
+// hasSuccessor reports whether another target was found in the place of this
+// incarnation. Its entry lapses later than that.
+func (d *Directory) hasSuccessor(t *catalog.Target) bool {
+	incarnation, succeeded := d.succeeded[t.ID]
+	return succeeded && incarnation == t.Incarnation
+}
+
 // Found notes that a target which is not listed answers at the address of one
 // that is, and so has taken its place. It returns the new target, or nil if the
-// old one is not known or the new one is.
+// old one is not known, or the new one is or has left already.
 func (d *Directory) Found(now time.Time, of, name id.Target) *catalog.Target {
 	old, known := d.targets[of]
-	if _, there := d.targets[name]; !known || there {
+	_, there := d.targets[name]
+	_, left := d.left[name]
+	if !known || there || left {
 		return nil
 	}
 	t := *old
 	t.ID, t.State, t.Incarnation = name, catalog.Ready, 0
+	d.succeeded[of], d.left[of] = old.Incarnation, now
 	delete(d.targets, of)
 	delete(d.missing, of)
 	d.targets[name] = &t
@@ -181,11 +208,24 @@
 		}
 		return nil
 	}
-	delete(d.targets, name)
-	delete(d.missing, name)
+	d.leaves(now, t)
 	return t
 }
 
+// leaves forgets a target, but for its name.
+func (d *Directory) leaves(now time.Time, t *catalog.Target) {
+	delete(d.targets, t.ID)
+	delete(d.missing, t.ID)
+	delete(d.found, t.ID)
+	d.left[t.ID] = now
+	for name, at := range d.left {
+		if now.Sub(at) > leftTime {
+			delete(d.left, name)
+			delete(d.succeeded, name)
+		}
+	}
+}
+
 // unsettled reports whether the key-value service's list may lack live targets.
 func (d *Directory) unsettled(now time.Time) bool {
 	return d.away || (!d.back.IsZero() && now.Before(d.back.Add(rejoinTime)))
@@ -228,8 +268,8 @@
 	for name := range d.missing {
 		if t, known := d.targets[name]; known {
 			gone = append(gone, t)
+			d.leaves(now, t)
 		}
-		delete(d.targets, name)
 	}
 	clear(d.missing)
 	d.publish()
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -158,3 +158,31 @@
 	is.Equal(names(d), []id.Target{"t2"})
 	is.Equal(d.Remove(start, "t2").ID, id.Target("t2"))
 }
+
+// What has left is not found again by what another entry tells late, although
+// the one whose place it took is still listed.
+func TestFoundLate(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	d.Put(target("t1"))
+	d.Found(start, "t1", "t2")
+	d.Put(target("t2"))
+	is.Equal(d.Remove(start.Add(time.Second), "t2").ID, id.Target("t2"))
+	d.Put(target("t1"))
+	is.Equal(d.Found(start.Add(2*time.Second), "t1", "t2"), nil)
+}
+
+// The entry of a target whose place was taken may stay listed for a while; it
+// does not bring the target back.
+func TestSucceededListed(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	d.Put(target("t1"))
+	d.Found(start, "t1", "t2")
+	d.Replace(start.Add(time.Second), catalog.Targets{target("t1"), target("t2")})
+	is.Equal(names(d), []id.Target{"t2"})
+	again := target("t1")
+	again.Incarnation = 7
+	d.Put(again)
+	is.Equal(names(d), []id.Target{"t1", "t2"}) // it has started again since
+}
