Tell of targets' deaths only what an entry saw itself

Change: an entry tells the fingerprints of which it learned something itself in the last second; one that has just started hears only of requests that have ended more than one target.

--- a/internal/transport/direct/killers.go
+++ b/internal/transport/direct/killers.go
@@ -29,19 +29,16 @@
 type killers struct {
 	mu   sync.Mutex
 	list *quarantine.List
-	// told holds the versions of the list that were told in the last tellDeaths,
-	// oldest first.
-	told []toldVersion
-}
-
-// toldVersion is the version of the list at one message.
-type toldVersion struct {
-	at      time.Time
-	version uint64
+	// seen holds the fingerprints of which this entry itself learned something
+	// lately. What others told is not told again: they tell all entries.
+	seen map[id.Fingerprint]time.Time
 }
 
 func newKillers() *killers {
-	return &killers{list: quarantine.New(quarantine.Config{QuarantineTime: quarantineTime})}
+	return &killers{
+		list: quarantine.New(quarantine.Config{QuarantineTime: quarantineTime}),
+		seen: map[id.Fingerprint]time.Time{},
+	}
 }
 
 // refused returns how long requests with the fingerprint are still refused, or 0.
@@ -64,6 +61,9 @@
 		DeathID: quarantine.DeathID{Target: t.ID, Incarnation: t.Incarnation},
 		Place:   member.Place{Zone: t.Zone}, At: at, Running: running,
 	})
+	for _, f := range running {
+		k.seen[f] = at
+	}
 }
 
 // deaths returns how many targets' ends requests with the fingerprint are
@@ -75,39 +75,42 @@
 }
 
 // finished notes that a request was answered, which clears it.
-func (k *killers) finished(f id.Fingerprint) {
+func (k *killers) finished(now time.Time, f id.Fingerprint) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.list.Judge(now, f).Deaths == 0 {
+		return
+	}
 	k.list.Finished(f)
+	k.seen[f] = now
 }
 
-// news returns what has changed in the last tellDeaths.
+// news returns what this entry itself has learned in the last tellDeaths.
 func (k *killers) news(now time.Time) []quarantine.Record {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for len(k.told) > 0 && now.Sub(k.told[0].at) > tellDeaths {
-		k.told = k.told[1:]
+	for f, at := range k.seen {
+		if now.Sub(at) > tellDeaths {
+			delete(k.seen, f)
+		}
 	}
-	after := uint64(0)
-	if len(k.told) > 0 {
-		after = k.told[0].version
+	if len(k.seen) == 0 {
+		return nil
 	}
-	records, version := k.list.News(now, after)
-	k.told = append(k.told, toldVersion{at: now, version: version})
-	return blaming(records)
+	return slices.DeleteFunc(k.list.Records(now), func(r quarantine.Record) bool {
+		_, seen := k.seen[r.Fingerprint]
+		return !seen
+	})
 }
 
-// all returns all that is known, for an entry that has just started.
-func (k *killers) all(now time.Time) []quarantine.Record {
+// suspects returns the requests that have ended more than one target, for an
+// entry that has just started.
+func (k *killers) suspects(now time.Time) []quarantine.Record {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return blaming(k.list.Records(now))
-}
-
-// blaming leaves out the deaths that blame no request. Entries tell each other
-// of all losses anyway.
-func blaming(records []quarantine.Record) []quarantine.Record {
-	return slices.DeleteFunc(records, func(r quarantine.Record) bool { return r.Fingerprint == 0 })
+	return slices.DeleteFunc(k.list.Records(now), func(r quarantine.Record) bool {
+		return r.Fingerprint == 0 || len(r.Marks) < 2
+	})
 }
 
 // heard takes what another entry told.
@@ -136,7 +139,7 @@
 func (c *call) noteDeath(now time.Time, t *catalog.Target, outcome balance.Outcome, err error) {
 	switch {
 	case outcome == balance.Good || outcome == balance.Failed:
-		c.e.killers.finished(c.print)
+		c.e.killers.finished(now, c.print)
 	case outcome == balance.Lost && fault.Is(err, upstream.Lost):
 		c.e.killers.lost(now, t, c.print)
 		if deaths := c.e.killers.deaths(now, c.print); deaths > 1 {
--- a/internal/transport/direct/killers_test.go
+++ b/internal/transport/direct/killers_test.go
@@ -7,7 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/direct"
 )
 
 // killable adds n targets that end when they are asked to run the body "kill".
@@ -116,3 +120,33 @@
 		w.is.True(strings.Contains(text, "fingerprint="))
 	})
 }
+
+// Each entry tells what it saw itself, for a second, and all add it up. What was
+// heard is not told again: with many entries that would fill their links.
+func TestKillersNews(t *testing.T) {
+	is := is.New(t)
+	const f = id.Fingerprint(7)
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	target := func(name id.Target) *catalog.Target { return &catalog.Target{ID: name, Zone: id.Zone("z" + name)} }
+	entries := []direct.Killers{direct.NewKillers(), direct.NewKillers(), direct.NewKillers()}
+	for i, e := range entries {
+		e.Lost(now, target(id.Target(rune('a'+i))), f)
+	}
+	for i, e := range entries {
+		for j, other := range entries {
+			if i != j {
+				other.Heard(now, e.News(now))
+			}
+		}
+	}
+	for _, e := range entries {
+		is.True(e.Refused(now, f))
+	}
+	listener := direct.NewKillers()
+	listener.Heard(now, entries[0].News(now))
+	is.Equal(len(listener.News(now)), 0)
+	is.Equal(len(entries[0].News(now.Add(2*time.Second))), 0)
+	entries[0].Finished(now.Add(3*time.Second), f)
+	entries[1].Heard(now.Add(3*time.Second), entries[0].News(now.Add(3*time.Second)))
+	is.True(!entries[1].Refused(now.Add(3*time.Second), f))
+}
--- a/internal/transport/direct/news.go
+++ b/internal/transport/direct/news.go
@@ -211,7 +211,7 @@
 	x.e.handover.Heard(now, handover.Owner{Name: n.From, Incarnation: n.Incarnation}, n.Runs)
 	if verdict == roster.First {
 		// An entry that has just started learns at once what goes on.
-		x.tell([]string{n.Address}, x.e.killers.all(now))
+		x.tell([]string{n.Address}, x.e.killers.suspects(now))
 	}
 	for _, s := range n.Successors {
 		x.follower.found(s)
