Metrics for scrapers, standstills, and fewer health checks

Three changes that share files:

Standstill: a process that was stopped, or a host that was suspended (the time since boot runs ahead of the steady clock), reads late what was received before. After one, no lost target's address is asked for as long as it may be reused.

Health checks: only engines' addresses are asked, and no target that has sent something since.

--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
 
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/settings"
@@ -25,13 +26,14 @@
 grace time and ends. SIGHUP reads the settings again; what has changed is
 logged and is in force from the next start.
 
-The file holds name, clients, readiness, operators, peers, seeds, store, and the tables
+The file holds name, clients, readiness, operators, metrics, peers, seeds, store, and the tables
 place, limits and retries:
 
   name = "entry-1"
   clients = "10.0.1.2:8740"
   readiness = "10.0.1.2:8749"
   operators = "10.0.1.2:8748"
+  metrics = "10.0.1.2:9464"
   peers = "10.0.1.2:7200"
   seeds = ["10.0.2.2:8748"]
   store = "10.200.1.7:8742"
@@ -78,6 +80,8 @@
 		Codec:   platformCodec(),
 		Dialect: platform.Dialect(),
 		Random:  rand.Float64,
+
+		SinceBoot: sinceBoot,
 	})
 	if err := e.Listen(); err != nil {
 		return err
@@ -87,6 +91,14 @@
 	return runUntilSignal(ctx, e.Run, func() {})
 }
 
+// sinceBoot returns the time since the host's start. The call can't fail with
+// this clock.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return time.Duration(t.Nano())
+}
+
 func platformCodec() direct.Codec {
 	return direct.Codec{
 		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -55,6 +55,7 @@
 	HostListFailed = Event{403, "hostListFailed", Warn, "The host list could not be read; the last one stays in force.", "look at the host list"}
 	NewsRefused    = Event{406, "newsRefused", Warn, "A message of another entry, or its answer, could not be used.", "none unless it repeats"}
 	BeliefTaken    = Event{407, "beliefTaken", Info, "The targets were learned from another entry, since the key-value service does not answer this one.", "look at the key-value service if it lasts"}
+	StandstillSeen = Event{408, "standstillSeen", Warn, "This process or its host stood still for a while.", "look at the host's load if it repeats"}
 	ShareStale     = Event{405, "shareStale", Warn, "The owner of a limit is silent; the last share stays in force.", "none"}
 )
 
@@ -95,7 +96,7 @@
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkCut, LoopFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantine, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyFreed,
-		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale, NewsRefused, BeliefTaken,
+		MemberChanged, ZoneLost, ZoneBack, HostListFailed, ShareStale, NewsRefused, BeliefTaken, StandstillSeen,
 		StoreDown, StoreBack, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsUnkept, RunsUnread,
 		PlacementChosen, PlacementHeld, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -72,6 +72,14 @@
 	return &Log{logger: log.With(l.logger, fields...), clock: l.clock, queue: l.queue}
 }
 
+// Dropped returns the number of lines that were dropped since the start.
+func (l *Log) Dropped() int64 {
+	if l == nil || l.queue == nil {
+		return 0
+	}
+	return l.queue.Dropped()
+}
+
 // Emit writes one line for e. The fields are pairs of a key in camel case and
 // a value; values are never secrets.
 func (l *Log) Emit(e Event, fields ...any) {
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -18,6 +18,9 @@
 	Readiness string `toml:"readiness"`
 	// Operators is the address for status, metrics and health; empty for none.
 	Operators string `toml:"operators"`
+	// Metrics is the address at which scrapers read the metrics as text; empty for
+	// none.
+	Metrics string `toml:"metrics"`
 	// Peers is the address that other entries reach; its port is the same on all
 	// hosts.
 	Peers string `toml:"peers"`
@@ -121,5 +124,8 @@
 	if s.Operators != "" {
 		addresses = append(addresses, address{"operators", s.Operators})
 	}
+	if s.Metrics != "" {
+		addresses = append(addresses, address{"metrics", s.Metrics})
+	}
 	return checkAddresses(addresses...)
 }
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -65,7 +65,7 @@
 	TargetID     func(key string) (id.Target, bool)
 }
 
-// Deps are what an entry uses. All are set but for the last two.
+// Deps are what an entry uses. All are set but for the last three.
 type Deps struct {
 	Clock   clockwork.Clock
 	Log     *event.Log
@@ -75,6 +75,9 @@
 	Dialect direct.Dialect
 	// Random draws from [0, 1).
 	Random func() float64
+	// SinceBoot returns the time since the host's start, with the times in which
+	// it was suspended; nil where it is not known.
+	SinceBoot func() time.Duration
 	// Listen opens an address, as host:port, and Dial connects to one; nil
 	// means TCP.
 	Listen func(address string) (net.Listener, error)
@@ -98,6 +101,9 @@
 
 	retries *retries
 	killers *killers
+	// standstill notices when the process or its host stood still.
+	standstill standstill
+	startedAt  time.Time
 	// searches looks for the targets that take the places of lost ones.
 	searches *searches
 	pacesMu  sync.Mutex
@@ -105,8 +111,10 @@
 
 	clients   net.Listener
 	readiness net.Listener
-	server    *http.Server
-	idle      *idleConns
+	// scrapes is where metrics are read; nil for nowhere.
+	scrapes net.Listener
+	server  *http.Server
+	idle    *idleConns
 
 	// listed says that the targets have been read once; configured is closed when
 	// the configuration is known besides.
@@ -130,10 +138,10 @@
 	}
 	e := &Entry{
 		cfg: cfg, deps: deps,
+		startedAt:  deps.Clock.Now(),
 		directory:  directory.New(),
 		balancer:   balance.New(cfg.Place.Zone, deps.Random),
 		handover:   handover.New(),
-		meters:     newMeters(deps.Metrics),
 		retries:    newRetries(retryConfig(cfg.Retries)),
 		killers:    newKillers(),
 		paces:      map[id.Service]*pace.Pace{},
@@ -143,7 +151,8 @@
 	}
 	e.follower = newFollower(e)
 	e.searches = newSearches(e)
-	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, Opened: func() { e.meters.connections.Inc(1) }})
+	e.meters = newMeters(e)
+	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, Opened: e.meters.connected})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/transport/direct/fake_test.go
+++ b/internal/transport/direct/fake_test.go
@@ -188,6 +188,8 @@
 	ended   chan error
 	changes chan store.Change
 
+	// sinceBoot is the host's time since its start; nil for the steady time.
+	sinceBoot func() time.Duration
 	// watch replaces the watch of targets, unless it is nil.
 	watch func(ctx context.Context) error
 
@@ -208,6 +210,7 @@
 const (
 	clients   = "10.0.0.1:8740"
 	readiness = "10.0.0.1:8749"
+	scrapes   = "10.0.0.1:9464"
 	service   = id.Service("m")
 	// healthPath is where targets tell their names.
 	healthPath = "/health"
@@ -264,7 +267,7 @@
 	w.entry = direct.New(w.settings(), direct.Deps{
 		Clock: clockwork.NewRealClock(), Log: event.NewWriter(io.MultiWriter(w.t.Output(), &w.log), clockwork.NewRealClock()),
 		Metrics: metrics.NewRegistry(), Store: w.store(), Codec: w.codec(), Dialect: dialect(),
-		Random: func() float64 { return 0 }, Listen: w.net.Listen, Dial: w.net.Dial,
+		Random: func() float64 { return 0 }, SinceBoot: w.sinceBoot, Listen: w.net.Listen, Dial: w.net.Dial,
 	})
 	w.is.NoErr(w.entry.Listen())
 	ctx, stop := context.WithCancel(context.Background())
@@ -281,6 +284,7 @@
 	w.mu.Unlock()
 	w.net.remove(clients)
 	w.net.remove(readiness)
+	w.net.remove(scrapes)
 	old := w.stop
 	w.shutdown = append(w.shutdown, old)
 	w.start()
@@ -291,7 +295,7 @@
 
 func (w *world) settings() settings.Direct {
 	s := settings.Direct{
-		Name: "e", Clients: clients, Readiness: readiness,
+		Name: "e", Clients: clients, Readiness: readiness, Metrics: scrapes,
 		Place:   settings.Place{Host: "e", Zone: "a", Region: "x"},
 		Limits:  settings.Process{AddressReuseSeconds: reuseSeconds},
 		Retries: settings.Retries{Ratio: 1, Slack: 300, WindowSeconds: 10},
--- a/internal/transport/direct/follow.go
+++ b/internal/transport/direct/follow.go
@@ -29,6 +29,8 @@
 	// badItems holds the revision of items that could not be decoded, so that
 	// each is logged once.
 	badItems map[string]int64
+	// heardAt is when the key-value service last answered.
+	heardAt time.Time
 	// configItem and targetItems are what was read, for other entries.
 	configItem  store.Item
 	targetItems map[string]store.Item
@@ -50,7 +52,9 @@
 // follow reads the keys with a prefix and then their changes, again and again.
 func (f *follower) follow(ctx context.Context, prefix string, replace func(store.Page), change func(store.Change)) {
 	for ctx.Err() == nil {
+		begun := f.e.deps.Clock.Now()
 		page, err := f.e.deps.Store.List(ctx, prefix)
+		f.e.meters.called("list", err, f.e.deps.Clock.Since(begun))
 		if err != nil {
 			f.lost(prefix, err)
 			f.pause(ctx)
@@ -60,9 +64,14 @@
 			f.regained()
 			replace(page)
 		})
+		begun = f.e.deps.Clock.Now()
 		err = f.e.deps.Store.Watch(ctx, prefix, page.Revision, func(c store.Change) {
-			f.locked(func() { change(c) })
+			f.locked(func() {
+				f.heardAt = f.e.deps.Clock.Now()
+				change(c)
+			})
 		})
+		f.e.meters.called("watch", err, f.e.deps.Clock.Since(begun))
 		if ctx.Err() == nil && !fault.Is(err, store.Compacted) {
 			f.e.deps.Log.Emit(event.WatchEnded, "prefix", prefix, "error", err)
 		}
@@ -87,7 +96,19 @@
 	})
 }
 
+// silence returns how long ago the key-value service last told of anything, or
+// was read.
+func (f *follower) silence() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.heardAt.IsZero() {
+		return 0
+	}
+	return f.e.deps.Clock.Since(f.heardAt)
+}
+
 func (f *follower) regained() {
+	f.heardAt = f.e.deps.Clock.Now()
 	if f.e.directory.Back(f.e.deps.Clock.Now()) {
 		f.e.deps.Log.Emit(event.StoreBack)
 	}
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -66,7 +66,6 @@
 	defer e.active.Add(-1)
 	c := &call{e: e, w: w, r: r, start: e.deps.Clock.Now(), tried: map[id.Target]bool{}}
 	c.ask = e.deps.Dialect.Ask(r.Header)
-	e.meters.requests.Inc(1)
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/transport/direct/keep.go
+++ b/internal/transport/direct/keep.go
@@ -76,7 +76,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
+	begun := k.e.deps.Clock.Now()
 	_, err = k.e.deps.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: store.RunsPrefix + string(k.e.cfg.Name), Value: value}}})
+	k.e.meters.called("commit", err, k.e.deps.Clock.Since(begun))
 	if err != nil {
 		k.e.deps.Log.Emit(event.RunsUnkept, "runs", len(runs), "error", err)
 		return
--- a/internal/transport/direct/meters.go
+++ b/internal/transport/direct/meters.go
@@ -1,65 +1,102 @@
 package direct
 
 import (
-	"fmt"
+	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/meter"
 )
 
-// The histograms keep a sample that leans to the last five minutes.
-const (
-	sampleSize  = 1028
-	sampleDecay = 0.015
-)
+// meters are the entry's counters and latency histograms. docs/OPERATIONS.md
+// lists them.
+type meters struct{ set *meter.Set }
 
-// meters are the entry's counters and latency histograms.
-type meters struct {
-	registry    metrics.Registry
-	requests    metrics.Counter
-	abandoned   metrics.Counter
-	broken      metrics.Counter
-	connections metrics.Counter
-	whole       metrics.Histogram
-	firstEvent  metrics.Histogram
+// newMeters returns the meters of an entry.
+func newMeters(e *Entry) *meters {
+	m := &meters{set: meter.New(e.deps.Metrics)}
+	m.set.Gauge("activeRequests", func() float64 { return float64(e.active.Load()) })
+	m.set.Gauge("configVersion", func() float64 {
+		if cfg := e.directory.View().Config; cfg != nil {
+			return float64(cfg.Version)
+		}
+		return 0
+	})
+	m.set.Gauge("storeSilenceSeconds", func() float64 { return e.follower.silence().Seconds() })
+	m.set.Gauge("peers", func() float64 { return float64(e.roster.Count(e.deps.Clock.Now()) - 1) })
+	m.set.Gauge("logLinesDropped", func() float64 { return float64(e.deps.Log.Dropped()) })
+	return m
 }
 
-func newMeters(r metrics.Registry) *meters {
-	return &meters{
-		registry:    r,
-		requests:    metrics.NewRegisteredCounter("requests", r),
-		abandoned:   metrics.NewRegisteredCounter("requestsAbandoned", r),
-		broken:      metrics.NewRegisteredCounter("streamsBroken", r),
-		connections: metrics.NewRegisteredCounter("targetConnections", r),
-		whole:       newLatency("answersUs", r),
-		firstEvent:  newLatency("firstEventsUs", r),
+// finished counts a request by what became of it, and the time of whole answers.
+func (m *meters) finished(route *catalog.Route, outcome string, took time.Duration) {
+	name, kind := "none", "none"
+	if route != nil {
+		name, kind = route.Name, string(route.Repeat)
+	}
+	m.set.Count("requests", meter.Label{Key: "route", Value: name}, meter.Label{Key: "kind", Value: kind}, meter.Label{Key: "outcome", Value: outcome})
+	if outcome == outcomeAnswered {
+		m.set.Observe("answer", took, meter.Label{Key: "route", Value: name}, meter.Label{Key: "kind", Value: kind})
 	}
 }
 
-// answered notes a whole answer and the time that it took.
-func (m *meters) answered(took time.Duration) { m.whole.Update(took.Microseconds()) }
+// Outcomes of requests, besides the reasons of refusals.
+const (
+	outcomeAnswered  = "answered"
+	outcomeAbandoned = "abandoned"
+	outcomeBroken    = "streamBroken"
+)
 
 // begun notes the time to the first event of a stream.
-func (m *meters) begun(took time.Duration) { m.firstEvent.Update(took.Microseconds()) }
+func (m *meters) begun(route *catalog.Route, took time.Duration) {
+	m.set.Observe("firstEvent", took, meter.Label{Key: "route", Value: route.Name})
+}
 
-// refusal counts a failure of the entry's own.
-func (m *meters) refusal(f refusal) {
-	metrics.GetOrRegisterCounter(fmt.Sprintf("refusals.%d.%s", f.status, f.reason), m.registry).Inc(1)
+// paused notes the longest pause between two events of a stream.
+func (m *meters) paused(route *catalog.Route, longest time.Duration) {
+	m.set.Observe("longestPause", longest, meter.Label{Key: "route", Value: route.Name})
+}
+
+// refused counts a failure of the entry's own.
+func (m *meters) refused(f refusal) {
+	m.set.Count("refusals", meter.Label{Key: "status", Value: strconv.Itoa(f.status)}, meter.Label{Key: "reason", Value: f.reason})
 }
 
 // sent notes the outcome of one send to a target.
-func (m *meters) sent(o balance.Outcome, took time.Duration) {
-	h := m.registry.GetOrRegister("sendsUs."+string(o), newSampled)
-	h.(metrics.Histogram).Update(took.Microseconds())
+func (m *meters) sent(t *catalog.Target, o balance.Outcome, took time.Duration) {
+	m.set.Observe("send", took, meter.Label{Key: "service", Value: string(t.Service)}, meter.Label{Key: "outcome", Value: string(o)})
+	if o != balance.Good {
+		m.set.Count("sendsNotGood", meter.Label{Key: "target", Value: string(t.ID)}, meter.Label{Key: "outcome", Value: string(o)})
+	}
 }
 
-// newLatency registers a histogram of times, in microseconds.
-func newLatency(name string, r metrics.Registry) metrics.Histogram {
-	return metrics.NewRegisteredHistogram(name, r, newSample())
+// connected counts a new connection to a target.
+func (m *meters) connected() { m.set.Count("targetConnections") }
+
+// called notes a call of the key-value service.
+func (m *meters) called(call string, err error, took time.Duration) {
+	outcome := "good"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.set.Observe("storeCall", took, meter.Label{Key: "call", Value: call}, meter.Label{Key: "outcome", Value: outcome})
 }
 
-func newSampled() metrics.Histogram { return metrics.NewHistogram(newSample()) }
+// metricsPath is where the metrics are read as text.
+const metricsPath = "/metrics"
 
-func newSample() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleDecay) }
+// metricsServer serves the metrics as scrapers read them.
+func (e *Entry) metricsServer() *http.Server {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != metricsPath {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		// The reader may be gone, which is its own matter.
+		_ = e.meters.set.WriteText(w)
+	}
+	return &http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: readinessTimeout, WriteTimeout: readinessTimeout}
+}
--- a/internal/transport/direct/operations_test.go
+++ b/internal/transport/direct/operations_test.go
@@ -1,6 +1,8 @@
 package direct_test
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -52,3 +54,41 @@
 		})
 	}
 }
+
+// metrics reads the entry's metrics as a scraper does.
+func (w *world) metrics() string {
+	conn, err := w.net.Dial(w.t.Context(), scrapes)
+	w.is.NoErr(err)
+	defer conn.Close()
+	go func() { _, _ = io.WriteString(conn, "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n") }()
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	w.is.NoErr(err)
+	text, err := io.ReadAll(res.Body)
+	w.is.NoErr(err)
+	return string(text)
+}
+
+// The metrics tell what became of requests, and of the sends to targets.
+func TestMetrics(t *testing.T) {
+	play(t, func(w *world) {
+		w.target("t1", "10.0.1.1:80", "a", cut)
+		w.target("t2", "10.0.2.1:80", "b", reply(http.StatusOK, "fine", "Signed", "yes"))
+		w.start()
+		w.is.Equal(w.ask("POST", "/s/x", "a1", "body").status, http.StatusOK)
+		w.is.Equal(w.ask("POST", "/nowhere", "a2", "body").status, http.StatusNotFound)
+		text := w.metrics()
+		for _, want := range []string{
+			`foxtailward_requests_total{route="s",kind="safe",outcome="answered"} 1`,
+			`foxtailward_requests_total{route="none",kind="none",outcome="noRoute"} 1`,
+			`foxtailward_refusals_total{status="404",reason="noRoute"} 1`,
+			`foxtailward_sends_not_good_total{target="t1",outcome="lost"} 1`,
+			`foxtailward_send_seconds_count{service="m",outcome="good"} 1`,
+			`foxtailward_answer_seconds_count{route="s",kind="safe"} 1`,
+			`foxtailward_store_call_seconds_count{call="list",outcome="good"} 2`,
+			"foxtailward_config_version 1",
+			"foxtailward_log_lines_dropped 0",
+		} {
+			w.is.True(strings.Contains(text, want+"\n"))
+		}
+	})
+}
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -90,14 +90,15 @@
 	c.arrived = c.arrived || outcome != balance.Unreached
 	zoneLost := run.End(now, outcome)
 	c.noteDeath(now, choice.Target, outcome, err)
-	if outcome == balance.Lost || outcome == balance.Unreached {
+	if c.need.Engine != nil && (outcome == balance.Lost || outcome == balance.Unreached) {
+		// A plain service's health checks would take slots of its few targets.
 		c.e.searches.begin(choice.Target)
 	}
 	if c.e.exchange != nil && c.need.Engine != nil && outcome == balance.Lost {
 		// Requests at other entries may wait for the same zone.
 		c.e.exchange.hurry()
 	}
-	c.e.meters.sent(outcome, now.Sub(sent))
+	c.e.meters.sent(choice.Target, outcome, now.Sub(sent))
 	fields := []any{"target", choice.Target.ID, "zone", choice.Target.Zone, "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	if err != nil {
 		fields = append(fields, "error", err)
@@ -193,7 +194,7 @@
 	if _, err := c.w.Write(a.body); err != nil && c.clientLeft() {
 		c.abandon()
 	}
-	c.e.meters.answered(c.now().Sub(c.start))
+	c.e.meters.finished(c.route, outcomeAnswered, c.now().Sub(c.start))
 	c.log(event.RequestFinished, "status", a.status, "sends", c.sends, "after", c.now().Sub(c.start))
 }
 
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -50,7 +50,8 @@
 	c.w.WriteHeader(f.status)
 	// The client may be gone, which the server notices by itself.
 	_, _ = c.w.Write([]byte(body))
-	c.e.meters.refusal(f)
+	c.e.meters.refused(f)
+	c.e.meters.finished(c.route, f.reason, 0)
 	c.log(refusalEvent(f.status), "status", f.status, "reason", f.reason, "sends", c.sends, "after", c.now().Sub(c.start))
 }
 
@@ -86,7 +87,7 @@
 
 // abandon ends a request whose client has left.
 func (c *call) abandon() {
-	c.e.meters.abandoned.Inc(1)
+	c.e.meters.finished(c.route, outcomeAbandoned, 0)
 	c.log(event.RequestAbandoned, "sends", c.sends, "after", c.now().Sub(c.start))
 	c.abort()
 }
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -51,6 +51,7 @@
 		return fault.Wrap("Entry.Listen", Address, err)
 	}
 	e.clients, e.readiness = clients, readiness
+	e.listenForScrapes()
 	if e.cfg.Peers != "" {
 		e.exchange, err = openExchange(e, e.follower)
 		if err != nil {
@@ -61,6 +62,19 @@
 	return nil
 }
 
+// listenForScrapes opens the address for metrics. An entry serves without one.
+func (e *Entry) listenForScrapes() {
+	if e.cfg.Metrics == "" {
+		return
+	}
+	l, err := e.deps.Listen(e.cfg.Metrics)
+	if err != nil {
+		e.deps.Log.Emit(event.LoopFailed, "duty", "metrics", "address", e.cfg.Metrics, "error", err)
+		return
+	}
+	e.scrapes = l
+}
+
 // Run serves until ctx ends, then finishes what runs within the grace time.
 func (e *Entry) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -76,14 +90,20 @@
 	}
 	duties.Go(func() { (&keeper{e: e}).run(serving) })
 	duties.Go(func() { e.sweep(serving) })
+	duties.Go(func() { e.watchClocks(serving) })
 	if e.cfg.Operators != "" {
 		duties.Go(func() { e.serveOperators(serving) })
 	}
+	scraped := e.metricsServer()
+	if e.scrapes != nil {
+		duties.Go(func() { e.serveOn(scraped, e.scrapes) })
+	}
 	<-ctx.Done()
 	err := e.drain()
 	// The process ends, so nothing is left to be done about these errors.
 	_ = e.server.Close()
 	_ = ready.Close()
+	_ = scraped.Close()
 	return err
 }
 
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -265,7 +265,7 @@
 	copyHeaders(s.c.w.Header(), a.Header)
 	s.c.w.WriteHeader(a.Status)
 	s.firstAt = s.c.now()
-	s.c.e.meters.begun(s.firstAt.Sub(s.c.start))
+	s.c.e.meters.begun(s.c.route, s.firstAt.Sub(s.c.start))
 	return s.out.Flush()
 }
 
@@ -341,7 +341,8 @@
 	if c.ask.LastEvent == "" {
 		c.e.finished(c.service, s.events, c.now().Sub(s.firstAt))
 	}
-	c.e.meters.answered(c.now().Sub(c.start))
+	c.e.meters.finished(c.route, outcomeAnswered, c.now().Sub(c.start))
+	c.e.meters.paused(c.route, s.longest)
 	c.log(event.RequestFinished, "sends", c.sends, "lastEvent", s.last, "firstEvent", s.firstAt.Sub(c.start),
 		"longestPause", s.longest, "after", c.now().Sub(c.start))
 }
@@ -351,7 +352,7 @@
 	c := s.c
 	switch {
 	case s.begun:
-		c.e.meters.broken.Inc(1)
+		c.e.meters.finished(c.route, outcomeBroken, 0)
 		c.log(event.RequestFailed, "reason", "streamBroken", "sends", c.sends, "lastEvent", s.last, "after", c.now().Sub(c.start))
 		c.abort()
 	case s.failure != nil && !c.clientLeft():
--- a/internal/transport/direct/successor.go
+++ b/internal/transport/direct/successor.go
@@ -16,7 +16,8 @@
 	searchEvery = 200 * time.Millisecond
 	// reuseMargin is left of the time in which the address can't be another
 	// service's.
-	reuseMargin = 200 * time.Millisecond
+	// It covers a standstill of this host that is too short to be noticed.
+	reuseMargin = 400 * time.Millisecond
 	// mostSearches bounds the searches that go on at once.
 	mostSearches = 64
 	// tellFound is how long other entries are told of a target that was found.
@@ -51,14 +52,19 @@
 // being done.
 func (s *searches) begin(t *catalog.Target) {
 	now := s.e.deps.Clock.Now()
-	end := s.e.balancer.AliveAt(now, t).Add(s.e.cfg.Limits.AddressReuse() - reuseMargin)
+	s.e.lookAtClocks()
+	if s.e.standstill.within(now, s.e.cfg.Limits.AddressReuse()) {
+		return
+	}
+	alive := s.e.balancer.AliveAt(now, t)
+	end := alive.Add(s.e.cfg.Limits.AddressReuse() - reuseMargin)
 	path := s.healthPath(t)
 	if path == "" || !now.Before(end) || !s.enter(t.Address) {
 		return
 	}
 	go func() {
 		defer s.leave(t.Address)
-		s.search(t, path, end)
+		s.search(t, path, alive, end)
 	}()
 }
 
@@ -88,8 +94,9 @@
 }
 
 // search asks the address until its successor answers, somebody else tells of
-// it, or the time is over.
-func (s *searches) search(t *catalog.Target, path string, end time.Time) {
+// it, the target sends something after all, or the time is over. alive is when it
+// last sent something.
+func (s *searches) search(t *catalog.Target, path string, alive, end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for {
@@ -98,7 +105,7 @@
 			return
 		case <-s.e.deps.Clock.After(searchEvery):
 		}
-		if !s.wanted(t) {
+		if !s.wanted(t) || s.e.balancer.AliveAt(s.e.deps.Clock.Now(), t).After(alive) {
 			return
 		}
 		identity, ok := s.ask(ctx, t, path, end)
@@ -132,7 +139,9 @@
 	}
 	defer answer.Close()
 	identity, ok := s.e.deps.Dialect.Identity(answer.Status, answer.Header)
-	return identity, ok && s.e.deps.Clock.Now().Before(end)
+	s.e.lookAtClocks()
+	now := s.e.deps.Clock.Now()
+	return identity, ok && now.Before(end) && !s.e.standstill.within(now, s.e.cfg.Limits.AddressReuse())
 }
 
 func (s *searches) note(found direct.Successor) {
--- a/internal/transport/direct/successor_test.go
+++ b/internal/transport/direct/successor_test.go
@@ -103,3 +103,23 @@
 		w.is.Equal(w.healthChecks(), 0)
 	})
 }
+
+// A target that lost one answer and goes on with another is asked nothing.
+func TestSuccessorOfLiving(t *testing.T) {
+	play(t, func(w *world) {
+		w.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
+			if w.lastBody() == "cut" {
+				panic(http.ErrAbortHandler)
+			}
+			engineAt(rw, r)
+		})
+		w.start()
+		going := w.client()
+		going.send("POST", "/r/x", "a1", "body")
+		time.Sleep(100 * time.Millisecond)
+		w.is.Equal(w.ask("POST", "/r/x", "a2", "cut").status, http.StatusBadGateway)
+		w.is.Equal(going.receive().status, http.StatusOK)
+		time.Sleep(3 * time.Second)
+		w.is.Equal(w.healthChecks(), 0)
+	})
+}
