--- a/internal/state/meter/meter.go
+++ b/internal/state/meter/meter.go
@@ -31,10 +31,13 @@
 // prefix comes before each written name.
 const prefix = "foxtailward_"
 
-// mostSeries bounds the label sets of a name.
-const mostSeries = 200
+// Bounds of the label sets of a name. A histogram takes 21 kB.
+const (
+	mostCounters   = 200
+	mostHistograms = 40
+)
 
-// other stands for the label values beyond mostSeries.
+// other stands for the label values beyond the bounds.
 const other = "other"
 
 // Label is one label of a series.
@@ -83,12 +86,12 @@
 
 // Count adds one to a counter.
 func (s *Set) Count(name string, labels ...Label) {
-	metrics.GetOrRegisterCounter(s.bounded(name, labels), s.registry).Inc(1)
+	metrics.GetOrRegisterCounter(s.bounded(name, labels, mostCounters), s.registry).Inc(1)
 }
 
 // Observe notes a time in a latency histogram.
 func (s *Set) Observe(name string, took time.Duration, labels ...Label) {
-	h := s.registry.GetOrRegister(s.bounded(name, labels), func() metrics.Histogram { return NewLatency() })
+	h := s.registry.GetOrRegister(s.bounded(name, labels, mostHistograms), func() metrics.Histogram { return NewLatency() })
 	h.(metrics.Histogram).Update(took.Microseconds())
 }
 
@@ -97,8 +100,9 @@
 	s.registry.GetOrRegister(name, metrics.NewFunctionalGaugeFloat64(value))
 }
 
-// bounded returns the registry's name of a series.
-func (s *Set) bounded(name string, labels Labels) string {
+// bounded returns the registry's name of a series, of which there are at most so
+// many.
+func (s *Set) bounded(name string, labels Labels, most int) string {
 	if len(labels) == 0 {
 		return name
 	}
@@ -110,7 +114,7 @@
 		known = map[string]bool{}
 		s.series[name] = known
 	}
-	if !known[full] && len(known) >= mostSeries {
+	if !known[full] && len(known) >= most {
 		return name + labels.others().String()
 	}
 	known[full] = true
