--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -94,17 +94,22 @@
 	}
 }
 
-// killed kills the program and starts it again after a while. One that is being
-// stopped is only killed.
+// killed kills the program and starts it again after a while, unless somebody
+// else, who was about to stop or start it, has done so.
 func (p *process) killed(ctx context.Context, down time.Duration) {
-	if !p.restarting.TryLock() {
+	alone := p.restarting.TryLock()
+	if !alone {
 		p.signal(syscall.SIGKILL)
-		return
+		p.restarting.Lock()
 	}
 	defer p.restarting.Unlock()
-	p.kill()
-	wait(ctx, down)
-	p.restart(ctx)
+	if alone {
+		p.kill()
+		wait(ctx, down)
+	}
+	if p.awaitEnd(0) {
+		p.restart(ctx)
+	}
 }
 
 // stopped stops the program as planned and starts it again.
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -178,6 +178,11 @@
 		return true
 	}
 	select {
+	case <-ended:
+		return true
+	default:
+	}
+	select {
 	case <-ended:
 		return true
 	case <-time.After(wait):
@@ -200,6 +205,9 @@
 			p.inRotation.Store(true)
 			return true
 		}
+		if p.awaitEnd(0) {
+			return false
+		}
 		time.Sleep(readyCheck / 4)
 	}
 	return false
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -155,6 +155,7 @@
 
 // foundSeeds failed once, with the cause.
 var foundSeeds = map[uint64]string{
+	306: "an entry that was killed while somebody else started it stayed dead",
 	119: "a stand-in could not listen again: a program that was just being started held its socket",
 }
 
