Keep requests from zones whose links lose packets

A lost packet holds a stream up for 0.2 s, more than the 120 ms that count as late.

Change: events that come together after a pause of 150 ms or more are hold-ups of the link; from two within some seconds on, and three times as many as from the own zone, targets in that zone cost a second more.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -94,6 +94,7 @@
 	mu      sync.Mutex
 	targets map[id.Target]*record
 	groups  map[group]*zoneRecord
+	links   map[id.Zone]*linkRecord
 	// peers holds what the other entries have in flight, others the sum of it.
 	peers  map[id.Entry]peerLoads
 	others map[id.Target]Load
@@ -112,7 +113,7 @@
 func New(zone id.Zone, random func() float64) *Balancer {
 	return &Balancer{
 		zone: zone, random: random,
-		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, waiting: map[*Run]struct{}{},
+		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, links: map[id.Zone]*linkRecord{}, waiting: map[*Run]struct{}{},
 		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[id.Target]time.Time{},
 		replaced: map[id.Target]time.Time{},
 	}
--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -21,6 +21,9 @@
 	farCost = 0.04
 	// farShare is farCost for plain services.
 	farShare = 0.15
+	// linkCost keeps requests from zones whose links lose packets. It is more than
+	// affinityCost, and less than the wait behind several prompts.
+	linkCost = 1
 	// coldFactor times the cost of a target that is not yet at full speed.
 	coldFactor = 1.6
 	// badCost times the recent share of bad outcomes.
@@ -44,6 +47,9 @@
 	} else {
 		cost += b.serviceCost(r, t)
 	}
+	if b.losesPackets(now, t.Zone) {
+		cost += linkCost
+	}
 	if now.Before(t.ColdUntil) {
 		cost *= coldFactor
 	}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -188,6 +188,7 @@
 		return outcome, err
 	}
 	events := eventstream.NewReader(answer.Body)
+	arrivals := detect.NewArrivals()
 	for {
 		answer.ReadUntil(s.due(detector))
 		next, err := events.Next()
@@ -199,6 +200,9 @@
 		}
 		run.Began(c.now())
 		run.Alive(c.now())
+		if arrivals.HeldUp(c.now()) {
+			run.HeldUp(c.now())
+		}
 		detector.Tokens(c.now(), 1)
 		if err := s.pass(answer, &next); err != nil {
 			return balance.Left, err
