--- a/internal/transport/direct/follow.go
+++ b/internal/transport/direct/follow.go
@@ -29,6 +29,8 @@
 	// badItems holds the revision of items that could not be decoded, so that
 	// each is logged once.
 	badItems map[string]int64
+	// adoptedAt is when the configuration in force was taken over.
+	adoptedAt time.Time
 	// heardAt is when the key-value service last answered.
 	heardAt time.Time
 	// configItem and targetItems are what was read, for other entries.
@@ -96,15 +98,19 @@
 	})
 }
 
-// silence returns how long ago the key-value service last told of anything, or
-// was read.
-func (f *follower) silence() time.Duration {
+// ages returns how long ago the key-value service last told of anything, or was
+// read, and how long the configuration has been in force; 0 for never.
+func (f *follower) ages() (store, config time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.heardAt.IsZero() {
-		return 0
+	now := f.e.deps.Clock.Now()
+	if !f.heardAt.IsZero() {
+		store = now.Sub(f.heardAt)
+	}
+	if !f.adoptedAt.IsZero() {
+		config = now.Sub(f.adoptedAt)
 	}
-	return f.e.deps.Clock.Since(f.heardAt)
+	return store, config
 }
 
 func (f *follower) regained() {
@@ -144,7 +150,7 @@
 		return
 	}
 	if f.e.directory.Adopt(cfg) {
-		f.configItem = i
+		f.configItem, f.adoptedAt = i, f.e.deps.Clock.Now()
 		f.e.deps.Log.Emit(event.RevisionInForce, "version", cfg.Version, "revision", i.ModRevision, "routes", len(cfg.Routes))
 	}
 }
--- a/internal/transport/direct/meters.go
+++ b/internal/transport/direct/meters.go
@@ -24,7 +24,14 @@
 		}
 		return 0
 	})
-	m.set.Gauge("storeSilenceSeconds", func() float64 { return e.follower.silence().Seconds() })
+	m.set.Gauge("storeSilenceSeconds", func() float64 {
+		silence, _ := e.follower.ages()
+		return silence.Seconds()
+	})
+	m.set.Gauge("configAgeSeconds", func() float64 {
+		_, age := e.follower.ages()
+		return age.Seconds()
+	})
 	m.set.Gauge("peers", func() float64 { return float64(e.roster.Count(e.deps.Clock.Now()) - 1) })
 	m.set.Gauge("logLinesDropped", func() float64 { return float64(e.deps.Log.Dropped()) })
 	return m
--- a/internal/transport/direct/operations_test.go
+++ b/internal/transport/direct/operations_test.go
@@ -86,6 +86,7 @@
 			`foxtailward_answer_seconds_count{route="s",kind="safe"} 1`,
 			`foxtailward_store_call_seconds_count{call="list",outcome="good"} 2`,
 			"foxtailward_config_version 1",
+			"foxtailward_config_age_seconds 0",
 			"foxtailward_log_lines_dropped 0",
 		} {
 			w.is.True(strings.Contains(text, want+"\n"))
