--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -54,7 +55,7 @@
 		at += calmLeast + spread(calmSpread, r)
 	}
 	p = slices.DeleteFunc(p, func(s step) bool { return s.at >= opts.Lasts })
-	slices.SortStableFunc(p, func(a, b step) int { return int(a.at - b.at) })
+	slices.SortStableFunc(p, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
 
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -52,13 +52,12 @@
 	// restarting is held by whoever ends the program to start it again.
 	restarting sync.Mutex
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	ended  chan struct{}
-	paused bool
-	// expected says that the process was told to end.
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// ended is closed when the program has ended.
+	ended chan struct{}
+	// expected says that the program was told to end.
 	expected bool
-	starts   int
 }
 
 func newProcess(w *world, i int) (*process, error) {
@@ -117,8 +116,7 @@
 	if err := cmd.Start(); err != nil {
 		return fault.Wrap(op, Failed, err)
 	}
-	p.cmd, p.ended, p.expected, p.paused = cmd, make(chan struct{}), false, false
-	p.starts++
+	p.cmd, p.ended, p.expected = cmd, make(chan struct{}), false
 	go p.wait(cmd, p.ended)
 	return nil
 }
@@ -142,11 +140,8 @@
 	if p.cmd == nil {
 		return
 	}
-	switch s {
-	case syscall.SIGKILL, syscall.SIGTERM:
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.expected = true
-	case syscall.SIGSTOP, syscall.SIGCONT:
-		p.paused = s == syscall.SIGSTOP
 	}
 	// A program that has ended meanwhile takes no signal.
 	_ = p.cmd.Process.Signal(s)
--- a/internal/standin/soak/windows.go
+++ b/internal/standin/soak/windows.go
@@ -16,10 +16,9 @@
 type windows struct {
 	mu    sync.Mutex
 	spans []span
-	// open counts the faults that go on.
-	open int
 }
 
+// span is the time of a fault and of its effects; to is zero while it goes on.
 type span struct{ from, to time.Time }
 
 // begin notes that a fault begins. The returned function notes its end.
@@ -28,12 +27,10 @@
 	defer s.mu.Unlock()
 	i := len(s.spans)
 	s.spans = append(s.spans, span{from: time.Now()})
-	s.open++
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.spans[i].to = time.Now().Add(settleTime)
-		s.open--
 	}
 }
 
--- a/internal/transport/direct/successor.go
+++ b/internal/transport/direct/successor.go
@@ -15,8 +15,8 @@
 	// searchEvery is the time between two questions to a lost target's address.
 	searchEvery = 200 * time.Millisecond
 	// reuseMargin is left of the time in which the address can't be another
-	// service's.
-	// It covers a standstill of this host that is too short to be noticed.
+	// service's. It covers a standstill of this host that is too short to be
+	// noticed.
 	reuseMargin = 400 * time.Millisecond
 	// mostSearches bounds the searches that go on at once.
 	mostSearches = 64
@@ -121,12 +121,13 @@
 
 // wanted reports whether the target is still taken for the one at its address.
 func (s *searches) wanted(t *catalog.Target) bool {
-	for _, other := range s.e.directory.View().Targets[t.Service] {
+	targets := s.e.directory.View().Targets[t.Service]
+	for _, other := range targets {
 		if other.Address == t.Address && other.ID != t.ID {
 			return false
 		}
 	}
-	return s.e.directory.View().Targets[t.Service].Find(t.ID) != nil
+	return targets.Find(t.ID) != nil
 }
 
 // ask asks whoever answers at the target's address for its name. An answer that
