Soak: run found seeds until after the fault that they failed at

Cause: the regression cases of the soak ran for 8 s. The faults that seeds 119 and 306 had failed at come at 15.5 s and at 12.4 and 13.6 s of their plans, so that the cases did not bring them about.

Change: each case has its own length, 22 s and 15 s; nothing else is changed.

--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -153,10 +153,20 @@
 	is.True(err != nil)
 }
 
-// foundSeeds failed once, with the cause.
-var foundSeeds = map[uint64]string{
-	306: "an entry that was killed while somebody else started it stayed dead",
-	119: "a stand-in could not listen again: a program that was just being started held its socket",
+// seedCase is a seed and how long its faults last. The faults of a seed come at
+// the same times however long the run is.
+type seedCase struct {
+	seed  uint64
+	lasts time.Duration
+	cause string
+}
+
+// seeds are run each time. All but the first failed once, with the cause; they
+// last until after the fault that they failed at.
+var seeds = []seedCase{
+	{1, 8 * time.Second, "a seed of every run"},
+	{119, 22 * time.Second, "a stand-in could not listen again: a program that was just being started held its socket"},
+	{306, 15 * time.Second, "an entry that was killed while somebody else started it stayed dead"},
 }
 
 // TestRun runs real entries under a few seconds of faults. It checks only what
@@ -168,18 +178,14 @@
 	if err != nil {
 		t.Fatalf("building foxtailward: %v\n%s", err, text)
 	}
-	seeds := map[uint64]string{1: "a seed of every run"}
-	for seed, cause := range foundSeeds {
-		seeds[seed] = cause
-	}
-	for seed, cause := range seeds {
+	for _, c := range seeds {
 		r, err := soak.Run(context.Background(), soak.Options{
-			Program: program, Dir: t.TempDir(), Seed: seed, Lasts: 8 * time.Second, SafetyOnly: true,
+			Program: program, Dir: t.TempDir(), Seed: c.seed, Lasts: c.lasts, SafetyOnly: true,
 		})
 		is.NoErr(err)
 		is.True(r.Attempts > 0)
 		for _, b := range r.Broken {
-			t.Errorf("seed %d (%s): %v", seed, cause, b)
+			t.Errorf("seed %d (%s): %v", c.seed, c.cause, b)
 		}
 	}
 }
