Stand-in store: return from an older copy; a configuration that is never applied after it

The users' store may come back from a copy some seconds old: changes and leases since are gone, revisions are given out again, and the header Store-Era rises. The stand-in does this now (Copy, ReturnTo), and watches name the era of their revision; no behaviour of an entry changes yet.

--- a/internal/coordination/store/store.go
+++ b/internal/coordination/store/store.go
@@ -40,11 +40,25 @@
 	// Compacted means that a watch requested revisions that the service no
 	// longer holds; the watcher has to read the keys again.
 	Compacted Kind = "compacted"
+	// Restored means that a call named a revision of an era that has ended. A
+	// watcher has to read the keys again.
+	Restored Kind = "restored"
 )
 
 // Error is this package's error.
 type Error = fault.Error[Kind]
 
+// Era numbers the histories of a service. It rises each time the service returns
+// from an older copy of its state, which lacks the newest changes and all leases
+// and gives out their revisions again. It is 0 for a service that never does so.
+type Era int64
+
+// Point is a revision in an era. Revisions of different eras can't be compared.
+type Point struct {
+	Era      Era
+	Revision int64
+}
+
 // LeaseID identifies a lease; 0 stands for no lease.
 type LeaseID int64
 
@@ -65,8 +79,12 @@
 type Page struct {
 	Items    []Item
 	Revision int64
+	Era      Era
 }
 
+// Point returns the point at which the page was read.
+func (p *Page) Point() Point { return Point{p.Era, p.Revision} }
+
 // Compare is true if the last write of the key has the revision. Revision 0
 // stands for a key that does not exist.
 type Compare struct {
@@ -84,6 +102,8 @@
 // Txn executes all puts and deletes if all compares are true, otherwise
 // nothing.
 type Txn struct {
+	// Era is the era of the revisions in Compares.
+	Era      Era
 	Compares []Compare
 	Puts     []Put
 	Deletes  []string
@@ -93,6 +113,7 @@
 type Result struct {
 	Succeeded bool
 	Revision  int64
+	Era       Era
 	// Current holds the current items of the compared keys if a compare failed.
 	Current []Item
 }
@@ -112,10 +133,10 @@
 	List func(ctx context.Context, prefix string) (Page, error)
 	// Commit executes a transaction.
 	Commit func(ctx context.Context, txn Txn) (Result, error)
-	// Watch calls each for every change of the keys with the prefix after
-	// revision, in order, until ctx ends or the watch fails. It always returns
-	// an error.
-	Watch func(ctx context.Context, prefix string, revision int64, each func(Change)) error
+	// Watch calls each for every change of the keys with the prefix after a
+	// point, in order, until ctx ends or the watch fails. It always returns an
+	// error, of the kind Restored if the era of the point has ended.
+	Watch func(ctx context.Context, prefix string, after Point, each func(Change)) error
 	// Grant creates a lease.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease and returns its remaining time. The kind of the
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -92,7 +92,7 @@
 	var err error
 	for i := range networkCount {
 		w.network = 1 + (first+i)%networkCount
-		w.storeHTTP, err = server.New(w.storeAddress(), platform.NewStoreHandler(w.store))
+		w.storeHTTP, err = server.New(w.storeAddress(), platform.NewStoreHandler(w.store, w.service.Era))
 		if err == nil {
 			return nil
 		}
--- a/internal/standin/store/direct.go
+++ b/internal/standin/store/direct.go
@@ -38,11 +38,11 @@
 	return s.list(prefix), nil
 }
 
-func (s *Service) directWatch(ctx context.Context, prefix string, revision int64, onChange func(kv.Change)) error {
+func (s *Service) directWatch(ctx context.Context, prefix string, after kv.Point, onChange func(kv.Change)) error {
 	if err := s.beforeRead(ctx, "Store.Watch", &s.counts.watches); err != nil {
 		return err
 	}
-	return s.watch(ctx, hasPrefix(prefix), revision, func(b batch) error {
+	return s.watch(ctx, hasPrefix(prefix), after.Revision, func(b batch) error {
 		for _, c := range b.changes {
 			onChange(c)
 		}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -1,7 +1,8 @@
 // Package store is a small stand-in for the platform's key-value service. It
 // stores keys in memory and supports revisions, compare-and-swap, watches and
 // leases. Faults can be injected: latency, outages, hangs, dropped requests and
-// responses, held writes, cancelled watches, expired leases and compaction.
+// responses, held writes, cancelled watches, expired leases, compaction and the
+// return from an older copy of the state.
 //
 // # Usage
 //
@@ -63,6 +64,8 @@
 	mu       sync.Mutex
 	closed   bool
 	revision int64
+	// era rises each time the service returns from a copy.
+	era kv.Era
 	// compacted is the oldest revision that a watch can start from.
 	compacted int64
 	items     map[string]storedItem
@@ -142,7 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deleteExpiredLeases()
-	page := kv.Page{Revision: s.revision}
+	page := kv.Page{Revision: s.revision, Era: s.era}
 	for key := range s.items {
 		if strings.HasPrefix(key, prefix) {
 			page.Items = append(page.Items, s.item(key))
@@ -161,7 +164,7 @@
 	}
 	for _, c := range txn.Compares {
 		if s.items[c.Key].item.ModRevision != c.ModRevision {
-			return kv.Result{Revision: s.revision, Current: s.comparedItems(&txn)}, nil
+			return kv.Result{Revision: s.revision, Era: s.era, Current: s.comparedItems(&txn)}, nil
 		}
 	}
 	if s.modifies(&txn) {
@@ -174,7 +177,7 @@
 		s.remove(key)
 	}
 	s.notifyWatchers()
-	return kv.Result{Succeeded: true, Revision: s.revision}, nil
+	return kv.Result{Succeeded: true, Revision: s.revision, Era: s.era}, nil
 }
 
 // validateTxn returns an error for a transaction that etcd would refuse.
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -68,7 +68,9 @@
 	seen := make(chan kv.Change, 1)
 	watching := make(chan error, 1)
 	ctx, cancel := context.WithCancel(t.Context())
-	go func() { watching <- s.Watch(ctx, "leader", item.ModRevision, func(c kv.Change) { seen <- c }) }()
+	go func() {
+		watching <- s.Watch(ctx, "leader", kv.Point{Revision: item.ModRevision}, func(c kv.Change) { seen <- c })
+	}()
 	clock.Advance(time.Second)
 	change := <-seen // the expiry is reported without another call
 	is.True(change.Deleted)
@@ -99,7 +101,7 @@
 	is.NoErr(service.SetOutage(true))
 	_, err = s.Commit(t.Context(), put("a", "3"))
 	is.True(fault.Is(err, kv.Unavailable))
-	is.True(fault.Is(s.Watch(t.Context(), "a", 1, func(kv.Change) {}), kv.Unavailable))
+	is.True(fault.Is(s.Watch(t.Context(), "a", kv.Point{Revision: 1}, func(kv.Change) {}), kv.Unavailable))
 	is.NoErr(service.SetOutage(false))
 
 	service.SetHang(true)
@@ -161,7 +163,7 @@
 	}
 	var got []string
 	ctx, cancel := context.WithCancel(t.Context())
-	err := s.Watch(ctx, "a/", 1, func(c kv.Change) {
+	err := s.Watch(ctx, "a/", kv.Point{Revision: 1}, func(c kv.Change) {
 		got = append(got, c.Item.Key)
 		if len(got) == 2 {
 			cancel()
@@ -170,7 +172,7 @@
 	is.True(fault.Is(err, kv.Unavailable))
 	is.Equal(got, []string{"a/1", "a/2"})
 	service.Compact(service.Revision())
-	is.True(fault.Is(s.Watch(t.Context(), "a/", 1, func(kv.Change) {}), kv.Compacted))
+	is.True(fault.Is(s.Watch(t.Context(), "a/", kv.Point{Revision: 1}, func(kv.Change) {}), kv.Compacted))
 }
 
 func TestFaultCommands(t *testing.T) {
@@ -207,3 +209,33 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Tests that the service's return from a copy takes back changes and leases, gives out
+// revisions again and begins an era.
+func TestReturnTo(t *testing.T) {
+	is := is.New(t)
+	service := newService(t, store.Options{})
+	s := service.Direct()
+	lease, err := s.Grant(t.Context(), time.Minute)
+	is.NoErr(err)
+	_, err = s.Commit(t.Context(), kv.Txn{Puts: []kv.Put{{Key: "a/kept", Value: []byte("1")}, {Key: "a/leased", Lease: lease}}})
+	is.NoErr(err)
+	before := service.Copy()
+	result, err := s.Commit(t.Context(), put("a/kept", "2"))
+	is.NoErr(err)
+	_, err = s.Commit(t.Context(), put("a/lost", "1"))
+	is.NoErr(err)
+
+	service.ReturnTo(before)
+	page, err := s.List(t.Context(), "a/")
+	is.NoErr(err)
+	is.Equal(len(page.Items), 1)
+	is.Equal(string(page.Items[0].Value), "1")
+	is.Equal(page.Era, result.Era+1)
+	_, err = s.KeepAlive(t.Context(), lease)
+	is.True(fault.Is(err, kv.Invalid))
+	is.True(fault.Is(s.Watch(t.Context(), "a/", kv.Point{Revision: result.Revision}, func(kv.Change) {}), kv.Compacted))
+	again, err := s.Commit(t.Context(), put("a/other", "1"))
+	is.NoErr(err)
+	is.Equal(again.Revision, result.Revision)
+}
--- a/internal/standin/store/watch.go
+++ b/internal/standin/store/watch.go
@@ -46,6 +46,9 @@
 	const op = "Service.watch"
 	s.counts.openWatches.Add(1)
 	defer s.counts.openWatches.Add(-1)
+	if s.Revision() < revision {
+		return fault.New(op, kv.Compacted, "revision %d does not exist", revision)
+	}
 	first := s.changesSince(matches, revision)
 	for b := first; ; b = s.changesSince(matches, b.revision) {
 		if b.compacted != 0 {
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -338,7 +338,7 @@
 			}
 			return store.Result{Succeeded: true}, nil
 		},
-		Watch: func(ctx context.Context, prefix string, _ int64, each func(store.Change)) error {
+		Watch: func(ctx context.Context, prefix string, _ store.Point, each func(store.Change)) error {
 			if env.watch != nil && prefix != "config/" {
 				return env.watch(ctx)
 			}
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -70,7 +70,7 @@
 			replace(page)
 		})
 		start = w.e.deps.Clock.Now()
-		err = w.e.deps.Store.Watch(ctx, prefix, page.Revision, func(c store.Change) {
+		err = w.e.deps.Store.Watch(ctx, prefix, page.Point(), func(c store.Change) {
 			w.withLock(func() {
 				w.storeAnsweredAt = w.e.deps.Clock.Now()
 				change(c)
--- a/internal/transport/entry/config.go
+++ b/internal/transport/entry/config.go
@@ -66,7 +66,7 @@
 	}
 	p.recordStoreResult(nil)
 	go p.stopWatchWhenReplaced(ctx, cancel)
-	err = p.deps.Store.Watch(ctx, store.HeadKey, head.ModRevision, func(store.Change) {
+	err = p.deps.Store.Watch(ctx, store.HeadKey, store.Point{Revision: head.ModRevision}, func(store.Change) {
 		if err := p.catchUp(ctx, repository); err != nil {
 			cancel()
 		}
--- a/internal/transport/etcd/watch.go
+++ b/internal/transport/etcd/watch.go
@@ -15,9 +15,11 @@
 // errStreamEnded is the cause in the error of a watch whose stream ended.
 var errStreamEnded = errors.New("watch stream ended")
 
-// watch calls each for every change of keys with the prefix after revision. It
+// watch calls each for every change of keys with the prefix after a point. It
 // subscribes to a shared watch that covers them and opens one if there is none.
-func (c *Client) watch(ctx context.Context, prefix string, revision int64, each func(store.Change)) error {
+// etcd has no eras.
+func (c *Client) watch(ctx context.Context, prefix string, after store.Point, each func(store.Change)) error {
+	revision := after.Revision
 	if err := errors.Join(ctx.Err(), c.ctx.Err()); err != nil {
 		return fault.Wrap(opWatch, store.Unavailable, err)
 	}
--- a/internal/transport/etcd/watch_test.go
+++ b/internal/transport/etcd/watch_test.go
@@ -34,7 +34,7 @@
 	go func() {
 		defer close(f.done)
 		for ctx.Err() == nil {
-			f.recordError(s.Watch(ctx, prefix, f.lastRevision(), f.recordChange))
+			f.recordError(s.Watch(ctx, prefix, store.Point{Revision: f.lastRevision()}, f.recordChange))
 		}
 	}()
 	return f
@@ -123,7 +123,7 @@
 		commit(t, server.Direct(), fmt.Sprintf("conf/%d", i))
 	}
 	server.Compact(server.Revision())
-	err := s.Watch(t.Context(), "conf/", 1, func(store.Change) { t.Error("received a change, want none") })
+	err := s.Watch(t.Context(), "conf/", store.Point{Revision: 1}, func(store.Change) { t.Error("received a change, want none") })
 	is.True(fault.Is(err, store.Compacted))
 }
 
@@ -200,7 +200,7 @@
 	defer server.Close()
 	s := client(t, nil, server.URL).Store()
 	var got []int64
-	err := s.Watch(t.Context(), "conf/", 1, func(c store.Change) {
+	err := s.Watch(t.Context(), "conf/", store.Point{Revision: 1}, func(c store.Change) {
 		<-written
 		got = append(got, c.Item.ModRevision)
 	})
