Directory: never back to an older record of a target

Callers saw: after the store's return from an older copy an entry takes what it lists for the truth. A target that drains is ready again and gets requests, one that has left comes back, one that was added since is gone at once.

Cause: a record had no order; Replace and Put took the one that came last.

Change: records carry the target's own sequence, which rises with each write. One of a lower sequence is listed but not believed; one of a departed target is not used for five seconds unless it is newer, by when the records of dead targets have expired; missing targets have the two seconds after the return that they have after an outage.

Evidence: TestMarkStoreRestored. On the code before, Replace put t2 (draining) back to ready and t3 (departed) among the targets.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -5,7 +5,10 @@
 // The configuration's version only increases. A target that the service no
 // longer lists is gone, unless the service is or was recently unavailable: the
 // records of targets expire during an outage and are written again soon after
-// it. Until then the directory keeps these targets.
+// it. Until then the directory keeps these targets. The same holds after the
+// service has returned from an older copy of its state, which lacks the targets
+// that were added since, has those that have left, and shows others as ready that
+// drain. The directory never goes back to such records.
 //
 // # Usage
 //
@@ -45,6 +48,10 @@
 // take until it is listed, while the key-value service is available.
 const successorListTimeout = 3 * time.Second
 
+// doubtTime is how long a target that had left is not used if an older copy of the
+// service's state lists it. The records of dead targets expire sooner.
+const doubtTime = 5 * time.Second
+
 // departedRetention is how long the names of targets that have left are kept.
 // Other entries may still report a successor for a second after it was added.
 const departedRetention = time.Minute
@@ -61,21 +68,34 @@
 	// unlisted holds the successors that are not listed yet, with the time at
 	// which they were added.
 	unlisted map[id.Target]time.Time
-	// departed holds the time at which targets left. replaced holds the
-	// incarnation of each target whose place a successor has taken.
-	departed map[id.Target]time.Time
+	// departed holds the targets that have left. replaced holds the incarnation of
+	// each target whose place a successor has taken.
+	departed map[id.Target]departure
 	replaced map[id.Target]id.Incarnation
+	// doubtful holds the departed targets that an older copy of the service's state
+	// lists again.
+	doubtful map[id.Target]*catalog.Target
 	// storeDown says that the key-value service does not answer.
 	storeDown bool
 	// storeUpAt is the end of the last outage; zero if there was none.
 	storeUpAt time.Time
+	// restoredAt is when the service last returned from an older copy of its state;
+	// zero if it never did.
+	restoredAt time.Time
+}
+
+// departure is what is known of a target that has left.
+type departure struct {
+	at          time.Time
+	incarnation id.Incarnation
+	sequence    int64
 }
 
 // New returns an empty Directory.
 func New() *Directory {
 	d := &Directory{
 		targets: map[id.Target]*catalog.Target{}, missing: map[id.Target]time.Time{}, unlisted: map[id.Target]time.Time{},
-		departed: map[id.Target]time.Time{}, replaced: map[id.Target]id.Incarnation{},
+		departed: map[id.Target]departure{}, replaced: map[id.Target]id.Incarnation{}, doubtful: map[id.Target]*catalog.Target{},
 	}
 	d.publish()
 	return d
@@ -98,10 +118,13 @@
 // Put stores a target as it is listed now, and reports whether the directory
 // changed.
 func (d *Directory) Put(t *catalog.Target) bool {
-	if d.hasSuccessor(t) {
+	if d.hasSuccessor(t) || d.isDoubtful(t) {
 		return false
 	}
 	d.markListed(t.ID)
+	if d.IsOutdated(t) {
+		return false
+	}
 	old, known := d.targets[t.ID]
 	d.targets[t.ID] = t
 	if known && old.State == t.State && old.Incarnation == t.Incarnation && old.Address == t.Address {
@@ -115,13 +138,16 @@
 // the targets that are gone.
 func (d *Directory) Replace(now time.Time, listed catalog.Targets) catalog.Targets {
 	listedNames := make(map[id.Target]bool, len(listed))
+	clear(d.doubtful)
 	for _, t := range listed {
-		if d.hasSuccessor(t) {
+		if d.hasSuccessor(t) || d.isDoubtful(t) {
 			continue
 		}
 		listedNames[t.ID] = true
 		d.markListed(t.ID)
-		d.targets[t.ID] = t
+		if !d.IsOutdated(t) {
+			d.targets[t.ID] = t
+		}
 	}
 	var gone catalog.Targets
 	for name := range d.targets {
@@ -143,6 +169,9 @@
 	byName := make(map[id.Target]*catalog.Target, len(listed))
 	for _, t := range listed {
 		byName[t.ID] = t
+		if d.IsOutdated(t) {
+			byName[t.ID] = d.targets[t.ID]
+		}
 	}
 	var gone catalog.Targets
 	for name, t := range d.targets {
@@ -161,6 +190,24 @@
 func (d *Directory) markListed(name id.Target) {
 	delete(d.missing, name)
 	delete(d.unlisted, name)
+	delete(d.doubtful, name)
+}
+
+// IsOutdated reports whether more recent data of the same target is known.
+func (d *Directory) IsOutdated(t *catalog.Target) bool {
+	known := d.targets[t.ID]
+	return known != nil && known.Incarnation == t.Incarnation && t.Sequence < known.Sequence
+}
+
+// isDoubtful reports whether the target had left before the service returned from
+// an older copy of its state, and records it as doubtful if so.
+func (d *Directory) isDoubtful(t *catalog.Target) bool {
+	left, departed := d.departed[t.ID]
+	if !departed || !left.at.Before(d.restoredAt) || left.incarnation != t.Incarnation || t.Sequence > left.sequence {
+		return false
+	}
+	d.doubtful[t.ID] = t
+	return true
 }
 
 // hasSuccessor reports whether another target has taken the place of this
@@ -183,7 +230,7 @@
 	}
 	t := *old
 	t.ID, t.State, t.Incarnation = name, catalog.Ready, 0
-	d.replaced[predecessor], d.departed[predecessor] = old.Incarnation, now
+	d.replaced[predecessor], d.departed[predecessor] = old.Incarnation, departureOf(now, old)
 	delete(d.targets, predecessor)
 	delete(d.missing, predecessor)
 	d.targets[name] = &t
@@ -206,6 +253,7 @@
 
 // delist removes a target, or marks it as missing if it may be listed again.
 func (d *Directory) delist(now time.Time, name id.Target) *catalog.Target {
+	delete(d.doubtful, name)
 	t, known := d.targets[name]
 	if !known {
 		return nil
@@ -225,15 +273,19 @@
 	delete(d.targets, t.ID)
 	delete(d.missing, t.ID)
 	delete(d.unlisted, t.ID)
-	d.departed[t.ID] = now
-	for name, at := range d.departed {
-		if now.Sub(at) > departedRetention {
+	d.departed[t.ID] = departureOf(now, t)
+	for name, left := range d.departed {
+		if now.Sub(left.at) > departedRetention {
 			delete(d.departed, name)
 			delete(d.replaced, name)
 		}
 	}
 }
 
+func departureOf(now time.Time, t *catalog.Target) departure {
+	return departure{at: now, incarnation: t.Incarnation, sequence: t.Sequence}
+}
+
 // listIncomplete reports whether the key-value service's list may lack live
 // targets.
 func (d *Directory) listIncomplete(now time.Time) bool {
@@ -258,12 +310,32 @@
 	return true
 }
 
+// MarkStoreRestored records that the key-value service has returned from an older
+// copy of its state.
+func (d *Directory) MarkStoreRestored(now time.Time) { d.storeUpAt, d.restoredAt = now, now }
+
+// acceptDoubtful adds the doubtful targets that are still listed after the time
+// within which the records of dead ones expire.
+func (d *Directory) acceptDoubtful(now time.Time) {
+	if len(d.doubtful) == 0 || now.Sub(d.restoredAt) < doubtTime {
+		return
+	}
+	for name, t := range d.doubtful {
+		delete(d.departed, name)
+		d.targets[name] = t
+	}
+	clear(d.doubtful)
+	d.publish()
+}
+
 // RemoveMissing removes the targets whose time to be listed again has run out,
-// and returns them.
+// and returns them. It adds those of which the service's return from an older copy
+// left in doubt whether they have left.
 func (d *Directory) RemoveMissing(now time.Time) catalog.Targets {
 	if d.listIncomplete(now) {
 		return nil
 	}
+	d.acceptDoubtful(now)
 	for name, at := range d.unlisted {
 		if now.Sub(at) > successorListTimeout {
 			d.missing[name] = at
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -186,3 +186,64 @@
 	d.Put(restarted)
 	is.Equal(names(d), []id.Target{"t1", "t2"}) // it has restarted since
 }
+
+// After the service has returned from an older copy of its state, what it lists is not
+// newer than what is known.
+func TestMarkStoreRestored(t *testing.T) {
+	record := func(name id.Target, state catalog.TargetState, sequence int64) *catalog.Target {
+		r := target(name)
+		r.State, r.Sequence = state, sequence
+		return r
+	}
+	restored := start.Add(time.Minute)
+	// Before the return, t1 was ready, t2 was ready and then drained, t3 left, and t4
+	// was added. The copy was made when t1, t2 and t3 were ready.
+	copied := catalog.Targets{record("t1", catalog.Ready, 4), record("t2", catalog.Ready, 4), record("t3", catalog.Ready, 4)}
+	restore := func() *directory.Directory {
+		d := directory.New()
+		d.Replace(start, copied)
+		d.Put(record("t2", catalog.Draining, 5))
+		d.Put(record("t4", catalog.Ready, 1))
+		d.Remove(start.Add(time.Second), "t3")
+		d.MarkStoreRestored(restored)
+		d.Replace(restored, copied)
+		return d
+	}
+	tests := []struct {
+		name  string
+		apply func(d *directory.Directory)
+		want  []id.Target
+	}{
+		{"at once", func(*directory.Directory) {}, []id.Target{"t1", "t2", "t4"}},
+		{"not written again", func(d *directory.Directory) {
+			d.RemoveMissing(restored.Add(2 * time.Second))
+		}, []id.Target{"t1", "t2"}},
+		{"written again", func(d *directory.Directory) {
+			d.Put(record("t4", catalog.Ready, 1))
+			d.RemoveMissing(restored.Add(2 * time.Second))
+		}, []id.Target{"t1", "t2", "t4"}},
+		{"the departed target has expired", func(d *directory.Directory) {
+			d.Remove(restored.Add(time.Second), "t3")
+			d.RemoveMissing(restored.Add(time.Minute))
+		}, []id.Target{"t1", "t2"}},
+		{"the departed target has written again", func(d *directory.Directory) {
+			d.Put(record("t3", catalog.Ready, 6))
+		}, []id.Target{"t1", "t2", "t3", "t4"}},
+		{"the departed target is still listed", func(d *directory.Directory) {
+			d.RemoveMissing(restored.Add(5 * time.Second))
+		}, []id.Target{"t1", "t2", "t3"}},
+		{"listed without the departed target", func(d *directory.Directory) {
+			d.Replace(restored.Add(time.Second), copied[:2])
+			d.RemoveMissing(restored.Add(time.Minute))
+		}, []id.Target{"t1", "t2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := restore()
+			tt.apply(d)
+			is.Equal(names(d), tt.want)
+			is.Equal(d.View().Targets["m"].Find("t2").State, catalog.Draining)
+		})
+	}
+}
--- a/internal/state/catalog/target.go
+++ b/internal/state/catalog/target.go
@@ -29,6 +29,9 @@
 	Zone    id.Zone
 	Slots   int
 	State   TargetState
+	// Sequence rises with each record that the target writes about itself; 0 if it
+	// is unknown.
+	Sequence int64
 	// WarmAt is when the target reaches full speed after its start.
 	WarmAt time.Time
 }
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -171,11 +171,13 @@
 	w.e.targetsListed.Store(true)
 }
 
-// decodeTargets decodes a list of targets and skips items that can't be decoded.
+// decodeTargets decodes a list of targets and skips items that can't be decoded. Of
+// a target of which more recent data is known, the newest item is kept.
 func (w *storeWatcher) decodeTargets(items []store.Item) catalog.Targets {
 	now := w.e.deps.Clock.Now()
 	var listed catalog.Targets
-	clear(w.targetItems)
+	known := w.targetItems
+	w.targetItems = make(map[string]store.Item, len(items))
 	for i := range items {
 		t, err := w.e.deps.Codec.DecodeTarget(items[i], now)
 		if err != nil {
@@ -183,6 +185,9 @@
 			continue
 		}
 		w.targetItems[items[i].Key] = items[i]
+		if newest, ok := known[items[i].Key]; ok && w.e.directory.IsOutdated(t) {
+			w.targetItems[items[i].Key] = newest
+		}
 		listed = append(listed, t)
 	}
 	return listed
@@ -206,9 +211,11 @@
 		w.logUndecodable(c.Item, err)
 		return
 	}
-	w.targetItems[c.Item.Key] = c.Item
+	if !w.e.directory.IsOutdated(t) {
+		w.targetItems[c.Item.Key] = c.Item
+	}
 	if w.e.directory.Put(t) {
-		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", t.State, "zone", t.Zone, "incarnation", t.Incarnation, "revision", c.Item.ModRevision)
+		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", t.State, "zone", t.Zone, "incarnation", t.Incarnation, "sequence", t.Sequence, "revision", c.Item.ModRevision)
 	}
 }
 
