Entries: a watch ends with the era of its revision

Callers saw: refused as an older version says, after the store's return from an older copy; a confirmed change is not applied until the next one after it.

Cause: the store gives its revisions out again after such a return, and nothing read the header Store-Era. A watch from a revision of the time before delivers nothing until the counter has passed it; what is written between is never seen.

Change: answers carry their era. Answers of an era that is over are not used. F0514 storeRestored tells of it.

--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -25,6 +25,8 @@
 // storeWatcher updates the directory from the key-value service.
 type storeWatcher struct {
 	e *Entry
+	// eras is the era of the key-value service's answers.
+	eras *store.EraTracker
 	// mu serializes updates of the directory.
 	mu sync.Mutex
 	// undecodable maps the key of an item that could not be decoded to its
@@ -41,7 +43,7 @@
 }
 
 func newStoreWatcher(e *Entry) *storeWatcher {
-	return &storeWatcher{e: e, undecodable: map[string]int64{}, targetItems: map[string]store.Item{}}
+	return &storeWatcher{e: e, eras: store.NewEraTracker(), undecodable: map[string]int64{}, targetItems: map[string]store.Item{}}
 }
 
 // run watches the key-value service until ctx ends.
@@ -54,7 +56,7 @@
 }
 
 // watchPrefix lists the keys with a prefix and then watches them for changes. It
-// starts over whenever the watch ends.
+// starts over whenever the watch or the era of its list ends.
 func (w *storeWatcher) watchPrefix(ctx context.Context, prefix string, replace func(store.Page), change func(store.Change)) {
 	for ctx.Err() == nil {
 		start := w.e.deps.Clock.Now()
@@ -65,22 +67,45 @@
 			w.pause(ctx)
 			continue
 		}
+		if !w.observeEra(page.Era) {
+			w.pause(ctx)
+			continue
+		}
 		w.withLock(func() {
 			w.recordStoreAnswer()
 			replace(page)
 		})
 		start = w.e.deps.Clock.Now()
-		err = w.e.deps.Store.Watch(ctx, prefix, page.Point(), func(c store.Change) {
+		eraCtx, cancel := w.eras.While(ctx, page.Era)
+		err = w.e.deps.Store.Watch(eraCtx, prefix, page.Point(), func(c store.Change) {
 			w.withLock(func() {
 				w.storeAnsweredAt = w.e.deps.Clock.Now()
 				change(c)
 			})
 		})
 		w.e.metrics.storeCall("watch", err, w.e.deps.Clock.Since(start))
-		if ctx.Err() == nil && !fault.Is(err, store.Compacted) {
+		if eraCtx.Err() == nil && !fault.Is(err, store.Compacted) {
 			w.e.deps.Log.Emit(event.WatchEnded, "prefix", prefix, "error", err)
 		}
+		cancel()
+	}
+}
+
+// observeEra records the era of an answer. It returns false if the era has ended,
+// so that the answer must not be used.
+func (w *storeWatcher) observeEra(era store.Era) bool {
+	switch w.eras.Observe(era) {
+	case store.Ended:
+		return false
+	case store.Begun:
+		w.withLock(func() {
+			w.e.directory.MarkStoreRestored(w.e.deps.Clock.Now())
+			clear(w.undecodable)
+		})
+		w.e.deps.Log.Emit(event.StoreRestored, "era", era)
+	case store.Current:
 	}
+	return true
 }
 
 // withLock runs a change of the directory under the lock. It closes configured
