State saver: saves again after the store's return from an older copy

Callers saw: a request that crashes targets is run again after the loss of all entries, if the store had lost what they saved.

Cause: suspects are written only when they have changed since the last write, which the store's return from an older copy takes back.

Change: runs and suspects are written once more when an era has begun.

Evidence: TestCrashingRequestAfterStoreReturnsFromCopy; with the saver of before a fourth target gets the request (4 != 3).

--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -27,6 +27,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/logfile"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
 	"foxtailward.example/foxtailward/internal/transport/direct"
@@ -202,7 +203,10 @@
 	// log holds the entry's log.
 	log lockedBuffer
 	// saved holds what the entry saved last under each key.
-	saved    map[string]store.Item
+	saved map[string]store.Item
+	// era is the key-value service's era; eraEnded is closed when it ends.
+	era      store.Era
+	eraEnded chan struct{}
 	config   *catalog.Config
 	servers  map[string]*http.Server
 	shutdown []func()
@@ -244,6 +248,7 @@
 			t: t, is: is.New(t), ended: make(chan error, 1), changes: make(chan store.Change),
 			net:    &network{listeners: map[string]*pipeListener{}, unreachable: map[string]bool{}},
 			config: testConfig(), servers: map[string]*http.Server{}, saved: map[string]store.Item{},
+			eraEnded: make(chan struct{}),
 		}
 		defer env.stopAll()
 		test(env)
@@ -308,7 +313,7 @@
 
 // savedPage returns what the entry saved under the keys with a prefix.
 func (env *testEnv) savedPage(prefix string) store.Page {
-	page := store.Page{Revision: 1}
+	page := store.Page{Revision: 1, Era: env.era}
 	for key, item := range env.saved {
 		if strings.HasPrefix(key, prefix) {
 			page.Items = append(page.Items, item)
@@ -320,15 +325,15 @@
 func (env *testEnv) store() *store.Store {
 	return &store.Store{
 		List: func(_ context.Context, prefix string) (store.Page, error) {
-			if prefix == "config/" {
-				return store.Page{Revision: 1, Items: []store.Item{{Key: "config/it", ModRevision: 1}}}, nil
-			}
 			env.mu.Lock()
 			defer env.mu.Unlock()
+			if prefix == "config/" {
+				return store.Page{Revision: 1, Era: env.era, Items: []store.Item{{Key: "config/it", ModRevision: 1}}}, nil
+			}
 			if prefix == store.RunsPrefix || prefix == store.SuspectsPrefix {
 				return env.savedPage(prefix), nil
 			}
-			return store.Page{Revision: 1, Items: env.targets}, nil
+			return store.Page{Revision: 1, Era: env.era, Items: env.targets}, nil
 		},
 		Commit: func(_ context.Context, txn store.Txn) (store.Result, error) {
 			env.mu.Lock()
@@ -336,12 +341,15 @@
 			for _, p := range txn.Puts {
 				env.saved[p.Key] = store.Item{Key: p.Key, Value: p.Value, ModRevision: 1}
 			}
-			return store.Result{Succeeded: true}, nil
+			return store.Result{Succeeded: true, Era: env.era}, nil
 		},
 		Watch: func(ctx context.Context, prefix string, _ store.Point, each func(store.Change)) error {
 			if env.watch != nil && prefix != "config/" {
 				return env.watch(ctx)
 			}
+			env.mu.Lock()
+			eraEnded := env.eraEnded
+			env.mu.Unlock()
 			for {
 				changes := env.changes
 				if prefix == "config/" {
@@ -350,6 +358,8 @@
 				select {
 				case c := <-changes:
 					each(c)
+				case <-eraEnded:
+					return fault.New("watch", store.Restored, "the era has ended")
 				case <-ctx.Done():
 					return ctx.Err()
 				}
@@ -358,6 +368,17 @@
 	}
 }
 
+// returnStore replaces the key-value service's state by a copy in which the entry had
+// not saved anything yet.
+func (env *testEnv) returnStore() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	clear(env.saved)
+	env.era++
+	close(env.eraEnded)
+	env.eraEnded = make(chan struct{})
+}
+
 // codec decodes targets from items of the form "state address zone".
 func (env *testEnv) codec() direct.Codec {
 	return direct.Codec{
--- a/internal/transport/direct/quarantine_test.go
+++ b/internal/transport/direct/quarantine_test.go
@@ -376,3 +376,23 @@
 		env.is.True(strings.Contains(text, "fingerprint="))
 	})
 }
+
+// A request that crashes targets must still be refused after all entries have ended, if
+// the key-value service has lost what they saved.
+func TestCrashingRequestAfterStoreReturnsFromCopy(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.addCrashingTargets(12, "a", "b", "c")
+		env.start()
+		for i := range 4 {
+			env.do("POST", "/u/x", fmt.Sprint("a", i), "kill")
+			time.Sleep(2 * time.Second)
+		}
+		env.is.Equal(len(env.requestedTargets()), 3)
+		env.returnStore()
+		time.Sleep(3 * time.Second)
+		env.restart()
+		time.Sleep(time.Second)
+		env.do("POST", "/u/x", "a4", "kill")
+		env.is.Equal(len(env.requestedTargets()), 3)
+	})
+}
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -36,6 +36,9 @@
 	// savedVersion is the version of those that were saved last.
 	savedSuspects bool
 	savedVersion  uint64
+	// savedEra is the era in which the state was saved last. What was saved in an
+	// earlier era may be gone.
+	savedEra store.Era
 }
 
 // suspectsItem is what an entry saves about the requests that are suspected of
@@ -51,6 +54,7 @@
 func (s *stateSaver) run(ctx context.Context) {
 	s.loadRuns(ctx)
 	s.loadSuspects(ctx)
+	s.savedEra = s.e.storeWatcher.eras.Era()
 	for timing.Sleep(ctx, s.e.deps.Clock, s.interval()) {
 		if !s.loaded {
 			s.loadSuspects(ctx)
@@ -71,6 +75,9 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	page, err := s.e.deps.Store.List(ctx, store.RunsPrefix)
+	if err == nil {
+		s.e.storeWatcher.observeEra(page.Era)
+	}
 	if err != nil {
 		s.e.deps.Log.Emit(event.RunsNotLoaded, "error", err)
 		return
@@ -109,16 +116,18 @@
 }
 
 // save writes the current state in one call. It writes nothing if there are no
-// runs now, none were written last time, and the suspects are the same.
+// runs now, none were written last time, the suspects are the same, and the
+// key-value service has not returned from an older copy of its state.
 func (s *stateSaver) save(ctx context.Context) {
 	now := s.e.deps.Clock.Now()
 	runs := s.e.handover.LocalRuns()
 	suspects, version := s.e.quarantine.Suspects(now)
 	var puts []store.Put
-	if len(runs) > 0 || s.savedRuns {
+	returned := s.e.storeWatcher.eras.Era() != s.savedEra
+	if len(runs) > 0 || s.savedRuns || returned {
 		puts = append(puts, store.Put{Key: store.RunsPrefix + string(s.e.cfg.Name), Value: encodeState(runs)})
 	}
-	if version != s.savedVersion && (len(suspects) > 0 || s.savedSuspects) {
+	if returned || (version != s.savedVersion && (len(suspects) > 0 || s.savedSuspects)) {
 		value := encodeState(suspectsItem{SavedAtMS: now.UnixMilli(), Records: suspects})
 		puts = append(puts, store.Put{Key: store.SuspectsPrefix + string(s.e.cfg.Name), Value: value})
 	}
@@ -127,13 +136,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	_, err := s.e.deps.Store.Commit(ctx, store.Txn{Puts: puts})
+	result, err := s.e.deps.Store.Commit(ctx, store.Txn{Puts: puts})
 	s.e.metrics.storeCall("commit", err, s.e.deps.Clock.Since(now))
 	if err != nil {
 		s.e.deps.Log.Emit(event.RunsNotSaved, "runs", len(runs), "suspects", len(suspects), "error", err)
 		return
 	}
-	s.savedRuns, s.savedSuspects, s.savedVersion = len(runs) > 0, len(suspects) > 0, version
+	s.e.storeWatcher.observeEra(result.Era)
+	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, result.Era
 }
 
 // encodeState returns v as JSON. The saved types contain only strings, numbers and
