--- a/internal/standin/soak/export_test.go
+++ b/internal/standin/soak/export_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -13,7 +12,7 @@
 func PlanText(o Options) []string {
 	o.SetDefaults()
 	var lines []string
-	for _, s := range newPlan(o, rand.New(rand.NewPCG(o.Seed, planRandomStream))) {
+	for _, s := range fullPlan(o) {
 		lines = append(lines, s.at.String()+" "+s.action.name+" "+s.duration.String())
 	}
 	return lines
@@ -22,7 +21,7 @@
 // PlanFitsDuration reports whether all steps begin within the duration of the run.
 func PlanFitsDuration(o Options) bool {
 	o.SetDefaults()
-	for _, s := range newPlan(o, rand.New(rand.NewPCG(o.Seed, planRandomStream))) {
+	for _, s := range fullPlan(o) {
 		if s.at < 0 || s.at >= o.Duration {
 			return false
 		}
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -37,7 +37,18 @@
 // plan lists the steps of a run in the order of their times.
 type plan []step
 
-// newPlan returns a random plan. Equal states of r give equal plans.
+// fullPlan returns the plan of a run. Each part draws from a stream of its own, so that
+// options that add a part leave the others as they are.
+func fullPlan(opts Options) plan {
+	p := newPlan(opts, rand.New(rand.NewPCG(opts.Seed, planRandomStream)))
+	if opts.StoreReturns {
+		p = append(p, newStoreReturns(opts, rand.New(rand.NewPCG(opts.Seed, returnRandomStream)))...)
+	}
+	slices.SortStableFunc(p, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	return p
+}
+
+// newPlan returns a random plan of faults and planned work. Equal states of r give equal plans.
 func newPlan(opts Options, r *rand.Rand) plan {
 	var p plan
 	at := firstBurst
@@ -55,9 +66,7 @@
 		p = append(p, newStep(at, plannedWork, r))
 		at += minCalmTime + randomDuration(calmTimeSpread, r)
 	}
-	p = slices.DeleteFunc(p, func(s step) bool { return s.at >= opts.Duration })
-	slices.SortStableFunc(p, func(a, b step) int { return cmp.Compare(a.at, b.at) })
-	return p
+	return slices.DeleteFunc(p, func(s step) bool { return s.at >= opts.Duration })
 }
 
 func newStep(at time.Duration, actions []action, r *rand.Rand) step {
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -76,7 +76,7 @@
 	defer p.mu.Unlock()
 	p.target = catalog.Target{
 		ID: name, Service: service, Address: p.link.address(), Zone: zoneName(p.zone),
-		Slots: slots, State: catalog.Ready, Incarnation: id.Incarnation(time.Now().UnixMilli()),
+		Slots: slots, State: catalog.Ready, Sequence: 1, Incarnation: id.Incarnation(time.Now().UnixMilli()),
 	}
 	p.backups = map[string]bool{}
 	p.drainedAt = time.Time{}
@@ -93,6 +93,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.target.State = s
+	p.target.Sequence++
 }
 
 // recordDrained records that the key-value service has confirmed that the replica
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -18,7 +18,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -54,6 +53,8 @@
 	Duration time.Duration
 	// Crashing adds requests that crash the targets that run them.
 	Crashing bool
+	// StoreReturns adds returns of the key-value service from older copies of its state.
+	StoreReturns bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
 	// instance that requests are served and configuration changes are applied in time
 	// while no fault is active.
@@ -125,7 +126,7 @@
 		clients.Go(func() { c.run(clientCtx) })
 	}
 	clients.Go(func() { w.runCrashingRequests(ctx) })
-	w.runPlan(ctx, newPlan(w.opts, rand.New(rand.NewPCG(w.opts.Seed, planRandomStream))))
+	w.runPlan(ctx, fullPlan(w.opts))
 	stop()
 	clients.Wait()
 	w.restarts.Wait()
@@ -138,5 +139,6 @@
 const (
 	planRandomStream     = 1
 	crashingRandomStream = 2
+	returnRandomStream   = 3
 	clientRandomStream   = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,7 +41,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(200) {
-		o := soak.Options{Seed: seed}
+		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0}
 		is.Equal(soak.PlanText(o), soak.PlanText(o))
 		is.True(soak.PlanFitsDuration(o))
 		is.True(len(soak.PlanText(o)) > 0)
@@ -203,6 +203,27 @@
 	}
 }
 
+// storeReturnSeeds are run by each TestRunStoreReturns, with the cause of an earlier
+// failure.
+var storeReturnSeeds = []seedCase{{1, 12 * time.Second, "no earlier failure"}}
+
+// TestRunStoreReturns runs real entries whose key-value service returns from older
+// copies of its state, among other faults.
+func TestRunStoreReturns(t *testing.T) {
+	is := is.New(t)
+	program := buildProgram(t)
+	for _, c := range storeReturnSeeds {
+		r, err := soak.Run(context.Background(), soak.Options{
+			Program: program, Dir: t.TempDir(), Seed: c.seed, Duration: c.duration, SafetyOnly: true, StoreReturns: true,
+		})
+		is.NoErr(err)
+		is.True(r.Attempts > 0)
+		for _, v := range r.Violations {
+			t.Errorf("seed %d (%s): %v", c.seed, c.cause, v)
+		}
+	}
+}
+
 // TestRun runs real entries under several seconds of faults. It checks only
 // guarantees that do not depend on the machine's speed.
 func TestRun(t *testing.T) {
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/store"
@@ -44,6 +45,7 @@
 	network      int
 	dialect      direct.Dialect
 	probes       *http.Client
+	probeCount   atomic.Int64
 	history      *history
 	faultWindows *faultWindows
 	// disturbances holds the times at which each entry was disturbed, by its name.
