Quarantine: a request with many ends is still reported

Callers saw nothing of this yet: a request that had ended more targets than a report may hold (128) was left out of the reports and of the saved state altogether, and all weaker ones with it.

Cause: Strongest stopped before the first record that exceeded the limit.

Change: that record is cut to the limit.

Evidence: TestStrongest; on the code before, a record of 200 gives none.

--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -370,3 +370,31 @@
 		is.True(json.Unmarshal([]byte(invalid), &got) != nil)
 	}
 }
+
+// TestStrongest checks that a request that ran at more failures than a report may hold
+// is still reported.
+func TestStrongest(t *testing.T) {
+	tests := []struct {
+		name  string
+		sizes []int
+		limit int
+		want  []int
+	}{
+		{"all fit", []int{1, 3}, 4, []int{3, 1}},
+		{"the last one is cut", []int{1, 3, 2}, 4, []int{3, 1}},
+		{"the first one is cut", []int{200, 1}, 128, []int{128}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var records []quarantine.Record
+			for i, size := range tt.sizes {
+				records = append(records, quarantine.Record{Fingerprint: id.Fingerprint(i + 1), Observations: make([]quarantine.Observation, size)})
+			}
+			var got []int
+			for _, r := range quarantine.Strongest(records, tt.limit) {
+				got = append(got, len(r.Observations))
+			}
+			is.New(t).Equal(got, tt.want)
+		})
+	}
+}
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -144,15 +144,17 @@
 }
 
 // Strongest returns the records of the fingerprints that ran at the most failures, with
-// at most limit observations in all.
+// at most limit observations in all. Of the record that exceeds the limit it returns the
+// first observations.
 func Strongest(records []Record, limit int) []Record {
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, func(a, b Record) int { return cmp.Compare(len(b.Observations), len(a.Observations)) })
 	for i := range sorted {
-		limit -= len(sorted[i].Observations)
-		if limit < 0 {
-			return sorted[:i]
+		if len(sorted[i].Observations) >= limit {
+			sorted[i].Observations = sorted[i].Observations[:limit]
+			return sorted[:i+1]
 		}
+		limit -= len(sorted[i].Observations)
 	}
 	return sorted
 }
