Updates between entries: evidence is not what a long message leaves out

Messages are long when many targets are silent and many streams are copied, which is when failures matter most; nothing told of it.

Change: the runs go first, which serve only a client that comes back to another entry; of the failures as many as fit stay, the strongest first. F0409 peerUpdateShortened counts what was left out.

Evidence: TestPeerUpdateTooLong, TestPeerUpdateTooManyFailures; on the code before, a message with 8000 runs has no failures.

--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -88,20 +88,37 @@
 // Age returns the age of the loss when the message was sent.
 func (l *Loss) Age() time.Duration { return time.Duration(l.AgeMS) * time.Millisecond }
 
-// Encode encodes the message. If it would be too long, the failures and runs are
-// left out, because they matter least.
-func (u *PeerUpdate) Encode() ([]byte, error) {
+// Omitted counts what was left out of a message that would have been too long.
+type Omitted struct {
+	Runs     int
+	Failures int
+}
+
+// Encode encodes the message. If it would be too long, it leaves out the runs, which
+// are needed only if a client comes back to another entry, and then the last of the
+// failures, which are in the order of their weight.
+func (u *PeerUpdate) Encode() ([]byte, Omitted, error) {
 	const op = "PeerUpdate.Encode"
-	data, err := u.compressed()
-	if err == nil && len(data) > MaxPeerUpdateBytes {
-		short := *u
-		short.Runs, short.Failures = nil, nil
-		data, err = short.compressed()
-	}
-	if err == nil && len(data) > MaxPeerUpdateBytes {
-		return nil, fault.New(op, Malformed, "message of %d bytes exceeds the size limit", len(data))
+	var omitted Omitted
+	short := *u
+	for {
+		data, err := short.compressed()
+		if err != nil {
+			return nil, omitted, fault.Wrap(op, Malformed, err)
+		}
+		if len(data) <= MaxPeerUpdateBytes {
+			return data, omitted, nil
+		}
+		if len(short.Runs)+len(short.Failures) == 0 {
+			return nil, omitted, fault.New(op, Malformed, "message of %d bytes exceeds the size limit", len(data))
+		}
+		if len(short.Runs) > 0 {
+			short.Runs = nil
+		} else {
+			short.Failures = short.Failures[:len(short.Failures)/2]
+		}
+		omitted = Omitted{len(u.Runs) - len(short.Runs), len(u.Failures) - len(short.Failures)}
 	}
-	return data, fault.Wrap(op, Malformed, err)
 }
 
 // compressors are pooled because each takes much memory.
--- a/internal/protocol/direct/peerupdate_test.go
+++ b/internal/protocol/direct/peerupdate_test.go
@@ -30,15 +30,16 @@
 
 func TestPeerUpdate(t *testing.T) {
 	is := is.New(t)
-	data, err := newUpdate().Encode()
+	data, omitted, err := newUpdate().Encode()
 	is.NoErr(err)
+	is.Equal(omitted, direct.Omitted{})
 	got, err := direct.DecodePeerUpdate(data)
 	is.NoErr(err)
 	is.Equal(got, newUpdate())
 }
 
-// With very many streams, an update must be sent without their runs rather than
-// not at all.
+// With very many streams, an update must be sent without their runs, but with the
+// failures of targets, rather than not at all.
 func TestPeerUpdateTooLong(t *testing.T) {
 	is := is.New(t)
 	u := newUpdate()
@@ -48,13 +49,32 @@
 		key := handover.Key(fmt.Sprintf("%016x", random.Uint64()))
 		u.Runs = append(u.Runs, handover.Run{Key: key, Holder: "t", Address: "10.0.0.9:80", Handle: fmt.Sprintf("%016x", random.Uint64())})
 	}
-	data, err := u.Encode()
+	data, omitted, err := u.Encode()
 	is.NoErr(err)
+	is.Equal(omitted, direct.Omitted{Runs: len(u.Runs)})
 	is.True(len(data) <= direct.MaxPeerUpdateBytes)
 	got, err := direct.DecodePeerUpdate(data)
 	is.NoErr(err)
 	is.Equal(len(got.Runs), 0)
 	is.Equal(got.Loads, u.Loads)
+	is.Equal(got.Failures, u.Failures)
+}
+
+// With very many failures, the first ones must be sent.
+func TestPeerUpdateTooManyFailures(t *testing.T) {
+	is := is.New(t)
+	u := newUpdate()
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 8000 {
+		u.Failures = append(u.Failures, quarantine.Record{Fingerprint: id.Fingerprint(random.Uint64()), Observations: []quarantine.Observation{{Target: "t", AgeMs: random.Int64N(1000)}}})
+	}
+	data, omitted, err := u.Encode()
+	is.NoErr(err)
+	got, err := direct.DecodePeerUpdate(data)
+	is.NoErr(err)
+	is.True(len(got.Failures) > 0)
+	is.Equal(got.Failures, u.Failures[:len(got.Failures)])
+	is.Equal(omitted, direct.Omitted{Runs: 1, Failures: len(u.Failures) - len(got.Failures)})
 }
 
 // compressed returns the text compressed like a message.
@@ -85,7 +105,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		data, err := u.Encode()
+		data, _, err := u.Encode()
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -56,6 +56,7 @@
 	ZoneRecovered        = Event{402, "zoneBack", Info, "Members of an availability zone that was lost report again.", "none"}
 	HostListFailed       = Event{403, "hostListFailed", Warn, "The host list could not be read; the list read last stays in force.", "check the host list"}
 	PeerUpdateRejected   = Event{406, "newsRefused", Warn, "A message from another entry, or its reply, could not be used.", "none unless it repeats"}
+	PeerUpdateShortened  = Event{409, "peerUpdateShortened", Warn, "A message to the other entries was too long, and unfinished runs, or target failures of the least suspected requests, were left out.", "add entries if it repeats"}
 	StoreSnapshotAdopted = Event{407, "beliefTaken", Info, "The targets were learned from another entry because the key-value service does not answer this one.", "check the key-value service if this lasts"}
 	PauseDetected        = Event{408, "standstillSeen", Warn, "This process or its host did not run for a while.", "check the load of the host if this repeats"}
 	ShareStale           = Event{405, "shareStale", Warn, "The owner of a limit does not respond; the last share of the limit stays in force.", "none"}
@@ -100,7 +101,7 @@
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared,
-		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected,
+		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -138,11 +138,14 @@
 	defer x.sendMu.Unlock()
 	update := x.update(x.e.deps.Clock.Now())
 	update.Failures = failures
-	data, err := update.Encode()
+	data, omitted, err := update.Encode()
 	if err != nil {
 		x.e.deps.Log.Emit(event.TaskFailed, "duty", "news", "error", err)
 		return
 	}
+	if omitted != (direct.Omitted{}) {
+		x.e.deps.Log.Emit(event.PeerUpdateShortened, "runs", omitted.Runs, "failures", omitted.Failures)
+	}
 	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp", address)
 		if err != nil {
