Quarantine: a suspect runs one at a time over all entries

Cause: copies of a request that run at many entries at the same time end their targets at the same time, and such ends count as one, since an outage does that too. Each round of copies so counts once, while it ends as many targets as there are entries.

Change: a request that ran at two failures which no outage explains (no target near by failed that did not run it, and one of the zone is heard from since) runs one at a time over all entries. An entry says so to the others, waits 0.5 s, and gives way to one that runs it or comes first by name. An end under a request that ran alone counts fully. A request that waits for the reports of others waits again if one arrives.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -246,6 +246,20 @@
 	return r.lastActivity
 }
 
+// ZoneHeardFrom returns when any target of a zone last sent anything to this entry, or
+// the zero time if none has.
+func (b *Balancer) ZoneHeardFrom(zone id.Zone) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var last time.Time
+	for _, r := range b.targets {
+		if r.group.zone == zone && r.lastActivity.After(last) {
+			last = r.lastActivity
+		}
+	}
+	return last
+}
+
 // Forget drops the records of targets that are gone.
 func (b *Balancer) Forget(gone catalog.Targets) {
 	b.mu.Lock()
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -58,6 +58,20 @@
 // ends returns the number of failures under which f may have ended targets.
 func (t *Tracker) ends(f id.Fingerprint) int { return len(t.failuresOf(f)) }
 
+// unexplainedEnds returns the number of failures under which f may have ended targets and
+// which no outage explains: no other target failed near by, and one of the zone is heard
+// from since. Failures at the same time count each.
+func (t *Tracker) unexplainedEnds(f id.Fingerprint) int {
+	return len(slices.DeleteFunc(t.failuresOf(f), func(fail *failure) bool {
+		return t.hasOtherCause(fail, f) || !t.zoneAlive(fail)
+	}))
+}
+
+// zoneAlive reports whether a target of the zone is heard from since the failure.
+func (t *Tracker) zoneAlive(fail *failure) bool {
+	return t.cfg.ZoneActivity == nil || t.cfg.ZoneActivity(fail.place.Zone).After(fail.at.Add(activityTolerance))
+}
+
 // evidence returns the failures up to a time that count against f, in the order of their
 // times.
 func (t *Tracker) evidence(f id.Fingerprint, until time.Time) []countedFailure {
@@ -65,6 +79,10 @@
 	slices.SortFunc(fails, func(a, b *failure) int { return a.at.Compare(b.at) })
 	var evidence []countedFailure
 	for _, fail := range fails {
+		if fail.suspects[f].alone {
+			evidence = append(evidence, countedFailure{failure: fail, points: certain})
+			continue
+		}
 		if first := t.failedTogether(fail, evidence, f); first != nil {
 			if fail.at.Sub(first.at) <= simultaneous {
 				first.explain()
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -10,7 +10,8 @@
 // ran it, one after the other. So a failure counts in part if targets that did not run the
 // fingerprint failed in the zone at that time, and failures of targets that ran it at the
 // same time count once. It does not count if another suspect ran at more failures, or if
-// the target is heard from again.
+// the target is heard from again. A failure under a suspect that ran alone, over all
+// entries, counts fully: it was run to find out.
 //
 // # Usage
 //
@@ -72,6 +73,9 @@
 	// time. A target that is heard from after a reported failure has not failed. It
 	// may be nil.
 	LastActivity func(FailureID) time.Time
+	// ZoneActivity returns when this process last heard from any target of a zone, or
+	// the zero time. It may be nil.
+	ZoneActivity func(id.Zone) time.Time
 }
 
 const (
@@ -110,6 +114,8 @@
 type Run struct {
 	Fingerprint id.Fingerprint
 	StartedAt   time.Time
+	// Alone says that no other request with the fingerprint ran at any entry.
+	Alone bool
 }
 
 // Failure is the failure of a target, as observed by one process. The observer may know
@@ -143,6 +149,8 @@
 	lastStart time.Time
 	// cleared says that the fingerprint has run to completion since the failure.
 	cleared bool
+	// alone says that no other request with the fingerprint ran at any entry.
+	alone bool
 }
 
 // ran reports whether f ran at the failure and has not been cleared since.
@@ -186,7 +194,7 @@
 	}
 	recorded := t.findOrAddFailure(fail.FailureID, fail.Place, fail.At, startedAt)
 	for _, run := range fail.Running {
-		t.addSuspect(recorded, run.Fingerprint, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt})
+		t.addSuspect(recorded, run.Fingerprint, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, alone: run.Alone})
 	}
 }
 
@@ -209,6 +217,10 @@
 		known.lastStart = added.lastStart
 		t.markChanged(fail)
 	}
+	if added.alone && !known.alone {
+		known.alone = true
+		t.markChanged(fail)
+	}
 	if added.cleared && !known.cleared {
 		known.cleared = true
 		t.markChanged(fail)
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -47,6 +47,8 @@
 	LastRunMs int64 `json:"lastRunMs,omitempty"`
 	// Cleared says that the fingerprint has run to completion since.
 	Cleared bool `json:"cleared,omitempty"`
+	// Alone says that no other request with the fingerprint ran at any entry.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks an observation. Its error is of kind Invalid.
@@ -137,7 +139,7 @@
 		Region: fail.place.Region, AgeMs: max(0, now.Sub(fail.at).Milliseconds()),
 	}
 	if s := fail.suspects[f]; s != nil {
-		o.Cleared = s.cleared
+		o.Cleared, o.Alone = s.cleared, s.alone
 		o.RunMs, o.LastRunMs = fail.at.Sub(s.startedAt).Milliseconds(), fail.at.Sub(s.lastStart).Milliseconds()
 	}
 	return o
@@ -190,7 +192,7 @@
 			fail := t.findOrAddFailure(FailureID{o.Target, o.Incarnation}, place, at, time.Time{})
 			if r.Fingerprint != 0 {
 				run, lastRun := time.Duration(o.RunMs)*time.Millisecond, time.Duration(o.LastRunMs)*time.Millisecond
-				t.addSuspect(fail, r.Fingerprint, suspect{startedAt: at.Add(-run), lastStart: at.Add(-lastRun), cleared: o.Cleared})
+				t.addSuspect(fail, r.Fingerprint, suspect{startedAt: at.Add(-run), lastStart: at.Add(-lastRun), cleared: o.Cleared, alone: o.Alone})
 			}
 		}
 	}
--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -31,7 +31,7 @@
 // Shared is the Tracker of an entry that reaches its targets directly, and chooses what to
 // report to the other entries. It is safe for concurrent use.
 //
-//	q := quarantine.NewShared(lastActivity)
+//	q := quarantine.NewShared(entry, quarantine.Activity{…})
 //	q.TargetLost(now, failed, zone, quarantine.Run{…})
 //	send(q.Changes(now))
 //	q.Merge(now, received)
@@ -39,6 +39,7 @@
 type Shared struct {
 	mu      sync.Mutex
 	tracker *Tracker
+	turns   turns
 	// changedAt holds the fingerprints that this entry itself recently observed
 	// something about. Reports of other entries are not forwarded, because they
 	// are sent to all entries.
@@ -47,12 +48,20 @@
 	suspectsReportedAt time.Time
 }
 
-// NewShared returns a tracker. lastActivity returns when this entry last heard from a
-// target, or the zero time. It may be nil.
-func NewShared(lastActivity func(FailureID) time.Time) *Shared {
+// Activity tells when an entry last heard from targets. Both functions return the zero
+// time for never, and may be nil.
+type Activity struct {
+	Target func(FailureID) time.Time
+	// Zone is that of any target of the zone.
+	Zone func(id.Zone) time.Time
+}
+
+// NewShared returns the tracker of an entry.
+func NewShared(self id.Entry, activity Activity) *Shared {
 	return &Shared{
+		turns: newTurns(self),
 		tracker: New(Config{
-			QuarantineTime: sharedQuarantineTime, SettleTime: SettleTime, FailsOnce: true, LastActivity: lastActivity,
+			QuarantineTime: sharedQuarantineTime, SettleTime: SettleTime, FailsOnce: true, LastActivity: activity.Target, ZoneActivity: activity.Zone,
 		}),
 		changedAt: map[id.Fingerprint]time.Time{},
 	}
@@ -69,13 +78,66 @@
 	return status.Until.Sub(now)
 }
 
-// TryStart reports whether a request that is not refused may start now. A suspect that
-// could be refused next runs one at a time, so that the next failure decides; one that may
-// have to be refused waits for the reports of others, for SettleTime.
-func (q *Shared) TryStart(now time.Time, f id.Fingerprint, request id.Request) bool {
+// TryStart returns whether a request that is not refused may be sent to a target now. A
+// suspect that could be refused next runs one at a time at this entry, and one that ran at
+// several failures that no outage explains one at a time over all entries. One that may have to be refused waits
+// for the reports of others if it was sent before, and is held back otherwise.
+func (q *Shared) TryStart(now time.Time, f id.Fingerprint, request id.Request, sentBefore bool) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.tracker.TryStart(now, f, request)
+	status := q.tracker.LatestStatus(now, f)
+	switch {
+	case status.State == Refused && !sentBefore:
+		return HeldBack
+	case status.State == Refused:
+		if q.turns.take(now, f, request) == HeldBack {
+			return HeldBack
+		}
+		return MustWait
+	case q.tracker.unexplainedEnds(f) >= q.turnThreshold(sentBefore):
+		return q.turns.take(now, f, request)
+	case sentBefore || q.tracker.TryStart(now, f, request):
+		return Allowed
+	}
+	return HeldBack
+}
+
+// turnThreshold returns the number of failures from which a fingerprint runs one at a
+// time over all entries. A request that was sent before rarely has copies, and its client
+// waits for the rest of the answer.
+func (q *Shared) turnThreshold(sentBefore bool) int {
+	if sentBefore {
+		return q.tracker.cfg.QuarantineThreshold
+	}
+	return q.tracker.cfg.QuarantineThreshold - 1
+}
+
+// Confirm returns whether a request that has waited for SettleTime may be sent to a target.
+// It must wait again if a failure was reported meanwhile.
+func (q *Shared) Confirm(now time.Time, f id.Fingerprint, request id.Request) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case q.tracker.Status(now, f).State == Refused || !q.turns.confirm(now, f, request):
+		return HeldBack
+	case q.tracker.LatestStatus(now, f).State == Refused:
+		return MustWait
+	}
+	return Allowed
+}
+
+// Turns returns the suspects that run at this entry, or are about to.
+func (q *Shared) Turns() []Turn {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.turns.report()
+}
+
+// MergeTurns records the suspects that run at another entry.
+func (q *Shared) MergeTurns(now time.Time, from id.Entry, reported []Turn) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.turns.merge(now, from, reported)
 }
 
 // End records that a request has ended at this entry.
@@ -83,6 +145,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.tracker.End(f, request)
+	q.turns.end(f, request)
 }
 
 // LatestStatus returns the status of a fingerprint from all failures known.
@@ -97,6 +160,9 @@
 func (q *Shared) TargetLost(at time.Time, target FailureID, zone id.Zone, running ...Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for i, run := range running {
+		running[i].Alone = q.turns.ranAlone(run.Fingerprint, run.StartedAt)
+	}
 	q.tracker.Expire(at)
 	q.tracker.RecordFailure(Failure{FailureID: target, Place: member.Place{Zone: zone}, At: at, Running: running})
 	for _, run := range running {
--- a/internal/coordination/quarantine/shared_test.go
+++ b/internal/coordination/quarantine/shared_test.go
@@ -22,7 +22,7 @@
 	lose := func(q *quarantine.Shared, name id.Target, f id.Fingerprint) {
 		q.TargetLost(now, quarantine.FailureID{Target: name}, id.Zone("z"+name), quarantine.Run{Fingerprint: f, StartedAt: now.Add(-time.Millisecond)})
 	}
-	entries := []*quarantine.Shared{quarantine.NewShared(nil), quarantine.NewShared(nil), quarantine.NewShared(nil)}
+	entries := []*quarantine.Shared{quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{})}
 	for i, e := range entries {
 		lose(e, id.Target(rune('a'+i)), f)
 	}
@@ -37,13 +37,13 @@
 		is.True(e.RefusedFor(now, f) == 0) // other entries may still report
 		is.True(e.RefusedFor(now.Add(time.Second), f) > 0)
 	}
-	receiver := quarantine.NewShared(nil)
+	receiver := quarantine.NewShared("e", quarantine.Activity{})
 	receiver.Merge(now, entries[0].Changes(now))
 	is.Equal(len(receiver.Changes(now)), 1) // a suspect
 	is.Equal(len(receiver.Changes(now.Add(500*time.Millisecond))), 0)
 	const other = id.Fingerprint(8)
 	lose(entries[0], "x", other)
-	receiver = quarantine.NewShared(nil)
+	receiver = quarantine.NewShared("e", quarantine.Activity{})
 	receiver.Merge(now, slices.DeleteFunc(entries[0].Changes(now), func(r quarantine.Record) bool { return r.Fingerprint != other }))
 	is.Equal(len(receiver.Changes(now)), 0)
 	is.Equal(len(entries[0].Changes(now.Add(2*time.Second))), 1) // a suspect, for entries that missed the reports
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	const f = id.Fingerprint(7)
 	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
-	entries := []*quarantine.Shared{quarantine.NewShared(nil), quarantine.NewShared(nil), quarantine.NewShared(nil)}
+	entries := []*quarantine.Shared{quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{})}
 	for i, name := range []id.Target{"a", "b", "c"} {
 		entries[0].TargetLost(now, quarantine.FailureID{Target: name}, id.Zone("z"+name), quarantine.Run{Fingerprint: f, StartedAt: now.Add(-50 * time.Millisecond)})
 		now = now.Add(time.Duration(i) * time.Millisecond)
@@ -80,3 +80,41 @@
 		}
 	}
 }
+
+// TestSharedTurns checks that of the copies of a suspect that reach several entries at the
+// same time one runs, and the others are held back until it has ended.
+func TestSharedTurns(t *testing.T) {
+	is := is.New(t)
+	const f = id.Fingerprint(7)
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	a, b := quarantine.NewShared("a", quarantine.Activity{}), quarantine.NewShared("b", quarantine.Activity{})
+	for _, name := range []id.Target{"t1", "t2", "t3"} {
+		// All in one zone at the same time, as in an outage.
+		for _, q := range []*quarantine.Shared{a, b} {
+			q.TargetLost(now, quarantine.FailureID{Target: name}, "z", quarantine.Run{Fingerprint: f, StartedAt: now.Add(-time.Second)})
+		}
+	}
+	tell := func() {
+		a.MergeTurns(now, "b", b.Turns())
+		b.MergeTurns(now, "a", a.Turns())
+	}
+	now = now.Add(time.Second)
+	is.Equal(b.TryStart(now, f, "b1", false), quarantine.MustWait)
+	is.Equal(b.TryStart(now, f, "b2", false), quarantine.HeldBack) // another copy at the same entry
+	is.Equal(a.TryStart(now, f, "a1", false), quarantine.MustWait)
+	tell()
+	now = now.Add(quarantine.SettleTime)
+	is.Equal(b.Confirm(now, f, "b1"), quarantine.HeldBack) // a comes first by name
+	is.Equal(a.Confirm(now, f, "a1"), quarantine.Allowed)
+	tell()
+	is.Equal(a.TryStart(now, f, "a1", true), quarantine.Allowed) // its next attempt
+	is.Equal(b.TryStart(now, f, "b3", false), quarantine.HeldBack)
+	is.Equal(b.TryStart(now.Add(time.Minute), f, "b4", false), quarantine.MustWait) // a is no longer heard from
+	b.End(f, "b4")
+	a.End(f, "a1")
+	tell()
+	is.Equal(b.TryStart(now, f, "b5", false), quarantine.MustWait)
+	now = now.Add(quarantine.SettleTime)
+	is.Equal(b.Confirm(now, f, "b5"), quarantine.Allowed)
+	is.Equal(b.TryStart(now, f, "b5", true), quarantine.Allowed)
+}
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -64,6 +64,9 @@
 	// Failures are the target failures that the entry recently observed, grouped by
 	// the requests that ran there.
 	Failures []quarantine.Record `json:"deaths,omitempty"`
+	// Turns are the requests suspected of crashing targets that run at the entry, or
+	// are about to.
+	Turns []quarantine.Turn `json:"turns,omitempty"`
 }
 
 // StopsIn returns the time until a draining entry stops; 0 if it is not
--- a/internal/standin/crashes/copies_test.go
+++ b/internal/standin/crashes/copies_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package crashes_test
 
 import (
@@ -12,10 +10,16 @@
 // crashes targets, is refused in time.
 func TestRunCopies(t *testing.T) {
 	for seed := range uint64(42) {
-		o := crashes.NewOptions(seed)
-		o.Entries, o.Copies, o.Crasher = 10, 10, true
-		if r := crashes.Run(o); r.LateRetries > crashes.AllowedRetries {
-			t.Errorf("seed %d: %d late retries, want at most %d; %+v", seed, r.LateRetries, crashes.AllowedRetries, o)
-		}
+		checkCopies(t, seed)
+	}
+}
+
+// checkCopies plays a seed with ten entries that all get the crashing request.
+func checkCopies(t *testing.T, seed uint64) {
+	t.Helper()
+	o := crashes.NewOptions(seed)
+	o.Entries, o.Copies, o.Crasher = 10, 10, true
+	if r := crashes.Run(o); r.LateRetries > crashes.AllowedRetries {
+		t.Errorf("seed %d: %d late retries, want at most %d; %+v", seed, r.LateRetries, crashes.AllowedRetries, o)
 	}
 }
--- a/internal/standin/crashes/entry.go
+++ b/internal/standin/crashes/entry.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"fmt"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
@@ -19,11 +20,13 @@
 // entry is one entry with what it knows.
 type entry struct {
 	s          *simulation
+	name       id.Entry
 	quarantine *quarantine.Shared
-	// heard is when the entry last heard from a target, and avoided until when it sends
-	// nothing there.
-	heard   map[quarantine.FailureID]time.Time
-	avoided map[quarantine.FailureID]time.Time
+	// heard is when the entry last heard from a target, zoneHeard from any target of a
+	// zone, and avoided until when it sends nothing to a target.
+	heard     map[quarantine.FailureID]time.Time
+	zoneHeard map[id.Zone]time.Time
+	avoided   map[quarantine.FailureID]time.Time
 	// losses are the targets that the entry lost recently.
 	losses     []loss
 	nextReport time.Time
@@ -35,6 +38,8 @@
 type waiting struct {
 	request *request
 	until   time.Time
+	// again says that the request has been sent to a target before.
+	again bool
 }
 
 // loss is a target that an entry lost.
@@ -47,13 +52,19 @@
 // message is what one entry tells another.
 type message struct {
 	arrivesAt time.Time
+	from      id.Entry
 	failures  []quarantine.Record
+	turns     []quarantine.Turn
 	losses    []loss
 }
 
 func newEntry(s *simulation) *entry {
-	e := &entry{s: s, heard: map[quarantine.FailureID]time.Time{}, avoided: map[quarantine.FailureID]time.Time{}}
-	e.quarantine = quarantine.NewShared(func(f quarantine.FailureID) time.Time { return e.heard[f] })
+	e := &entry{s: s, heard: map[quarantine.FailureID]time.Time{}, zoneHeard: map[id.Zone]time.Time{}, avoided: map[quarantine.FailureID]time.Time{}}
+	e.name = id.Entry(fmt.Sprintf("e%02d", len(s.entries)))
+	e.quarantine = quarantine.NewShared(e.name, quarantine.Activity{
+		Target: func(f quarantine.FailureID) time.Time { return e.heard[f] },
+		Zone:   func(z id.Zone) time.Time { return e.zoneHeard[z] },
+	})
 	return e
 }
 
@@ -79,9 +90,10 @@
 			return
 		case heldBack:
 			e.countRefusal(q, &s.report.HarmlessHeld)
+			e.quarantine.End(q.fingerprint, q.id)
 			return
 		case mustWait:
-			e.waiting = append(e.waiting, waiting{q, s.now.Add(quarantine.SettleTime)})
+			e.waiting = append(e.waiting, waiting{q, s.now.Add(quarantine.SettleTime), again})
 			return
 		case allowed:
 		}
@@ -119,12 +131,23 @@
 // check returns whether a request may be sent, as direct entries decide it.
 func (e *entry) check(q *request, again bool) verdict {
 	now := e.s.now
-	switch {
-	case e.quarantine.RefusedFor(now, q.fingerprint) > 0:
+	if e.quarantine.RefusedFor(now, q.fingerprint) > 0 {
 		return refused
-	case !again && !e.quarantine.TryStart(now, q.fingerprint, q.id):
+	}
+	if q.waited {
+		q.waited = false
+		return e.verdictOf(e.quarantine.Confirm(now, q.fingerprint, q.id))
+	}
+	return e.verdictOf(e.quarantine.TryStart(now, q.fingerprint, q.id, again))
+}
+
+func (e *entry) verdictOf(v quarantine.Verdict) verdict {
+	switch v {
+	case quarantine.HeldBack:
 		return heldBack
-	case again && e.quarantine.LatestStatus(now, q.fingerprint).State == quarantine.Refused:
+	case quarantine.MustWait:
+		// What the entry is about to run is reported at once.
+		e.nextReport = e.s.now
 		return mustWait
 	}
 	return allowed
@@ -139,7 +162,8 @@
 			e.waiting = append(e.waiting, w)
 			continue
 		}
-		e.try(w.request, true)
+		w.request.waited = true
+		e.try(w.request, w.again)
 	}
 }
 
@@ -195,6 +219,7 @@
 			continue
 		}
 		e.quarantine.Merge(now, m.failures)
+		e.quarantine.MergeTurns(now, m.from, m.turns)
 		for _, l := range m.losses {
 			e.quarantine.TargetLost(l.at, l.target, l.zone)
 			e.avoided[l.target] = l.at.Add(avoidTime)
@@ -211,7 +236,7 @@
 	for _, t := range e.s.targets {
 		for _, r := range t.running {
 			if r.entry == e && r.request.fingerprint != crasher {
-				e.heard[t.id] = e.s.now
+				e.heard[t.id], e.zoneHeard[t.zoneName()] = e.s.now, e.s.now
 			}
 		}
 	}
@@ -224,13 +249,13 @@
 	for len(e.losses) > 0 && s.now.Sub(e.losses[0].at) > lossReportTime {
 		e.losses = e.losses[1:]
 	}
-	failures := e.quarantine.Changes(s.now)
+	failures, turns := e.quarantine.Changes(s.now), e.quarantine.Turns()
 	for _, other := range s.entries {
 		if other == e || s.r.Float64() < s.MessageLoss {
 			continue
 		}
 		delay := time.Duration(s.r.Float64() * float64(maxDelay))
 		records := quarantine.Aged(failures, 0)
-		other.inbox = append(other.inbox, message{arrivesAt: s.now.Add(delay), failures: records, losses: append([]loss(nil), e.losses...)})
+		other.inbox = append(other.inbox, message{arrivesAt: s.now.Add(delay), from: e.name, failures: records, turns: turns, losses: append([]loss(nil), e.losses...)})
 	}
 }
--- a/internal/standin/crashes/run.go
+++ b/internal/standin/crashes/run.go
@@ -55,6 +55,8 @@
 	attempts    int
 	// late is set once the request has reached a target later than allowed.
 	late bool
+	// waited is set if the request has waited for the reports of other entries.
+	waited bool
 }
 
 // simulation is the state of a run.
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -154,7 +154,10 @@
 		configured:   make(chan struct{}),
 		roster:       roster.New(cfg.PeerAddress, seedPeers(cfg.PeerAddress, cfg.SeedAddresses)),
 	}
-	e.quarantine = quarantine.NewShared(func(f quarantine.FailureID) time.Time { return e.balancer.HeardFrom(f.Target, f.Incarnation) })
+	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{
+		Target: func(f quarantine.FailureID) time.Time { return e.balancer.HeardFrom(f.Target, f.Incarnation) },
+		Zone:   e.balancer.ZoneHeardFrom,
+	})
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
--- a/internal/transport/direct/quarantine.go
+++ b/internal/transport/direct/quarantine.go
@@ -95,25 +95,35 @@
 }
 
 // mayStart reports whether the request may be sent to a target, as far as it is suspected
-// of crashing targets. A request that has not been sent yet must come back later if what
-// the other entries saw of the last failures is still on its way; another one waits for
-// that time if it has it.
+// of crashing targets. A request that can't wait for the reports of the other entries must
+// come back later.
 func (c *call) mayStart(ctx context.Context) bool {
 	now := c.now()
 	if c.quarantined(now) {
 		return false
 	}
-	if c.sends == 0 {
-		c.heldBack = !c.e.quarantine.TryStart(now, c.requestFingerprint, id.Request(c.meta.Attempt))
-		return !c.heldBack
+	request := id.Request(c.meta.Attempt)
+	verdict := c.e.quarantine.TryStart(now, c.requestFingerprint, request, c.sends > 0)
+	for verdict == quarantine.MustWait {
+		verdict = c.awaitReports(ctx, request)
 	}
-	if c.e.quarantine.LatestStatus(now, c.requestFingerprint).State != quarantine.Refused {
-		return true
+	c.heldBack = verdict == quarantine.HeldBack
+	return verdict == quarantine.Allowed
+}
+
+// awaitReports waits for the reports of the other entries, and returns whether the request
+// may be sent to a target then. It is held back if it has no time to wait.
+func (c *call) awaitReports(ctx context.Context, request id.Request) quarantine.Verdict {
+	if c.e.peerExchange != nil {
+		c.e.peerExchange.sendNow()
 	}
-	if c.timeLeft() <= quarantine.SettleTime {
-		return false
+	if c.timeLeft() <= quarantine.SettleTime || !timing.Sleep(ctx, c.e.deps.Clock, quarantine.SettleTime) {
+		return quarantine.HeldBack
+	}
+	if c.quarantined(c.now()) {
+		return quarantine.HeldBack
 	}
-	return timing.Sleep(ctx, c.e.deps.Clock, quarantine.SettleTime) && !c.quarantined(c.now())
+	return c.e.quarantine.Confirm(c.now(), c.requestFingerprint, request)
 }
 
 // quarantined reports whether the request is refused because it crashes targets.
