Direct entries: a target is chosen after the wait of a suspect, not before

Callers saw: a suspect that waits 0.5 s for the reports of others is then sent to a target that was chosen before, and may have ended since; many requests at the same moment choose the same target, since the check comes between the choice and its record.

Cause: mayStart was part of allowSend, which follows the choice.

Change: it comes first.

--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -231,12 +231,9 @@
 	return max(1, c.route.MaxAttempts)
 }
 
-// allowSend records that the request is about to be sent. It returns false if
-// the request is suspected of crashing targets, or the retry budget is exhausted.
-func (c *call) allowSend(ctx context.Context) bool {
-	if !c.mayStart(ctx) {
-		return false
-	}
+// allowSend records that the request is about to be sent. It returns false if the
+// retry budget is exhausted.
+func (c *call) allowSend() bool {
 	now := c.now()
 	if c.sends == 0 {
 		c.e.retryBudgets.recordRequest(now, c.service)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -40,8 +40,11 @@
 func (c *call) servePlain(ctx context.Context) {
 	var failed *bufferedAnswer
 	for c.sends < c.maxRuns()+extraSends && c.runs < c.maxRuns() && !c.expired() {
+		if !c.mayStart(ctx) {
+			break
+		}
 		choice, ok := c.e.balancer.Choose(c.now(), c.requirements, c.targets(), c.tried)
-		if !ok || !c.allowSend(ctx) {
+		if !ok || !c.allowSend() {
 			break
 		}
 		answer, outcome := c.sendOnce(ctx, choice)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -90,8 +90,11 @@
 	defer s.endHandover()
 	s.lastNumber, _ = (&eventstream.Event{ID: string(s.lastEventID)}).Number()
 	for c.runs < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.expired() {
+		if !c.mayStart(ctx) {
+			break
+		}
 		a, ok := s.nextAttempt()
-		if !ok || !c.allowSend(ctx) {
+		if !ok || !c.allowSend() {
 			break
 		}
 		outcome := s.runAttempt(ctx, a)
