Limits that targets name are kept over all entries

Nothing read the header.

Cause: the capability was missing.

Change: coordination/targetlimit holds the limits that targets name, in answers to this entry or as other entries tell (limits in their updates). Each entry keeps to its share by demand; a limit ends with an answer without one, with the incarnation, or as another entry saw later. A target at its limit is full: others are preferred. If there is none, the request waits for its place if the answer is still in time, and is refused at once otherwise (503 targetLimit), with a Retry-After that is spread.

--- a/cmd/foxtailward/limit_test.go
+++ b/cmd/foxtailward/limit_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package main_test
 
 import (
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -60,6 +60,9 @@
 	// HoldsBackup means that the target holds the backup copy of the generation
 	// that is resumed.
 	HoldsBackup Reason = "holdsCopy"
+	// AtLimit means that the other targets are at the limits that they have named, or
+	// suspected, and that the request waited for this one.
+	AtLimit Reason = "atLimit"
 	// LastResort means that the target is suspected, as are all others.
 	LastResort Reason = "lastResort"
 )
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -173,6 +173,12 @@
 	return float64(alive) / float64(max(r.LimitSharers(now), minEntries))
 }
 
+// ContactShare returns the part of the entries that share common limits which this entry
+// hears from, itself included.
+func (r *Roster) ContactShare(now time.Time) float64 {
+	return float64(1+len(r.Alive(now))) / float64(r.LimitSharers(now))
+}
+
 // LimitSharers returns the number of entries that share common limits,
 // including this one.
 func (r *Roster) LimitSharers(now time.Time) int {
--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -81,8 +82,17 @@
 	Signed bool
 	// NotRun is set if the target did not execute the request and never will.
 	NotRun bool
+	// Limit is the limit that the target names.
+	Limit Limit
 }
 
+// Limit is the number of requests that a target takes from all entries together, if it
+// names one. PerSecond is its unit.
+type (
+	Limit     = targetlimit.Named
+	PerSecond = targetlimit.PerSecond
+)
+
 // Call is a request of the entry itself to a target.
 type Call struct {
 	Method string
--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -165,6 +165,7 @@
 	if err != nil {
 		return "", err
 	}
+	e.limits.charge(e.deps.Clock.Now(), source)
 	status, body, err := e.callEngine(ctx, source.Address, call)
 	if err != nil {
 		return "", err
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -105,6 +105,7 @@
 	metrics      *entryMetrics
 
 	retryBudgets *retryBudgets
+	limits       *targetLimits
 	quarantine   *quarantine.Shared
 	// pauses detects when the process or its host was paused.
 	pauses    pauseDetector
@@ -158,6 +159,7 @@
 		Target: func(f quarantine.FailureID) time.Time { return e.balancer.HeardFrom(f.Target, f.Incarnation) },
 		Zone:   e.balancer.ZoneHeardFrom,
 	})
+	e.limits = newTargetLimits(e)
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -411,7 +411,11 @@
 			h.Set("Copy-Handle", m.ResumeFrom.Handle)
 		},
 		DecodeResponse: func(_ int, h http.Header) protocol.ResponseMetadata {
-			return protocol.ResponseMetadata{Attempt: protocol.AttemptID(h.Get("Attempt")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+			perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
+			return protocol.ResponseMetadata{
+				Attempt: protocol.AttemptID(h.Get("Attempt")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
+				Limit: protocol.Limit{Limited: err == nil, PerSecond: protocol.PerSecond(perSecond)},
+			}
 		},
 		CopyCall: func(run protocol.AttemptID, to string) (protocol.Call, error) {
 			return protocol.Call{Method: "POST", Path: "/copy", Header: http.Header{"Attempt": {string(run)}, "Copy-To": {to}}}, nil
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -58,6 +58,9 @@
 	runs int
 	// targetBusy is set if a target refused the request because it was full.
 	targetBusy bool
+	// limitedTarget is the target at its limit that would have been free first; nil if
+	// that did not keep the request from being sent.
+	limitedTarget *catalog.Target
 	// budgetExhausted is set if the retry budget did not allow another attempt.
 	budgetExhausted bool
 	// requestFingerprint identifies the content of the request. quarantineLeft is
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -163,6 +163,7 @@
 		From: x.e.cfg.Name, Incarnation: x.incarnation, Sequence: x.sequence, Address: x.e.cfg.PeerAddress,
 		KnownPeers: x.roster.Alive(now), Loads: x.e.balancer.Loads(), Runs: x.e.handover.RunsToShare(now),
 		Retries: x.e.retryBudgets.counts(now), Turns: x.e.quarantine.Turns(),
+		Limits: x.e.limits.reports(now),
 	}
 	if cfg := x.e.directory.View().Config; cfg != nil {
 		u.Version = cfg.Version
@@ -212,6 +213,7 @@
 	}
 	x.e.balancer.ApplyPeerLoads(now, u.From, u.Loads)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
+	x.e.limits.merge(now, u.Limits)
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
 	x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -43,8 +43,12 @@
 		if !c.mayStart(ctx) {
 			break
 		}
-		choice, ok := c.e.balancer.Choose(c.now(), c.requirements, c.targets(), c.tried)
-		if !ok || !c.allowSend() {
+		choice, ok := c.choose(ctx)
+		if !ok {
+			break
+		}
+		if !c.allowSend() {
+			c.e.limits.giveBack(choice.Target)
 			break
 		}
 		answer, outcome := c.sendOnce(ctx, choice)
@@ -120,6 +124,7 @@
 	request := &upstream.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
 	}
+	sent := c.now()
 	answer, err := c.e.pool.Do(ctx, choice.Target.Address, request, c.attemptDeadline())
 	if err != nil {
 		return nil, lossOutcome(err), err
@@ -129,6 +134,9 @@
 	if meta.Attempt != c.meta.Attempt {
 		return nil, balance.Lost, errWrongAttempt
 	}
+	if answer.Status != http.StatusMisdirectedRequest {
+		c.e.limits.observe(sent, choice.Target, meta.Limit)
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errAnswerTooLong
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -74,6 +74,8 @@
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "quarantine", retryAfter: c.quarantineLeft})
 	case c.runs == 0 && c.heldBack:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "suspect", retryAfter: quarantine.SettleTime})
+	case c.runs == 0 && c.limitedTarget != nil && !c.expired():
+		c.refuseAtLimit()
 	case c.runs == 0 && c.targetBusy:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targetsBusy", retryAfter: busyRetryAfter})
 	case c.runs == 0 && c.budgetExhausted:
--- a/internal/transport/direct/retries.go
+++ b/internal/transport/direct/retries.go
@@ -91,6 +91,20 @@
 	return counts
 }
 
+// demand returns the recent requests for a service at this entry, and at each of the
+// entries that were heard from lately.
+func (r *retryBudgets) demand(now time.Time, service id.Service) (own int, others map[id.Entry]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	others = make(map[id.Entry]int, len(r.peers))
+	for name, p := range r.peers {
+		if now.Sub(p.at) <= peerDemandTime {
+			others[name] = p.counts[service].Requests
+		}
+	}
+	return r.budget(now, service).Counts(now).Requests, others
+}
+
 // setPeerCounts records the counts of another entry.
 func (r *retryBudgets) setPeerCounts(now time.Time, from id.Entry, counts map[id.Service]retry.Counts) {
 	r.mu.Lock()
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -265,6 +265,7 @@
 		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", "gone", "zone", t.Zone)
 	}
 	w.e.balancer.Forget(ts)
+	w.e.limits.forget(ts)
 }
 
 // removeMissing periodically removes the targets that did not reappear after an
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -93,8 +93,12 @@
 		if !c.mayStart(ctx) {
 			break
 		}
-		a, ok := s.nextAttempt()
-		if !ok || !c.allowSend() {
+		a, ok := s.nextAttempt(ctx)
+		if !ok {
+			break
+		}
+		if !c.allowSend() {
+			c.e.limits.giveBack(a.choice.Target)
 			break
 		}
 		outcome := s.runAttempt(ctx, a)
@@ -112,18 +116,18 @@
 // nextAttempt chooses the target for the next run: the holder of the lost run's
 // copy if there is one, otherwise any target, where the run starts from the
 // beginning.
-func (s *stream) nextAttempt() (attempt, bool) {
+func (s *stream) nextAttempt(ctx context.Context) (attempt, bool) {
 	c := s.c
 	now := c.now()
 	targets := c.targets()
 	if c.sends == 0 && s.lastEventID != "" && c.route.Resumable {
 		s.inheritCopy(now, targets)
 	}
-	if t, ref := s.copyHolder(now, targets); t != nil {
-		backup := c.e.balancer.BackupFor(now, c.requirements, targets, t, c.tried)
+	if t, ref := s.copyHolder(now, targets); t != nil && c.takePlace(ctx, t, resumeLimitWait) {
+		backup := c.e.balancer.BackupFor(c.now(), c.requirements, targets, t, c.tried)
 		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsBackup}, resumeFrom: ref}, true
 	}
-	choice, ok := c.e.balancer.Choose(now, c.requirements, targets, c.tried)
+	choice, ok := c.choose(ctx)
 	return attempt{choice: choice}, ok
 }
 
@@ -189,12 +193,13 @@
 	}
 	detector := detect.New(stallConfig(), c.now(), expected)
 	s.copyTracker.runStarted(a.choice.Backup, c.meta.Attempt)
+	sent := c.now()
 	answer, err := c.e.pool.Do(ctx, a.choice.Target.Address, s.upstreamRequest(a), s.readDeadline(detector))
 	if err != nil {
 		return lossOutcome(err), err
 	}
 	defer answer.Close()
-	if outcome, err := s.checkHead(answer); outcome != balance.Succeeded {
+	if outcome, err := s.checkHead(answer, a.choice.Target, sent); outcome != balance.Succeeded {
 		return outcome, err
 	}
 	events := eventstream.NewReader(answer.Body)
@@ -247,8 +252,9 @@
 }
 
 // checkHead returns Succeeded if the events of an answer may be forwarded,
-// otherwise the outcome that the answer stands for.
-func (s *stream) checkHead(a *upstream.Answer) (balance.Outcome, error) {
+// otherwise the outcome that the answer stands for. sent is when the request was sent to
+// the target.
+func (s *stream) checkHead(a *upstream.Answer, t *catalog.Target, sent time.Time) (balance.Outcome, error) {
 	c := s.c
 	meta := c.e.deps.Dialect.DecodeResponse(a.Status, a.Header)
 	switch {
@@ -256,6 +262,9 @@
 		return balance.Lost, errWrongAttempt
 	case a.Status == http.StatusMisdirectedRequest:
 		return balance.Replaced, nil
+	}
+	c.e.limits.observe(sent, t, meta.Limit)
+	switch {
 	case meta.NotRun:
 		return balance.Refused, nil
 	case a.Status < http.StatusMultipleChoices && meta.Signed:
