--- a/internal/standin/soak/config_change.go
+++ b/internal/standin/soak/config_change.go
@@ -76,7 +76,7 @@
 	}
 	req.Host = routeHost
 	attempt := direct.AttemptID(fmt.Sprintf("probe-%d-%s-%s-%s", w.probeCount.Add(1), e.name, key, path))
-	w.history.recordSent(attempt, sentAttempt{sentAt: time.Now(), path: path, account: account})
+	w.history.recordSent(attempt, sentAttempt{sentAt: time.Now(), entry: e.name, path: path, account: account})
 	platform.EncodeRequestMetadata(req.Header, &direct.RequestMetadata{Attempt: attempt, Timeout: plainTimeout, Key: key})
 	res, err := w.probes.Do(req)
 	if err != nil {
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -43,6 +43,9 @@
 	CrashingRefused Guarantee = "crashingRefused"
 	// HarmlessAccepted: a request that crashes no target is not refused as if it did.
 	HarmlessAccepted Guarantee = "harmlessAccepted"
+	// LimitKept means that a target that names a limit gets no more requests than that
+	// allows, from all entries together.
+	LimitKept Guarantee = "limitKept"
 	// ProcessLifecycle: processes exit only when they are told to, and in time.
 	ProcessLifecycle Guarantee = "running"
 )
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -44,6 +44,9 @@
 	if opts.StoreReturns {
 		p = append(p, newStoreReturns(opts, rand.New(rand.NewPCG(opts.Seed, returnRandomStream)))...)
 	}
+	if opts.TargetLimits {
+		p = append(p, newTargetLimits(opts, rand.New(rand.NewPCG(opts.Seed, limitRandomStream)))...)
+	}
 	slices.SortStableFunc(p, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -44,6 +44,9 @@
 	server *server.Server
 	link   *proxy
 
+	// limits are the limits that the target names.
+	limits targetLimits
+
 	// restartMu is held from stopping the target until it is started again.
 	restartMu sync.Mutex
 
@@ -128,6 +131,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if limit := p.limits.answer(identity.ID, forwarded.Attempt); limit > 0 {
+		platform.EncodeLimit(w.Header(), limit)
+	}
 	p.checkNotDrained(forwarded.Attempt)
 	if serviceOf(r.URL.Path) != identity.Service {
 		p.w.history.recordViolation(MatchesRequest, forwarded.Attempt, "target %s of service %s received a request to %s", identity.ID, identity.Service, r.URL.Path)
@@ -290,6 +296,7 @@
 
 // restart starts the replica again with a name and a service.
 func (p *replica) restart(name id.Target, service id.Service) error {
+	p.limits.end()
 	p.setIdentity(name, service)
 	return p.server.Start()
 }
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -55,6 +55,8 @@
 	Crashing bool
 	// StoreReturns adds returns of the key-value service from older copies of its state.
 	StoreReturns bool
+	// TargetLimits adds targets that name limits of the requests that they take.
+	TargetLimits bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
 	// instance that requests are served and configuration changes are applied in time
 	// while no fault is active.
@@ -131,6 +133,7 @@
 	clients.Wait()
 	w.restarts.Wait()
 	w.checkCrashingRequests()
+	w.checkTargetLimits()
 	w.checkRecovery(ctx)
 }
 
@@ -140,5 +143,6 @@
 	planRandomStream     = 1
 	crashingRandomStream = 2
 	returnRandomStream   = 3
+	limitRandomStream    = 4
 	clientRandomStream   = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,7 +41,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(200) {
-		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0}
+		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0}
 		is.Equal(soak.PlanText(o), soak.PlanText(o))
 		is.True(soak.PlanFitsDuration(o))
 		is.True(len(soak.PlanText(o)) > 0)
@@ -224,6 +224,26 @@
 	}
 }
 
+// targetLimitSeeds are run by each TestRunTargetLimits, with the cause of an earlier
+// failure.
+var targetLimitSeeds = []seedCase{{1, 15 * time.Second, "no earlier failure"}}
+
+// TestRunTargetLimits runs real entries whose targets name limits, among other faults.
+func TestRunTargetLimits(t *testing.T) {
+	is := is.New(t)
+	program := buildProgram(t)
+	for _, c := range targetLimitSeeds {
+		r, err := soak.Run(context.Background(), soak.Options{
+			Program: program, Dir: t.TempDir(), Seed: c.seed, Duration: c.duration, SafetyOnly: true, TargetLimits: true,
+		})
+		is.NoErr(err)
+		is.True(r.Faults["targetLimited"] > 0)
+		for _, v := range r.Violations {
+			t.Errorf("seed %d (%s): %v", c.seed, c.cause, v)
+		}
+	}
+}
+
 // TestRun runs real entries under several seconds of faults. It checks only
 // guarantees that do not depend on the machine's speed.
 func TestRun(t *testing.T) {
