Large files split, and what stood twice

Quarantine: failures and status have files of their own. Directory: what is known of absent targets has. The state saver's two ways to load are one, and so are the soak's four tests. MergeQuarantines had no caller.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -33,10 +33,6 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// relistTimeout is how long after an outage of the key-value service a live
-// target may take to be listed again.
-const relistTimeout = 2 * time.Second
-
 // View is the state of a Directory at one time. It is immutable.
 type View struct {
 	// Config is nil until a configuration is known.
@@ -44,18 +40,6 @@
 	Targets map[id.Service]catalog.Targets
 }
 
-// successorListTimeout is how long a target that was added as a successor may
-// take until it is listed, while the key-value service is available.
-const successorListTimeout = 3 * time.Second
-
-// doubtTime is how long a target that had left is not used if an older copy of the
-// service's state lists it. The records of dead targets expire sooner.
-const doubtTime = 5 * time.Second
-
-// departedRetention is how long the names of targets that have left are kept.
-// Other entries may still report a successor for a second after it was added.
-const departedRetention = time.Minute
-
 // Directory is the mutable state behind the View of one process.
 type Directory struct {
 	view    atomic.Pointer[View]
@@ -84,13 +68,6 @@
 	restoredAt time.Time
 }
 
-// departure is what is known of a target that has left.
-type departure struct {
-	at          time.Time
-	incarnation id.Incarnation
-	sequence    int64
-}
-
 // New returns an empty Directory.
 func New() *Directory {
 	d := &Directory{
@@ -186,30 +163,12 @@
 	return gone
 }
 
-// markListed records that a target is listed.
-func (d *Directory) markListed(name id.Target) {
-	delete(d.missing, name)
-	delete(d.unlisted, name)
-	delete(d.doubtful, name)
-}
-
 // IsOutdated reports whether more recent data of the same target is known.
 func (d *Directory) IsOutdated(t *catalog.Target) bool {
 	known := d.targets[t.ID]
 	return known != nil && known.Incarnation == t.Incarnation && t.Sequence < known.Sequence
 }
 
-// isDoubtful reports whether the target had left before the service returned from
-// an older copy of its state, and records it as doubtful if so.
-func (d *Directory) isDoubtful(t *catalog.Target) bool {
-	left, departed := d.departed[t.ID]
-	if !departed || !left.at.Before(d.restoredAt) || left.incarnation != t.Incarnation || t.Sequence > left.sequence {
-		return false
-	}
-	d.doubtful[t.ID] = t
-	return true
-}
-
 // hasSuccessor reports whether another target has taken the place of this
 // incarnation. The record of the replaced target expires only later.
 func (d *Directory) hasSuccessor(t *catalog.Target) bool {
@@ -239,10 +198,6 @@
 	return &t
 }
 
-// StoreUnavailable reports whether the key-value service does not answer this
-// entry.
-func (d *Directory) StoreUnavailable() bool { return d.storeDown }
-
 // Remove records that a target is no longer listed. It returns the target if it
 // is gone immediately, and nil if it is kept or unknown.
 func (d *Directory) Remove(now time.Time, name id.Target) *catalog.Target {
@@ -251,112 +206,6 @@
 	return gone
 }
 
-// delist removes a target, or marks it as missing if it may be listed again.
-func (d *Directory) delist(now time.Time, name id.Target) *catalog.Target {
-	delete(d.doubtful, name)
-	t, known := d.targets[name]
-	if !known {
-		return nil
-	}
-	if t.State == catalog.Ready && d.listIncomplete(now) {
-		if _, missing := d.missing[name]; !missing {
-			d.missing[name] = now
-		}
-		return nil
-	}
-	d.depart(now, t)
-	return t
-}
-
-// depart removes a target, keeping its name among the departed ones.
-func (d *Directory) depart(now time.Time, t *catalog.Target) {
-	delete(d.targets, t.ID)
-	delete(d.missing, t.ID)
-	delete(d.unlisted, t.ID)
-	d.departed[t.ID] = departureOf(now, t)
-	for name, left := range d.departed {
-		if now.Sub(left.at) > departedRetention {
-			delete(d.departed, name)
-			delete(d.replaced, name)
-		}
-	}
-}
-
-func departureOf(now time.Time, t *catalog.Target) departure {
-	return departure{at: now, incarnation: t.Incarnation, sequence: t.Sequence}
-}
-
-// listIncomplete reports whether the key-value service's list may lack live
-// targets.
-func (d *Directory) listIncomplete(now time.Time) bool {
-	return d.storeDown || (!d.storeUpAt.IsZero() && now.Before(d.storeUpAt.Add(relistTimeout)))
-}
-
-// MarkStoreUnavailable records that the key-value service does not answer, and
-// reports whether it was available before.
-func (d *Directory) MarkStoreUnavailable() bool {
-	changed := !d.storeDown
-	d.storeDown = true
-	return changed
-}
-
-// MarkStoreAvailable records that the key-value service answers, and reports
-// whether it was unavailable before.
-func (d *Directory) MarkStoreAvailable(now time.Time) bool {
-	if !d.storeDown {
-		return false
-	}
-	d.storeDown, d.storeUpAt = false, now
-	return true
-}
-
-// MarkStoreRestored records that the key-value service has returned from an older
-// copy of its state.
-func (d *Directory) MarkStoreRestored(now time.Time) { d.storeUpAt, d.restoredAt = now, now }
-
-// acceptDoubtful adds the doubtful targets that are still listed after the time
-// within which the records of dead ones expire.
-func (d *Directory) acceptDoubtful(now time.Time) {
-	if len(d.doubtful) == 0 || now.Sub(d.restoredAt) < doubtTime {
-		return
-	}
-	for name, t := range d.doubtful {
-		delete(d.departed, name)
-		d.targets[name] = t
-	}
-	clear(d.doubtful)
-	d.publish()
-}
-
-// RemoveMissing removes the targets whose time to be listed again has run out,
-// and returns them. It adds those of which the service's return from an older copy
-// left in doubt whether they have left.
-func (d *Directory) RemoveMissing(now time.Time) catalog.Targets {
-	if d.listIncomplete(now) {
-		return nil
-	}
-	d.acceptDoubtful(now)
-	for name, at := range d.unlisted {
-		if now.Sub(at) > successorListTimeout {
-			d.missing[name] = at
-			delete(d.unlisted, name)
-		}
-	}
-	if len(d.missing) == 0 {
-		return nil
-	}
-	var gone catalog.Targets
-	for name := range d.missing {
-		if t, known := d.targets[name]; known {
-			gone = append(gone, t)
-			d.depart(now, t)
-		}
-	}
-	clear(d.missing)
-	d.publish()
-	return gone
-}
-
 // publish stores a new View. Targets are sorted by name.
 func (d *Directory) publish() {
 	v := &View{Config: d.config, Targets: map[id.Service]catalog.Targets{}}
--- a/internal/coordination/policy/quarantine.go
+++ b/internal/coordination/policy/quarantine.go
@@ -132,10 +132,3 @@
 	p.quarantined.Expire(now)
 	return p.quarantined.Records(now)
 }
-
-// MergeQuarantines adds the records of another process.
-func (p *Policy) MergeQuarantines(now time.Time, records []quarantine.Record) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.quarantined.Merge(now, records)
-}
--- /dev/null
+++ b/internal/coordination/quarantine/failure.go
@@ -0,0 +1,206 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/member"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// FailureID identifies the target that failed. The incarnation is that of the target
+// process; the engine may fail several times within it.
+type FailureID struct {
+	Target      id.Target
+	Incarnation id.Incarnation
+}
+
+// Run is an attempt of a request that ran at a target when the target failed.
+type Run struct {
+	Fingerprint id.Fingerprint
+	StartedAt   time.Time
+	// Alone says that no other request with the fingerprint ran at any entry.
+	Alone bool
+}
+
+// Failure is the failure of a target, as observed by one process. The observer may know
+// only some of the requests that ran there; other entries know the others.
+type Failure struct {
+	FailureID
+	Place member.Place
+	// At is the time of the failure by the observer's clock.
+	At time.Time
+	// Running lists the attempts that ran there. A failure with an empty list counts
+	// too, because it may explain other failures in its zone.
+	Running []Run
+}
+
+// failure is one failure as recorded by a Tracker.
+type failure struct {
+	FailureID
+	place member.Place
+	at    time.Time
+	// suspects holds the fingerprints that ran there.
+	suspects map[id.Fingerprint]*suspect
+	// version is the tracker's version at the last change of this failure.
+	version uint64
+}
+
+// suspect is a fingerprint that ran at a failure.
+type suspect struct {
+	// startedAt is when the first of its attempts there started, and lastStart when the
+	// last one did. Both can only be reported too late.
+	startedAt time.Time
+	lastStart time.Time
+	// cleared says that the fingerprint has run to completion since the failure.
+	cleared bool
+	// alone says that no other request with the fingerprint ran at any entry.
+	alone bool
+}
+
+// ran reports whether f ran at the failure and has not been cleared since.
+func (fail *failure) ran(f id.Fingerprint) bool {
+	s := fail.suspects[f]
+	return s != nil && !s.cleared
+}
+
+// RecordFailure records a failure that this process observed.
+func (t *Tracker) RecordFailure(fail Failure) {
+	var startedAt time.Time
+	for _, run := range fail.Running {
+		if run.StartedAt.After(startedAt) {
+			startedAt = run.StartedAt
+		}
+	}
+	recorded := t.findOrAddFailure(fail.FailureID, fail.Place, fail.At, startedAt)
+	for _, run := range fail.Running {
+		t.addSuspect(recorded, run.Fingerprint, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, alone: run.Alone})
+	}
+}
+
+// addSuspect adds what is known about f at a failure.
+func (t *Tracker) addSuspect(fail *failure, f id.Fingerprint, added suspect) {
+	known := fail.suspects[f]
+	if known == nil {
+		known = &suspect{startedAt: added.startedAt, lastStart: added.lastStart}
+		fail.suspects[f] = known
+		t.byFingerprint[f] = append(t.byFingerprint[f], fail)
+		t.markChanged(fail)
+	}
+	if known.startedAt.Sub(added.startedAt) > timeTolerance {
+		t.markChanged(fail)
+	}
+	if added.startedAt.Before(known.startedAt) {
+		known.startedAt = added.startedAt
+	}
+	if added.lastStart.Sub(known.lastStart) > maxReportDelay && !added.lastStart.After(fail.at) {
+		known.lastStart = added.lastStart
+		t.markChanged(fail)
+	}
+	if added.alone && !known.alone {
+		known.alone = true
+		t.markChanged(fail)
+	}
+	if added.cleared && !known.cleared {
+		known.cleared = true
+		t.markChanged(fail)
+	}
+}
+
+// markChanged marks a failure as changed, so that Changes returns it.
+func (t *Tracker) markChanged(fail *failure) {
+	t.version++
+	fail.version = t.version
+}
+
+// findOrAddFailure returns the record of a failure, which it adds if there is none. Of two
+// reported times the earlier one is kept, because reports can only be delayed. startedAt is
+// when an attempt started that ran at the failure; zero if that is not known.
+func (t *Tracker) findOrAddFailure(key FailureID, place member.Place, at, startedAt time.Time) *failure {
+	for _, fail := range t.failures {
+		if fail.FailureID != key || !t.isSame(fail, at, startedAt) {
+			continue
+		}
+		if fail.at.Sub(at) > timeTolerance {
+			t.markChanged(fail)
+		}
+		if at.Before(fail.at) {
+			fail.at = at
+		}
+		return fail
+	}
+	t.makeRoom()
+	fail := &failure{FailureID: key, place: place, at: at, suspects: map[id.Fingerprint]*suspect{}}
+	t.failures = append(t.failures, fail)
+	t.markChanged(fail)
+	return fail
+}
+
+// isSame reports whether a failure of the same target reported for a time is a recorded
+// one.
+func (t *Tracker) isSame(fail *failure, at, startedAt time.Time) bool {
+	distance := at.Sub(fail.at).Abs()
+	if t.cfg.FailsOnce {
+		return t.ended(fail) || distance <= activityTolerance
+	}
+	return distance <= sameFailureWindow && !startedAt.After(fail.at)
+}
+
+// RecordCompletion records that a request ran to completion, which clears its fingerprint
+// of the failures known so far.
+func (t *Tracker) RecordCompletion(f id.Fingerprint) {
+	for _, fail := range t.byFingerprint[f] {
+		t.addSuspect(fail, f, suspect{startedAt: fail.suspects[f].startedAt, lastStart: fail.suspects[f].lastStart, cleared: true})
+	}
+}
+
+// Expire drops failures that are too old to matter at now.
+func (t *Tracker) Expire(now time.Time) {
+	for _, fail := range slices.Clone(t.failures) {
+		if now.Sub(fail.at) > 2*t.cfg.QuarantineTime {
+			t.drop(fail)
+		}
+	}
+}
+
+// makeRoom drops a failure if the tracker is full: the oldest one whose suspects ran at
+// no other failure, or else the oldest.
+func (t *Tracker) makeRoom() {
+	if len(t.failures) < maxFailures {
+		return
+	}
+	var oldest, unrelated *failure
+	for _, fail := range t.failures {
+		if oldest == nil || fail.at.Before(oldest.at) {
+			oldest = fail
+		}
+		if (unrelated == nil || fail.at.Before(unrelated.at)) && !t.hasRepeatedSuspect(fail) {
+			unrelated = fail
+		}
+	}
+	if unrelated != nil {
+		oldest = unrelated
+	}
+	t.drop(oldest)
+}
+
+// hasRepeatedSuspect reports whether a suspect of the failure ran at others too.
+func (t *Tracker) hasRepeatedSuspect(fail *failure) bool {
+	for f := range fail.suspects {
+		if fail.ran(f) && t.ends(f) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Tracker) drop(dropped *failure) {
+	same := func(fail *failure) bool { return fail == dropped }
+	t.failures = slices.DeleteFunc(t.failures, same)
+	for f := range dropped.suspects {
+		t.byFingerprint[f] = slices.DeleteFunc(t.byFingerprint[f], same)
+		if len(t.byFingerprint[f]) == 0 {
+			delete(t.byFingerprint, f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/quarantine/status.go
@@ -0,0 +1,109 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Status is the status of a fingerprint.
+type Status struct {
+	State State
+	// Failures is the number of failures that count against the fingerprint, fully or
+	// in part.
+	Failures int
+	// Ends is the number of all failures at which the fingerprint ran and of which it
+	// has not been cleared, whatever else explains them.
+	Ends int
+	// RunAlone says that one more failure puts the fingerprint into quarantine. Its
+	// requests must run one at a time, on a target that runs little else.
+	RunAlone bool
+	// Until is when the quarantine ends.
+	Until time.Time
+}
+
+// Status returns the status of f at now, from the failures that are older than SettleTime.
+func (t *Tracker) Status(now time.Time, f id.Fingerprint) Status {
+	return t.status(now, f, now.Add(-t.cfg.SettleTime))
+}
+
+// LatestStatus returns the status of f at now from all failures.
+func (t *Tracker) LatestStatus(now time.Time, f id.Fingerprint) Status { return t.status(now, f, now) }
+
+// status returns the status of f at now from the failures up to a time.
+func (t *Tracker) status(now time.Time, f id.Fingerprint, last time.Time) Status {
+	evidence := t.evidence(f, last)
+	s := Status{Ends: t.ends(f)}
+	limit := t.limit()
+	var until time.Time
+	recent, unexplained := points(0), 0
+	for i, e := range evidence {
+		if t.pointsUntil(evidence, i) >= limit || !until.IsZero() {
+			// A fingerprint that was in quarantine before returns there at its next
+			// failure.
+			until = e.at.Add(t.cfg.QuarantineTime)
+		}
+		if now.Sub(e.at) < t.cfg.QuarantineTime {
+			s.Failures++
+			recent += e.points
+			if !e.otherCause {
+				unexplained++
+			}
+		}
+	}
+	switch {
+	case now.Before(until):
+		s.State, s.Until = Refused, until
+	case recent >= certain:
+		s.State = Suspected
+		s.RunAlone = unexplained >= t.cfg.QuarantineThreshold-1 || recent+certain >= limit || !until.IsZero()
+	default:
+		s.State, s.RunAlone = Clear, !until.IsZero()
+	}
+	return s
+}
+
+// limit returns the points from which a fingerprint is refused.
+func (t *Tracker) limit() points { return certain * points(t.cfg.QuarantineThreshold) }
+
+// mayBeRefused reports whether f ran at enough failures to be refused.
+func (t *Tracker) mayBeRefused(f id.Fingerprint) bool {
+	return certain*points(len(t.byFingerprint[f])) >= t.limit()
+}
+
+// TryStart reports whether a request may start or continue in this process. A suspect that
+// must run alone has to wait while another request with its fingerprint runs.
+func (t *Tracker) TryStart(now time.Time, f id.Fingerprint, request id.Request) bool {
+	s := t.LatestStatus(now, f)
+	if s.State == Refused {
+		return false
+	}
+	if !s.RunAlone {
+		return true
+	}
+	if running, found := t.runningAlone[f]; found && running != request {
+		return false
+	}
+	t.runningAlone[f] = request
+	return true
+}
+
+// End records that a request no longer runs in this process.
+func (t *Tracker) End(f id.Fingerprint, request id.Request) {
+	if t.runningAlone[f] == request {
+		delete(t.runningAlone, f)
+	}
+}
+
+// MustSeparate reports whether f and other must not share a target, because both are
+// suspected of the same failure. If they run apart, the next failure shows which of them
+// caused it.
+func (t *Tracker) MustSeparate(f, other id.Fingerprint) bool {
+	if f == other {
+		return false
+	}
+	return slices.ContainsFunc(t.byFingerprint[f], func(fail *failure) bool {
+		return fail.ran(f) && fail.ran(other) && t.ended(fail) && !t.hasOtherCause(fail, f)
+	})
+}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -182,6 +182,25 @@
 	return program
 }
 
+// playSeeds runs real entries with each seed and reports the violations. It checks only
+// guarantees that do not depend on the machine's speed. fault is the kind of a fault that
+// all runs must have, or empty.
+func playSeeds(t *testing.T, cases []seedCase, opts soak.Options, fault string) {
+	t.Helper()
+	is := is.New(t)
+	opts.Program, opts.SafetyOnly = buildProgram(t), true
+	for _, c := range cases {
+		opts.Dir, opts.Seed, opts.Duration = t.TempDir(), c.seed, c.duration
+		r, err := soak.Run(context.Background(), opts)
+		is.NoErr(err)
+		is.True(r.Attempts > 0)
+		is.True(fault == "" || r.Faults[fault] > 0)
+		for _, v := range r.Violations {
+			t.Errorf("seed %d (%s): %v", c.seed, c.cause, v)
+		}
+	}
+}
+
 // crashingSeeds are run by each TestRunCrashing, with the cause of an earlier failure.
 var crashingSeeds = []seedCase{
 	{1, 15 * time.Second, "failures nearby hid a request that crashes targets, and others were blamed for its crashes"},
@@ -190,17 +209,7 @@
 
 // TestRunCrashing checks that requests that crash targets are refused, and no others.
 func TestRunCrashing(t *testing.T) {
-	is := is.New(t)
-	program := buildProgram(t)
-	for _, c := range crashingSeeds {
-		r, err := soak.Run(context.Background(), soak.Options{
-			Program: program, Dir: t.TempDir(), Seed: c.seed, Duration: c.duration, SafetyOnly: true, Crashing: true,
-		})
-		is.NoErr(err)
-		for _, v := range r.Violations {
-			t.Errorf("seed %d (%s): %v", c.seed, c.cause, v)
-		}
-	}
+	playSeeds(t, crashingSeeds, soak.Options{Crashing: true}, "")
 }
 
 // storeReturnSeeds are run by each TestRunStoreReturns, with the cause of an earlier
@@ -210,18 +219,7 @@
 // TestRunStoreReturns runs real entries whose key-value service returns from older
 // copies of its state, among other faults.
 func TestRunStoreReturns(t *testing.T) {
-	is := is.New(t)
-	program := buildProgram(t)
-	for _, c := range storeReturnSeeds {
-		r, err := soak.Run(context.Background(), soak.Options{
-			Program: program, Dir: t.TempDir(), Seed: c.seed, Duration: c.duration, SafetyOnly: true, StoreReturns: true,
-		})
-		is.NoErr(err)
-		is.True(r.Attempts > 0)
-		for _, v := range r.Violations {
-			t.Errorf("seed %d (%s): %v", c.seed, c.cause, v)
-		}
-	}
+	playSeeds(t, storeReturnSeeds, soak.Options{StoreReturns: true}, "storeReturned")
 }
 
 // targetLimitSeeds are run by each TestRunTargetLimits, with the cause of an earlier
@@ -230,33 +228,8 @@
 
 // TestRunTargetLimits runs real entries whose targets name limits, among other faults.
 func TestRunTargetLimits(t *testing.T) {
-	is := is.New(t)
-	program := buildProgram(t)
-	for _, c := range targetLimitSeeds {
-		r, err := soak.Run(context.Background(), soak.Options{
-			Program: program, Dir: t.TempDir(), Seed: c.seed, Duration: c.duration, SafetyOnly: true, TargetLimits: true,
-		})
-		is.NoErr(err)
-		is.True(r.Faults["targetLimited"] > 0)
-		for _, v := range r.Violations {
-			t.Errorf("seed %d (%s): %v", c.seed, c.cause, v)
-		}
-	}
+	playSeeds(t, targetLimitSeeds, soak.Options{TargetLimits: true}, "targetLimited")
 }
 
-// TestRun runs real entries under several seconds of faults. It checks only
-// guarantees that do not depend on the machine's speed.
-func TestRun(t *testing.T) {
-	is := is.New(t)
-	program := buildProgram(t)
-	for _, c := range seeds {
-		r, err := soak.Run(context.Background(), soak.Options{
-			Program: program, Dir: t.TempDir(), Seed: c.seed, Duration: c.duration, SafetyOnly: true,
-		})
-		is.NoErr(err)
-		is.True(r.Attempts > 0)
-		for _, v := range r.Violations {
-			t.Errorf("seed %d (%s): %v", c.seed, c.cause, v)
-		}
-	}
-}
+// TestRun runs real entries under several seconds of faults.
+func TestRun(t *testing.T) { playSeeds(t, seeds, soak.Options{}, "") }
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -72,47 +72,47 @@
 // loadRuns reads the runs that entries saved before they ended. The age of a run
 // is not known, but an engine refuses a copy that it no longer holds.
 func (s *stateSaver) loadRuns(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
-	page, err := s.e.deps.Store.List(ctx, store.RunsPrefix)
-	if err == nil {
-		s.e.storeWatcher.observeEra(page.Era)
-	}
-	if err != nil {
-		s.e.deps.Log.Emit(event.RunsNotLoaded, "error", err)
-		return
-	}
-	now := s.e.deps.Clock.Now()
-	for i := range page.Items {
+	s.load(ctx, store.RunsPrefix, event.RunsNotLoaded, func(value []byte) error {
 		var runs []handover.Run
-		if err := json.Unmarshal(page.Items[i].Value, &runs); err != nil {
-			s.e.deps.Log.Emit(event.RunsNotLoaded, "key", page.Items[i].Key, "error", err)
-			continue
+		if err := json.Unmarshal(value, &runs); err != nil {
+			return err
 		}
-		s.e.handover.Restore(now, runs)
-	}
+		s.e.handover.Restore(s.e.deps.Clock.Now(), runs)
+		return nil
+	})
 }
 
 // loadSuspects reads the suspects that entries saved before they ended.
 func (s *stateSaver) loadSuspects(ctx context.Context) {
+	s.loaded = s.load(ctx, store.SuspectsPrefix, event.SuspectsNotLoaded, func(value []byte) error {
+		var saved suspectsItem
+		if err := json.Unmarshal(value, &saved); err != nil {
+			return err
+		}
+		now := s.e.deps.Clock.Now()
+		age := max(0, now.Sub(time.UnixMilli(saved.SavedAtMS)))
+		s.e.quarantine.Merge(now, quarantine.Aged(saved.Records, age))
+		return nil
+	})
+}
+
+// load applies the items with a prefix. It logs those that can't be decoded, and
+// returns false if the items can't be read.
+func (s *stateSaver) load(ctx context.Context, prefix string, failed event.Event, apply func(value []byte) error) bool {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	page, err := s.e.deps.Store.List(ctx, store.SuspectsPrefix)
+	page, err := s.e.deps.Store.List(ctx, prefix)
 	if err != nil {
-		s.e.deps.Log.Emit(event.SuspectsNotLoaded, "error", err)
-		return
+		s.e.deps.Log.Emit(failed, "error", err)
+		return false
 	}
-	s.loaded = true
-	now := s.e.deps.Clock.Now()
+	s.e.storeWatcher.observeEra(page.Era)
 	for i := range page.Items {
-		var saved suspectsItem
-		if err := json.Unmarshal(page.Items[i].Value, &saved); err != nil {
-			s.e.deps.Log.Emit(event.SuspectsNotLoaded, "key", page.Items[i].Key, "error", err)
-			continue
+		if err := apply(page.Items[i].Value); err != nil {
+			s.e.deps.Log.Emit(failed, "key", page.Items[i].Key, "error", err)
 		}
-		age := max(0, now.Sub(time.UnixMilli(saved.SavedAtMS)))
-		s.e.quarantine.Merge(now, quarantine.Aged(saved.Records, age))
 	}
+	return true
 }
 
 // save writes the current state in one call. It writes nothing if there are no
