Entries: a loss is told with the target's incarnation

Cause: entries told a loss by the target's name. One that was seen late, after the target had started again under that name, counted as an end of the next incarnation before that one was born, and hid its own end.

Change: losses carry the incarnation, and that of another one is ignored.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -41,6 +41,14 @@
 
 func (r *Request) memory() int { return r.PromptTokens + r.OutputTokens }
 
+// Incarnation identifies one start of a target.
+type Incarnation struct {
+	Target      id.Target
+	Incarnation id.Incarnation
+}
+
+func incarnationOf(t *catalog.Target) Incarnation { return Incarnation{t.ID, t.Incarnation} }
+
 // Choice is a target and, for engines that back each other up, the engine that
 // gets a backup copy of the generation.
 type Choice struct {
@@ -108,10 +116,10 @@
 	others map[id.Target]Load
 	// lost holds when targets were lost, to report recent losses to the other
 	// entries.
-	lost map[id.Target]time.Time
+	lost map[Incarnation]time.Time
 	// replaced holds when targets were found to be replaced, for the other
 	// entries.
-	replaced map[id.Target]time.Time
+	replaced map[Incarnation]time.Time
 	// ownHostFaultAt is when simultaneous losses in several zones were last
 	// attributed to the entry's own host.
 	ownHostFaultAt time.Time
@@ -125,8 +133,8 @@
 	return &Balancer{
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, links: map[id.Zone]*linkRecord{}, waiting: map[*Attempt]struct{}{},
-		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[id.Target]time.Time{},
-		replaced: map[id.Target]time.Time{},
+		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[Incarnation]time.Time{},
+		replaced: map[Incarnation]time.Time{},
 	}
 }
 
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -227,10 +227,11 @@
 	ts := targets("m", 1, "a")
 	b.Start(start, balance.Choice{Target: ts[0]}, request(), nil).End(start, balance.Replaced)
 	reported := b.RecentlyReplaced(start.Add(100 * time.Millisecond))
-	is.Equal(reported, map[id.Target]time.Duration{ts[0].ID: 100 * time.Millisecond})
+	lost := balance.Incarnation{Target: ts[0].ID, Incarnation: ts[0].Incarnation}
+	is.Equal(reported, map[balance.Incarnation]time.Duration{lost: 100 * time.Millisecond})
 
 	other := newBalancer()
-	other.ApplyPeerReplaced(start, ts[0], reported[ts[0].ID])
+	other.ApplyPeerReplaced(start, ts[0], reported[lost])
 	is.True(other.Suspected(start.Add(5*time.Second), ts[0]))
 	again := *ts[0]
 	again.Incarnation = 7
@@ -308,3 +309,18 @@
 	}
 	is.True(b.HeardFrom(all[0].ID, all[0].Incarnation+1).IsZero()) // another incarnation
 }
+
+// A loss that is seen late, after the target has started again under its name, must be
+// reported as that of the earlier incarnation.
+func TestRecentLossesIncarnation(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	before := targets("m", 1, "a")[0]
+	before.Incarnation = 1
+	attempt := b.Start(start, balance.Choice{Target: before}, request(), nil)
+	after := *before
+	after.Incarnation = 2
+	b.Start(start, balance.Choice{Target: &after}, request(), nil)
+	attempt.End(start, balance.Lost)
+	is.Equal(b.RecentLosses(start), map[balance.Incarnation]time.Duration{{Target: before.ID, Incarnation: 1}: 0})
+}
--- a/internal/coordination/balance/zone.go
+++ b/internal/coordination/balance/zone.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -118,7 +119,7 @@
 			z.lostAt = time.Time{}
 		}
 		for name := range z.losses {
-			delete(b.lost, name)
+			maps.DeleteFunc(b.lost, func(lost Incarnation, _ time.Time) bool { return lost.Target == name })
 			if r := b.targets[name]; r != nil {
 				r.losses, r.suspectUntil = 0, time.Time{}
 			}
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -84,13 +84,19 @@
 
 // Loss is the loss of a target.
 type Loss struct {
-	Target id.Target `json:"target"`
+	Target      id.Target      `json:"target"`
+	Incarnation id.Incarnation `json:"incarnation,omitempty"`
 	// Replaced is set if another target answers at its address.
 	Replaced bool `json:"replaced,omitempty"`
 	// AgeMS is the age of the loss when the message was sent, in milliseconds.
 	AgeMS int64 `json:"agoMs"`
 }
 
+// Of reports whether the loss is that of a target's incarnation.
+func (l *Loss) Of(t *catalog.Target) bool {
+	return t.ID == l.Target && t.Incarnation == l.Incarnation
+}
+
 // Age returns the age of the loss when the message was sent.
 func (l *Loss) Age() time.Duration { return time.Duration(l.AgeMS) * time.Millisecond }
 
--- a/internal/protocol/direct/peerupdate_test.go
+++ b/internal/protocol/direct/peerupdate_test.go
@@ -14,6 +14,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -132,3 +133,12 @@
 		})
 	}
 }
+
+// A loss of one incarnation must not be taken for that of the next one.
+func TestLossOf(t *testing.T) {
+	is := is.New(t)
+	l := direct.Loss{Target: "t1", Incarnation: 1}
+	is.True(l.Of(&catalog.Target{ID: "t1", Incarnation: 1}))
+	is.True(!l.Of(&catalog.Target{ID: "t1", Incarnation: 2}))
+	is.True(!l.Of(&catalog.Target{ID: "t2", Incarnation: 1}))
+}
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -172,12 +172,12 @@
 	if start := x.e.drainStart.Load(); start != nil {
 		u.StopsInMS = max(1, x.e.drainEnd(*start).Sub(now).Milliseconds())
 	}
-	for target, age := range x.e.balancer.RecentLosses(now) {
-		u.Losses = append(u.Losses, direct.Loss{Target: target, AgeMS: age.Milliseconds()})
+	for lost, age := range x.e.balancer.RecentLosses(now) {
+		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
 	}
 	u.Successors = x.e.successors.recentlyFound(now)
-	for target, age := range x.e.balancer.RecentlyReplaced(now) {
-		u.Losses = append(u.Losses, direct.Loss{Target: target, Replaced: true, AgeMS: age.Milliseconds()})
+	for lost, age := range x.e.balancer.RecentlyReplaced(now) {
+		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Replaced: true, AgeMS: age.Milliseconds()})
 	}
 	return u
 }
@@ -237,7 +237,7 @@
 func (x *peerExchange) applyLoss(now time.Time, from id.Entry, l *direct.Loss) {
 	for _, targets := range x.e.directory.View().Targets {
 		t := targets.Find(l.Target)
-		if t == nil {
+		if t == nil || !l.Of(t) {
 			continue
 		}
 		if l.Replaced {
