Answers: an entry that has just started does not say that there is none

Callers saw: for a second after an entry's start 404 to /v1/answers/ID of an answer that another entry has.

Cause: an entry that has not met the others finds the answer nowhere.

Change: until it has, or is alone, it answers 503 starting with Retry-After 1.

Evidence: TestResumeBeforeJoining; before, it got 404.

--- a/internal/coordination/request/coordinator.go
+++ b/internal/coordination/request/coordinator.go
@@ -227,6 +227,18 @@
 	return spec.PromptTokens() + spec.MaxTokens
 }
 
+// missingRefusal refuses to read an answer that this entry does not find. An entry that
+// has not met the others can't say that there is none.
+func (co *Coordinator) missingRefusal(r id.Request) *answer.Refusal {
+	if co.peers.Joined == nil || co.peers.Joined() {
+		return notFoundRefusal(r)
+	}
+	return &answer.Refusal{
+		Outcome: answer.Unknown, Cause: answer.CauseStarting, Request: r, RetryAfter: joinRetryAfter,
+		Detail: "this entry is starting and does not know the other entries' answers yet",
+	}
+}
+
 func notFoundRefusal(r id.Request) *answer.Refusal {
 	return &answer.Refusal{
 		Outcome: answer.Unknown, Cause: answer.CauseNotFound, Request: r,
--- a/internal/coordination/request/coordinator_test.go
+++ b/internal/coordination/request/coordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -491,3 +492,20 @@
 	}
 	return refusal
 }
+
+// An entry that has not met the others must not say that an answer does not exist.
+func TestResumeBeforeJoining(t *testing.T) {
+	is := is.New(t)
+	joined := false
+	peers := soloPeers("e1")
+	peers.Joined = func() bool { return joined }
+	co := newCoordinator(t, newFakeTargets(1), clockwork.NewRealClock(), peers)
+	resume := answer.ResumeRequest{Contract: testContract("stapler"), Request: id.NewRequest("e1")}
+	_, err := co.Resume(t.Context(), resume)
+	refusal := wantRefusal(t, err)
+	is.Equal(refusal.Cause.Status(), http.StatusServiceUnavailable)
+	is.True(refusal.RetryAfter > 0)
+	joined = true
+	_, err = co.Resume(t.Context(), resume)
+	is.Equal(wantRefusal(t, err).Cause, answer.CauseNotFound)
+}
--- a/internal/coordination/request/open.go
+++ b/internal/coordination/request/open.go
@@ -108,7 +108,7 @@
 		return reader, err
 	}
 	if found == nil && relay.Spec == nil {
-		return nil, notFoundRefusal(relay.Request)
+		return nil, co.missingRefusal(relay.Request)
 	}
 	if found == nil && relay.From > 0 {
 		return nil, lostRefusal(relay.Request)
--- a/internal/coordination/request/peers.go
+++ b/internal/coordination/request/peers.go
@@ -50,6 +50,9 @@
 
 // Peers gives access to other entries.
 type Peers struct {
+	// Joined reports whether this entry has met the others, or is alone. Before that it
+	// does not know which answers exist. Nil stands for true.
+	Joined func() bool
 	// Live returns the entries that accept requests, including this one.
 	Live func() []id.Entry
 	// PreviousOwner returns the entry that owned r before the membership changes
@@ -82,6 +85,9 @@
 	Conf func() *conf.Snapshot
 }
 
+// joinRetryAfter is when a read is tried again that came before this entry met the others.
+const joinRetryAfter = time.Second
+
 // Timing and limits of an owner's background work.
 const (
 	// sweepInterval is the interval between two sweeps of the registry.
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -170,6 +170,7 @@
 
 func (p *Process) peers(client *peer.EntryClient) request.Peers {
 	return request.Peers{
+		Joined:            func() bool { return p.state() != member.Joining },
 		Live:              func() []id.Entry { return p.view.Snapshot().LiveEntries() },
 		PreviousOwner:     p.previousOwner,
 		Relay:             client.Open,
