--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -80,8 +80,9 @@
 
 // TryStart returns whether a request that is not refused may be sent to a target now. A
 // suspect that could be refused next runs one at a time at this entry, and one that ran at
-// several failures that no outage explains one at a time over all entries. One that may have to be refused waits
-// for the reports of others if it was sent before, and is held back otherwise.
+// several failures that no outage explains one at a time over all entries. One that may
+// have to be refused waits for the reports of others if it was sent before, and is held
+// back otherwise.
 func (q *Shared) TryStart(now time.Time, f id.Fingerprint, request id.Request, sentBefore bool) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
