--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -86,12 +86,12 @@
 	Limit Limit
 }
 
-// Limit is the number of requests that a target takes from all entries together, if it
-// names one. PerSecond is its unit.
-type (
-	Limit     = targetlimit.Named
-	PerSecond = targetlimit.PerSecond
-)
+// Limit is the rate of requests that a target takes from all entries together, if it
+// names one.
+type Limit = targetlimit.Named
+
+// PerSecond is the unit of a Limit.
+type PerSecond = targetlimit.PerSecond
 
 // Call is a request of the entry itself to a target.
 type Call struct {
