Limits that targets name: no send to a target that has left during the wait

Cause: the target was looked up before the wait only.

Change: after the wait it must still be ready in the same incarnation; else the place is given back and the choice begins again.

Evidence: TestTargetLimitDrainsMeanwhile failed before (t1 instead of t2).

--- a/internal/transport/direct/limits.go
+++ b/internal/transport/direct/limits.go
@@ -148,25 +148,45 @@
 // the target's limit. Targets at their limit are used only if there is no other one that
 // is not suspected.
 func (c *call) choose(ctx context.Context) (balance.Choice, bool) {
-	for {
+	for ctx.Err() == nil {
 		c.limitedTarget = nil
 		now := c.now()
 		free, full := c.e.limits.split(now, c.targets())
 		choice, ok := c.e.balancer.Choose(now, c.requirements, free, c.tried)
 		if !ok || choice.Reason == balance.LastResort {
-			if awaited, found := c.awaitLimit(ctx, full); found {
-				return awaited, true
+			if first := c.firstInTime(full); first != nil {
+				if c.takePlace(ctx, first, c.maxLimitWait()) {
+					return c.choiceAtLimit(first), true
+				}
+				continue
 			}
 		}
 		if !ok || c.e.limits.take(now, choice.Target, 0) {
 			return choice, ok
 		}
 	}
+	return balance.Choice{}, false
 }
 
-// awaitLimit waits for the target at its limit that may get a request first. It returns
-// false if none may in time.
-func (c *call) awaitLimit(ctx context.Context, full catalog.Targets) (balance.Choice, bool) {
+func (c *call) choiceAtLimit(t *catalog.Target) balance.Choice {
+	backup := c.e.balancer.BackupFor(c.now(), c.requirements, c.targets(), t, c.tried)
+	return balance.Choice{Target: t, Backup: backup, Reason: balance.AtLimit}
+}
+
+// firstInTime returns the target at its limit that may get a request first, or nil if none
+// may in time for the request.
+func (c *call) firstInTime(full catalog.Targets) *catalog.Target {
+	first, least := c.firstFree(full)
+	if first != nil && least > c.maxLimitWait() {
+		c.limitedTarget = first
+		return nil
+	}
+	return first
+}
+
+// firstFree returns the target that may get a request first, and the time until then.
+// Targets that were tried or are suspected are left out.
+func (c *call) firstFree(full catalog.Targets) (*catalog.Target, time.Duration) {
 	now := c.now()
 	var first *catalog.Target
 	var least time.Duration
@@ -178,15 +198,7 @@
 			first, least = t, wait
 		}
 	}
-	if first == nil {
-		return balance.Choice{}, false
-	}
-	if least > c.maxLimitWait() || !c.takePlace(ctx, first, least) {
-		c.limitedTarget = first
-		return balance.Choice{}, false
-	}
-	backup := c.e.balancer.BackupFor(c.now(), c.requirements, c.targets(), first, c.tried)
-	return balance.Choice{Target: first, Backup: backup, Reason: balance.AtLimit}, true
+	return first, least
 }
 
 // maxLimitWait returns how long the request may wait for a target at its limit.
@@ -199,18 +211,27 @@
 }
 
 // takePlace counts a request to the target and waits until it may be sent. It returns false
-// if that would take longer than most, or if ctx ends meanwhile.
+// if that would take longer than most, or if ctx ends or the target leaves meanwhile.
 func (c *call) takePlace(ctx context.Context, t *catalog.Target, most time.Duration) bool {
 	now := c.now()
 	wait := c.e.limits.wait(now, t)
 	if wait > most || !c.e.limits.take(now, t, wait) {
 		return false
 	}
-	if wait > 0 && !timing.Sleep(ctx, c.e.deps.Clock, wait) {
-		c.e.limits.giveBack(t)
-		return false
+	if wait == 0 {
+		return true
 	}
-	return true
+	if timing.Sleep(ctx, c.e.deps.Clock, wait) && c.isReady(t) {
+		return true
+	}
+	c.e.limits.giveBack(t)
+	return false
+}
+
+// isReady reports whether the target still accepts requests.
+func (c *call) isReady(t *catalog.Target) bool {
+	current := c.targets().Find(t.ID)
+	return current != nil && current.State == catalog.Ready && current.Incarnation == t.Incarnation
 }
 
 // refuseAtLimit refuses a request for which all usable targets are at their limits. It
--- a/internal/transport/direct/limits_test.go
+++ b/internal/transport/direct/limits_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -116,3 +117,28 @@
 		}
 	})
 }
+
+// A request that waits for a target at its limit must not be sent there after the target
+// has begun to drain.
+func TestTargetLimitDrainsMeanwhile(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Limit", "0.5")
+			events(rw, after(r), 3, 10*time.Millisecond)
+		})
+		env.start()
+		time.Sleep(aloneTime)
+		env.is.Equal(env.do("POST", "/r/x", "first", "one").body, wholeStream(3))
+		answers := make(chan answer, 1)
+		env.doLater(answers, "/r/x", "second", "two") // has to wait 2 s
+		time.Sleep(time.Second)
+		env.startUnlisted("t2", "10.0.2.1:80", func(rw http.ResponseWriter, r *http.Request) {
+			events(rw, after(r), 3, 10*time.Millisecond)
+		})
+		env.listTarget("t2", "10.0.2.1:80", "a")
+		env.changes <- store.Change{Item: store.Item{Key: "t1", Value: []byte("draining 10.0.1.1:80 a"), ModRevision: 3}}
+		a := <-answers
+		env.is.Equal(a.body, wholeStream(3))
+		env.is.Equal(env.requests()[1].target, id.Target("t2"))
+	})
+}
