Directory: a target that had left is not used until it has written again

Callers saw nothing of this: after the store's return from an older copy a target that had left and was still listed five seconds later was used again. It may still serve for seconds after its record was removed, and must get nothing (DRAIN); records of dead targets expire after three heartbeats, which may be longer than that.

Change: such a record counts only once its sequence has risen, as a live target's does.

Evidence: the row of TestMarkStoreRestored that expected the target back after five seconds expects it away now, and failed before; the rest of the test is as it was.

--- a/internal/coordination/directory/absence.go
+++ b/internal/coordination/directory/absence.go
@@ -15,10 +15,6 @@
 // take until it is listed, while the key-value service is available.
 const successorListTimeout = 3 * time.Second
 
-// doubtTime is how long a target that had left is not used if an older copy of the
-// service's state lists it. The records of dead targets expire sooner.
-const doubtTime = 5 * time.Second
-
 // departedRetention is how long the names of targets that have left are kept.
 // Other entries may still report a successor for a second after it was added.
 const departedRetention = time.Minute
@@ -34,18 +30,13 @@
 func (d *Directory) markListed(name id.Target) {
 	delete(d.missing, name)
 	delete(d.unlisted, name)
-	delete(d.doubtful, name)
 }
 
-// isDoubtful reports whether the target had left before the service returned from
-// an older copy of its state, and records it as doubtful if so.
-func (d *Directory) isDoubtful(t *catalog.Target) bool {
+// hasLeft reports whether the target had left before the service returned from an
+// older copy of its state, and has not written since.
+func (d *Directory) hasLeft(t *catalog.Target) bool {
 	left, departed := d.departed[t.ID]
-	if !departed || !left.at.Before(d.restoredAt) || left.incarnation != t.Incarnation || t.Sequence > left.sequence {
-		return false
-	}
-	d.doubtful[t.ID] = t
-	return true
+	return departed && left.at.Before(d.restoredAt) && left.incarnation == t.Incarnation && t.Sequence <= left.sequence
 }
 
 // StoreUnavailable reports whether the key-value service does not answer this
@@ -54,7 +45,6 @@
 
 // delist removes a target, or marks it as missing if it may be listed again.
 func (d *Directory) delist(now time.Time, name id.Target) *catalog.Target {
-	delete(d.doubtful, name)
 	t, known := d.targets[name]
 	if !known {
 		return nil
@@ -115,28 +105,12 @@
 // copy of its state.
 func (d *Directory) MarkStoreRestored(now time.Time) { d.storeUpAt, d.restoredAt = now, now }
 
-// acceptDoubtful adds the doubtful targets that are still listed after the time
-// within which the records of dead ones expire.
-func (d *Directory) acceptDoubtful(now time.Time) {
-	if len(d.doubtful) == 0 || now.Sub(d.restoredAt) < doubtTime {
-		return
-	}
-	for name, t := range d.doubtful {
-		delete(d.departed, name)
-		d.targets[name] = t
-	}
-	clear(d.doubtful)
-	d.publish()
-}
-
 // RemoveMissing removes the targets whose time to be listed again has run out,
-// and returns them. It adds those of which the service's return from an older copy
-// left in doubt whether they have left.
+// and returns them.
 func (d *Directory) RemoveMissing(now time.Time) catalog.Targets {
 	if d.listIncomplete(now) {
 		return nil
 	}
-	d.acceptDoubtful(now)
 	for name, at := range d.unlisted {
 		if now.Sub(at) > successorListTimeout {
 			d.missing[name] = at
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -56,9 +56,6 @@
 	// each target whose place a successor has taken.
 	departed map[id.Target]departure
 	replaced map[id.Target]id.Incarnation
-	// doubtful holds the departed targets that an older copy of the service's state
-	// lists again.
-	doubtful map[id.Target]*catalog.Target
 	// storeDown says that the key-value service does not answer.
 	storeDown bool
 	// storeUpAt is the end of the last outage; zero if there was none.
@@ -72,7 +69,7 @@
 func New() *Directory {
 	d := &Directory{
 		targets: map[id.Target]*catalog.Target{}, missing: map[id.Target]time.Time{}, unlisted: map[id.Target]time.Time{},
-		departed: map[id.Target]departure{}, replaced: map[id.Target]id.Incarnation{}, doubtful: map[id.Target]*catalog.Target{},
+		departed: map[id.Target]departure{}, replaced: map[id.Target]id.Incarnation{},
 	}
 	d.publish()
 	return d
@@ -95,7 +92,7 @@
 // Put stores a target as it is listed now, and reports whether the directory
 // changed.
 func (d *Directory) Put(t *catalog.Target) bool {
-	if d.hasSuccessor(t) || d.isDoubtful(t) {
+	if d.hasSuccessor(t) || d.hasLeft(t) {
 		return false
 	}
 	d.markListed(t.ID)
@@ -115,9 +112,8 @@
 // the targets that are gone.
 func (d *Directory) Replace(now time.Time, listed catalog.Targets) catalog.Targets {
 	listedNames := make(map[id.Target]bool, len(listed))
-	clear(d.doubtful)
 	for _, t := range listed {
-		if d.hasSuccessor(t) || d.isDoubtful(t) {
+		if d.hasSuccessor(t) || d.hasLeft(t) {
 			continue
 		}
 		listedNames[t.ID] = true
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -230,8 +230,9 @@
 			d.Put(record("t3", catalog.Ready, 6))
 		}, []id.Target{"t1", "t2", "t3", "t4"}},
 		{"the departed target is still listed", func(d *directory.Directory) {
-			d.RemoveMissing(restored.Add(5 * time.Second))
-		}, []id.Target{"t1", "t2", "t3"}},
+			d.Replace(restored.Add(10*time.Second), copied)
+			d.RemoveMissing(restored.Add(10 * time.Second))
+		}, []id.Target{"t1", "t2"}},
 		{"listed without the departed target", func(d *directory.Directory) {
 			d.Replace(restored.Add(time.Second), copied[:2])
 			d.RemoveMissing(restored.Add(time.Minute))
