State saver: a return that the save itself reveals is not forgotten

Callers saw nothing of this: if an entry learned of the store's return from an older copy from the answer to a write of its runs, its suspects were not written again, and were lost with the end of all entries.

Cause: the era of that answer was taken for the era of all that is saved, though the write held only the runs.

Change: the era that was known before the write is kept, so that the next one saves all.

Evidence: TestSuspectsSavedAgainAfterReturnSeenBySave failed before.

--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -369,16 +369,23 @@
 }
 
 // returnStore replaces the key-value service's state by a copy in which the entry had
-// not saved anything yet.
+// not saved anything yet, and ends the watches.
 func (env *testEnv) returnStore() {
+	env.returnStoreUnnoticed()
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	clear(env.saved)
-	env.era++
 	close(env.eraEnded)
 	env.eraEnded = make(chan struct{})
 }
 
+// returnStoreUnnoticed does the same, and the watches stay open.
+func (env *testEnv) returnStoreUnnoticed() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	clear(env.saved)
+	env.era++
+}
+
 // codec decodes targets from items of the form "state address zone".
 func (env *testEnv) codec() direct.Codec {
 	return direct.Codec{
--- a/internal/transport/direct/quarantine_test.go
+++ b/internal/transport/direct/quarantine_test.go
@@ -396,3 +396,35 @@
 		env.is.Equal(len(env.requestedTargets()), 3)
 	})
 }
+
+// If the entry learns of the key-value service's return from the answer to a write of its
+// runs, its suspects must be written again too.
+func TestSuspectsSavedAgainAfterReturnSeenBySave(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		for i := range 9 {
+			address := fmt.Sprintf("10.0.%d.1:80", i+1)
+			env.target(fmt.Sprintf("t%d", i+1), address, string(rune('a'+i%3)), func(rw http.ResponseWriter, r *http.Request) {
+				if env.lastBody() == "kill" {
+					go env.crash(address)
+					panic(http.ErrAbortHandler)
+				}
+				events(rw, after(r), 300, 50*time.Millisecond)
+			})
+		}
+		env.start()
+		for i := range 3 {
+			env.do("POST", "/u/x", fmt.Sprint("a", i), "kill")
+			time.Sleep(2 * time.Second)
+		}
+		answers := make(chan answer, 1)
+		env.doLater(answers, "/r/x", "long", "stream")
+		time.Sleep(3 * time.Second) // its run is saved every second
+		env.returnStoreUnnoticed()
+		time.Sleep(3 * time.Second)
+		env.mu.Lock()
+		_, saved := env.saved[store.SuspectsPrefix+"e"]
+		env.mu.Unlock()
+		env.is.True(saved)
+		<-answers
+	})
+}
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -36,8 +36,8 @@
 	// savedVersion is the version of those that were saved last.
 	savedSuspects bool
 	savedVersion  uint64
-	// savedEra is the era in which the state was saved last. What was saved in an
-	// earlier era may be gone.
+	// savedEra is the newest era that was known when the state was saved last. What
+	// was saved in an earlier era may be gone.
 	savedEra store.Era
 }
 
@@ -123,7 +123,8 @@
 	runs := s.e.handover.LocalRuns()
 	suspects, version := s.e.quarantine.Suspects(now)
 	var puts []store.Put
-	returned := s.e.storeWatcher.eras.Era() != s.savedEra
+	era := s.e.storeWatcher.eras.Era()
+	returned := era != s.savedEra
 	if len(runs) > 0 || s.savedRuns || returned {
 		puts = append(puts, store.Put{Key: store.RunsPrefix + string(s.e.cfg.Name), Value: encodeState(runs)})
 	}
@@ -143,7 +144,7 @@
 		return
 	}
 	s.e.storeWatcher.observeEra(result.Era)
-	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, result.Era
+	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, era
 }
 
 // encodeState returns v as JSON. The saved types contain only strings, numbers and
