Directory: a successor's records are believed

Callers saw, since: a target that was found at the address of one that had ended goes on to get requests after it has told that it drains (DRAIN), until it has written as often as its predecessor.

Cause: AddSuccessor copied the predecessor's sequence, and records of a lower sequence are not believed.

Change: a successor begins without a sequence.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -184,7 +184,7 @@
 		return nil
 	}
 	t := *old
-	t.ID, t.State, t.Incarnation = name, catalog.Ready, 0
+	t.ID, t.State, t.Incarnation, t.Sequence = name, catalog.Ready, 0, 0
 	d.replaced[predecessor], d.departed[predecessor] = old.Incarnation, departureOf(now, old)
 	delete(d.targets, predecessor)
 	delete(d.missing, predecessor)
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -17,6 +17,13 @@
 	return &catalog.Target{ID: name, Service: "m", Address: "10.0.0.1:80", Zone: "a", State: catalog.Ready}
 }
 
+// record returns the record that a target wrote with a sequence.
+func record(name id.Target, state catalog.TargetState, sequence int64) *catalog.Target {
+	t := target(name)
+	t.State, t.Sequence = state, sequence
+	return t
+}
+
 func names(d *directory.Directory) []id.Target {
 	var out []id.Target
 	for _, t := range d.View().Targets["m"] {
@@ -125,6 +132,18 @@
 	is.Equal(d.View().Targets["m"][0].Incarnation, id.Incarnation(5))
 }
 
+// A successor has written nothing that is known, so its first records must be believed,
+// whatever its predecessor had written.
+func TestAddSuccessorSequence(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	d.Put(record("t1", catalog.Ready, 38))
+	is.True(d.AddSuccessor(start, "t1", "t2") != nil)
+	d.Put(record("t2", catalog.Ready, 1))
+	d.Put(record("t2", catalog.Draining, 2))
+	is.Equal(d.View().Targets["m"].Find("t2").State, catalog.Draining)
+}
+
 // A successor replaces the target whose address it has. It is kept while the
 // key-value service is unavailable, and for some time afterwards.
 func TestAddSuccessor(t *testing.T) {
@@ -190,11 +209,6 @@
 // After the service has returned from an older copy of its state, what it lists is not
 // newer than what is known.
 func TestMarkStoreRestored(t *testing.T) {
-	record := func(name id.Target, state catalog.TargetState, sequence int64) *catalog.Target {
-		r := target(name)
-		r.State, r.Sequence = state, sequence
-		return r
-	}
 	restored := start.Add(time.Minute)
 	// Before the return, t1 was ready, t2 was ready and then drained, t3 left, and t4
 	// was added. The copy was made when t1, t2 and t3 were ready.
