--- a/internal/coordination/directory/absence.go
+++ b/internal/coordination/directory/absence.go
@@ -32,11 +32,17 @@
 	delete(d.unlisted, name)
 }
 
-// hasLeft reports whether the target had left before the service returned from an
-// older copy of its state, and has not written since.
+// hasLeft reports whether the target has left and has not written since. Without a
+// sequence that is not known.
 func (d *Directory) hasLeft(t *catalog.Target) bool {
 	left, departed := d.departed[t.ID]
-	return departed && left.at.Before(d.restoredAt) && left.incarnation == t.Incarnation && t.Sequence <= left.sequence
+	return departed && left.incarnation == t.Incarnation && t.Sequence > 0 && t.Sequence <= left.sequence
+}
+
+// leftBeforeReturn reports whether the target had left before the service returned from an
+// older copy of its state, and has not written since.
+func (d *Directory) leftBeforeReturn(t *catalog.Target) bool {
+	return d.hasLeft(t) && d.departed[t.ID].at.Before(d.restoredAt)
 }
 
 // StoreUnavailable reports whether the key-value service does not answer this
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -92,11 +92,12 @@
 // Put stores a target as it is listed now, and reports whether the directory
 // changed.
 func (d *Directory) Put(t *catalog.Target) bool {
-	if d.hasSuccessor(t) || d.hasLeft(t) {
+	newest := d.Newest(t)
+	if d.hasSuccessor(t) || newest == nil {
 		return false
 	}
 	d.markListed(t.ID)
-	if d.IsOutdated(t) {
+	if newest != t {
 		return false
 	}
 	old, known := d.targets[t.ID]
@@ -113,14 +114,13 @@
 func (d *Directory) Replace(now time.Time, listed catalog.Targets) catalog.Targets {
 	listedNames := make(map[id.Target]bool, len(listed))
 	for _, t := range listed {
-		if d.hasSuccessor(t) || d.hasLeft(t) {
+		newest := d.Newest(t)
+		if d.hasSuccessor(t) || newest == nil {
 			continue
 		}
 		listedNames[t.ID] = true
 		d.markListed(t.ID)
-		if !d.IsOutdated(t) {
-			d.targets[t.ID] = t
-		}
+		d.targets[t.ID] = newest
 	}
 	var gone catalog.Targets
 	for name := range d.targets {
@@ -141,9 +141,9 @@
 func (d *Directory) ReplaceFromPeer(listed catalog.Targets) catalog.Targets {
 	byName := make(map[id.Target]*catalog.Target, len(listed))
 	for _, t := range listed {
-		byName[t.ID] = t
-		if d.IsOutdated(t) {
-			byName[t.ID] = d.targets[t.ID]
+		// The other entry may have only an older copy of the service's state.
+		if !d.hasLeft(t) {
+			byName[t.ID] = d.newer(t)
 		}
 	}
 	var gone catalog.Targets
@@ -159,10 +159,22 @@
 	return gone
 }
 
-// IsOutdated reports whether more recent data of the same target is known.
-func (d *Directory) IsOutdated(t *catalog.Target) bool {
-	known := d.targets[t.ID]
-	return known != nil && known.Incarnation == t.Incarnation && t.Sequence < known.Sequence
+// Newest returns the record to use of a target that is listed as t: t itself, one that
+// is known and newer, or nil if the target has left.
+func (d *Directory) Newest(t *catalog.Target) *catalog.Target {
+	if d.leftBeforeReturn(t) {
+		return nil
+	}
+	return d.newer(t)
+}
+
+// newer returns the known record of the same target if it is newer than t, and t
+// otherwise.
+func (d *Directory) newer(t *catalog.Target) *catalog.Target {
+	if known := d.targets[t.ID]; known != nil && known.Incarnation == t.Incarnation && t.Sequence < known.Sequence {
+		return known
+	}
+	return t
 }
 
 // hasSuccessor reports whether another target has taken the place of this
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -119,6 +119,23 @@
 	is.Equal(names(d), []id.Target{"t2", "t3"})
 }
 
+// Another entry may have read only an older copy of the service's state. Its list must not
+// bring back a target that has left, nor an older record of one that drains.
+func TestReplaceFromPeerOlder(t *testing.T) {
+	is := is.New(t)
+	older := catalog.Targets{record("t1", catalog.Ready, 4), record("t2", catalog.Ready, 4)}
+	d := directory.New()
+	d.Replace(start, older)
+	d.Put(record("t1", catalog.Draining, 5))
+	d.Remove(start, "t2")
+	d.MarkStoreUnavailable()
+	d.ReplaceFromPeer(older)
+	is.Equal(names(d), []id.Target{"t1"})
+	is.Equal(d.View().Targets["m"].Find("t1").State, catalog.Draining)
+	d.ReplaceFromPeer(catalog.Targets{record("t2", catalog.Ready, 6)}) // it has written since
+	is.Equal(names(d), []id.Target{"t2"})
+}
+
 // A target that restarts under the same name counts as a change, because
 // nothing known about the previous incarnation applies to it.
 func TestPutRestarted(t *testing.T) {
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -196,8 +196,8 @@
 	w.e.targetsListed.Store(true)
 }
 
-// decodeTargets decodes a list of targets and skips items that can't be decoded. Of
-// a target of which more recent data is known, the newest item is kept.
+// decodeTargets decodes a list of targets and skips items that can't be decoded. It
+// keeps the newest item of each target that has not left.
 func (w *storeWatcher) decodeTargets(items []store.Item) catalog.Targets {
 	now := w.e.deps.Clock.Now()
 	var listed catalog.Targets
@@ -209,15 +209,26 @@
 			w.logUndecodable(items[i], err)
 			continue
 		}
-		w.targetItems[items[i].Key] = items[i]
-		if newest, ok := known[items[i].Key]; ok && w.e.directory.IsOutdated(t) {
-			w.targetItems[items[i].Key] = newest
-		}
+		w.keepNewest(t, items[i], known)
 		listed = append(listed, t)
 	}
 	return listed
 }
 
+// keepNewest keeps the item of a target that is listed as t, or the known one if that is
+// newer.
+func (w *storeWatcher) keepNewest(t *catalog.Target, item store.Item, known map[string]store.Item) {
+	switch w.e.directory.Newest(t) {
+	case nil:
+	case t:
+		w.targetItems[item.Key] = item
+	default:
+		if newest, ok := known[item.Key]; ok {
+			w.targetItems[item.Key] = newest
+		}
+	}
+}
+
 func (w *storeWatcher) applyTargetChange(c store.Change) {
 	now := w.e.deps.Clock.Now()
 	name, ok := w.e.deps.Codec.ParseTargetID(c.Item.Key)
@@ -236,9 +247,7 @@
 		w.logUndecodable(c.Item, err)
 		return
 	}
-	if !w.e.directory.IsOutdated(t) {
-		w.targetItems[c.Item.Key] = c.Item
-	}
+	w.keepNewest(t, c.Item, w.targetItems)
 	if w.e.directory.Put(t) {
 		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", t.State, "zone", t.Zone, "incarnation", t.Incarnation, "sequence", t.Sequence, "revision", c.Item.ModRevision)
 	}
