--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -168,15 +168,16 @@
 // LimitShare returns the share of a common limit that the entries which reach
 // each other may use together. It is the whole limit as long as none of the
 // counted entries is silent.
-func (r *Roster) LimitShare(now time.Time) float64 {
-	alive := 1 + len(r.Alive(now))
-	return float64(alive) / float64(max(r.LimitSharers(now), minEntries))
-}
+func (r *Roster) LimitShare(now time.Time) float64 { return r.shareOfContacts(now, minEntries) }
+
+// ContactShare returns the same for an entry that has had the time to meet all others, so
+// that there may be fewer than minEntries.
+func (r *Roster) ContactShare(now time.Time) float64 { return r.shareOfContacts(now, 1) }
 
-// ContactShare returns the part of the entries that share common limits which this entry
-// hears from, itself included.
-func (r *Roster) ContactShare(now time.Time) float64 {
-	return float64(1+len(r.Alive(now))) / float64(r.LimitSharers(now))
+// shareOfContacts returns the part of the entries that share common limits, at least
+// least, which this entry hears from.
+func (r *Roster) shareOfContacts(now time.Time, least int) float64 {
+	return float64(1+len(r.Alive(now))) / float64(max(r.LimitSharers(now), least))
 }
 
 // LimitSharers returns the number of entries that share common limits,
