One type for an incarnation of a target

quarantine.FailureID, balance.Incarnation and targetlimit.Target were the same pair, each with its own function that made it of a target. id.TargetIncarnation and Target.Key serve all.

--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -119,11 +119,11 @@
 		}
 		rec.recordOutcome(now, 1)
 		rec.suspect(now)
-		b.lost[incarnationOf(t)] = now
+		b.lost[t.Key()] = now
 		return b.recordLoss(now, t)
 	case Replaced:
 		rec.replacedUntil = now.Add(replacedTime)
-		b.replaced[incarnationOf(t)] = now
+		b.replaced[t.Key()] = now
 	case ClientCancelled, Rerouted:
 	}
 	return false
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -41,14 +41,6 @@
 
 func (r *Request) memory() int { return r.PromptTokens + r.OutputTokens }
 
-// Incarnation identifies one start of a target.
-type Incarnation struct {
-	Target      id.Target
-	Incarnation id.Incarnation
-}
-
-func incarnationOf(t *catalog.Target) Incarnation { return Incarnation{t.ID, t.Incarnation} }
-
 // Choice is a target and, for engines that back each other up, the engine that
 // gets a backup copy of the generation.
 type Choice struct {
@@ -116,10 +108,10 @@
 	others map[id.Target]Load
 	// lost holds when targets were lost, to report recent losses to the other
 	// entries.
-	lost map[Incarnation]time.Time
+	lost map[id.TargetIncarnation]time.Time
 	// replaced holds when targets were found to be replaced, for the other
 	// entries.
-	replaced map[Incarnation]time.Time
+	replaced map[id.TargetIncarnation]time.Time
 	// ownHostFaultAt is when simultaneous losses in several zones were last
 	// attributed to the entry's own host.
 	ownHostFaultAt time.Time
@@ -133,8 +125,8 @@
 	return &Balancer{
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, links: map[id.Zone]*linkRecord{}, waiting: map[*Attempt]struct{}{},
-		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[Incarnation]time.Time{},
-		replaced: map[Incarnation]time.Time{},
+		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[id.TargetIncarnation]time.Time{},
+		replaced: map[id.TargetIncarnation]time.Time{},
 	}
 }
 
@@ -244,11 +236,11 @@
 
 // HeardFrom returns when an incarnation of a target last sent anything to this
 // entry, or the zero time if that is not known.
-func (b *Balancer) HeardFrom(name id.Target, incarnation id.Incarnation) time.Time {
+func (b *Balancer) HeardFrom(key id.TargetIncarnation) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.targets[name]
-	if r == nil || r.incarnation != incarnation {
+	r := b.targets[key.Target]
+	if r == nil || r.incarnation != key.Incarnation {
 		return time.Time{}
 	}
 	if r.refusedAt.After(r.lastActivity) {
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -227,8 +227,8 @@
 	ts := targets("m", 1, "a")
 	b.Start(start, balance.Choice{Target: ts[0]}, request(), nil).End(start, balance.Replaced)
 	reported := b.RecentlyReplaced(start.Add(100 * time.Millisecond))
-	lost := balance.Incarnation{Target: ts[0].ID, Incarnation: ts[0].Incarnation}
-	is.Equal(reported, map[balance.Incarnation]time.Duration{lost: 100 * time.Millisecond})
+	lost := id.TargetIncarnation{Target: ts[0].ID, Incarnation: ts[0].Incarnation}
+	is.Equal(reported, map[id.TargetIncarnation]time.Duration{lost: 100 * time.Millisecond})
 
 	other := newBalancer()
 	other.ApplyPeerReplaced(start, ts[0], reported[lost])
@@ -298,16 +298,17 @@
 	is := is.New(t)
 	b := newBalancer()
 	all := targets("m", 2, "a")
+	key := all[0].Key()
 	choice := balance.Choice{Target: all[0]}
-	is.True(b.HeardFrom(all[0].ID, all[0].Incarnation).IsZero()) // nothing is known
+	is.True(b.HeardFrom(key).IsZero()) // nothing is known
 	b.Start(start, choice, request(), nil).End(start, balance.Lost)
-	is.True(b.HeardFrom(all[0].ID, all[0].Incarnation).IsZero()) // it said nothing
+	is.True(b.HeardFrom(key).IsZero()) // it said nothing
 	for i, outcome := range []balance.Outcome{balance.Refused, balance.Succeeded, balance.Failed} {
 		at := start.Add(time.Duration(i+1) * time.Second)
 		b.Start(at, choice, request(), nil).End(at, outcome)
-		is.Equal(b.HeardFrom(all[0].ID, all[0].Incarnation), at)
+		is.Equal(b.HeardFrom(key), at)
 	}
-	is.True(b.HeardFrom(all[0].ID, all[0].Incarnation+1).IsZero()) // another incarnation
+	is.True(b.HeardFrom(id.TargetIncarnation{Target: key.Target, Incarnation: key.Incarnation + 1}).IsZero()) // another incarnation
 }
 
 // A loss that is seen late, after the target has started again under its name, must be
@@ -322,5 +323,5 @@
 	after.Incarnation = 2
 	b.Start(start, balance.Choice{Target: &after}, request(), nil)
 	attempt.End(start, balance.Lost)
-	is.Equal(b.RecentLosses(start), map[balance.Incarnation]time.Duration{{Target: before.ID, Incarnation: 1}: 0})
+	is.Equal(b.RecentLosses(start), map[id.TargetIncarnation]time.Duration{{Target: before.ID, Incarnation: 1}: 0})
 }
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -92,7 +92,7 @@
 
 // RecentLosses returns the targets that this entry lost recently, and how long
 // ago that was.
-func (b *Balancer) RecentLosses(now time.Time) map[Incarnation]time.Duration {
+func (b *Balancer) RecentLosses(now time.Time) map[id.TargetIncarnation]time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return recent(now, b.lost)
@@ -100,7 +100,7 @@
 
 // RecentlyReplaced returns the targets that this entry recently found to be
 // replaced, and how long ago that was.
-func (b *Balancer) RecentlyReplaced(now time.Time) map[Incarnation]time.Duration {
+func (b *Balancer) RecentlyReplaced(now time.Time) map[id.TargetIncarnation]time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return recent(now, b.replaced)
@@ -108,8 +108,8 @@
 
 // recent returns the age of each time up to lossReportTime, and deletes older
 // ones.
-func recent(now time.Time, times map[Incarnation]time.Time) map[Incarnation]time.Duration {
-	ago := make(map[Incarnation]time.Duration)
+func recent(now time.Time, times map[id.TargetIncarnation]time.Time) map[id.TargetIncarnation]time.Duration {
+	ago := make(map[id.TargetIncarnation]time.Duration)
 	for name, at := range times {
 		if now.Sub(at) > lossReportTime {
 			delete(times, name)
--- a/internal/coordination/balance/zone.go
+++ b/internal/coordination/balance/zone.go
@@ -119,7 +119,7 @@
 			z.lostAt = time.Time{}
 		}
 		for name := range z.losses {
-			maps.DeleteFunc(b.lost, func(lost Incarnation, _ time.Time) bool { return lost.Target == name })
+			maps.DeleteFunc(b.lost, func(lost id.TargetIncarnation, _ time.Time) bool { return lost.Target == name })
 			if r := b.targets[name]; r != nil {
 				r.losses, r.suspectUntil = 0, time.Time{}
 			}
--- a/internal/coordination/directory/absence.go
+++ b/internal/coordination/directory/absence.go
@@ -23,7 +23,7 @@
 type departure struct {
 	at          time.Time
 	incarnation id.Incarnation
-	sequence    int64
+	sequence    id.Sequence
 }
 
 // markListed records that a target is listed.
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -18,7 +18,7 @@
 }
 
 // record returns the record that a target wrote with a sequence.
-func record(name id.Target, state catalog.TargetState, sequence int64) *catalog.Target {
+func record(name id.Target, state catalog.TargetState, sequence id.Sequence) *catalog.Target {
 	t := target(name)
 	t.State, t.Sequence = state, sequence
 	return t
--- a/internal/coordination/policy/quarantine.go
+++ b/internal/coordination/policy/quarantine.go
@@ -103,8 +103,8 @@
 		return
 	}
 	p.quarantined.RecordFailure(quarantine.Failure{
-		FailureID: quarantine.FailureID{Target: t.Target, Incarnation: t.Incarnation},
-		Place:     t.Place, At: u.Loss.At, Running: []quarantine.Run{run},
+		TargetIncarnation: id.TargetIncarnation{Target: t.Target, Incarnation: t.Incarnation},
+		Place:             t.Place, At: u.Loss.At, Running: []quarantine.Run{run},
 	})
 	if status := p.quarantined.Status(u.Loss.At, run.Fingerprint); status.State == quarantine.Suspected {
 		p.deps.Log.Emit(event.RequestSuspected, "fingerprint", run.Fingerprint, "target", t.Target, "deaths", status.Failures)
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -117,7 +117,7 @@
 	if t.cfg.LastActivity == nil {
 		return true
 	}
-	return !t.cfg.LastActivity(fail.FailureID).After(fail.at.Add(activityTolerance))
+	return !t.cfg.LastActivity(fail.TargetIncarnation).After(fail.at.Add(activityTolerance))
 }
 
 // startedAfter reports whether f was sent to a target that had failed for good already.
--- a/internal/coordination/quarantine/failure.go
+++ b/internal/coordination/quarantine/failure.go
@@ -8,13 +8,6 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// FailureID identifies the target that failed. The incarnation is that of the target
-// process; the engine may fail several times within it.
-type FailureID struct {
-	Target      id.Target
-	Incarnation id.Incarnation
-}
-
 // Run is an attempt of a request that ran at a target when the target failed.
 type Run struct {
 	Fingerprint id.Fingerprint
@@ -26,7 +19,9 @@
 // Failure is the failure of a target, as observed by one process. The observer may know
 // only some of the requests that ran there; other entries know the others.
 type Failure struct {
-	FailureID
+	// TargetIncarnation is the target process that failed. Its engine may fail several
+	// times within an incarnation.
+	id.TargetIncarnation
 	Place member.Place
 	// At is the time of the failure by the observer's clock.
 	At time.Time
@@ -37,7 +32,7 @@
 
 // failure is one failure as recorded by a Tracker.
 type failure struct {
-	FailureID
+	id.TargetIncarnation
 	place member.Place
 	at    time.Time
 	// suspects holds the fingerprints that ran there.
@@ -72,7 +67,7 @@
 			startedAt = run.StartedAt
 		}
 	}
-	recorded := t.findOrAddFailure(fail.FailureID, fail.Place, fail.At, startedAt)
+	recorded := t.findOrAddFailure(fail.TargetIncarnation, fail.Place, fail.At, startedAt)
 	for _, run := range fail.Running {
 		t.addSuspect(recorded, run.Fingerprint, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, alone: run.Alone})
 	}
@@ -116,9 +111,9 @@
 // findOrAddFailure returns the record of a failure, which it adds if there is none. Of two
 // reported times the earlier one is kept, because reports can only be delayed. startedAt is
 // when an attempt started that ran at the failure; zero if that is not known.
-func (t *Tracker) findOrAddFailure(key FailureID, place member.Place, at, startedAt time.Time) *failure {
+func (t *Tracker) findOrAddFailure(key id.TargetIncarnation, place member.Place, at, startedAt time.Time) *failure {
 	for _, fail := range t.failures {
-		if fail.FailureID != key || !t.isSame(fail, at, startedAt) {
+		if fail.TargetIncarnation != key || !t.isSame(fail, at, startedAt) {
 			continue
 		}
 		if fail.at.Sub(at) > timeTolerance {
@@ -130,7 +125,7 @@
 		return fail
 	}
 	t.makeRoom()
-	fail := &failure{FailureID: key, place: place, at: at, suspects: map[id.Fingerprint]*suspect{}}
+	fail := &failure{TargetIncarnation: key, place: place, at: at, suspects: map[id.Fingerprint]*suspect{}}
 	t.failures = append(t.failures, fail)
 	t.markChanged(fail)
 	return fail
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -70,7 +70,7 @@
 	// LastActivity returns when this process last heard from a target, or the zero
 	// time. A target that is heard from after a reported failure has not failed. It
 	// may be nil.
-	LastActivity func(FailureID) time.Time
+	LastActivity func(id.TargetIncarnation) time.Time
 	// ZoneActivity returns when this process last heard from any target of a zone, or
 	// the zero time. It may be nil.
 	ZoneActivity func(id.Zone) time.Time
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -42,9 +42,9 @@
 // newFailureOfRuns returns a failure of a target that had run the fingerprints for a time.
 func newFailureOfRuns(target string, zone id.Zone, after, ran time.Duration, running ...id.Fingerprint) quarantine.Failure {
 	fail := quarantine.Failure{
-		FailureID: quarantine.FailureID{Target: id.Target(target), Incarnation: 1},
-		Place:     member.Place{Host: id.Host("h-" + target), Zone: zone},
-		At:        start.Add(after),
+		TargetIncarnation: id.TargetIncarnation{Target: id.Target(target), Incarnation: 1},
+		Place:             member.Place{Host: id.Host("h-" + target), Zone: zone},
+		At:                start.Add(after),
 	}
 	for _, f := range running {
 		fail.Running = append(fail.Running, quarantine.Run{Fingerprint: f, StartedAt: fail.At.Add(-ran)})
@@ -222,7 +222,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			tracker := quarantine.New(quarantine.Config{LastActivity: func(f quarantine.FailureID) time.Time {
+			tracker := quarantine.New(quarantine.Config{LastActivity: func(f id.TargetIncarnation) time.Time {
 				if f.Target != tt.target {
 					return time.Time{}
 				}
@@ -259,7 +259,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			heard := start.Add(-time.Minute)
-			tracker := quarantine.New(quarantine.Config{FailsOnce: tt.failsOnce, LastActivity: func(quarantine.FailureID) time.Time { return heard }})
+			tracker := quarantine.New(quarantine.Config{FailsOnce: tt.failsOnce, LastActivity: func(id.TargetIncarnation) time.Time { return heard }})
 			tracker.RecordFailure(newFailure("a", "z", 0, crasher))
 			if tt.heard {
 				heard = start.Add(3 * time.Second)
@@ -270,7 +270,7 @@
 	}
 	is := is.New(t)
 	heard := start.Add(400 * time.Millisecond)
-	afterFalseReport := quarantine.New(quarantine.Config{FailsOnce: true, LastActivity: func(quarantine.FailureID) time.Time { return heard }})
+	afterFalseReport := quarantine.New(quarantine.Config{FailsOnce: true, LastActivity: func(id.TargetIncarnation) time.Time { return heard }})
 	afterFalseReport.RecordFailure(newFailure("a", "z", 0))
 	afterFalseReport.RecordFailure(newFailure("a", "z", 600*time.Millisecond))           // the end
 	afterFalseReport.RecordFailure(newFailure("a", "z", 1200*time.Millisecond, crasher)) // sent to a dead target
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -189,7 +189,7 @@
 				continue
 			}
 			at := now.Add(-age)
-			fail := t.findOrAddFailure(FailureID{o.Target, o.Incarnation}, place, at, time.Time{})
+			fail := t.findOrAddFailure(id.TargetIncarnation{Target: o.Target, Incarnation: o.Incarnation}, place, at, time.Time{})
 			if r.Fingerprint != 0 {
 				run, lastRun := time.Duration(o.RunMs)*time.Millisecond, time.Duration(o.LastRunMs)*time.Millisecond
 				t.addSuspect(fail, r.Fingerprint, suspect{startedAt: at.Add(-run), lastStart: at.Add(-lastRun), cleared: o.Cleared, alone: o.Alone})
--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -51,7 +51,7 @@
 // Activity tells when an entry last heard from targets. Both functions return the zero
 // time for never, and may be nil.
 type Activity struct {
-	Target func(FailureID) time.Time
+	Target func(id.TargetIncarnation) time.Time
 	// Zone is that of any target of the zone.
 	Zone func(id.Zone) time.Time
 }
@@ -158,14 +158,14 @@
 
 // TargetLost records the loss of a target in a zone, with the attempts of this entry that
 // ran there.
-func (q *Shared) TargetLost(at time.Time, target FailureID, zone id.Zone, running ...Run) {
+func (q *Shared) TargetLost(at time.Time, target id.TargetIncarnation, zone id.Zone, running ...Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for i, run := range running {
 		running[i].Alone = q.turns.ranAlone(run.Fingerprint, run.StartedAt)
 	}
 	q.tracker.Expire(at)
-	q.tracker.RecordFailure(Failure{FailureID: target, Place: member.Place{Zone: zone}, At: at, Running: running})
+	q.tracker.RecordFailure(Failure{TargetIncarnation: target, Place: member.Place{Zone: zone}, At: at, Running: running})
 	for _, run := range running {
 		q.changedAt[run.Fingerprint] = at
 	}
--- a/internal/coordination/quarantine/shared_test.go
+++ b/internal/coordination/quarantine/shared_test.go
@@ -20,7 +20,7 @@
 	const f = id.Fingerprint(7)
 	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 	lose := func(q *quarantine.Shared, name id.Target, f id.Fingerprint) {
-		q.TargetLost(now, quarantine.FailureID{Target: name}, id.Zone("z"+name), quarantine.Run{Fingerprint: f, StartedAt: now.Add(-time.Millisecond)})
+		q.TargetLost(now, id.TargetIncarnation{Target: name}, id.Zone("z"+name), quarantine.Run{Fingerprint: f, StartedAt: now.Add(-time.Millisecond)})
 	}
 	entries := []*quarantine.Shared{quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{})}
 	for i, e := range entries {
@@ -61,7 +61,7 @@
 	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 	entries := []*quarantine.Shared{quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{}), quarantine.NewShared("e", quarantine.Activity{})}
 	for i, name := range []id.Target{"a", "b", "c"} {
-		entries[0].TargetLost(now, quarantine.FailureID{Target: name}, id.Zone("z"+name), quarantine.Run{Fingerprint: f, StartedAt: now.Add(-50 * time.Millisecond)})
+		entries[0].TargetLost(now, id.TargetIncarnation{Target: name}, id.Zone("z"+name), quarantine.Run{Fingerprint: f, StartedAt: now.Add(-50 * time.Millisecond)})
 		now = now.Add(time.Duration(i) * time.Millisecond)
 	}
 	for i := range 200 {
@@ -91,7 +91,7 @@
 	for _, name := range []id.Target{"t1", "t2", "t3"} {
 		// All in one zone at the same time, as in an outage.
 		for _, q := range []*quarantine.Shared{a, b} {
-			q.TargetLost(now, quarantine.FailureID{Target: name}, "z", quarantine.Run{Fingerprint: f, StartedAt: now.Add(-time.Second)})
+			q.TargetLost(now, id.TargetIncarnation{Target: name}, "z", quarantine.Run{Fingerprint: f, StartedAt: now.Add(-time.Second)})
 		}
 	}
 	tell := func() {
--- a/internal/coordination/targetlimit/cluster_test.go
+++ b/internal/coordination/targetlimit/cluster_test.go
@@ -159,7 +159,7 @@
 func (c *cluster) send(entry int) {
 	n := c.nodes[entry]
 	for _, target := range c.r.Perm(len(c.targets)) {
-		key := targetlimit.Target{ID: id.Target(fmt.Sprint("t", target))}
+		key := id.TargetIncarnation{Target: id.Target(fmt.Sprint("t", target))}
 		if !n.limits.Take(c.now, key, c.share(n, key), 0) {
 			continue
 		}
@@ -178,7 +178,7 @@
 	}
 }
 
-func (c *cluster) share(n *node, target targetlimit.Target) float64 {
+func (c *cluster) share(n *node, target id.TargetIncarnation) float64 {
 	named, limited := n.limits.Limited(target)
 	if !limited {
 		return 1
@@ -194,7 +194,7 @@
 		}
 	}
 	d.Usable = float64(1+len(d.Others)) / float64(known)
-	return targetlimit.ShareOf(target.ID, named, d)
+	return targetlimit.ShareOf(target.Target, named, d)
 }
 
 // lately returns the number of requests within demandWindow.
--- a/internal/coordination/targetlimit/targetlimit.go
+++ b/internal/coordination/targetlimit/targetlimit.go
@@ -9,7 +9,7 @@
 //
 //	limits := targetlimit.New()
 //	limits.Observe(now, sentAt, target, targetlimit.Named{Limited: true, PerSecond: 5})
-//	if wait := limits.Wait(now, target, share); wait == 0 && limits.Take(now, target, share) { … send … }
+//	if wait := limits.Wait(now, target, share); limits.Take(now, target, share, wait) { … wait, send … }
 //	other.Merge(now, limits.Reports(now))
 //
 // Limits is safe for concurrent use.
@@ -49,12 +49,6 @@
 	PerSecond PerSecond
 }
 
-// Target identifies the incarnation that named a limit.
-type Target struct {
-	ID          id.Target
-	Incarnation id.Incarnation
-}
-
 // Report is what an entry knows of a target's limit.
 type Report struct {
 	Target      id.Target      `json:"target"`
@@ -66,6 +60,11 @@
 	AgeMS int64 `json:"ageMs"`
 }
 
+// Key returns the incarnation that named the limit.
+func (r *Report) Key() id.TargetIncarnation {
+	return id.TargetIncarnation{Target: r.Target, Incarnation: r.Incarnation}
+}
+
 // limit is the limit of one target.
 type limit struct {
 	named Named
@@ -82,15 +81,15 @@
 // Limits holds the limits that an entry knows.
 type Limits struct {
 	mu      sync.Mutex
-	targets map[Target]*limit
+	targets map[id.TargetIncarnation]*limit
 }
 
 // New returns Limits without any.
-func New() *Limits { return &Limits{targets: map[Target]*limit{}} }
+func New() *Limits { return &Limits{targets: map[id.TargetIncarnation]*limit{}} }
 
 // Observe records what an answer said, to a request that was sent at a time. It returns
 // true if a limit has begun or ended, or changed by more than a fifth.
-func (l *Limits) Observe(now, sent time.Time, target Target, named Named) bool {
+func (l *Limits) Observe(now, sent time.Time, target id.TargetIncarnation, named Named) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.targets[target]
@@ -102,7 +101,7 @@
 }
 
 // set records what a target said at a time.
-func (l *Limits) set(now, at time.Time, target Target, named Named) bool {
+func (l *Limits) set(now, at time.Time, target id.TargetIncarnation, named Named) bool {
 	known := l.targets[target]
 	if known == nil {
 		known = &limit{filledAt: now}
@@ -124,7 +123,7 @@
 }
 
 // Limited returns the rate that a target has named, and whether it names one.
-func (l *Limits) Limited(target Target) (PerSecond, bool) {
+func (l *Limits) Limited(target id.TargetIncarnation) (PerSecond, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.targets[target]
@@ -136,7 +135,7 @@
 
 // Wait returns the time until this entry, with its share of the limit, may send a request
 // to the target; 0 if it may now.
-func (l *Limits) Wait(now time.Time, target Target, share float64) time.Duration {
+func (l *Limits) Wait(now time.Time, target id.TargetIncarnation, share float64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.targets[target]
@@ -148,7 +147,7 @@
 
 // Take counts a request that is sent to the target now, or after the wait that Wait
 // returned. It returns false, and counts nothing, if that would take longer than wait.
-func (l *Limits) Take(now time.Time, target Target, share float64, wait time.Duration) bool {
+func (l *Limits) Take(now time.Time, target id.TargetIncarnation, share float64, wait time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.targets[target]
@@ -163,7 +162,7 @@
 }
 
 // Charge counts a request that is sent without waiting.
-func (l *Limits) Charge(now time.Time, target Target, share float64) {
+func (l *Limits) Charge(now time.Time, target id.TargetIncarnation, share float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if known := l.targets[target]; known != nil && known.named.Limited {
@@ -173,7 +172,7 @@
 }
 
 // Return takes back a Take whose request was not sent.
-func (l *Limits) Return(target Target) {
+func (l *Limits) Return(target id.TargetIncarnation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if known := l.targets[target]; known != nil {
@@ -183,7 +182,7 @@
 
 // RetryAfter returns when a request that is refused now may come back. Each call moves the
 // time on by one request of the share, so that those that come back are spread.
-func (l *Limits) RetryAfter(now time.Time, target Target, share float64) time.Duration {
+func (l *Limits) RetryAfter(now time.Time, target id.TargetIncarnation, share float64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.targets[target]
@@ -212,7 +211,7 @@
 			continue
 		}
 		reports = append(reports, Report{
-			Target: target.ID, Incarnation: target.Incarnation, Limited: known.named.Limited, PerSecond: known.named.PerSecond,
+			Target: target.Target, Incarnation: target.Incarnation, Limited: known.named.Limited, PerSecond: known.named.PerSecond,
 			AgeMS: now.Sub(known.at).Milliseconds(),
 		})
 	}
@@ -227,7 +226,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range reports {
-		target := Target{r.Target, r.Incarnation}
+		target := r.Key()
 		at := now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
 		known := l.targets[target]
 		if known == nil && !r.Limited {
@@ -240,7 +239,7 @@
 }
 
 // Forget drops what is known of targets that are gone.
-func (l *Limits) Forget(gone func(Target) bool) {
+func (l *Limits) Forget(gone func(id.TargetIncarnation) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for target := range l.targets {
--- a/internal/coordination/targetlimit/targetlimit_test.go
+++ b/internal/coordination/targetlimit/targetlimit_test.go
@@ -14,7 +14,7 @@
 
 var (
 	start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
-	t1    = targetlimit.Target{ID: "t1"}
+	t1    = id.TargetIncarnation{Target: "t1"}
 	ten   = targetlimit.Named{Limited: true, PerSecond: 10}
 )
 
@@ -104,7 +104,7 @@
 			l.Merge(later, []targetlimit.Report{{Target: "t1", AgeMS: 1500}})
 		}, true},
 		{"the target is gone", func(l *targetlimit.Limits) {
-			l.Forget(func(targetlimit.Target) bool { return true })
+			l.Forget(func(id.TargetIncarnation) bool { return true })
 		}, false},
 	}
 	for _, tt := range tests {
@@ -115,7 +115,7 @@
 			tt.apply(l)
 			_, limited := l.Limited(t1)
 			is.Equal(limited, tt.want)
-			_, limited = l.Limited(targetlimit.Target{ID: "t1", Incarnation: 2})
+			_, limited = l.Limited(id.TargetIncarnation{Target: "t1", Incarnation: 2})
 			is.True(!limited) // another incarnation
 			is.Equal(sent(l, later, 1, 4*time.Second) <= 42, tt.want)
 		})
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -94,7 +94,7 @@
 
 // Of reports whether the loss is that of a target's incarnation.
 func (l *Loss) Of(t *catalog.Target) bool {
-	return t.ID == l.Target && t.Incarnation == l.Incarnation
+	return t.Key() == id.TargetIncarnation{Target: l.Target, Incarnation: l.Incarnation}
 }
 
 // Age returns the age of the loss when the message was sent.
--- a/internal/standin/crashes/entry.go
+++ b/internal/standin/crashes/entry.go
@@ -24,9 +24,9 @@
 	quarantine *quarantine.Shared
 	// heard is when the entry last heard from a target, zoneHeard from any target of a
 	// zone, and avoided until when it sends nothing to a target.
-	heard     map[quarantine.FailureID]time.Time
+	heard     map[id.TargetIncarnation]time.Time
 	zoneHeard map[id.Zone]time.Time
-	avoided   map[quarantine.FailureID]time.Time
+	avoided   map[id.TargetIncarnation]time.Time
 	// losses are the targets that the entry lost recently.
 	losses     []loss
 	nextReport time.Time
@@ -44,7 +44,7 @@
 
 // loss is a target that an entry lost.
 type loss struct {
-	target quarantine.FailureID
+	target id.TargetIncarnation
 	zone   id.Zone
 	at     time.Time
 }
@@ -59,10 +59,10 @@
 }
 
 func newEntry(s *simulation) *entry {
-	e := &entry{s: s, heard: map[quarantine.FailureID]time.Time{}, zoneHeard: map[id.Zone]time.Time{}, avoided: map[quarantine.FailureID]time.Time{}}
+	e := &entry{s: s, heard: map[id.TargetIncarnation]time.Time{}, zoneHeard: map[id.Zone]time.Time{}, avoided: map[id.TargetIncarnation]time.Time{}}
 	e.name = id.Entry(fmt.Sprintf("e%02d", len(s.entries)))
 	e.quarantine = quarantine.NewShared(e.name, quarantine.Activity{
-		Target: func(f quarantine.FailureID) time.Time { return e.heard[f] },
+		Target: func(f id.TargetIncarnation) time.Time { return e.heard[f] },
 		Zone:   func(z id.Zone) time.Time { return e.zoneHeard[z] },
 	})
 	return e
--- a/internal/standin/crashes/run.go
+++ b/internal/standin/crashes/run.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -30,7 +29,7 @@
 
 // target is a target of the deployment. Each start has a new name.
 type target struct {
-	id   quarantine.FailureID
+	id   id.TargetIncarnation
 	zone int
 	up   bool
 	// upAt is when a target that is down starts again.
@@ -151,7 +150,7 @@
 
 func (s *simulation) startTarget(t *target) {
 	s.names++
-	t.id, t.up = quarantine.FailureID{Target: id.Target(fmt.Sprint("t", s.names))}, true
+	t.id, t.up = id.TargetIncarnation{Target: id.Target(fmt.Sprint("t", s.names))}, true
 }
 
 // finishRuns ends the runs of a target that are due.
--- a/internal/state/catalog/target.go
+++ b/internal/state/catalog/target.go
@@ -31,11 +31,16 @@
 	State   TargetState
 	// Sequence rises with each record that the target writes about itself; 0 if it
 	// is unknown.
-	Sequence int64
+	Sequence id.Sequence
 	// WarmAt is when the target reaches full speed after its start.
 	WarmAt time.Time
 }
 
+// Key identifies the target's current start.
+func (t *Target) Key() id.TargetIncarnation {
+	return id.TargetIncarnation{Target: t.ID, Incarnation: t.Incarnation}
+}
+
 // Targets is a list of targets.
 type Targets []*Target
 
--- a/internal/state/id/id.go
+++ b/internal/state/id/id.go
@@ -67,6 +67,12 @@
 	TokenIndex uint32
 )
 
+// TargetIncarnation identifies one start of a target.
+type TargetIncarnation struct {
+	Target      Target
+	Incarnation Incarnation
+}
+
 // Lineage identifies one generation of a request's answer. Attempts that continue
 // one another share a lineage; an answer that is restarted gets a new one.
 type Lineage string
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -155,10 +155,7 @@
 		configured:   make(chan struct{}),
 		roster:       roster.New(cfg.PeerAddress, seedPeers(cfg.PeerAddress, cfg.SeedAddresses)),
 	}
-	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{
-		Target: func(f quarantine.FailureID) time.Time { return e.balancer.HeardFrom(f.Target, f.Incarnation) },
-		Zone:   e.balancer.ZoneHeardFrom,
-	})
+	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.limits = newTargetLimits(e)
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
--- a/internal/transport/direct/limits.go
+++ b/internal/transport/direct/limits.go
@@ -37,14 +37,10 @@
 	return &targetLimits{e: e, limits: targetlimit.New()}
 }
 
-func limitKey(t *catalog.Target) targetlimit.Target {
-	return targetlimit.Target{ID: t.ID, Incarnation: t.Incarnation}
-}
-
 // observe records what an answer said about the target's limit, and tells the other
 // entries at once of a change.
 func (l *targetLimits) observe(sent time.Time, t *catalog.Target, limit direct.Limit) {
-	if !l.limits.Observe(l.e.deps.Clock.Now(), sent, limitKey(t), limit) {
+	if !l.limits.Observe(l.e.deps.Clock.Now(), sent, t.Key(), limit) {
 		return
 	}
 	l.e.deps.Log.Emit(event.TargetLimitChanged, "target", t.ID, "incarnation", t.Incarnation, "limited", limit.Limited, "perSecond", limit.PerSecond)
@@ -62,20 +58,20 @@
 	if len(reports) == 0 {
 		return
 	}
-	known := map[targetlimit.Target]bool{}
+	known := map[id.TargetIncarnation]bool{}
 	for _, targets := range l.e.directory.View().Targets {
 		for _, t := range targets {
-			known[limitKey(t)] = true
+			known[t.Key()] = true
 		}
 	}
 	l.limits.Merge(now, slices.DeleteFunc(reports, func(r targetlimit.Report) bool {
-		return !known[targetlimit.Target{ID: r.Target, Incarnation: r.Incarnation}]
+		return !known[r.Key()]
 	}))
 }
 
 // share returns this entry's share of the limit of a target, 1 if it has none.
 func (l *targetLimits) share(now time.Time, t *catalog.Target) float64 {
-	perSecond, limited := l.limits.Limited(limitKey(t))
+	perSecond, limited := l.limits.Limited(t.Key())
 	if !limited {
 		return 1
 	}
@@ -93,21 +89,21 @@
 
 // wait returns the time until a request may be sent to the target.
 func (l *targetLimits) wait(now time.Time, t *catalog.Target) time.Duration {
-	return l.limits.Wait(now, limitKey(t), l.share(now, t))
+	return l.limits.Wait(now, t.Key(), l.share(now, t))
 }
 
 // take counts a request to the target that is sent after a wait. It returns false if others
 // have taken its place meanwhile.
 func (l *targetLimits) take(now time.Time, t *catalog.Target, wait time.Duration) bool {
-	return l.limits.Take(now, limitKey(t), l.share(now, t), wait)
+	return l.limits.Take(now, t.Key(), l.share(now, t), wait)
 }
 
 // giveBack takes back a request that was not sent.
-func (l *targetLimits) giveBack(t *catalog.Target) { l.limits.Return(limitKey(t)) }
+func (l *targetLimits) giveBack(t *catalog.Target) { l.limits.Return(t.Key()) }
 
 // charge counts a call to the target that does not wait.
 func (l *targetLimits) charge(now time.Time, t *catalog.Target) {
-	l.limits.Charge(now, limitKey(t), l.share(now, t))
+	l.limits.Charge(now, t.Key(), l.share(now, t))
 }
 
 // retryAfter returns when a request for the target that is refused now may come back. If
@@ -117,7 +113,7 @@
 	if share == 0 {
 		return busyRetryAfter
 	}
-	return max(minLimitRetryAfter, l.limits.RetryAfter(now, limitKey(t), share))
+	return max(minLimitRetryAfter, l.limits.RetryAfter(now, t.Key(), share))
 }
 
 // forget drops the limits of targets that are gone.
@@ -126,7 +122,7 @@
 	for _, t := range gone {
 		names[t.ID] = true
 	}
-	l.limits.Forget(func(t targetlimit.Target) bool { return names[t.ID] })
+	l.limits.Forget(func(t id.TargetIncarnation) bool { return names[t.Target] })
 }
 
 // split divides targets into those that may get a request now and those at their limit.
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -244,7 +244,7 @@
 			x.e.balancer.ApplyPeerReplaced(now, t, l.Age())
 			continue
 		}
-		x.e.quarantine.TargetLost(now.Add(-l.Age()), failureID(t), t.Zone)
+		x.e.quarantine.TargetLost(now.Add(-l.Age()), t.Key(), t.Zone)
 		if x.e.balancer.ApplyPeerLoss(now, t, l.Age()) {
 			x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Age())
 		}
--- a/internal/transport/direct/quarantine.go
+++ b/internal/transport/direct/quarantine.go
@@ -20,10 +20,6 @@
 // that timed out there suggests that the target has ended.
 const minSilence = 250 * time.Millisecond
 
-func failureID(t *catalog.Target) quarantine.FailureID {
-	return quarantine.FailureID{Target: t.ID, Incarnation: t.Incarnation}
-}
-
 // computeFingerprint returns the fingerprint of the request's content and client
 // account.
 func (c *call) computeFingerprint() id.Fingerprint {
@@ -48,13 +44,13 @@
 			c.log(event.RequestCleared, "fingerprint", c.requestFingerprint, "outcome", outcome, "ends", ends)
 		}
 	case c.mayHaveEnded(now, t, outcome, err):
-		c.e.quarantine.TargetLost(now, failureID(t), t.Zone, quarantine.Run{Fingerprint: c.requestFingerprint, StartedAt: sent})
+		c.e.quarantine.TargetLost(now, t.Key(), t.Zone, quarantine.Run{Fingerprint: c.requestFingerprint, StartedAt: sent})
 		c.logTargetEnd(now, t, outcome, err)
 		if failures := c.e.quarantine.LatestStatus(now, c.requestFingerprint).Failures; failures > 1 {
 			c.log(event.RequestSuspected, "fingerprint", c.requestFingerprint, "target", t.ID, "incarnation", t.Incarnation, "deaths", failures)
 		}
 	case outcome == balance.Unreachable:
-		c.e.quarantine.TargetLost(now, failureID(t), t.Zone)
+		c.e.quarantine.TargetLost(now, t.Key(), t.Zone)
 		c.logTargetEnd(now, t, outcome, err)
 	case outcome == balance.Lost || outcome == balance.ClientCancelled || outcome == balance.Rerouted:
 		c.logTargetEnd(now, t, outcome, err)
@@ -67,7 +63,7 @@
 // an invalid answer.
 func (c *call) mayHaveEnded(now time.Time, t *catalog.Target, outcome balance.Outcome, err error) bool {
 	if outcome == balance.Lost && (fault.Is(err, upstream.ReadTimeout) || c.expired()) {
-		return now.Sub(c.e.balancer.HeardFrom(t.ID, t.Incarnation)) > minSilence
+		return now.Sub(c.e.balancer.HeardFrom(t.Key())) > minSilence
 	}
 	return fault.Is(err, upstream.ConnectionLost) && !errors.Is(err, net.ErrClosed)
 }
