--- a/internal/standin/crashes/entry.go
+++ b/internal/standin/crashes/entry.go
@@ -83,19 +83,20 @@
 func (e *entry) try(q *request, again bool) {
 	s := e.s
 	for ; q.attempts > 0; q.attempts-- {
-		switch e.check(q, again) {
-		case refused:
-			e.countRefusal(q, &s.report.HarmlessRefused)
-			e.quarantine.End(q.fingerprint, q.id)
+		if e.quarantine.RefusedFor(s.now, q.fingerprint) > 0 {
+			e.refuse(q, &s.report.HarmlessRefused)
 			return
-		case heldBack:
-			e.countRefusal(q, &s.report.HarmlessHeld)
-			e.quarantine.End(q.fingerprint, q.id)
+		}
+		switch e.verdict(q, again) {
+		case quarantine.HeldBack:
+			e.refuse(q, &s.report.HarmlessHeld)
 			return
-		case mustWait:
+		case quarantine.MustWait:
 			e.waiting = append(e.waiting, waiting{q, s.now.Add(quarantine.SettleTime), again})
+			// What the entry is about to run is reported at once.
+			e.nextReport = s.now
 			return
-		case allowed:
+		case quarantine.Allowed:
 		}
 		t := e.choose(q)
 		if t == nil {
@@ -116,41 +117,14 @@
 	e.quarantine.End(q.fingerprint, q.id)
 }
 
-// verdict says whether a request may be sent to a target.
-type verdict int
-
-const (
-	allowed verdict = iota
-	refused
-	// heldBack requests have to come back later.
-	heldBack
-	// mustWait requests wait at the entry until others have reported.
-	mustWait
-)
-
-// check returns whether a request may be sent, as direct entries decide it.
-func (e *entry) check(q *request, again bool) verdict {
-	now := e.s.now
-	if e.quarantine.RefusedFor(now, q.fingerprint) > 0 {
-		return refused
+// verdict returns whether a request that is not refused may be sent, as direct entries
+// decide it.
+func (e *entry) verdict(q *request, again bool) quarantine.Verdict {
+	if !q.waited {
+		return e.quarantine.TryStart(e.s.now, q.fingerprint, q.id, again)
 	}
-	if q.waited {
-		q.waited = false
-		return e.verdictOf(e.quarantine.Confirm(now, q.fingerprint, q.id))
-	}
-	return e.verdictOf(e.quarantine.TryStart(now, q.fingerprint, q.id, again))
-}
-
-func (e *entry) verdictOf(v quarantine.Verdict) verdict {
-	switch v {
-	case quarantine.HeldBack:
-		return heldBack
-	case quarantine.MustWait:
-		// What the entry is about to run is reported at once.
-		e.nextReport = e.s.now
-		return mustWait
-	}
-	return allowed
+	q.waited = false
+	return e.quarantine.Confirm(e.s.now, q.fingerprint, q.id)
 }
 
 // retryWaiting tries the requests again that have waited long enough.
@@ -167,8 +141,9 @@
 	}
 }
 
-// countRefusal counts a refusal, that of a harmless request in the given count.
-func (e *entry) countRefusal(q *request, harmless *int) {
+// refuse ends a request and counts its refusal, that of a harmless one in the given count.
+func (e *entry) refuse(q *request, harmless *int) {
+	e.quarantine.End(q.fingerprint, q.id)
 	if q.fingerprint == crasher {
 		e.s.report.CrasherRefused++
 		return
