--- a/internal/coordination/targetlimit/cluster_test.go
+++ b/internal/coordination/targetlimit/cluster_test.go
@@ -51,6 +51,8 @@
 	loss  float64
 	// cut is when the last entry is cut off from the others for 8 s; 0 for never.
 	cut time.Duration
+	// restart is when the last entry starts anew; 0 for never.
+	restart time.Duration
 }
 
 const cutTime = 8 * time.Second
@@ -97,11 +99,15 @@
 func newCluster(s scenario, seed uint64) *cluster {
 	c := &cluster{scenario: s, r: rand.New(rand.NewPCG(seed, 1)), now: start, arrivals: make([][]arrival, len(s.targets))}
 	for i := range s.entries {
-		c.nodes = append(c.nodes, &node{name: name(i), limits: targetlimit.New(), heard: map[id.Entry]heard{}, toldAt: map[int]time.Time{}})
+		c.nodes = append(c.nodes, newNode(i))
 	}
 	return c
 }
 
+func newNode(i int) *node {
+	return &node{name: name(i), limits: targetlimit.New(), heard: map[id.Entry]heard{}, toldAt: map[int]time.Time{}}
+}
+
 // limitOf returns the limit that a target names at a time.
 func (c *cluster) limitOf(target int, at time.Time) targetlimit.PerSecond {
 	limit := targetlimit.PerSecond(0)
@@ -121,6 +127,9 @@
 
 func (c *cluster) play() {
 	for end := start.Add(playTime); c.now.Before(end); c.now = c.now.Add(step) {
+		if last := c.entries - 1; c.restart > 0 && c.now.Equal(start.Add(c.restart)) {
+			c.nodes[last] = newNode(last)
+		}
 		pending := c.messages[:0:0]
 		for _, m := range c.messages {
 			if m.at.After(c.now) {
@@ -261,10 +270,13 @@
 	return highest
 }
 
-// excused reports whether the entry was cut off shortly before.
+// excused reports whether the entry was cut off or started shortly before.
 func (c *cluster) excused(a arrival) bool {
-	since := a.at.Sub(start) - c.cut
-	return c.cut > 0 && a.entry == c.entries-1 && since >= 0 && since < cutTime+contact
+	within := func(event, lasts time.Duration) bool {
+		since := a.at.Sub(start) - event
+		return event > 0 && since >= 0 && since < lasts+contact
+	}
+	return a.entry == c.entries-1 && (within(c.cut, cutTime) || within(c.restart, 0))
 }
 
 func always(limit targetlimit.PerSecond) []phase { return []phase{{0, limit}} }
@@ -284,6 +296,7 @@
 			scenario{name: n + "a hot target", entries: entries, perSecond: 100, targets: [][]phase{always(6)}},
 			scenario{name: n + "lost messages", entries: entries, perSecond: 100, loss: 0.2, targets: [][]phase{always(6), unlimited}},
 			scenario{name: n + "one cut off", entries: entries, perSecond: 100, cut: 10 * time.Second, targets: [][]phase{always(6), unlimited}},
+			scenario{name: n + "one restarted", entries: entries, perSecond: 100, restart: 10 * time.Second, targets: [][]phase{always(6), unlimited}},
 			scenario{name: n + "a burst after quiet", entries: entries, perSecond: 200, quiet: 12 * time.Second, targets: [][]phase{always(4), always(1)}},
 			scenario{name: n + "little traffic", entries: entries, perSecond: 3, targets: [][]phase{always(0.5), always(1)}},
 		)
