--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -228,6 +228,7 @@
 	for i := range u.Losses {
 		x.applyLoss(now, u.From, &u.Losses[i])
 	}
+	x.storeWatcher.noteVersion(u.Version)
 	outdated := u.StoreReachable && x.storeWatcher.storeUnavailable()
 	if (outdated || x.isBehind(u.Version)) && x.beginSnapshotRead(now) {
 		go x.readSnapshot(ctx, u.Address)
--- a/internal/transport/direct/snapshot.go
+++ b/internal/transport/direct/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -49,13 +50,26 @@
 	}
 	defer res.Body.Close()
 	var s direct.StoreSnapshot
-	if err := json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxSnapshotBytes)).Decode(&s); err != nil {
-		x.e.deps.Log.Emit(event.PeerUpdateRejected, "peer", address, "error", err)
+	body := &countingReader{r: http.MaxBytesReader(nil, res.Body, maxSnapshotBytes)}
+	if err := json.NewDecoder(body).Decode(&s); err != nil {
+		x.e.deps.Log.Emit(event.PeerUpdateRejected, "peer", address, "bytes", body.n, "error", err)
 		return
 	}
 	x.storeWatcher.applySnapshot(&s)
 }
 
+// countingReader counts the bytes that were read.
+type countingReader struct {
+	r io.Reader
+	n int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	return n, err
+}
+
 // serveSnapshot sends this entry's snapshot of the key-value service to another
 // entry.
 func (x *peerExchange) serveSnapshot(w http.ResponseWriter, r *http.Request) {
@@ -87,7 +101,7 @@
 // service.
 func (w *storeWatcher) applySnapshot(s *direct.StoreSnapshot) {
 	w.withLock(func() {
-		w.applyConfig(s.Config)
+		w.applyConfig(s.Config, "entry")
 		if len(s.Targets) == 0 || (w.e.targetsListed.Load() && !w.e.directory.StoreUnavailable()) {
 			return
 		}
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -34,6 +34,10 @@
 	undecodable map[string]int64
 	// configAppliedAt is when the current configuration was applied.
 	configAppliedAt time.Time
+	// newestVersion is the highest version of the configuration that another entry
+	// has in force, and newestSeenAt when the first entry said so.
+	newestVersion catalog.Version
+	newestSeenAt  time.Time
 	// storeAnsweredAt is when the key-value service last answered.
 	storeAnsweredAt time.Time
 	// configItem and targetItems are the items as last read. Other entries can
@@ -156,17 +160,38 @@
 
 func (w *storeWatcher) replaceConfig(page store.Page) {
 	for i := range page.Items {
-		w.applyConfig(page.Items[i])
+		w.applyConfig(page.Items[i], "list")
 	}
 }
 
 func (w *storeWatcher) applyConfigChange(c store.Change) {
 	if !c.Deleted {
-		w.applyConfig(c.Item)
+		w.applyConfig(c.Item, "watch")
 	}
 }
 
-func (w *storeWatcher) applyConfig(i store.Item) {
+// noteVersion records when a version of the configuration was first seen, at
+// another entry or in the key-value service.
+func (w *storeWatcher) noteVersion(v catalog.Version) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v > w.newestVersion {
+		w.newestVersion, w.newestSeenAt = v, w.e.deps.Clock.Now()
+	}
+}
+
+// sinceSeen returns the time since a version was first seen; 0 if it was not seen
+// before.
+func (w *storeWatcher) sinceSeen(v catalog.Version) time.Duration {
+	if v > w.newestVersion || w.newestSeenAt.IsZero() {
+		return 0
+	}
+	return w.e.deps.Clock.Since(w.newestSeenAt)
+}
+
+// applyConfig puts a configuration in force if it is newer than the current one.
+// source names where it was read.
+func (w *storeWatcher) applyConfig(i store.Item, source string) {
 	if i.Key != w.e.deps.Codec.ConfigKey {
 		return
 	}
@@ -177,7 +202,8 @@
 	}
 	if w.e.directory.UpdateConfig(cfg) {
 		w.configItem, w.configAppliedAt = i, w.e.deps.Clock.Now()
-		w.e.deps.Log.Emit(event.RevisionInForce, "version", cfg.Version, "revision", i.ModRevision, "routes", len(cfg.Routes))
+		w.e.deps.Log.Emit(event.RevisionInForce, "version", cfg.Version, "revision", i.ModRevision, "routes", len(cfg.Routes),
+			"bytes", len(i.Value), "source", source, "after", w.sinceSeen(cfg.Version))
 	}
 }
 
