--- /dev/null
+++ b/internal/standin/configs/configs_test.go
@@ -0,0 +1,38 @@
+//go:build knownred
+
+package configs_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/standin/configs"
+)
+
+// otherTraffic is what callers and reports take of each link, in bytes per second.
+const otherTraffic = 200_000
+
+func play(t *testing.T, opts configs.Options) *configs.Report {
+	t.Helper()
+	opts.OtherTraffic = otherTraffic
+	var report *configs.Report
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var err error
+		report, err = configs.Run(t.Context(), opts)
+		is.NoErr(err)
+	})
+	for _, c := range report.Changes {
+		t.Logf("version %d, %d routes, %d bytes: in force after %v to %v, late at %d entries", c.Version, c.Routes, c.Bytes, c.First, c.Last, c.Late)
+	}
+	t.Logf("bytes sent by the key-value service: %d, by the entries: %d", report.StoreBytes, report.PeerBytes)
+	return report
+}
+
+func TestLargeConfigInForceOverSlowLinks(t *testing.T) {
+	is := is.New(t)
+	report := play(t, configs.Options{Entries: 23, FastEntries: 8, Targets: 88, Steps: []int{1400, 0, 1400, 0, 1400, 0}})
+	is.True(report.Holds())
+}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -69,8 +69,8 @@
 	ParseTargetID func(key string) (id.Target, bool)
 }
 
-// Deps are the dependencies of an entry. All fields but the last three are
-// required.
+// Deps are the dependencies of an entry. All fields but the last four
+// are required.
 type Deps struct {
 	Clock   clockwork.Clock
 	Log     *event.Log
@@ -83,10 +83,12 @@
 	// SinceBoot returns the time since the host booted, including the time during
 	// which it was suspended. It is nil where this time is not available.
 	SinceBoot func() time.Duration
-	// Listen opens a listener on a host:port address, and Dial connects to such an
-	// address. Where they are nil, TCP is used.
-	Listen func(address string) (net.Listener, error)
-	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	// Listen opens a listener on a host:port address, ListenPacket a socket for
+	// datagrams, and Dial connects to such an address. Where they are nil, TCP and
+	// UDP are used.
+	Listen       func(address string) (net.Listener, error)
+	ListenPacket func(address string) (net.PacketConn, error)
+	Dial         func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Entry forwards client requests directly to targets.
@@ -143,6 +145,9 @@
 	if deps.Listen == nil {
 		deps.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
+	if deps.ListenPacket == nil {
+		deps.ListenPacket = func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
+	}
 	e := &Entry{
 		cfg: cfg, deps: deps,
 		startedAt:    deps.Clock.Now(),
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -28,6 +28,8 @@
 	snapshotTimeout = time.Second
 	// minSnapshotInterval is the minimum time between two such reads.
 	minSnapshotInterval = 300 * time.Millisecond
+	// peerIdleTimeout is how long connections to other entries stay open unused.
+	peerIdleTimeout = 20 * time.Second
 	// maxSnapshotBytes limits the size of another entry's snapshot.
 	maxSnapshotBytes = 16 << 20
 	// snapshotPath serves the entry's snapshot.
@@ -61,11 +63,11 @@
 // openPeerExchange opens the UDP and TCP sockets for other entries.
 func openPeerExchange(e *Entry, w *storeWatcher) (*peerExchange, error) {
 	const op = "direct.openPeerExchange"
-	conn, err := net.ListenPacket("udp", e.cfg.PeerAddress)
+	conn, err := e.deps.ListenPacket(e.cfg.PeerAddress)
 	if err != nil {
 		return nil, fault.Wrap(op, ListenFailed, err)
 	}
-	listener, err := net.Listen("tcp", e.cfg.PeerAddress)
+	listener, err := e.deps.Listen(e.cfg.PeerAddress)
 	if err != nil {
 		_ = conn.Close()
 		return nil, fault.Wrap(op, ListenFailed, err)
@@ -73,11 +75,20 @@
 	return &peerExchange{
 		e: e, roster: e.roster, storeWatcher: w, conn: conn, listener: listener,
 		incarnation: id.Incarnation(e.deps.Clock.Now().UnixMilli()),
-		client:      &http.Client{Timeout: snapshotTimeout},
+		client:      &http.Client{Timeout: snapshotTimeout, Transport: peerTransport(e.deps.Dial)},
 		urgent:      make(chan struct{}, 1),
 	}, nil
 }
 
+// peerTransport returns the connections to other entries. dial is nil for TCP.
+func peerTransport(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Transport {
+	t := &http.Transport{IdleConnTimeout: peerIdleTimeout}
+	if dial != nil {
+		t.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
+	}
+	return t
+}
+
 // seedPeers returns the seeds' addresses for updates. All entries use the same
 // port for them.
 func seedPeers(self string, seeds []string) []string {
