--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -18,8 +18,9 @@
 	// at least minSaveInterval.
 	minSaveInterval      = time.Second
 	saveIntervalPerEntry = 90 * time.Millisecond
-	// stateTimeout limits reading or writing the saved state.
-	stateTimeout = time.Second
+	// stateTimeout limits reading or writing the saved state as a whole. The client of
+	// the key-value service ends calls that make no progress earlier.
+	stateTimeout = 10 * time.Second
 )
 
 // stateSaver saves the entry's unfinished runs, and the requests that are
