--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -42,9 +42,26 @@
 	// an upper limit.
 	PromptTokens int
 	OutputTokens int
-	// PromptID identifies the part of the prompt that is specific to this request;
-	// empty if the client does not say.
-	PromptID string
+	// PromptParts are the parts of the prompt, in order. Requests share parts; the last
+	// one is specific to this request or its session. Empty if the client does not say.
+	PromptParts []PartID
+}
+
+// PartID identifies a part of a prompt by its content.
+type PartID string
+
+// OwnPart returns the part of the prompt that is specific to this request; empty if the
+// client does not say.
+func (m *RequestMetadata) OwnPart() PartID {
+	if len(m.PromptParts) == 0 {
+		return ""
+	}
+	return m.PromptParts[len(m.PromptParts)-1]
+}
+
+// SharedParts returns the parts of the prompt that other requests may have too.
+func (m *RequestMetadata) SharedParts() []PartID {
+	return m.PromptParts[:max(0, len(m.PromptParts)-1)]
 }
 
 // ForwardMetadata is what an entry sends to a target with a request.
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -405,7 +405,11 @@
 	return protocol.Dialect{
 		DecodeRequest: func(h http.Header) protocol.RequestMetadata {
 			prompt, _ := strconv.Atoi(h.Get("Prompt"))
-			return protocol.RequestMetadata{Attempt: protocol.AttemptID(h.Get("Attempt")), Key: catalog.Key(h.Get("Key")), LastEventID: protocol.EventID(h.Get("Last")), PromptTokens: prompt}
+			var parts []protocol.PartID
+			for part := range strings.SplitSeq(h.Get("Parts"), ",") {
+				parts = append(parts, protocol.PartID(part))
+			}
+			return protocol.RequestMetadata{PromptParts: parts, Attempt: protocol.AttemptID(h.Get("Attempt")), Key: catalog.Key(h.Get("Key")), LastEventID: protocol.EventID(h.Get("Last")), PromptTokens: prompt}
 		},
 		Strip: func(h http.Header) { h.Del("Key"); h.Del("Account"); h.Del("Copy-To"); h.Del("Copy-At") },
 		EncodeForward: func(h http.Header, m protocol.ForwardMetadata) {
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
@@ -86,7 +87,7 @@
 		return
 	}
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
-		"promptTokens", c.meta.PromptTokens, "lastEvent", c.meta.LastEventID, "left", c.timeLeft())
+		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "left", c.timeLeft())
 	defer e.quarantine.End(c.requestFingerprint, id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -125,7 +126,7 @@
 	c.service = route.PickService(c.e.deps.Random())
 	c.requirements = balance.Request{
 		Engine:       c.engine(),
-		PromptTokens: c.meta.PromptTokens, OutputTokens: c.meta.OutputTokens, Prompt: c.meta.PromptID,
+		PromptTokens: c.meta.PromptTokens, OutputTokens: c.meta.OutputTokens, Prompt: string(c.meta.OwnPart()),
 	}
 	c.setDeadline()
 	if c.e.stopsBefore(c.start.Add(c.expectedTime())) {
@@ -249,6 +250,18 @@
 	return true
 }
 
+// joinParts returns the parts of a prompt as text for the log.
+func joinParts(parts []direct.PartID) string {
+	var b strings.Builder
+	for i, part := range parts {
+		if i > 0 {
+			b.WriteByte('+')
+		}
+		b.WriteString(string(part))
+	}
+	return b.String()
+}
+
 // log writes a log line with the request's id.
 func (c *call) log(e event.Event, fields ...any) {
 	c.e.deps.Log.Emit(e, append([]any{"request", c.meta.Attempt}, fields...)...)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -332,7 +332,7 @@
 // handoverKey returns a key that is the same for all attempts of the client at
 // this request.
 func (c *call) handoverKey() handover.Key {
-	return handover.KeyOf(string(c.accountName()), c.r.Host, c.r.Method, c.r.RequestURI, c.meta.PromptID, string(c.body))
+	return handover.KeyOf(string(c.accountName()), c.r.Host, c.r.Method, c.r.RequestURI, string(c.meta.OwnPart()), string(c.body))
 }
 
 // inheritCopy takes over the copy of the run that served an earlier connection
