Quarantine: parts of prompts that crash targets

Cause: what crashes targets was known only by the fingerprint of a whole request. Requests with the part are no two alike, so their ends never added up, and each was sent on to four or five targets.

Change: a request carries several fingerprints (quarantine.Content), its own and one for each part that it may share, and the tracker, turns, messages and saved state hold them all alike. A part is blamed only for what happened under two requests or more, and a request and its own part do not dilute each other's evidence.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -144,7 +144,7 @@
 	p := certain
 	ends := t.ends(f)
 	for other := range fail.suspects {
-		if other == f || !fail.ran(other) {
+		if other == f || !fail.ran(other) || fail.belongsTogether(f, other) {
 			continue
 		}
 		switch otherEnds := t.ends(other); {
--- a/internal/coordination/quarantine/failure.go
+++ b/internal/coordination/quarantine/failure.go
@@ -11,7 +11,10 @@
 // Run is an attempt of a request that ran at a target when the target failed.
 type Run struct {
 	Fingerprint id.Fingerprint
-	StartedAt   time.Time
+	// Parts are the fingerprints of the parts of its prompt that may have crashed the
+	// target.
+	Parts     []id.Fingerprint
+	StartedAt time.Time
 	// Alone says that no other request with the fingerprint ran at any entry.
 	Alone bool
 }
@@ -51,6 +54,9 @@
 	cleared bool
 	// alone says that no other request with the fingerprint ran at any entry.
 	alone bool
+	// request is the request that had the fingerprint as a part, the lowest one if there
+	// were several; 0 if the fingerprint is that of a request.
+	request id.Fingerprint
 }
 
 // ran reports whether f ran at the failure and has not been cleared since.
@@ -70,6 +76,9 @@
 	recorded := t.findOrAddFailure(fail.TargetIncarnation, fail.Place, fail.At, startedAt)
 	for _, run := range fail.Running {
 		t.addSuspect(recorded, run.Fingerprint, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, alone: run.Alone})
+		for _, part := range run.Parts {
+			t.addSuspect(recorded, part, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, request: run.Fingerprint})
+		}
 	}
 }
 
@@ -77,7 +86,7 @@
 func (t *Tracker) addSuspect(fail *failure, f id.Fingerprint, added suspect) {
 	known := fail.suspects[f]
 	if known == nil {
-		known = &suspect{startedAt: added.startedAt, lastStart: added.lastStart}
+		known = &suspect{startedAt: added.startedAt, lastStart: added.lastStart, request: added.request}
 		fail.suspects[f] = known
 		t.byFingerprint[f] = append(t.byFingerprint[f], fail)
 		t.markChanged(fail)
@@ -92,6 +101,10 @@
 		known.lastStart = added.lastStart
 		t.markChanged(fail)
 	}
+	if added.request != 0 && added.request < known.request {
+		known.request = added.request
+		t.markChanged(fail)
+	}
 	if added.alone && !known.alone {
 		known.alone = true
 		t.markChanged(fail)
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,9 +1,12 @@
 // Package quarantine finds requests that crash the targets that run them.
 //
 // Callers send such a request again under new keys, so it is identified by its
-// fingerprint. When a target fails, all fingerprints that ran there are suspected. A
-// fingerprint that ran at several failures, and never ran to completion in between, is
-// refused for a time.
+// fingerprint. A part of a prompt that crashes targets has a fingerprint of its own, and
+// the same rules hold for it. When a target fails, all fingerprints that ran there are
+// suspected. A fingerprint that ran at several failures, and never ran to completion in
+// between, is refused for a time. A part is also cleared, and trusted for some time, once a
+// target that began to write an answer on it has lived on; and it is blamed only for what
+// happened under several requests.
 //
 // What else explains a failure is judged for each fingerprint by itself. A lost zone takes
 // targets that ran other requests; a request that crashes targets takes only those that
@@ -109,6 +112,8 @@
 	byFingerprint map[id.Fingerprint][]*failure
 	// version increases with each change to be sent to others.
 	version uint64
+	// proven holds when each part of a prompt was last proven not to crash targets.
+	proven map[id.Fingerprint]time.Time
 	// runningAlone maps the suspects that must run one at a time to the request that
 	// runs in this process.
 	runningAlone map[id.Fingerprint]id.Request
@@ -117,7 +122,7 @@
 // New returns an empty Tracker.
 func New(cfg Config) *Tracker {
 	cfg.Defaults()
-	return &Tracker{cfg: cfg, byFingerprint: map[id.Fingerprint][]*failure{}, runningAlone: map[id.Fingerprint]id.Request{}}
+	return &Tracker{cfg: cfg, byFingerprint: map[id.Fingerprint][]*failure{}, proven: map[id.Fingerprint]time.Time{}, runningAlone: map[id.Fingerprint]id.Request{}}
 }
 
 // Configure replaces the configuration.
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -49,6 +49,8 @@
 	Cleared bool `json:"cleared,omitempty"`
 	// Alone says that no other request with the fingerprint ran at any entry.
 	Alone bool `json:"alone,omitempty"`
+	// Request is the request of which the fingerprint is a part; 0 if it is not a part.
+	Request id.Fingerprint `json:"request,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks an observation. Its error is of kind Invalid.
@@ -139,7 +141,7 @@
 		Region: fail.place.Region, AgeMs: max(0, now.Sub(fail.at).Milliseconds()),
 	}
 	if s := fail.suspects[f]; s != nil {
-		o.Cleared, o.Alone = s.cleared, s.alone
+		o.Cleared, o.Alone, o.Request = s.cleared, s.alone, s.request
 		o.RunMs, o.LastRunMs = fail.at.Sub(s.startedAt).Milliseconds(), fail.at.Sub(s.lastStart).Milliseconds()
 	}
 	return o
@@ -192,7 +194,10 @@
 			fail := t.findOrAddFailure(id.TargetIncarnation{Target: o.Target, Incarnation: o.Incarnation}, place, at, time.Time{})
 			if r.Fingerprint != 0 {
 				run, lastRun := time.Duration(o.RunMs)*time.Millisecond, time.Duration(o.LastRunMs)*time.Millisecond
-				t.addSuspect(fail, r.Fingerprint, suspect{startedAt: at.Add(-run), lastStart: at.Add(-lastRun), cleared: o.Cleared, alone: o.Alone})
+				t.addSuspect(fail, r.Fingerprint, suspect{startedAt: at.Add(-run), lastStart: at.Add(-lastRun), cleared: o.Cleared, alone: o.Alone, request: o.Request})
+				if o.Request != 0 && o.Cleared {
+					t.proven[r.Fingerprint] = now
+				}
 			}
 		}
 	}
--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -67,25 +67,54 @@
 	}
 }
 
-// RefusedFor returns how much longer requests with the fingerprint are refused, or 0.
-func (q *Shared) RefusedFor(now time.Time, f id.Fingerprint) time.Duration {
+// RefusedFor returns how much longer requests with the content are refused, and the
+// fingerprint for which they are, or 0.
+func (q *Shared) RefusedFor(now time.Time, c Content) (time.Duration, id.Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	status := q.tracker.Status(now, f)
-	if status.State != Refused {
-		return 0
+	var longest time.Duration
+	var refused id.Fingerprint
+	for _, f := range c.fingerprints() {
+		status := q.tracker.Status(now, f)
+		if status.State == Refused && status.Until.Sub(now) > longest {
+			longest, refused = status.Until.Sub(now), f
+		}
 	}
-	return status.Until.Sub(now)
+	return longest, refused
 }
 
 // TryStart returns whether a request that is not refused may be sent to a target now. A
 // suspect that could be refused next runs one at a time at this entry, and one that ran at
 // several failures that no outage explains one at a time over all entries. One that may
 // have to be refused waits for the reports of others if it was sent before, and is held
-// back otherwise.
-func (q *Shared) TryStart(now time.Time, f id.Fingerprint, request id.Request, sentBefore bool) Verdict {
+// back otherwise. The same holds for each part of its prompt.
+func (q *Shared) TryStart(now time.Time, c Content, request id.Request, sentBefore bool) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.strictest(c, request, func(f id.Fingerprint) Verdict { return q.tryStart(now, f, request, sentBefore) })
+}
+
+// strictest returns the strictest verdict on the fingerprints of a request. If it is held
+// back for one of them, it gives up its turns for all.
+func (q *Shared) strictest(c Content, request id.Request, verdict func(id.Fingerprint) Verdict) Verdict {
+	strictest := Allowed
+	for _, f := range c.fingerprints() {
+		switch verdict(f) {
+		case HeldBack:
+			q.end(c, request)
+			return HeldBack
+		case MustWait:
+			strictest = MustWait
+		case Allowed:
+		}
+	}
+	return strictest
+}
+
+func (q *Shared) tryStart(now time.Time, f id.Fingerprint, request id.Request, sentBefore bool) Verdict {
+	if !q.tracker.mayBlame(now, f) {
+		return Allowed
+	}
 	status := q.tracker.LatestStatus(now, f)
 	switch {
 	case status.State == Refused && !sentBefore:
@@ -115,9 +144,17 @@
 
 // Confirm returns whether a request that has waited for SettleTime may be sent to a target.
 // It must wait again if a failure was reported meanwhile.
-func (q *Shared) Confirm(now time.Time, f id.Fingerprint, request id.Request) Verdict {
+func (q *Shared) Confirm(now time.Time, c Content, request id.Request) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.strictest(c, request, func(f id.Fingerprint) Verdict { return q.confirm(now, f, request) })
+}
+
+func (q *Shared) confirm(now time.Time, f id.Fingerprint, request id.Request) Verdict {
+	if _, waits := q.turns.own[f]; !waits && q.tracker.LatestStatus(now, f).State != Refused {
+		// The wait was for another fingerprint of the request.
+		return Allowed
+	}
 	switch {
 	case q.tracker.Status(now, f).State == Refused || !q.turns.confirm(now, f, request):
 		return HeldBack
@@ -142,11 +179,17 @@
 }
 
 // End records that a request has ended at this entry.
-func (q *Shared) End(f id.Fingerprint, request id.Request) {
+func (q *Shared) End(c Content, request id.Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tracker.End(f, request)
-	q.turns.end(f, request)
+	q.end(c, request)
+}
+
+func (q *Shared) end(c Content, request id.Request) {
+	for _, f := range c.fingerprints() {
+		q.tracker.End(f, request)
+		q.turns.end(f, request)
+	}
 }
 
 // LatestStatus returns the status of a fingerprint from all failures known.
@@ -163,16 +206,32 @@
 	defer q.mu.Unlock()
 	for i, run := range running {
 		running[i].Alone = q.turns.ranAlone(run.Fingerprint, run.StartedAt)
+		running[i].Parts = slices.DeleteFunc(slices.Clone(run.Parts), func(part id.Fingerprint) bool { return q.tracker.isProven(at, part) })
 	}
 	q.tracker.Expire(at)
 	q.tracker.RecordFailure(Failure{TargetIncarnation: target, Place: member.Place{Zone: zone}, At: at, Running: running})
 	for _, run := range running {
 		q.changedAt[run.Fingerprint] = at
+		for _, part := range run.Parts {
+			q.changedAt[part] = at
+		}
+	}
+}
+
+// Proved records that a target has begun to write an answer on parts, and lived on.
+func (q *Shared) Proved(now time.Time, parts []id.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range parts {
+		if q.tracker.ends(part) > 0 {
+			q.changedAt[part] = now
+		}
+		q.tracker.RecordProof(now, part)
 	}
 }
 
 // Completed records that a request ran to completion, which clears it of suspicion. It
-// returns the number of failures that it was cleared of.
+// returns the number of failures that it was cleared of. Its parts are cleared by Proved.
 func (q *Shared) Completed(now time.Time, f id.Fingerprint) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/coordination/quarantine/status.go
+++ b/internal/coordination/quarantine/status.go
@@ -33,8 +33,11 @@
 
 // status returns the status of f at now from the failures up to a time.
 func (t *Tracker) status(now time.Time, f id.Fingerprint, last time.Time) Status {
+	s := Status{State: Clear, Ends: t.ends(f)}
+	if !t.mayBlame(now, f) {
+		return s
+	}
 	evidence := t.evidence(f, last)
-	s := Status{Ends: t.ends(f)}
 	limit := t.limit()
 	var until time.Time
 	recent, unexplained := points(0), 0
--- a/internal/standin/crashes/run.go
+++ b/internal/standin/crashes/run.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -58,6 +59,10 @@
 	waited bool
 }
 
+func (q *request) content() quarantine.Content {
+	return quarantine.Content{Request: q.fingerprint}
+}
+
 // simulation is the state of a run.
 type simulation struct {
 	Options
@@ -164,7 +169,7 @@
 			return
 		}
 		t.running = slices.DeleteFunc(t.running, func(other *run) bool { return other == r })
-		r.entry.quarantine.End(r.request.fingerprint, r.request.id)
+		r.entry.quarantine.End(r.request.content(), r.request.id)
 		r.entry.heard[t.id] = s.now
 		r.entry.quarantine.Completed(s.now, r.request.fingerprint)
 	}
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -69,6 +69,13 @@
 	// crashes targets; 0 if it is not quarantined.
 	requestFingerprint id.Fingerprint
 	quarantineLeft     time.Duration
+	// partFingerprints identify the parts of the prompt that other requests may have
+	// too.
+	partFingerprints []id.Fingerprint
+	// attemptBegan is when the target of the current attempt sent the first part of an
+	// answer; zero before that. attemptProven is set once it has lived on after that.
+	attemptBegan  time.Time
+	attemptProven bool
 	// heldBack is set if the request may not start yet because requests with this
 	// fingerprint are suspected of crashing targets.
 	heldBack bool
@@ -88,7 +95,7 @@
 	}
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "left", c.timeLeft())
-	defer e.quarantine.End(c.requestFingerprint, id.Request(c.meta.Attempt))
+	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Kind == catalog.Streaming {
@@ -196,6 +203,9 @@
 	}
 	c.body = body
 	c.requestFingerprint = c.computeFingerprint()
+	for _, part := range c.meta.SharedParts() {
+		c.partFingerprints = append(c.partFingerprints, id.FingerprintOf("part", string(part)))
+	}
 	c.header = forwarded(c.r.Header)
 	c.e.deps.Dialect.Strip(c.header)
 	return true
--- a/internal/transport/direct/quarantine.go
+++ b/internal/transport/direct/quarantine.go
@@ -20,12 +20,42 @@
 // that timed out there suggests that the target has ended.
 const minSilence = 250 * time.Millisecond
 
+// livedOnTime is the time after the first part of an answer from which its target counts
+// as not crashed by it.
+const livedOnTime = 500 * time.Millisecond
+
 // computeFingerprint returns the fingerprint of the request's content and client
 // account.
 func (c *call) computeFingerprint() id.Fingerprint {
 	return id.FingerprintOf(string(c.accountName()), c.r.Method, c.r.Host, c.r.RequestURI, string(c.body))
 }
 
+// content returns the fingerprints of the request and of the parts of its prompt.
+func (c *call) content() quarantine.Content {
+	return quarantine.Content{Request: c.requestFingerprint, Parts: c.partFingerprints}
+}
+
+// suspectParts returns the parts that may have crashed the target of an attempt: none once
+// the target has written for some time.
+func (c *call) suspectParts() []id.Fingerprint {
+	if c.attemptProven {
+		return nil
+	}
+	return c.partFingerprints
+}
+
+// recordActivity records that the target of the current attempt has sent a part of an
+// answer. A target that lives on after that was not crashed by a part of the prompt.
+func (c *call) recordActivity(now time.Time) {
+	if c.attemptBegan.IsZero() {
+		c.attemptBegan = now
+	}
+	if !c.attemptProven && now.Sub(c.attemptBegan) >= livedOnTime {
+		c.attemptProven = true
+		c.e.quarantine.Proved(now, c.partFingerprints)
+	}
+}
+
 // accountName returns the name of the request's client account; empty for none.
 func (c *call) accountName() catalog.AccountName {
 	if c.account == nil {
@@ -39,12 +69,13 @@
 func (c *call) updateQuarantine(now, sent time.Time, t *catalog.Target, outcome balance.Outcome, err error) {
 	switch {
 	case outcome == balance.Succeeded && c.succeeded:
+		c.e.quarantine.Proved(now, c.partFingerprints)
 		if ends := c.e.quarantine.Completed(now, c.requestFingerprint); ends > 0 {
 			c.e.metrics.requestCleared(outcome)
 			c.log(event.RequestCleared, "fingerprint", c.requestFingerprint, "outcome", outcome, "ends", ends)
 		}
 	case c.mayHaveEnded(now, t, outcome, err):
-		c.e.quarantine.TargetLost(now, t.Key(), t.Zone, quarantine.Run{Fingerprint: c.requestFingerprint, StartedAt: sent})
+		c.e.quarantine.TargetLost(now, t.Key(), t.Zone, quarantine.Run{Fingerprint: c.requestFingerprint, Parts: c.suspectParts(), StartedAt: sent})
 		c.logTargetEnd(now, t, outcome, err)
 		if failures := c.e.quarantine.LatestStatus(now, c.requestFingerprint).Failures; failures > 1 {
 			c.log(event.RequestSuspected, "fingerprint", c.requestFingerprint, "target", t.ID, "incarnation", t.Incarnation, "deaths", failures)
@@ -99,7 +130,7 @@
 		return false
 	}
 	request := id.Request(c.meta.Attempt)
-	verdict := c.e.quarantine.TryStart(now, c.requestFingerprint, request, c.sends > 0)
+	verdict := c.e.quarantine.TryStart(now, c.content(), request, c.sends > 0)
 	for verdict == quarantine.MustWait {
 		verdict = c.awaitReports(ctx, request)
 	}
@@ -119,15 +150,16 @@
 	if c.quarantined(c.now()) {
 		return quarantine.HeldBack
 	}
-	return c.e.quarantine.Confirm(c.now(), c.requestFingerprint, request)
+	return c.e.quarantine.Confirm(c.now(), c.content(), request)
 }
 
 // quarantined reports whether the request is refused because it crashes targets.
 func (c *call) quarantined(now time.Time) bool {
-	c.quarantineLeft = c.e.quarantine.RefusedFor(now, c.requestFingerprint)
+	var refused id.Fingerprint
+	c.quarantineLeft, refused = c.e.quarantine.RefusedFor(now, c.content())
 	if c.quarantineLeft == 0 {
 		return false
 	}
-	c.log(event.RequestQuarantined, "fingerprint", c.requestFingerprint, "remaining", c.quarantineLeft, "sends", c.sends)
+	c.log(event.RequestQuarantined, "fingerprint", refused, "part", refused != c.requestFingerprint, "remaining", c.quarantineLeft, "sends", c.sends)
 	return true
 }
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -149,6 +149,7 @@
 func (s *stream) runAttempt(ctx context.Context, a attempt) balance.Outcome {
 	c := s.c
 	c.tried[a.choice.Target.ID] = true
+	c.attemptBegan, c.attemptProven = time.Time{}, false
 	requirements := c.requirements
 	if a.resumes() {
 		requirements.PromptTokens, requirements.OutputTokens = 0, c.requirements.PromptTokens+c.requirements.OutputTokens
@@ -215,6 +216,7 @@
 		}
 		run.MarkStarted(c.now())
 		run.RecordActivity(c.now())
+		c.recordActivity(c.now())
 		if packetLoss.Observe(c.now()) {
 			run.RecordPacketLoss(c.now())
 		}
