Targets that leave or want a pause get no further requests

Cause: neither Server-Leaving nor the Retry-After of a target's 503 was read.

Change: coordination/withdrawal keeps both. A target that says in an answer that it leaves is not chosen again, as the target of a request, of a backup copy or of a resumption, for its incarnation; the other entries are told at once. A pause holds for the entry that was asked. If all targets want a pause, callers get 503 targetsPaused and the time until the first one is back.

--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
+	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -101,8 +102,13 @@
 	NotRun bool
 	// Limit is the limit that the target names.
 	Limit Limit
+	// Notice is what the target says about further requests.
+	Notice Notice
 }
 
+// Notice is what a target says about further requests.
+type Notice = withdrawal.Notice
+
 // Limit is the rate of requests that a target takes from all entries together, if it
 // names one.
 type Limit = targetlimit.Named
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -14,6 +14,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
+	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -67,6 +68,8 @@
 	// Failures are the target failures that the entry recently observed, grouped by
 	// the requests that ran there.
 	Failures []quarantine.Record `json:"deaths,omitempty"`
+	// Leaving are the targets that have told the entry that they are leaving.
+	Leaving []withdrawal.Report `json:"leaving,omitempty"`
 	// Limits are the limits that targets have named.
 	Limits []targetlimit.Report `json:"limits,omitempty"`
 	// Turns are the requests suspected of crashing targets that run at the entry, or
--- a/internal/transport/direct/dialect_test.go
+++ b/internal/transport/direct/dialect_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
 	protocol "foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -33,10 +35,13 @@
 			h.Set("Copy-Handle", m.ResumeFrom.Handle)
 		},
 		DecodeResponse: func(_ int, h http.Header) protocol.ResponseMetadata {
+			// A malformed value stands for no pause.
+			pause, _ := time.ParseDuration(h.Get("Pause"))
 			perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
 			return protocol.ResponseMetadata{
 				Attempt: protocol.AttemptID(h.Get("Attempt")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
-				Limit: protocol.Limit{Limited: err == nil, PerSecond: protocol.PerSecond(perSecond)},
+				Notice: withdrawal.Notice{Leaving: h.Get("Leaving") != "", Pause: pause},
+				Limit:  protocol.Limit{Limited: err == nil, PerSecond: protocol.PerSecond(perSecond)},
 			}
 		},
 		CopyCall: func(run protocol.AttemptID, to string) (protocol.Call, error) {
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -33,6 +33,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/roster"
 	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/protocol/eventstream"
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -112,6 +113,7 @@
 
 	retryBudgets *retryBudgets
 	limits       *targetLimits
+	withdrawn    *withdrawal.Tracker
 	quarantine   *quarantine.Shared
 	// pauses detects when the process or its host was paused.
 	pauses    pauseDetector
@@ -166,6 +168,7 @@
 	}
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.limits = newTargetLimits(e)
+	e.withdrawn = withdrawal.New()
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -196,6 +196,7 @@
 func (x *peerExchange) update(now time.Time) *direct.PeerUpdate {
 	u := x.header(now)
 	u.KnownPeers, u.Loads, u.Runs = x.roster.Alive(now), x.e.balancer.Loads(), x.e.handover.RunsToShare(now)
+	u.Leaving = x.e.withdrawn.Reports(now)
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
 	for lost, age := range x.e.balancer.RecentLosses(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
@@ -252,6 +253,7 @@
 	x.e.balancer.ApplyPeerLoads(now, u.From, u.Loads)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
 	x.e.limits.merge(now, u.Limits)
+	x.e.withdrawn.Merge(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
 	x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -135,7 +135,7 @@
 		return nil, balance.Lost, errWrongAttempt
 	}
 	if answer.Status != http.StatusMisdirectedRequest {
-		c.e.limits.observe(sent, choice.Target, meta.Limit)
+		c.observeAnswer(sent, choice.Target, meta)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -76,6 +76,8 @@
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "suspect", retryAfter: quarantine.SettleTime})
 	case c.runs == 0 && c.limitedTarget != nil && !c.expired():
 		c.refuseAtLimit()
+	case c.runs == 0 && !c.expired() && c.pause() > 0:
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targetsPaused", retryAfter: c.pause()})
 	case c.runs == 0 && c.targetBusy:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targetsBusy", retryAfter: busyRetryAfter})
 	case c.runs == 0 && c.budgetExhausted:
@@ -91,6 +93,15 @@
 	}
 }
 
+// pause returns the time until the first target is usable again, if all that are known want
+// a pause, and 0 otherwise.
+func (c *call) pause() time.Duration {
+	if len(c.targets()) > 0 {
+		return 0
+	}
+	return c.e.withdrawn.UntilUsable(c.now(), c.allTargets())
+}
+
 // abandon ends a request whose client has disconnected.
 func (c *call) abandon() {
 	c.e.metrics.requestEnded(c.route, outcomeAbandoned, 0)
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -387,6 +387,7 @@
 	}
 	w.e.balancer.Forget(ts)
 	w.e.limits.forget(ts)
+	w.e.withdrawn.Forget(ts)
 }
 
 // removeMissing periodically removes the targets that did not reappear after an
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -265,7 +265,7 @@
 	case a.Status == http.StatusMisdirectedRequest:
 		return balance.Replaced, nil
 	}
-	c.e.limits.observe(sent, t, meta.Limit)
+	c.observeAnswer(sent, t, meta)
 	switch {
 	case meta.NotRun:
 		return balance.Refused, nil
