Answers without length, and answers without end

What callers would see: a request that crashes targets between two events counts as answered if the answer had neither a length nor chunks, so it is never refused; and endless bodies of a few dozen answers take all memory (16 MB each).

Change: the end of such an answer clears a request and its parts only 500 ms later, if its target has lived on; if it is lost by then, that counts as an end under the request. All buffered answers together take a fifth of the process's memory at most; answers up to 64 KB always have room.

Evidence: TestUnframedAnswerClearsLater and TestEndlessBodies; TestAnswerEndsWithConnection (upstream: closed and reset; entry: a stream that ends at an event's end, and one inside an event, which goes on elsewhere), TestPlainAnswerEndsWithConnection. A crash that nothing else notices within 500 ms still clears the request.

--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -203,6 +203,6 @@
 		return 0, nil, err
 	}
 	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, smallAnswerBytes))
 	return answer.Status, body, err
 }
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -114,6 +114,7 @@
 	retryBudgets *retryBudgets
 	limits       *targetLimits
 	withdrawn    *withdrawal.Tracker
+	buffers      *answerBuffers
 	quarantine   *quarantine.Shared
 	// pauses detects when the process or its host was paused.
 	pauses    pauseDetector
@@ -168,7 +169,7 @@
 	}
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.limits = newTargetLimits(e)
-	e.withdrawn = withdrawal.New()
+	e.withdrawn, e.buffers = withdrawal.New(), newAnswerBuffers(cfg.Limits.MemoryMB)
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -76,6 +76,11 @@
 	// answer; zero before that. attemptProven is set once it has lived on after that.
 	attemptBegan  time.Time
 	attemptProven bool
+	// endUncertain is set if the end of the connection ended a complete answer, which the
+	// target may not have meant.
+	endUncertain bool
+	// releaseBuffers give back the memory of the buffered answers.
+	releaseBuffers []func()
 	// heldBack is set if the request may not start yet because requests with this
 	// fingerprint are suspected of crashing targets.
 	heldBack bool
@@ -95,6 +100,7 @@
 	}
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "left", c.timeLeft())
+	defer c.release()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -288,6 +294,24 @@
 	return b.String()
 }
 
+// buffer reads the body of an answer that is kept until the request ends.
+func (c *call) buffer(body io.Reader) ([]byte, error) {
+	data, release, err := c.e.buffers.read(body)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	c.releaseBuffers = append(c.releaseBuffers, release)
+	return data, nil
+}
+
+// release gives back the memory of the buffered answers.
+func (c *call) release() {
+	for _, release := range c.releaseBuffers {
+		release()
+	}
+}
+
 // log writes a log line with the request's id.
 func (c *call) log(e event.Event, fields ...any) {
 	c.e.deps.Log.Emit(e, append([]any{"request", c.meta.Attempt}, fields...)...)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,9 +22,6 @@
 	// attemptTimeoutFactor limits an attempt of a safe request to this multiple of
 	// the latency objective, as long as another target may still be tried.
 	attemptTimeoutFactor = 2
-	// maxAnswerBytes limits the size of an answer. Answers are buffered
-	// completely, so that an incomplete one can be replaced by another target's.
-	maxAnswerBytes = 16 << 20
 )
 
 // bufferedAnswer is a complete answer of a target.
@@ -34,6 +30,8 @@
 	header http.Header
 	meta   direct.ResponseMetadata
 	body   []byte
+	// endsWithConnection says that the end of the connection ended the body.
+	endsWithConnection bool
 }
 
 // servePlain forwards a request whose answer is not a stream.
@@ -85,6 +83,7 @@
 		c.runs++
 	}
 	c.succeeded = outcome == balance.Succeeded && answer.status < http.StatusMultipleChoices
+	c.endUncertain = c.succeeded && answer.endsWithConnection
 	c.recordSend(run, choice, outcome, sent, err)
 	return answer, outcome
 }
@@ -137,21 +136,17 @@
 	if answer.Status != http.StatusMisdirectedRequest {
 		c.observeAnswer(sent, choice.Target, meta)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
+	body, err := c.buffer(answer.Body)
 	if err != nil {
 		return nil, balance.Lost, err
 	}
-	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, meta: meta, body: body}
+	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, meta: meta, body: body, endsWithConnection: answer.EndsWithConnection}
 	return buffered, c.classify(buffered), nil
 }
 
 var (
-	errWrongAttempt  = errors.New("answer belongs to another attempt")
-	errAnswerTooLong = errors.New("answer exceeds the size limit for buffered answers")
-	errUnsigned      = errors.New("answer is not signed")
+	errWrongAttempt = errors.New("answer belongs to another attempt")
+	errUnsigned     = errors.New("answer is not signed")
 )
 
 // attemptDeadline returns the time by which one target must have answered.
--- a/internal/transport/direct/quarantine.go
+++ b/internal/transport/direct/quarantine.go
@@ -68,12 +68,10 @@
 // and the request. Only a success proves that the request ran to its end.
 func (c *call) updateQuarantine(now, sent time.Time, t *catalog.Target, outcome balance.Outcome, err error) {
 	switch {
+	case outcome == balance.Succeeded && c.succeeded && c.endUncertain:
+		c.e.deps.Clock.AfterFunc(livedOnTime, func() { c.judgeEnd(now, sent, t) })
 	case outcome == balance.Succeeded && c.succeeded:
-		c.e.quarantine.Proved(now, c.partFingerprints)
-		if ends := c.e.quarantine.Completed(now, c.requestFingerprint); ends > 0 {
-			c.e.metrics.requestCleared(outcome)
-			c.log(event.RequestCleared, "fingerprint", c.requestFingerprint, "outcome", outcome, "ends", ends)
-		}
+		c.clear(now)
 	case c.mayHaveEnded(now, t, outcome, err):
 		c.e.quarantine.TargetLost(now, t.Key(), t.Zone, quarantine.Run{Fingerprint: c.requestFingerprint, Parts: c.suspectParts(), StartedAt: sent})
 		c.logTargetEnd(now, t, outcome, err)
@@ -88,6 +86,27 @@
 	}
 }
 
+// clear records that the request ran to its end.
+func (c *call) clear(now time.Time) {
+	c.e.quarantine.Proved(now, c.partFingerprints)
+	if ends := c.e.quarantine.Completed(now, c.requestFingerprint); ends > 0 {
+		c.e.metrics.requestCleared(balance.Succeeded)
+		c.log(event.RequestCleared, "fingerprint", c.requestFingerprint, "outcome", balance.Succeeded, "ends", ends)
+	}
+}
+
+// judgeEnd decides, some time after the end of the connection ended an answer, what that
+// says about the request: if the target is lost, the request may have crashed it.
+func (c *call) judgeEnd(end, sent time.Time, t *catalog.Target) {
+	now := c.now()
+	if !c.e.balancer.Suspected(now, t) {
+		c.clear(now)
+		return
+	}
+	c.e.quarantine.TargetLost(end, t.Key(), t.Zone, quarantine.Run{Fingerprint: c.requestFingerprint, Parts: c.suspectParts(), StartedAt: sent})
+	c.logTargetEnd(end, t, balance.Lost, nil)
+}
+
 // mayHaveEnded reports whether the target may have ended while it ran the request:
 // it closed the connection, or no request has heard from it for some time. A
 // connection that this entry closed says nothing about the target, and neither does
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -149,7 +149,7 @@
 func (s *stream) runAttempt(ctx context.Context, a attempt) balance.Outcome {
 	c := s.c
 	c.tried[a.choice.Target.ID] = true
-	c.attemptBegan, c.attemptProven = time.Time{}, false
+	c.attemptBegan, c.attemptProven, c.endUncertain = time.Time{}, false, false
 	requirements := c.requirements
 	if a.resumes() {
 		requirements.PromptTokens, requirements.OutputTokens = 0, c.requirements.PromptTokens+c.requirements.OutputTokens
@@ -210,6 +210,7 @@
 		next, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF):
+			c.endUncertain = answer.EndsWithConnection
 			return balance.Succeeded, s.sendHead(answer)
 		case err != nil:
 			return balance.Lost, err
@@ -275,7 +276,7 @@
 		return balance.Lost, errUnsigned
 	}
 	a.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	body, err := c.buffer(a.Body)
 	if err == nil {
 		s.targetFailure = &bufferedAnswer{status: a.Status, header: a.Header, meta: meta, body: body}
 	}
