--- a/cmd/foxtailward-lab/crashes.go
+++ b/cmd/foxtailward-lab/crashes.go
@@ -21,6 +21,7 @@
 	seed   uint64
 	seeds  int
 	copies int
+	parts  float64
 	json   bool
 }
 
@@ -37,6 +38,7 @@
 	f.Uint64Var(&flags.seed, "seed", 0, "first seed")
 	f.IntVar(&flags.seeds, "seeds", 1, "number of seeds to run")
 	f.IntVar(&flags.copies, "copies", 0, "number of entries to which the crashing request is sent at the same time; 0 for one")
+	f.Float64Var(&flags.parts, "parts", 0, "requests per second that share a part of their prompts that crashes targets; 0 for none")
 	f.BoolVar(&flags.json, "json", false, "print the result of each seed as a line of JSON")
 	return cmd
 }
@@ -49,11 +51,14 @@
 	if f.copies < 0 {
 		return usageError{fmt.Errorf("--copies is %d, want 0 or more", f.copies)}
 	}
+	if f.parts < 0 {
+		return usageError{fmt.Errorf("--parts is %v, want 0 or more", f.parts)}
+	}
 	var total crashes.Report
 	failed := 0
 	for i := range f.seeds {
 		opts := crashes.NewOptions(f.seed + uint64(i))
-		opts.Copies = f.copies
+		opts.Copies, opts.PartsPerSecond = f.copies, f.parts
 		r := crashes.Run(opts)
 		total.Add(r)
 		if !r.Holds() {
@@ -80,8 +85,8 @@
 		return json.NewEncoder(cmd.OutOrStdout()).Encode(r)
 	}
 	if !r.Holds() {
-		fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d late retries, %d of %d other requests refused; %+v\n",
-			r.Options.Seed, r.LateRetries, r.HarmlessRefused, r.Harmless, r.Options)
+		fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d late retries, %d late requests with the part, %d of %d other requests refused; %+v\n",
+			r.Options.Seed, r.LateRetries, r.LateParts, r.HarmlessRefused, r.Harmless, r.Options)
 	}
 	return nil
 }
--- a/internal/standin/crashes/crashes.go
+++ b/internal/standin/crashes/crashes.go
@@ -23,6 +23,9 @@
 	// AllowedRetries is how often it may still reach targets later than ContactTime after
 	// the last allowed crash.
 	AllowedRetries = 3
+	// AllowedPartCrashes is the number of crashes after which requests with a part must no
+	// longer be sent to targets, but for AllowedRetries of them.
+	AllowedPartCrashes = 5
 	// ContactTime is the time that entries have to act on what happened.
 	ContactTime = 3 * time.Second
 )
@@ -59,6 +62,10 @@
 	// Copies is at how many entries the crashing request is sent at the same time; 0
 	// stands for one.
 	Copies int `json:"copies"`
+	// PartsPerSecond is the rate of requests that share a part which crashes targets, each
+	// of another content; 0 for none. They share their first parts with requests that crash
+	// nothing.
+	PartsPerSecond float64 `json:"partsPerSecond"`
 }
 
 // Report is the result of a run.
@@ -79,6 +86,10 @@
 	CrasherSent    int `json:"crasherSent"`
 	CrasherRefused int `json:"crasherRefused"`
 	LateRetries    int `json:"lateRetries"`
+	// PartCrashes counts the targets that the crashing part ended, and LateParts the
+	// requests with it that reached targets later than allowed.
+	PartCrashes int `json:"partCrashes"`
+	LateParts   int `json:"lateParts"`
 }
 
 // NewOptions returns options drawn from a seed. One seed in four has no crashing request.
@@ -107,7 +118,9 @@
 
 // Holds reports whether the crashing request was refused in time, and no other request
 // was.
-func (r *Report) Holds() bool { return r.LateRetries <= AllowedRetries && r.HarmlessRefused == 0 }
+func (r *Report) Holds() bool {
+	return r.LateRetries <= AllowedRetries && r.LateParts <= AllowedRetries && r.HarmlessRefused == 0
+}
 
 // Add adds the counts of another run to r.
 func (r *Report) Add(other *Report) {
@@ -119,4 +132,6 @@
 	r.CrasherSent += other.CrasherSent
 	r.CrasherRefused += other.CrasherRefused
 	r.LateRetries += other.LateRetries
+	r.PartCrashes += other.PartCrashes
+	r.LateParts += other.LateParts
 }
--- a/internal/standin/crashes/entry.go
+++ b/internal/standin/crashes/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
@@ -71,7 +72,7 @@
 // lose records that a target ended under an attempt of this entry.
 func (e *entry) lose(t *target, r *run) {
 	now := e.s.now
-	e.quarantine.TargetLost(now, t.id, t.zoneName(), quarantine.Run{Fingerprint: r.request.fingerprint, StartedAt: r.startedAt})
+	e.quarantine.TargetLost(now, t.id, t.zoneName(), quarantine.Run{Fingerprint: r.request.fingerprint, Parts: r.suspectParts(), StartedAt: r.startedAt})
 	e.avoided[t.id] = now.Add(avoidTime)
 	e.losses = append(e.losses, loss{t.id, t.zoneName(), now})
 	// Losses are reported at once.
@@ -103,7 +104,7 @@
 			break
 		}
 		again = true
-		r := &run{request: q, entry: e, startedAt: s.now, endsAt: s.now.Add(e.runTime(q))}
+		r := &run{request: q, entry: e, startedAt: s.now, endsAt: s.now.Add(e.runTime(q)), provenAt: s.now.Add(s.CrashAfter + livedOnTime)}
 		if !t.up {
 			// The target ended without this entry's knowledge, and its connection breaks.
 			e.lose(t, r)
@@ -150,7 +151,7 @@
 // refuse ends a request and counts its refusal, that of a harmless one in the given count.
 func (e *entry) refuse(q *request, harmless *int) {
 	e.quarantine.End(q.content(), q.id)
-	if q.fingerprint == crasher {
+	if q.crashes() {
 		e.s.report.CrasherRefused++
 		return
 	}
@@ -159,6 +160,9 @@
 
 // countArrival counts a crashing request that reaches a target later than allowed.
 func (e *entry) countArrival(q *request) {
+	if fifth := e.s.fifthPartCrash; slices.Contains(q.parts, crashingPart) && !fifth.IsZero() && e.s.now.Sub(fifth) > ContactTime {
+		e.s.report.LateParts++
+	}
 	third := e.s.thirdCrash
 	if q.fingerprint != crasher || q.late || third.IsZero() || e.s.now.Sub(third) <= ContactTime {
 		return
@@ -168,7 +172,7 @@
 }
 
 func (e *entry) runTime(q *request) time.Duration {
-	if q.fingerprint == crasher {
+	if q.crashes() {
 		return e.s.CrashAfter
 	}
 	return time.Duration(e.s.r.Float64() * 2 * float64(e.s.RunTime))
@@ -216,7 +220,7 @@
 func (e *entry) hear() {
 	for _, t := range e.s.targets {
 		for _, r := range t.running {
-			if r.entry == e && r.request.fingerprint != crasher {
+			if r.entry == e && !r.request.crashes() {
 				e.heard[t.id], e.zoneHeard[t.zoneName()] = e.s.now, e.s.now
 			}
 		}
--- a/internal/standin/crashes/run.go
+++ b/internal/standin/crashes/run.go
@@ -19,6 +19,14 @@
 	firstPopular = id.Fingerprint(10)
 	popularCount = 5
 	firstUnique  = id.Fingerprint(1000)
+	// crashingPart is the fingerprint of the part that crashes targets. First parts have
+	// the fingerprints from firstPart on.
+	crashingPart = id.Fingerprint(2)
+	firstPart    = id.Fingerprint(100)
+	partCount    = 12
+	// livedOnTime is how long after the beginning of an answer its target counts as not
+	// crashed by a part.
+	livedOnTime  = 500 * time.Millisecond
 	popularShare = 0.1
 	// zoneLossShare is the share of a lost zone's targets that end.
 	zoneLossShare = 0.9
@@ -46,12 +54,24 @@
 	entry     *entry
 	startedAt time.Time
 	endsAt    time.Time
+	// provenAt is when the parts of the request are proven, and proven is set then.
+	provenAt time.Time
+	proven   bool
+}
+
+// suspectParts returns the parts that may have crashed the target of the run.
+func (r *run) suspectParts() []id.Fingerprint {
+	if r.proven {
+		return nil
+	}
+	return r.request.parts
 }
 
 // request is one request as a client sent it.
 type request struct {
 	id          id.Request
 	fingerprint id.Fingerprint
+	parts       []id.Fingerprint
 	attempts    int
 	// late is set once the request has reached a target later than allowed.
 	late bool
@@ -60,7 +80,12 @@
 }
 
 func (q *request) content() quarantine.Content {
-	return quarantine.Content{Request: q.fingerprint}
+	return quarantine.Content{Request: q.fingerprint, Parts: q.parts}
+}
+
+// crashes reports whether the request crashes the targets that run it.
+func (q *request) crashes() bool {
+	return q.fingerprint == crasher || slices.Contains(q.parts, crashingPart)
 }
 
 // simulation is the state of a run.
@@ -77,9 +102,11 @@
 	requests int
 	// thirdCrash is when the crashing request crashed the last target that it may.
 	thirdCrash time.Time
-	nextUnique id.Fingerprint
-	nextSend   time.Time
-	nextLoss   time.Time
+	// fifthPartCrash is the same for the crashing part.
+	fifthPartCrash time.Time
+	nextUnique     id.Fingerprint
+	nextSend       time.Time
+	nextLoss       time.Time
 }
 
 // Run runs a simulation.
@@ -117,7 +144,10 @@
 	}
 	for range s.count(s.RequestsPerSecond) {
 		s.report.Harmless++
-		s.send(&request{fingerprint: s.harmless(), attempts: s.Attempts})
+		s.send(&request{fingerprint: s.harmless(), parts: s.firstPart(), attempts: s.Attempts})
+	}
+	if s.PartsPerSecond > 0 {
+		s.sendCrashingParts()
 	}
 	if s.Crasher && !s.now.Before(s.nextSend) {
 		s.nextSend = s.now.Add(s.Gap)
@@ -125,6 +155,14 @@
 	}
 }
 
+// sendCrashingParts sends the requests that share the crashing part.
+func (s *simulation) sendCrashingParts() {
+	for range s.count(s.PartsPerSecond) {
+		s.nextUnique++
+		s.send(&request{fingerprint: s.nextUnique, parts: append(s.firstPart(), crashingPart), attempts: s.Attempts})
+	}
+}
+
 // sendCrasher sends the crashing request to one entry, or to several at the same time.
 func (s *simulation) sendCrasher() {
 	first := s.r.IntN(len(s.entries))
@@ -144,6 +182,14 @@
 	return n
 }
 
+// firstPart returns the first part of a request; none if no part crashes targets.
+func (s *simulation) firstPart() []id.Fingerprint {
+	if s.PartsPerSecond == 0 {
+		return nil
+	}
+	return []id.Fingerprint{firstPart + id.Fingerprint(s.r.IntN(partCount))}
+}
+
 // harmless returns the fingerprint of a request that crashes nothing.
 func (s *simulation) harmless() id.Fingerprint {
 	if s.r.Float64() < popularShare {
@@ -161,26 +207,38 @@
 // finishRuns ends the runs of a target that are due.
 func (s *simulation) finishRuns(t *target) {
 	for _, r := range slices.Clone(t.running) {
+		if t.up && !r.proven && !r.request.crashes() && !s.now.Before(r.provenAt) {
+			r.proven = true
+			r.entry.quarantine.Proved(s.now, r.request.parts)
+		}
 		if !t.up || s.now.Before(r.endsAt) {
 			continue
 		}
-		if r.request.fingerprint == crasher {
-			s.crash(t)
+		if r.request.crashes() {
+			s.crash(t, r.request)
 			return
 		}
 		t.running = slices.DeleteFunc(t.running, func(other *run) bool { return other == r })
 		r.entry.quarantine.End(r.request.content(), r.request.id)
 		r.entry.heard[t.id] = s.now
+		r.entry.quarantine.Proved(s.now, r.request.parts)
 		r.entry.quarantine.Completed(s.now, r.request.fingerprint)
 	}
 }
 
-// crash ends a target under the crashing request.
-func (s *simulation) crash(t *target) {
-	s.report.Crashes++
-	if s.report.Crashes == AllowedCrashes {
+// crash ends a target under a request that crashes targets.
+func (s *simulation) crash(t *target, q *request) {
+	if q.fingerprint == crasher {
+		s.report.Crashes++
+	} else {
+		s.report.PartCrashes++
+	}
+	if q.fingerprint == crasher && s.report.Crashes == AllowedCrashes {
 		s.thirdCrash = s.now
 	}
+	if q.fingerprint != crasher && s.report.PartCrashes == AllowedPartCrashes {
+		s.fifthPartCrash = s.now
+	}
 	s.endTargets(t)
 }
 
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -215,7 +215,7 @@
 	}
 	metadata := direct.RequestMetadata{Attempt: attempt, Timeout: requestTimeout(q.path), Key: primaryKey}
 	if routeKindOf(q.path) == catalog.Streaming {
-		metadata.PromptTokens, metadata.OutputTokens, metadata.PromptParts = promptTokens, streamEvents, []direct.PartID{direct.PartID(q.body)}
+		metadata.PromptTokens, metadata.OutputTokens, metadata.PromptParts = promptTokens, streamEvents, c.w.promptParts(q.body)
 	}
 	if q.lastEvent > 0 {
 		metadata.LastEventID = direct.EventID(strconv.Itoa(q.lastEvent))
--- a/internal/standin/soak/config_change.go
+++ b/internal/standin/soak/config_change.go
@@ -55,6 +55,9 @@
 	cfg.Routes = append(slices.DeleteFunc(slices.Clone(cfg.Routes), func(r catalog.Route) bool {
 		return strings.HasPrefix(r.PathPrefix, extraPath)
 	}), route)
+	if w.opts.LargeConfigs && cfg.Version%2 == 0 {
+		cfg.Routes = append(cfg.Routes, bulkRoutes(route, int(cfg.Version))...)
+	}
 	keys := cfg.Accounts[0].Keys
 	if len(keys) > 1 {
 		old = keys[1]
@@ -65,6 +68,20 @@
 	return path, old, key
 }
 
+// bulkRouteCount is the number of routes that a large configuration has more.
+const bulkRouteCount = 3000
+
+// bulkRoutes returns routes that nobody requests.
+func bulkRoutes(like catalog.Route, version int) []catalog.Route {
+	routes := make([]catalog.Route, bulkRouteCount)
+	for i := range routes {
+		like.PathPrefix = fmt.Sprintf("%sbulk-%d-%d/", extraPath, version, i)
+		like.Name = like.PathPrefix
+		routes[i] = like
+	}
+	return routes
+}
+
 // probe sends a request directly to an entry, not through its client link. It
 // returns the status, or 0 if there was no response.
 func (w *world) probe(ctx context.Context, e *process, path string, key catalog.Key) int {
--- a/internal/standin/soak/crashing.go
+++ b/internal/standin/soak/crashing.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +19,8 @@
 	// allowedCrashes is the number of crashes after which the request must no longer
 	// be sent to targets.
 	allowedCrashes = 3
+	// allowedPartCrashes is the same for requests that share a part which crashes targets.
+	allowedPartCrashes = 5
 	// allowedRetries is how many attempts may still reach targets later than
 	// contactTime after the last allowed crash.
 	allowedRetries = 3
@@ -47,6 +51,9 @@
 	oneZone bool
 	// silent targets stop responding instead of closing their connections.
 	silent bool
+	// part says that it is a part of the prompt that crashes targets, and that the attempts
+	// are different requests.
+	part bool
 	// neighbours is how many other targets of the zone crash at each crash.
 	neighbours int
 }
@@ -60,6 +67,12 @@
 	{name: "crashingSilent", gap: 500 * time.Millisecond, attempts: 20, silent: true},
 }
 
+var crashingPartKinds = []crashingKind{
+	{name: "crashingPartFast", gap: 300 * time.Millisecond, attempts: 40, part: true},
+	{name: "crashingPartSlow", gap: 2 * time.Second, attempts: 10, part: true},
+	{name: "crashingPartBesideOthers", gap: 800 * time.Millisecond, attempts: 20, part: true, neighbours: 1},
+}
+
 // crashingRequest is a request that crashes the targets that run it. A client sends
 // it again and again, with the same path, body and account. It is safe for concurrent
 // use.
@@ -100,6 +113,47 @@
 	return requests
 }
 
+// newCrashingParts returns the requests of a run that share parts which crash targets, in
+// the order of their times. first is the number of the first of them.
+func newCrashingParts(opts Options, first int, r *rand.Rand) []*crashingRequest {
+	var requests []*crashingRequest
+	for at := firstCrashing + crashingSpread/2; at < opts.Duration; at += 2*crashingSpread + randomDuration(crashingSpread, r) {
+		n := first + len(requests)
+		requests = append(requests, &crashingRequest{
+			crashingKind: crashingPartKinds[r.IntN(len(crashingPartKinds))], at: at, zone: anyZone,
+			firstClient: firstCrashingClient + n*clientsPerCrashing, path: streamPath, body: fmt.Sprintf("part-%d-", n),
+		})
+	}
+	return requests
+}
+
+// bodyOf returns the body of an attempt.
+func (q *crashingRequest) bodyOf(attempt int) string {
+	if q.part {
+		return q.body + strconv.Itoa(attempt)
+	}
+	return q.body
+}
+
+// allowedCrashes returns the number of crashes after which it must no longer be sent to
+// targets.
+func (q *crashingRequest) allowedCrashes() int {
+	if q.part {
+		return allowedPartCrashes
+	}
+	return allowedCrashes
+}
+
+// promptParts returns the parts of the prompt of a stream's request. All have the same first
+// part.
+func (w *world) promptParts(body string) []direct.PartID {
+	parts := []direct.PartID{"first"}
+	if q := w.crashingRequestFor(body); q != nil && q.part {
+		parts = append(parts, direct.PartID(q.body))
+	}
+	return append(parts, direct.PartID(body))
+}
+
 // recordArrival records that an attempt reached a target.
 func (q *crashingRequest) recordArrival(attempt direct.AttemptID) {
 	q.mu.Lock()
@@ -123,16 +177,19 @@
 func (q *crashingRequest) lateRetries() ([]arrival, int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.crashes) < allowedCrashes {
+	allowed := q.allowedCrashes()
+	if len(q.crashes) < allowed {
 		return nil, len(q.crashes)
 	}
-	bound := q.crashes[allowedCrashes-1].Add(contactTime)
+	bound := q.crashes[allowed-1].Add(contactTime)
 	return slices.DeleteFunc(slices.Clone(q.arrivals), func(a arrival) bool { return !a.at.After(bound) }), len(q.crashes)
 }
 
 // crashingRequestFor returns the crashing request with a body, or nil.
 func (w *world) crashingRequestFor(body string) *crashingRequest {
-	i := slices.IndexFunc(w.crashing, func(q *crashingRequest) bool { return q.body == body })
+	i := slices.IndexFunc(w.crashing, func(q *crashingRequest) bool {
+		return q.body == body || (q.part && strings.HasPrefix(body, q.body))
+	})
 	if i < 0 {
 		return nil
 	}
@@ -144,7 +201,8 @@
 func (w *world) runCrashingRequests(ctx context.Context) {
 	start := time.Now()
 	var running sync.WaitGroup
-	for _, q := range w.crashing {
+	byTime := slices.SortedFunc(slices.Values(w.crashing), func(a, b *crashingRequest) int { return cmp.Compare(a.at, b.at) })
+	for _, q := range byTime {
 		if !sleep(ctx, q.at-time.Since(start)) {
 			break
 		}
@@ -163,7 +221,7 @@
 		attempts.Go(func() {
 			c := newClient(w, q.firstClient+i)
 			defer c.closeConn()
-			c.attempt(&request{path: q.path, body: q.body, startedAt: time.Now()})
+			c.attempt(&request{path: q.path, body: q.bodyOf(i), startedAt: time.Now()})
 		})
 		if !sleep(ctx, q.gap) {
 			break
@@ -221,7 +279,7 @@
 		})
 		if len(late) > allowedRetries {
 			w.history.recordViolation(CrashingRefused, late[0].attempt, "%s %s was sent to targets %d times more after it had crashed %d; it crashed %d in all",
-				q.name, q.path, len(late), allowedCrashes, crashes)
+				q.name, q.path, len(late), q.allowedCrashes(), crashes)
 		}
 	}
 }
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -57,6 +57,11 @@
 	StoreReturns bool
 	// TargetLimits adds targets that name limits of the requests that they take.
 	TargetLimits bool
+	// CrashingParts adds requests with a part of their prompts that crashes targets.
+	CrashingParts bool
+	// LargeConfigs makes every other configuration large, and the key-value service's
+	// answers to half of the entries slow.
+	LargeConfigs bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
 	// instance that requests are served and configuration changes are applied in time
 	// while no fault is active.
@@ -144,5 +149,6 @@
 	crashingRandomStream = 2
 	returnRandomStream   = 3
 	limitRandomStream    = 4
+	partRandomStream     = 5
 	clientRandomStream   = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -233,3 +233,12 @@
 
 // TestRun runs real entries under several seconds of faults.
 func TestRun(t *testing.T) { playSeeds(t, seeds, soak.Options{}, "") }
+
+// partSeeds are run by each TestRunPartsAndLargeConfigs, with the cause of an earlier failure.
+var partSeeds = []seedCase{{1, 15 * time.Second, "no earlier failure"}}
+
+// TestRunPartsAndLargeConfigs runs real entries with requests that share a part which crashes
+// targets, large configurations and slow links to the key-value service, among other faults.
+func TestRunPartsAndLargeConfigs(t *testing.T) {
+	playSeeds(t, partSeeds, soak.Options{CrashingParts: true, LargeConfigs: true}, "")
+}
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -80,6 +80,9 @@
 	if opts.Crashing {
 		w.crashing = newCrashingRequests(opts, rand.New(rand.NewPCG(opts.Seed, crashingRandomStream)))
 	}
+	if opts.CrashingParts {
+		w.crashing = append(w.crashing, newCrashingParts(opts, len(w.crashing), rand.New(rand.NewPCG(opts.Seed, partRandomStream)))...)
+	}
 	return w, w.reserveNetwork()
 }
 
@@ -94,7 +97,7 @@
 	var err error
 	for i := range networkCount {
 		w.network = 1 + (first+i)%networkCount
-		w.storeHTTP, err = server.New(w.storeAddress(), platform.NewStoreHandler(w.store, w.service.Era))
+		w.storeHTTP, err = server.New(w.storeAddress(), w.storeHandler())
 		if err == nil {
 			return nil
 		}
@@ -102,6 +105,15 @@
 	return fault.Wrap("world.reserveNetwork", Failed, err)
 }
 
+// storeHandler serves the key-value service.
+func (w *world) storeHandler() http.Handler {
+	handler := platform.NewStoreHandler(w.store, w.service.Era)
+	if w.opts.LargeConfigs {
+		return slowLinks(handler)
+	}
+	return handler
+}
+
 // host returns a loopback address in this run's network.
 func (w *world) host(group, i int) string {
 	return fmt.Sprintf("127.%d.%d.%d", w.network, group, i+1)
