Quarantine: parts that always ran together are refused together

Cause: both parts ran at the same failures, so both were refused, and no sound request could show which is to blame.

Change: a part that is suspected only together with another one is refused where both are in the prompt. A request with one of them alone runs, one at a time over all entries, and clears it or not.

--- a/internal/coordination/quarantine/content.go
+++ b/internal/coordination/quarantine/content.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -79,6 +80,22 @@
 	return !t.isProven(now, f) && (t.ends(f) == 0 || !t.isPart(f) || !t.isSingle(f))
 }
 
+// sharesBlame reports whether f is a part that is suspected only together with another one
+// that the content lacks: the other ran at all failures at which f did. A request without it
+// shows which of them is to blame.
+func (t *Tracker) sharesBlame(f id.Fingerprint, c Content) bool {
+	fails := t.failuresOf(f)
+	if len(fails) == 0 || !t.isPart(f) {
+		return false
+	}
+	for other, s := range fails[0].suspects {
+		if s.request != 0 && !slices.Contains(c.Parts, other) && other != f && t.ranTogether(f, other) {
+			return true
+		}
+	}
+	return false
+}
+
 // isPart reports whether f is known as a part.
 func (t *Tracker) isPart(f id.Fingerprint) bool {
 	for _, fail := range t.byFingerprint[f] {
--- a/internal/coordination/quarantine/content_test.go
+++ b/internal/coordination/quarantine/content_test.go
@@ -73,6 +73,11 @@
 				w.entries[i%3].Proved(w.now, []id.Fingerprint{first})
 			}
 		}, true, false},
+		{"the first part is not proven yet", func(w *partWorld) {
+			for i := range 4 {
+				w.lose(i%3, quarantine.Run{Fingerprint: id.Fingerprint(i + 1), Parts: []id.Fingerprint{first, tainted}})
+			}
+		}, false, false},
 		{"one request only", func(w *partWorld) {
 			for range 4 {
 				w.lose(0, quarantine.Run{Fingerprint: 1, Parts: []id.Fingerprint{first, tainted}})
@@ -107,6 +112,26 @@
 	}
 }
 
+// Parts that have always run together are refused together, and a request with one of them
+// runs alone to show which it is.
+func TestPartsTogether(t *testing.T) {
+	is := is.New(t)
+	w := newPartWorld(3)
+	for i := range 5 {
+		w.lose(i%3, quarantine.Run{Fingerprint: id.Fingerprint(i + 1), Parts: []id.Fingerprint{first, tainted}})
+	}
+	is.True(w.refused(100, first, tainted))
+	sound := quarantine.Content{Request: 101, Parts: []id.Fingerprint{first}}
+	e := w.entries[0]
+	is.Equal(e.TryStart(w.now, sound, "a", false), quarantine.MustWait)
+	is.Equal(e.TryStart(w.now, quarantine.Content{Request: 102, Parts: sound.Parts}, "b", false), quarantine.HeldBack)
+	w.now = w.now.Add(quarantine.SettleTime)
+	is.Equal(e.Confirm(w.now, sound, "a"), quarantine.Allowed)
+	e.Proved(w.now, sound.Parts)
+	is.Equal(e.TryStart(w.now, quarantine.Content{Request: 102, Parts: sound.Parts}, "b", false), quarantine.Allowed)
+	is.True(w.refused(103, first, tainted)) // the other part is to blame
+}
+
 // Entries that start anew take over what others saved about parts.
 func TestPartSaved(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -76,7 +76,7 @@
 	var refused id.Fingerprint
 	for _, f := range c.fingerprints() {
 		status := q.tracker.Status(now, f)
-		if status.State == Refused && status.Until.Sub(now) > longest {
+		if status.State == Refused && status.Until.Sub(now) > longest && !q.tracker.sharesBlame(f, c) {
 			longest, refused = status.Until.Sub(now), f
 		}
 	}
@@ -91,7 +91,7 @@
 func (q *Shared) TryStart(now time.Time, c Content, request id.Request, sentBefore bool) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.strictest(c, request, func(f id.Fingerprint) Verdict { return q.tryStart(now, f, request, sentBefore) })
+	return q.strictest(c, request, func(f id.Fingerprint) Verdict { return q.tryStart(now, f, c, request, sentBefore) })
 }
 
 // strictest returns the strictest verdict on the fingerprints of a request. If it is held
@@ -111,12 +111,14 @@
 	return strictest
 }
 
-func (q *Shared) tryStart(now time.Time, f id.Fingerprint, request id.Request, sentBefore bool) Verdict {
+func (q *Shared) tryStart(now time.Time, f id.Fingerprint, c Content, request id.Request, sentBefore bool) Verdict {
 	if !q.tracker.mayBlame(now, f) {
 		return Allowed
 	}
 	status := q.tracker.LatestStatus(now, f)
 	switch {
+	case status.State == Refused && q.tracker.sharesBlame(f, c):
+		return q.turns.take(now, f, request)
 	case status.State == Refused && !sentBefore:
 		return HeldBack
 	case status.State == Refused:
@@ -147,14 +149,20 @@
 func (q *Shared) Confirm(now time.Time, c Content, request id.Request) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.strictest(c, request, func(f id.Fingerprint) Verdict { return q.confirm(now, f, request) })
+	return q.strictest(c, request, func(f id.Fingerprint) Verdict { return q.confirm(now, f, c, request) })
 }
 
-func (q *Shared) confirm(now time.Time, f id.Fingerprint, request id.Request) Verdict {
+func (q *Shared) confirm(now time.Time, f id.Fingerprint, c Content, request id.Request) Verdict {
 	if _, waits := q.turns.own[f]; !waits && q.tracker.LatestStatus(now, f).State != Refused {
 		// The wait was for another fingerprint of the request.
 		return Allowed
 	}
+	if q.tracker.sharesBlame(f, c) {
+		if q.turns.confirm(now, f, request) {
+			return Allowed
+		}
+		return HeldBack
+	}
 	switch {
 	case q.tracker.Status(now, f).State == Refused || !q.turns.confirm(now, f, request):
 		return HeldBack
