--- a/internal/coordination/quarantine/failure.go
+++ b/internal/coordination/quarantine/failure.go
@@ -17,6 +17,8 @@
 	StartedAt time.Time
 	// Alone says that no other request with the fingerprint ran at any entry.
 	Alone bool
+	// AloneParts are the parts with which no other request ran at any entry.
+	AloneParts []id.Fingerprint
 }
 
 // Failure is the failure of a target, as observed by one process. The observer may know
@@ -77,7 +79,7 @@
 	for _, run := range fail.Running {
 		t.addSuspect(recorded, run.Fingerprint, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, alone: run.Alone})
 		for _, part := range run.Parts {
-			t.addSuspect(recorded, part, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, request: run.Fingerprint})
+			t.addSuspect(recorded, part, suspect{startedAt: run.StartedAt, lastStart: run.StartedAt, request: run.Fingerprint, alone: slices.Contains(run.AloneParts, part)})
 		}
 	}
 }
--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -214,6 +214,7 @@
 	defer q.mu.Unlock()
 	for i, run := range running {
 		running[i].Alone = q.turns.ranAlone(run.Fingerprint, run.StartedAt)
+		running[i].AloneParts = slices.DeleteFunc(slices.Clone(run.Parts), func(part id.Fingerprint) bool { return !q.turns.ranAlone(part, run.StartedAt) })
 		running[i].Parts = slices.DeleteFunc(slices.Clone(run.Parts), func(part id.Fingerprint) bool { return q.tracker.isProven(at, part) })
 	}
 	q.tracker.Expire(at)
