Entries: what concerns withdrawn targets in one file, and reports about targets that are gone

Reports of other entries about targets that are gone are ignored, as those of limits are, so that nothing is kept for good. An entry that is named as a holder of a version does not ask itself.

--- a/internal/transport/direct/configreader.go
+++ b/internal/transport/direct/configreader.go
@@ -155,7 +155,9 @@
 			return false, err
 		}
 		for _, other := range holders.Addresses {
-			c.tracker.Observe(other, holders.Version)
+			if other != c.e.cfg.PeerAddress {
+				c.tracker.Observe(other, holders.Version)
+			}
 		}
 		return true, nil
 	default:
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -175,25 +175,6 @@
 	return expectedPlainTime
 }
 
-// targets returns the currently known targets of the request's service that have not
-// withdrawn.
-func (c *call) targets() catalog.Targets { return c.e.withdrawn.Usable(c.now(), c.allTargets()) }
-
-// allTargets returns the currently known targets of the request's service.
-func (c *call) allTargets() catalog.Targets { return c.e.directory.View().Targets[c.service] }
-
-// observeAnswer records what the head of a target's answer says about further requests.
-// sent is when the request was sent there.
-func (c *call) observeAnswer(sent time.Time, t *catalog.Target, meta direct.ResponseMetadata) {
-	c.e.limits.observe(sent, t, meta.Limit)
-	if c.e.withdrawn.Observe(c.now(), t.Key(), meta.Notice) {
-		c.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", "leaving", "zone", t.Zone, "incarnation", t.Incarnation)
-		if c.e.peerExchange != nil {
-			c.e.peerExchange.sendNow()
-		}
-	}
-}
-
 func (c *call) setDeadline() {
 	timeout := c.route.Timeout
 	if timeout == 0 {
--- a/internal/transport/direct/limits.go
+++ b/internal/transport/direct/limits.go
@@ -58,12 +58,7 @@
 	if len(reports) == 0 {
 		return
 	}
-	known := map[id.TargetIncarnation]bool{}
-	for _, targets := range l.e.directory.View().Targets {
-		for _, t := range targets {
-			known[t.Key()] = true
-		}
-	}
+	known := l.e.knownTargets()
 	l.limits.Merge(now, slices.DeleteFunc(reports, func(r targetlimit.Report) bool {
 		return !known[r.Key()]
 	}))
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -93,15 +93,6 @@
 	}
 }
 
-// pause returns the time until the first target is usable again, if all that are known want
-// a pause, and 0 otherwise.
-func (c *call) pause() time.Duration {
-	if len(c.targets()) > 0 {
-		return 0
-	}
-	return c.e.withdrawn.UntilUsable(c.now(), c.allTargets())
-}
-
 // abandon ends a request whose client has disconnected.
 func (c *call) abandon() {
 	c.e.metrics.requestEnded(c.route, outcomeAbandoned, 0)
