--- a/internal/transport/direct/configwatch.go
+++ b/internal/transport/direct/configwatch.go
@@ -109,8 +109,8 @@
 	return nil
 }
 
-// noteVersion records when a version of the configuration was first seen, at
-// another entry or in the key-value service.
+// noteVersion records when another entry first said that it has a version of the
+// configuration.
 func (w *storeWatcher) noteVersion(v catalog.Version) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -119,8 +119,8 @@
 	}
 }
 
-// sinceSeen returns the time since a version was first seen; 0 if it was not seen
-// before.
+// sinceSeen returns the time since another entry first said that it has a version; 0 if
+// none did.
 func (w *storeWatcher) sinceSeen(v catalog.Version) time.Duration {
 	if v > w.newestVersion || w.newestSeenAt.IsZero() {
 		return 0
