--- a/internal/coordination/quarantine/content.go
+++ b/internal/coordination/quarantine/content.go
@@ -37,11 +37,16 @@
 // RecordProof records that a target has begun to write an answer on a part, and lived on.
 // It clears the part of the failures known so far.
 func (t *Tracker) RecordProof(now time.Time, part id.Fingerprint) {
+	t.trust(now, part)
+	t.RecordCompletion(part)
+}
+
+// trust records that a part is proven, and keeps the bound on their number.
+func (t *Tracker) trust(now time.Time, part id.Fingerprint) {
 	if _, known := t.proven[part]; !known && len(t.proven) >= maxProven {
 		t.dropOldestProofs(now)
 	}
 	t.proven[part] = now
-	t.RecordCompletion(part)
 }
 
 // dropOldestProofs drops the proofs that are too old to matter, and half of the others if
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -196,7 +196,7 @@
 				run, lastRun := time.Duration(o.RunMs)*time.Millisecond, time.Duration(o.LastRunMs)*time.Millisecond
 				t.addSuspect(fail, r.Fingerprint, suspect{startedAt: at.Add(-run), lastStart: at.Add(-lastRun), cleared: o.Cleared, alone: o.Alone, request: o.Request})
 				if o.Request != 0 && o.Cleared {
-					t.proven[r.Fingerprint] = now
+					t.trust(now, r.Fingerprint)
 				}
 			}
 		}
--- a/internal/coordination/withdrawal/withdrawal.go
+++ b/internal/coordination/withdrawal/withdrawal.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -120,12 +121,14 @@
 func (t *Tracker) Usable(now time.Time, targets catalog.Targets) catalog.Targets {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.pausedUntil, func(_ id.TargetIncarnation, until time.Time) bool { return !now.Before(until) })
 	if len(t.leaving)+len(t.pausedUntil) == 0 {
 		return targets
 	}
 	return slices.DeleteFunc(slices.Clone(targets), func(target *catalog.Target) bool {
 		_, leaving := t.leaving[target.Key()]
-		return leaving || now.Before(t.pausedUntil[target.Key()])
+		_, paused := t.pausedUntil[target.Key()]
+		return leaving || paused
 	})
 }
 
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -145,14 +145,13 @@
 	return w
 }}
 
-// compressed returns the message as compressed JSON. With many entries, these
-// messages are most of the traffic between zones.
-func (u *PeerUpdate) compressed() ([]byte, error) {
+// compress returns what write writes, compressed.
+func compress(write func(io.Writer) error) ([]byte, error) {
 	var b bytes.Buffer
 	w := compressors.Get().(*flate.Writer)
 	defer compressors.Put(w)
 	w.Reset(&b)
-	if err := json.NewEncoder(w).Encode(u); err != nil {
+	if err := write(w); err != nil {
 		return nil, err
 	}
 	if err := w.Close(); err != nil {
@@ -161,6 +160,12 @@
 	return b.Bytes(), nil
 }
 
+// compressed returns the message as compressed JSON. With many entries, these
+// messages are most of the traffic between zones.
+func (u *PeerUpdate) compressed() ([]byte, error) {
+	return compress(func(w io.Writer) error { return json.NewEncoder(w).Encode(u) })
+}
+
 // decompressors are pooled for the same reason as compressors.
 var decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 
--- a/internal/protocol/direct/storecopy.go
+++ b/internal/protocol/direct/storecopy.go
@@ -43,20 +43,18 @@
 		item := &c.Items[i]
 		head.Items = append(head.Items, copiedItem{item.Key, item.ModRevision, item.Lease, len(item.Value)})
 	}
-	var b bytes.Buffer
-	w := compressors.Get().(*flate.Writer)
-	defer compressors.Put(w)
-	w.Reset(&b)
-	err := json.NewEncoder(w).Encode(head)
-	for i := range c.Items {
-		if err == nil {
-			_, err = w.Write(c.Items[i].Value)
+	data, err := compress(func(w io.Writer) error {
+		if err := json.NewEncoder(w).Encode(head); err != nil {
+			return err
 		}
-	}
-	if err == nil {
-		err = w.Close()
-	}
-	return b.Bytes(), fault.Wrap(op, Malformed, err)
+		for i := range c.Items {
+			if _, err := w.Write(c.Items[i].Value); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return data, fault.Wrap(op, Malformed, err)
 }
 
 // DecodeStoreCopy decodes and validates a copy.
