--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -102,7 +102,7 @@
 	}
 	old, known := d.targets[t.ID]
 	d.targets[t.ID] = t
-	if known && old.State == t.State && old.Incarnation == t.Incarnation && old.Address == t.Address {
+	if known && old.State == t.State && old.Incarnation == t.Incarnation && old.Address == t.Address && old.SameSoftware(t) {
 		return false
 	}
 	d.publish()
@@ -197,6 +197,8 @@
 	}
 	t := *old
 	t.ID, t.State, t.Incarnation, t.Sequence = name, catalog.Ready, 0, 0
+	// A target may be replaced by one of another version at the same address.
+	t.Software, t.SoftwareUnknown = "", true
 	d.replaced[predecessor], d.departed[predecessor] = old.Incarnation, departureOf(now, old)
 	delete(d.targets, predecessor)
 	delete(d.missing, predecessor)
--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -39,6 +39,9 @@
 	// LastEventID is the last event that the client has received, if it resumes a
 	// stream.
 	LastEventID EventID
+	// Resumes is the attempt that brought the first event of the stream that the client
+	// resumes; empty if the client does not say.
+	Resumes AttemptID
 	// PromptTokens and OutputTokens are the size of a generation. OutputTokens is
 	// an upper limit.
 	PromptTokens int
--- a/internal/state/catalog/target.go
+++ b/internal/state/catalog/target.go
@@ -29,6 +29,10 @@
 	Zone    id.Zone
 	Slots   int
 	State   TargetState
+	// Software is the version of the target's program. SoftwareUnknown is set while no
+	// record of the target itself tells it.
+	Software        id.SoftwareVersion
+	SoftwareUnknown bool
 	// Sequence rises with each record that the target writes about itself; 0 if it
 	// is unknown.
 	Sequence id.Sequence
@@ -41,6 +45,20 @@
 	return id.TargetIncarnation{Target: t.ID, Incarnation: t.Incarnation}
 }
 
+// SameSoftware reports whether two targets are known to run the same version of their
+// program. Targets whose records name no version count as one version.
+func (t *Target) SameSoftware(other *Target) bool {
+	return !t.SoftwareUnknown && !other.SoftwareUnknown && t.Software == other.Software
+}
+
+// SoftwareText returns the version of the target's program for logs.
+func (t *Target) SoftwareText() string {
+	if t.SoftwareUnknown {
+		return "unknown"
+	}
+	return string(t.Software)
+}
+
 // Targets is a list of targets.
 type Targets []*Target
 
--- a/internal/state/id/id.go
+++ b/internal/state/id/id.go
@@ -46,6 +46,9 @@
 	Adapter string
 	// Service is a plain service, one that is not a model engine.
 	Service string
+	// SoftwareVersion is the version of a target's own program, as opposed to that of a
+	// model's weights.
+	SoftwareVersion string
 )
 
 // Numbers that define an order. All but TokenIndex are at least 1, and 0 means none.
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -99,7 +99,7 @@
 		return
 	}
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
-		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "left", c.timeLeft())
+		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "left", c.timeLeft())
 	defer c.release()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -107,7 +107,7 @@
 		c.e.peerExchange.sendNow()
 	}
 	c.e.metrics.sendEnded(choice.Target, outcome, now.Sub(sent))
-	fields := []any{"target", choice.Target.ID, "zone", choice.Target.Zone, "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
+	fields := []any{"target", choice.Target.ID, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -163,7 +163,7 @@
 		cancel()
 	})
 	if c.sends > 1 {
-		c.log(event.RecoveryChosen, "target", a.choice.Target.ID, "reason", a.choice.Reason, "lastEvent", s.lastEventID)
+		c.log(event.RecoveryChosen, "target", a.choice.Target.ID, "software", a.choice.Target.SoftwareText(), "reason", a.choice.Reason, "lastEvent", s.lastEventID)
 	}
 	outcome, err := s.relayEvents(ctx, a, run)
 	switch {
