--- a/internal/transport/direct/dialect_test.go
+++ b/internal/transport/direct/dialect_test.go
@@ -22,7 +22,7 @@
 			for part := range strings.SplitSeq(h.Get("Parts"), ",") {
 				parts = append(parts, protocol.PartID(part))
 			}
-			return protocol.RequestMetadata{PromptParts: parts, Attempt: protocol.AttemptID(h.Get("Attempt")), Key: catalog.Key(h.Get("Key")), LastEventID: protocol.EventID(h.Get("Last")), PromptTokens: prompt}
+			return protocol.RequestMetadata{PromptParts: parts, Attempt: protocol.AttemptID(h.Get("Attempt")), Key: catalog.Key(h.Get("Key")), LastEventID: protocol.EventID(h.Get("Last")), Resumes: protocol.AttemptID(h.Get("Resumes")), PromptTokens: prompt}
 		},
 		Strip: func(h http.Header) { h.Del("Key"); h.Del("Account"); h.Del("Copy-To"); h.Del("Copy-At") },
 		EncodeForward: func(h http.Header, m protocol.ForwardMetadata) {
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -385,14 +385,16 @@
 	env.era++
 }
 
-// codec decodes targets from items of the form "state address zone".
+// codec decodes targets from items of the form "state address zone [software [born]]".
 func (env *testEnv) codec() direct.Codec {
 	return direct.Codec{
 		ConfigPrefix: "config/", ConfigKey: "config/it", TargetPrefix: "targets/",
 		DecodeConfig: func([]byte) (*catalog.Config, error) { return env.config, nil },
 		DecodeTarget: func(i store.Item, _ time.Time) (*catalog.Target, error) {
 			t := &catalog.Target{ID: id.Target(i.Key), Service: service, Slots: targetSlots}
-			_, err := fmt.Sscan(string(i.Value), &t.State, &t.Address, &t.Zone)
+			fields := []any{&t.State, &t.Address, &t.Zone, &t.Software, &t.Incarnation}
+			n := min(len(strings.Fields(string(i.Value))), len(fields))
+			_, err := fmt.Sscan(string(i.Value), fields[:n]...)
 			return t, err
 		},
 		ParseTargetID: func(key string) (id.Target, bool) { return id.Target(key), true },
--- /dev/null
+++ b/internal/transport/direct/software_test.go
@@ -0,0 +1,193 @@
+//go:build knownred
+
+package direct_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/store"
+)
+
+// softwareEvents is the number of events of a stream.
+const softwareEvents = 20
+
+// softwareEngine answers with the events after the client's last one, which name the
+// version of the engine's software. After the event breakAt it closes the connection; 0
+// means never.
+func softwareEngine(software string, breakAt int) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Signed", "yes")
+		for n := after(r); n <= softwareEvents; n++ {
+			time.Sleep(30 * time.Millisecond)
+			fmt.Fprintf(rw, "id: %d\ndata: %s/%d\n\n", n, software, n)
+			if err := http.NewResponseController(rw).Flush(); err != nil {
+				return
+			}
+			if n == breakAt {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
+// versions returns the versions whose events a client holds.
+func versions(body string) map[string]int {
+	held := map[string]int{}
+	for _, line := range strings.Split(body, "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			software, _, _ := strings.Cut(data, "/")
+			held[software]++
+		}
+	}
+	return held
+}
+
+// softwareTarget adds a listed target with a version of its software, and the time of its
+// start where that is not 0.
+func (env *testEnv) softwareTarget(name, address, zone, software string, born int, handler http.HandlerFunc) {
+	env.targets = append(env.targets, softwareItem(name, address, zone, software, born))
+	env.startUnlisted(name, address, handler)
+}
+
+func softwareItem(name, address, zone, software string, born int) store.Item {
+	return store.Item{Key: name, Value: fmt.Appendf(nil, "ready %s %s %s %d", address, zone, software, born), ModRevision: 1}
+}
+
+// list makes the key-value service write a target's record.
+func (env *testEnv) list(item store.Item) {
+	env.changes <- store.Change{Item: item}
+	synctest.Wait()
+}
+
+// TestStreamKeepsSoftwareVersion guards against a stream that goes on at a target of another
+// software version, within an answer.
+func TestStreamKeepsSoftwareVersion(t *testing.T) {
+	tests := []struct {
+		name string
+		// third is the version of the only target in the third zone.
+		third string
+		whole bool
+	}{
+		{"another target of the version serves", "v1", true},
+		{"no other target of the version serves", "v2", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, softwareEngine("v1", 7))
+				env.softwareTarget("t2", "10.0.2.1:80", "b", "v2", 0, softwareEngine("v2", 7))
+				env.softwareTarget("t3", "10.0.3.1:80", "c", tt.third, 0, softwareEngine(tt.third, 0))
+				env.softwareTarget("t4", "10.0.4.1:80", "b", "v2", 0, softwareEngine("v2", 7))
+				env.start()
+				begin := time.Now()
+				for i := range 4 {
+					a := env.do("POST", "/r/x", fmt.Sprint("a", i), "prompt")
+					held := versions(a.body)
+					env.is.Equal(len(held), 1) // one version within one answer
+					if held["v1"] > 0 {
+						env.is.Equal(a.broken, !tt.whole)
+						env.is.Equal(held["v1"] == softwareEvents, tt.whole)
+					}
+				}
+				env.is.True(time.Since(begin) < 8*time.Second) // no request waits for its deadline
+			})
+		})
+	}
+}
+
+// holdPart reads a stream's first events, and returns them and the id of the last one.
+func (env *testEnv) holdPart(attempt string, headers ...string) (c *client, body string, last string) {
+	c = env.client()
+	c.send("POST", "/r/x", attempt, "prompt "+attempt, headers...)
+	res, err := http.ReadResponse(c.r, nil)
+	env.is.NoErr(err)
+	buffer := make([]byte, 4096)
+	for strings.Count(body, "\n\n") < 5 {
+		n, err := res.Body.Read(buffer)
+		env.is.NoErr(err)
+		body += string(buffer[:n])
+	}
+	events := strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
+	last, _, _ = strings.Cut(strings.TrimPrefix(events[len(events)-1], "id: "), "\n")
+	return c, body, last
+}
+
+// TestResumptionKeepsSoftwareVersion guards against a client's stream that goes on at
+// another software version after a broken connection or the loss of all entries.
+func TestResumptionKeepsSoftwareVersion(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(map[bool]string{false: "same entry", true: "entry restarted"}[restart], func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				for i := range 4 {
+					software := fmt.Sprint("v", 1+i%2)
+					env.softwareTarget(fmt.Sprint("t", i), fmt.Sprintf("10.0.%d.1:80", i), string(rune('a'+i)), software, 0, softwareEngine(software, 0))
+				}
+				env.start()
+				const clients = 8
+				var bodies, lasts [clients]string
+				for i := range clients {
+					// The earlier ones still run, so that the load differs.
+					var c *client
+					c, bodies[i], lasts[i] = env.holdPart(fmt.Sprint("a", i))
+					defer c.conn.Close()
+					if i%2 == 1 {
+						_ = c.conn.Close()
+					}
+				}
+				if restart {
+					time.Sleep(1500 * time.Millisecond) // what runs is saved about once a second
+					env.restart()
+				}
+				for i := range clients {
+					attempt := fmt.Sprint("a", i)
+					a := env.do("POST", "/r/x", attempt+"r", "prompt "+attempt, "Last", lasts[i], "Resumes", attempt)
+					env.is.Equal(len(versions(bodies[i]+a.body)), 1) // one version over both attempts
+					env.is.Equal(strings.Count(bodies[i]+a.body, "data:"), softwareEvents)
+				}
+			})
+		})
+	}
+}
+
+// TestResumptionAtRestartedTarget guards against a stream that goes on at a process which
+// has started under the id of its predecessor, at another version, before its record is
+// written.
+func TestResumptionAtRestartedTarget(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		var software atomic.Value
+		software.Store("v1")
+		handler := func(rw http.ResponseWriter, r *http.Request) {
+			softwareEngine(software.Load().(string), 0)(rw, r)
+		}
+		addresses := []string{"10.0.1.1:80", "10.0.2.1:80"}
+		for i, address := range addresses {
+			env.softwareTarget(fmt.Sprint("t", i), address, string(rune('a'+i)), "v1", 1, handler)
+		}
+		env.start()
+		done := make(chan answer, 6)
+		for i := range 6 {
+			go func() { done <- env.do("POST", "/r/x", fmt.Sprint("a", i), fmt.Sprint("prompt", i)) }()
+		}
+		time.Sleep(200 * time.Millisecond)
+		for i, address := range addresses {
+			env.crash(address)
+			software.Store("v2")
+			env.startUnlisted(fmt.Sprint("t", i), address, handler)
+		}
+		time.AfterFunc(300*time.Millisecond, func() {
+			for i, address := range addresses {
+				env.changes <- store.Change{Item: softwareItem(fmt.Sprint("t", i), address, string(rune('a'+i)), "v2", 2)}
+			}
+		})
+		for range 6 {
+			a := <-done
+			env.is.Equal(len(versions(a.body)), 1)
+		}
+	})
+}
