--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -189,8 +189,8 @@
 	return b.backup(now, request, targets, runner, tried)
 }
 
-// backup returns the engine of lowest backup cost in another zone than the
-// runner.
+// backup returns the engine of lowest backup cost that runs the same version of its
+// software as the runner, in another zone.
 func (b *Balancer) backup(now time.Time, request Request, targets catalog.Targets, runner *catalog.Target, tried map[id.Target]bool) *catalog.Target {
 	if request.Engine == nil || !request.Engine.SupportsBackup {
 		return nil
@@ -198,7 +198,7 @@
 	var best *catalog.Target
 	least := 0.0
 	for _, t := range targets {
-		if t.State != catalog.Ready || t.ID == runner.ID || t.Zone == runner.Zone || tried[t.ID] || b.isReplaced(now, t) {
+		if t.State != catalog.Ready || t.ID == runner.ID || t.Zone == runner.Zone || !t.SameSoftware(runner) || tried[t.ID] || b.isReplaced(now, t) {
 			continue
 		}
 		cost := b.backupCost(now, request, t)
@@ -249,6 +249,17 @@
 	return r.lastActivity
 }
 
+// LostAt returns when an incarnation of a target was last lost, or the zero time if that is
+// not known.
+func (b *Balancer) LostAt(key id.TargetIncarnation) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.targets[key.Target]; r != nil && r.incarnation == key.Incarnation {
+		return r.lostAt
+	}
+	return time.Time{}
+}
+
 // ZoneHeardFrom returns when any target of a zone last sent anything to this entry, or
 // the zero time if none has.
 func (b *Balancer) ZoneHeardFrom(zone id.Zone) time.Time {
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -139,6 +139,9 @@
 		return false
 	}
 	r := b.record(now, t)
+	if at.After(r.lostAt) {
+		r.lostAt = at
+	}
 	if until := at.Add(minSuspectTime); until.After(r.suspectUntil) {
 		r.suspectUntil = until
 	}
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -169,11 +169,19 @@
 }
 
 // newer returns the known record of the same target if it is newer than t, and t
-// otherwise.
+// otherwise. A record of another version of the target's software is of another process.
 func (d *Directory) newer(t *catalog.Target) *catalog.Target {
-	if known := d.targets[t.ID]; known != nil && known.Incarnation == t.Incarnation && t.Sequence < known.Sequence {
+	known := d.targets[t.ID]
+	if known == nil || known.Incarnation != t.Incarnation || !known.SameSoftware(t) {
+		return t
+	}
+	if t.Sequence < known.Sequence {
 		return known
 	}
+	if t.Sequence > 0 && t.Sequence == known.Sequence {
+		// The same record was read again.
+		t.RecordedAt = known.RecordedAt
+	}
 	return t
 }
 
--- /dev/null
+++ b/internal/coordination/origin/origin.go
@@ -0,0 +1,258 @@
+// Package origin tracks at which version of a target's software each stream began. A
+// stream may go on only at that version, at any entry, also after the entry that served
+// it has ended.
+//
+// A Registry holds the streams that this entry serves, and those that other entries have
+// told it about. Versions holds which versions have served recently. While one version
+// alone has served for longer than a stream lasts, a stream that nobody remembers began
+// there, so entries tell each other about streams only while several versions serve.
+//
+// # Usage
+//
+//	streams := origin.New()
+//	streams.Record(now, origin.Stream{Attempt: attempt, Software: "v1"})
+//	for address, untold := range streams.Untold(now, keepers) { … send it … }
+//	streams.Merge(now, received)
+//	s, ok := streams.Find(now, attempt)
+//
+//	versions := origin.NewVersions()
+//	versions.Observe(now, targets, fresh)
+//	software, ok := versions.Sole(now, service)
+//
+// Both types are safe for concurrent use.
+package origin
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+const (
+	// DefaultLifetime is how long after its first event a stream may be resumed, unless
+	// the configuration allows longer streams.
+	DefaultLifetime = 30 * time.Second
+	// ResumeMargin is how much longer than a stream may last it is remembered.
+	ResumeMargin = 5 * time.Second
+	// retellDelay is how long after the first message about a stream the second one is
+	// sent, because the first may be lost.
+	retellDelay = 300 * time.Millisecond
+	// maxTells is the number of messages about a stream to each entry that keeps it.
+	maxTells = 2
+	// maxStreams limits the streams of other entries.
+	maxStreams = 100_000
+)
+
+// Stream says where a stream began.
+type Stream struct {
+	// Attempt is the client's attempt that brought the stream's first event.
+	Attempt id.Request `json:"attempt"`
+	// Software is the version that began the stream.
+	Software id.SoftwareVersion `json:"software,omitempty"`
+	// Unknown is set if the version is not known. Target is then the target that began the
+	// stream, if its record can still tell the version.
+	Unknown bool      `json:"unknown,omitempty"`
+	Target  id.Target `json:"target,omitempty"`
+	// AgeMS is the time since the stream was last known to run, in milliseconds.
+	AgeMS int64 `json:"agoMs,omitempty"`
+}
+
+// tracked is a stream that this entry knows.
+type tracked struct {
+	Stream
+	activeAt time.Time
+	// own is set for streams that this entry has served. told holds the messages about it
+	// by the address of the entry that keeps it.
+	own  bool
+	told map[string]tells
+}
+
+// tells counts the messages about a stream to one entry.
+type tells struct {
+	n  int
+	at time.Time
+}
+
+// Registry holds streams by the attempts that began them.
+type Registry struct {
+	mu       sync.Mutex
+	lifetime time.Duration
+	streams  map[id.Request]*tracked
+	// changed is closed and replaced when streams of other entries arrive.
+	changed chan struct{}
+}
+
+// New returns an empty Registry.
+func New() *Registry {
+	return &Registry{lifetime: DefaultLifetime, streams: map[id.Request]*tracked{}, changed: make(chan struct{})}
+}
+
+// SetLifetime sets how long a stream may last, if that is more than DefaultLifetime.
+func (r *Registry) SetLifetime(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lifetime = max(d, DefaultLifetime)
+}
+
+// Record records a stream that this entry serves. What is known of its version stays.
+func (r *Registry) Record(now time.Time, s Stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.streams[s.Attempt]
+	if t == nil || (t.Unknown && !s.Unknown) {
+		t = &tracked{Stream: s}
+		r.streams[s.Attempt] = t
+	}
+	t.activeAt, t.own = now, true
+	if t.told == nil {
+		t.told = map[string]tells{}
+	}
+}
+
+// Touch records that this entry still serves a stream.
+func (r *Registry) Touch(now time.Time, attempt id.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.streams[attempt]; t != nil {
+		t.activeAt = now
+	}
+}
+
+// Merge records streams that other entries have told about, or that were saved.
+func (r *Registry) Merge(now time.Time, streams []Stream) {
+	if len(streams) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range streams {
+		activeAt := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+		s.AgeMS = 0
+		t := r.streams[s.Attempt]
+		switch {
+		case s.Attempt == "" || now.Sub(activeAt) > r.lifetime:
+		case t == nil && len(r.streams) < maxStreams:
+			r.streams[s.Attempt] = &tracked{Stream: s, activeAt: activeAt}
+		case t == nil:
+		case t.Unknown && !s.Unknown:
+			t.Stream = s
+			t.activeAt = latest(t.activeAt, activeAt)
+		default:
+			t.activeAt = latest(t.activeAt, activeAt)
+		}
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Find returns a stream by the attempt that began it.
+func (r *Registry) Find(now time.Time, attempt id.Request) (Stream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.streams[attempt]
+	if t == nil || now.Sub(t.activeAt) > r.lifetime {
+		return Stream{}, false
+	}
+	return t.withAge(now), true
+}
+
+func (t *tracked) withAge(now time.Time) Stream {
+	s := t.Stream
+	s.AgeMS = max(0, now.Sub(t.activeAt).Milliseconds())
+	return s
+}
+
+// Changed returns a channel that is closed when streams of other entries arrive.
+func (r *Registry) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Own returns the streams that this entry serves or has served, to save them, in order.
+func (r *Registry) Own(now time.Time) []Stream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	var own []Stream
+	for _, t := range r.streams {
+		if t.own {
+			own = append(own, t.withAge(now))
+		}
+	}
+	slices.SortFunc(own, func(a, b Stream) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	return own
+}
+
+func (r *Registry) expire(now time.Time) {
+	maps.DeleteFunc(r.streams, func(_ id.Request, t *tracked) bool { return now.Sub(t.activeAt) > r.lifetime })
+}
+
+// Untold returns the streams of this entry to tell other entries about now, by address,
+// and counts them as told. keepers returns the addresses of the entries that keep a stream.
+func (r *Registry) Untold(now time.Time, keepers func(attempt id.Request) []string) map[string][]Stream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	untold := map[string][]Stream{}
+	for attempt, t := range r.streams {
+		if !t.own {
+			continue
+		}
+		for _, address := range keepers(attempt) {
+			if t.tell(now, address) {
+				untold[address] = append(untold[address], t.withAge(now))
+			}
+		}
+	}
+	return untold
+}
+
+// Tell returns the addresses to tell about a stream of this entry now, of those that keep
+// it, and counts them as told.
+func (r *Registry) Tell(now time.Time, attempt id.Request, keepers []string) (Stream, []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.streams[attempt]
+	if t == nil || !t.own {
+		return Stream{}, nil
+	}
+	var addresses []string
+	for _, address := range keepers {
+		if t.tell(now, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return t.withAge(now), addresses
+}
+
+// tell reports whether to tell an entry about the stream now, and counts it as told.
+func (t *tracked) tell(now time.Time, address string) bool {
+	told := t.told[address]
+	if told.n >= maxTells || (told.n > 0 && now.Sub(told.at) < retellDelay) {
+		return false
+	}
+	t.told[address] = tells{n: told.n + 1, at: now}
+	return true
+}
+
+// Forgotten records that the entry at an address has started again, and so has to be told
+// about its streams again.
+func (r *Registry) Forgotten(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.streams {
+		delete(t.told, address)
+	}
+}
--- /dev/null
+++ b/internal/coordination/origin/versions.go
@@ -0,0 +1,162 @@
+package origin
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// SeenVersion says when a version of a service's targets was last listed.
+type SeenVersion struct {
+	Service  id.Service         `json:"service"`
+	Software id.SoftwareVersion `json:"software,omitempty"`
+	// Unknown is set for targets whose version was not known.
+	Unknown bool  `json:"unknown,omitempty"`
+	AgeMS   int64 `json:"agoMs,omitempty"`
+}
+
+// Report tells another entry which versions have served recently.
+type Report struct {
+	// CoveredMS is for how long the reporting entry has known all versions that served,
+	// in milliseconds.
+	CoveredMS int64         `json:"coveredMs,omitempty"`
+	Seen      []SeenVersion `json:"seen,omitempty"`
+}
+
+// seenKey identifies a version of a service.
+type seenKey struct {
+	service  id.Service
+	software id.SoftwareVersion
+	unknown  bool
+}
+
+// Versions holds which versions of each service's targets have been listed within the
+// lifetime of a stream.
+type Versions struct {
+	mu       sync.Mutex
+	lifetime time.Duration
+	seen     map[seenKey]time.Time
+	// coveredSince is the time from which on all versions that served are known; zero
+	// before the first list.
+	coveredSince time.Time
+}
+
+// NewVersions returns a Versions of a process that does not know which versions served
+// before its start.
+func NewVersions() *Versions {
+	return &Versions{lifetime: DefaultLifetime, seen: map[seenKey]time.Time{}}
+}
+
+// SetLifetime sets how long a stream may last, if that is more than DefaultLifetime.
+func (v *Versions) SetLifetime(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lifetime = max(d, DefaultLifetime)
+}
+
+// Observe records the versions of the targets that are listed now. fresh says that the
+// list is up to date. It reports whether a service has become mixed.
+func (v *Versions) Observe(now time.Time, targets map[id.Service]catalog.Targets, fresh bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !fresh || v.coveredSince.IsZero() {
+		v.coveredSince = now
+	}
+	newlyMixed := false
+	for service, listed := range targets {
+		before := v.versions(now, service)
+		for _, t := range listed {
+			v.seen[seenKey{service, t.Software, t.SoftwareUnknown}] = now
+		}
+		newlyMixed = newlyMixed || (before < 2 && v.versions(now, service) > 1)
+	}
+	maps.DeleteFunc(v.seen, func(_ seenKey, at time.Time) bool { return now.Sub(at) > v.lifetime })
+	return newlyMixed
+}
+
+// versions counts the versions of a service within the lifetime. Targets of unknown
+// versions count as one more.
+func (v *Versions) versions(now time.Time, service id.Service) int {
+	n := 0
+	for key, at := range v.seen {
+		if key.service == service && now.Sub(at) <= v.lifetime {
+			n++
+		}
+	}
+	return n
+}
+
+// Cover records that all versions that served before now are known.
+func (v *Versions) Cover(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.coveredSince = now.Add(-v.lifetime)
+}
+
+// Mixed reports whether several versions of any service have served recently.
+func (v *Versions) Mixed(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for key := range v.seen {
+		if v.versions(now, key.service) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Sole returns the only version of a service that has served within the lifetime of a
+// stream. It returns false if there are several, or if that is not known.
+func (v *Versions) Sole(now time.Time, service id.Service) (id.SoftwareVersion, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.coveredSince.IsZero() || now.Sub(v.coveredSince) < v.lifetime || v.versions(now, service) != 1 {
+		return "", false
+	}
+	for key := range v.seen {
+		if key.service == service && !key.unknown {
+			return key.software, true
+		}
+	}
+	return "", false
+}
+
+// Report returns what other entries are told, in order of services.
+func (v *Versions) Report(now time.Time) Report {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := Report{}
+	if !v.coveredSince.IsZero() {
+		r.CoveredMS = now.Sub(v.coveredSince).Milliseconds()
+	}
+	for key, at := range v.seen {
+		if now.Sub(at) <= v.lifetime {
+			r.Seen = append(r.Seen, SeenVersion{Service: key.service, Software: key.software, Unknown: key.unknown, AgeMS: now.Sub(at).Milliseconds()})
+		}
+	}
+	slices.SortFunc(r.Seen, func(a, b SeenVersion) int {
+		return slices.Compare([]string{string(a.Service), string(a.Software)}, []string{string(b.Service), string(b.Software)})
+	})
+	return r
+}
+
+// Merge records what another entry, or a saved report of age, says.
+func (v *Versions) Merge(now time.Time, r Report, age time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range r.Seen {
+		key := seenKey{s.Service, s.Software, s.Unknown}
+		at := now.Add(-age - time.Duration(s.AgeMS)*time.Millisecond)
+		if now.Sub(at) <= v.lifetime {
+			v.seen[key] = latest(v.seen[key], at)
+		}
+	}
+	since := now.Add(-age - time.Duration(r.CoveredMS)*time.Millisecond)
+	if age == 0 && r.CoveredMS > 0 && (v.coveredSince.IsZero() || since.Before(v.coveredSince)) {
+		v.coveredSince = since
+	}
+}
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -14,10 +14,13 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -43,8 +46,10 @@
 
 // Peer is what another entry reports about itself.
 type Peer struct {
-	Name        id.Entry
-	Address     string
+	Name    id.Entry
+	Address string
+	// Zone is empty if the entry does not say.
+	Zone        id.Zone
 	Incarnation id.Incarnation
 	Sequence    id.Sequence
 	// StopsIn is the time until the entry ends after finishing its work; 0
@@ -165,6 +170,38 @@
 	return addresses
 }
 
+// Closest returns the addresses of n running entries for a key, by rendezvous hashing, so
+// that entries which know the same ones choose the same. They are in different
+// availability zones as far as possible. This entry is not among them.
+func (r *Roster) Closest(now time.Time, key string, n int) []string {
+	type candidate struct {
+		address string
+		zone    id.Zone
+		score   uint64
+	}
+	r.mu.Lock()
+	var candidates []candidate
+	for address, state := range r.peers {
+		if !state.receivedAt.IsZero() && now.Sub(state.receivedAt) <= aliveTimeout {
+			candidates = append(candidates, candidate{address, state.peer.Zone, xxhash.Sum64String(key + "/" + address)})
+		}
+	}
+	r.mu.Unlock()
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	var closest, rest []string
+	zones := map[id.Zone]bool{}
+	for _, c := range candidates {
+		if zones[c.zone] {
+			rest = append(rest, c.address)
+			continue
+		}
+		zones[c.zone] = true
+		closest = append(closest, c.address)
+	}
+	closest = append(closest, rest...)
+	return closest[:min(n, len(closest))]
+}
+
 // LimitShare returns the share of a common limit that the entries which reach
 // each other may use together. It is the whole limit as long as none of the
 // counted entries is silent.
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -89,3 +89,40 @@
 	is.Equal(r.LimitShare(start), 1.0)
 	is.Equal(r.LimitShare(start.Add(5*time.Second)), 0.25) // all have fallen silent
 }
+
+// TestClosest checks that entries choose the same keepers, in different zones where there
+// are several, and replace only those that have ended.
+func TestClosest(t *testing.T) {
+	is := is.New(t)
+	one, other := roster.New("self1", nil), roster.New("self2", nil)
+	for i := range 12 {
+		p := peer(string(rune('b'+i)), 1, 1)
+		p.Zone = id.Zone(rune('x' + i%3))
+		one.Observe(start, p, nil)
+		other.Observe(start, p, nil)
+		if i > 0 {
+			p.Sequence = 2
+			other.Observe(start.Add(3*time.Second), p, nil)
+		}
+	}
+	moved := 0
+	for i := range 100 {
+		key := string(rune('A' + i))
+		closest := one.Closest(start, key, 3)
+		is.Equal(closest, other.Closest(start, key, 3))
+		zones := map[int]bool{}
+		for _, address := range closest {
+			zones[int(address[0]-'b')%3] = true
+		}
+		is.Equal(len(zones), 3)
+		later := other.Closest(start.Add(4*time.Second), key, 3) // "b" has fallen silent
+		for j := range closest {
+			if closest[j] != "b" && later[j] != closest[j] {
+				moved++
+			}
+		}
+	}
+	is.True(moved < 50)
+	is.Equal(len(one.Closest(start, "k", 100)), 12)
+	is.Equal(len(roster.New("a", nil).Closest(start, "k", 3)), 0)
+}
--- a/internal/coordination/store/store.go
+++ b/internal/coordination/store/store.go
@@ -168,6 +168,9 @@
 	// SuspectsPrefix is followed by the name of an entry whose requests that are
 	// suspected of crashing targets are stored.
 	SuspectsPrefix = Root + "suspects/"
+	// StreamsPrefix is followed by the name of an entry of whose streams it is stored at
+	// which version of a target's software they began.
+	StreamsPrefix = Root + "streams/"
 	// LeaderKey is held by the process that decides on placement.
 	LeaderKey = Root + "placement/leader"
 	// OrderPrefix is followed by the id of a standing order.
--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
 	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -109,6 +110,9 @@
 	Notice Notice
 }
 
+// VersionReport says which versions of targets' software have served recently.
+type VersionReport = origin.Report
+
 // Notice is what a target says about further requests.
 type Notice = withdrawal.Notice
 
@@ -147,6 +151,11 @@
 	// DecodeIdentity reads the answer to a health check. It returns false if the
 	// answer does not identify the target.
 	DecodeIdentity func(status int, h http.Header) (Identity, bool)
+	// ReportCall returns the call that asks a target for a report about itself, and
+	// DecodeReport reads when its process started from the answer. It returns false if the
+	// report does not tell.
+	ReportCall   func() Call
+	DecodeReport func(body []byte) (id.Incarnation, bool)
 	// FreeCopyCall returns the call that frees a copy. It is sent to the engine
 	// that made the copy.
 	FreeCopyCall func(handle string) Call
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -11,6 +11,7 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
@@ -41,10 +42,12 @@
 	Sequence    id.Sequence    `json:"sequence"`
 	// Address is the IP:PORT at which the entry receives updates.
 	Address string `json:"address"`
+	// Zone is the entry's availability zone.
+	Zone id.Zone `json:"zone,omitempty"`
 	// Version is the version of the entry's current configuration; 0 for none.
 	Version catalog.Version `json:"version"`
-	// Announcement is set if the message tells only that Version is in force. It says
-	// nothing about what is left out.
+	// Announcement is set if the message tells only that Version is in force, and what
+	// Streams, Asks and Versions say. It says nothing about what is left out.
 	Announcement bool `json:"announcement,omitempty"`
 	// StopsInMS is the time in milliseconds until a draining entry stops; 0 if it
 	// is not draining.
@@ -75,6 +78,12 @@
 	// Turns are the requests suspected of crashing targets that run at the entry, or
 	// are about to.
 	Turns []quarantine.Turn `json:"turns,omitempty"`
+	// Streams say at which version of a target's software streams began, and Asks are the
+	// attempts of which the entry asks that. Both hold whatever the order of messages.
+	Streams []origin.Stream `json:"streams,omitempty"`
+	Asks    []id.Request    `json:"asks,omitempty"`
+	// Versions are the software versions that have served recently, unless it is one alone.
+	Versions *origin.Report `json:"versions,omitempty"`
 }
 
 // StopsIn returns the time until a draining entry stops; 0 if it is not
--- a/internal/state/catalog/target.go
+++ b/internal/state/catalog/target.go
@@ -36,6 +36,8 @@
 	// Sequence rises with each record that the target writes about itself; 0 if it
 	// is unknown.
 	Sequence id.Sequence
+	// RecordedAt is when this process read the record.
+	RecordedAt time.Time
 	// WarmAt is when the target reaches full speed after its start.
 	WarmAt time.Time
 }
--- a/internal/transport/direct/configwatch.go
+++ b/internal/transport/direct/configwatch.go
@@ -95,6 +95,7 @@
 		if inForce = w.e.directory.UpdateConfig(cfg); !inForce {
 			return
 		}
+		w.e.setStreamLifetime(cfg)
 		w.configItem, w.configEra, w.configAppliedAt = i, era, w.e.deps.Clock.Now()
 		w.e.deps.Log.Emit(event.RevisionInForce, "version", cfg.Version, "revision", i.ModRevision, "routes", len(cfg.Routes),
 			"bytes", len(i.Value), "source", origin, "after", w.sinceSeen(cfg.Version))
--- a/internal/transport/direct/dialect_test.go
+++ b/internal/transport/direct/dialect_test.go
@@ -57,6 +57,11 @@
 			slots, err := strconv.Atoi(h.Get("Slots"))
 			return protocol.Identity{Target: id.Target(h.Get("Name")), Slots: slots}, status == http.StatusOK && err == nil
 		},
+		ReportCall: func() protocol.Call { return protocol.Call{Method: "GET", Path: reportPath} },
+		DecodeReport: func(body []byte) (id.Incarnation, bool) {
+			born, err := strconv.Atoi(string(body))
+			return id.Incarnation(born), err == nil
+		},
 		FreeCopyCall: func(handle string) protocol.Call {
 			return protocol.Call{Method: "DELETE", Path: "/free/" + handle}
 		},
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -29,6 +29,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/directory"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/coordination/pace"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/roster"
@@ -108,8 +109,13 @@
 	configReader *configReader
 	balancer     *balance.Balancer
 	handover     *handover.Registry
-	pool         *upstream.Pool
-	metrics      *entryMetrics
+	// streams and versions tell at which version of its target's software a stream goes on,
+	// and reports whether a target is still the process that its record describes.
+	streams  *origin.Registry
+	versions *origin.Versions
+	reports  *reportReader
+	pool     *upstream.Pool
+	metrics  *entryMetrics
 
 	retryBudgets *retryBudgets
 	limits       *targetLimits
@@ -161,6 +167,8 @@
 		directory:    directory.New(),
 		balancer:     balance.New(cfg.Place.Zone, deps.Random),
 		handover:     handover.New(),
+		streams:      origin.New(),
+		versions:     origin.NewVersions(),
 		retryBudgets: newRetryBudgets(retryConfig(cfg.Retries)),
 		estimators:   map[id.Service]*pace.Estimator{},
 		idle:         newIdleConns(deps.Clock),
@@ -170,6 +178,7 @@
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.limits = newTargetLimits(e)
 	e.withdrawn, e.buffers = withdrawal.New(), newAnswerBuffers(cfg.Limits.MemoryMB)
+	e.reports = newReportReader(e)
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -218,6 +218,8 @@
 	service          = id.Service("m")
 	// healthPath is where targets report their names.
 	healthPath = "/health"
+	// reportPath is where targets report the time of their start.
+	reportPath = "/report"
 	// targetSlots is the number of slots of each target.
 	targetSlots = 12
 	// reuseSeconds is how long a target's address is not given to another service.
@@ -329,7 +331,7 @@
 			if prefix == "config/" {
 				return store.Page{Revision: 1, Era: env.era, Items: []store.Item{{Key: "config/it", ModRevision: 1}}}, nil
 			}
-			if prefix == store.RunsPrefix || prefix == store.SuspectsPrefix {
+			if prefix == store.RunsPrefix || prefix == store.SuspectsPrefix || prefix == store.StreamsPrefix {
 				return env.savedPage(prefix), nil
 			}
 			return store.Page{Revision: 1, Era: env.era, Items: env.targets}, nil
@@ -393,7 +395,7 @@
 		DecodeTarget: func(i store.Item, _ time.Time) (*catalog.Target, error) {
 			t := &catalog.Target{ID: id.Target(i.Key), Service: service, Slots: targetSlots}
 			fields := []any{&t.State, &t.Address, &t.Zone, &t.Software, &t.Incarnation}
-			n := min(len(strings.Fields(string(i.Value))), len(fields))
+			n := max(3, min(len(strings.Fields(string(i.Value))), len(fields)))
 			_, err := fmt.Sscan(string(i.Value), fields[:n]...)
 			return t, err
 		},
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -79,6 +79,9 @@
 	// endUncertain is set if the end of the connection ended a complete answer, which the
 	// target may not have meant.
 	endUncertain bool
+	// software is the version at which the request's stream goes on; nil before it has
+	// begun.
+	software *requiredSoftware
 	// releaseBuffers give back the memory of the buffered answers.
 	releaseBuffers []func()
 	// heldBack is set if the request may not start yet because requests with this
--- a/internal/transport/direct/limits.go
+++ b/internal/transport/direct/limits.go
@@ -142,7 +142,7 @@
 	for ctx.Err() == nil {
 		c.limitedTarget = nil
 		now := c.now()
-		free, full := c.e.limits.split(now, c.targets())
+		free, full := c.e.limits.split(now, c.lasting(c.targets()))
 		choice, ok := c.e.balancer.Choose(now, c.requirements, free, c.tried)
 		if !ok || choice.Reason == balance.LastResort {
 			if first := c.firstInTime(full); first != nil {
@@ -222,7 +222,7 @@
 // isReady reports whether the target still accepts requests.
 func (c *call) isReady(t *catalog.Target) bool {
 	current := c.targets().Find(t.ID)
-	return current != nil && current.State == catalog.Ready && current.Incarnation == t.Incarnation
+	return current != nil && current.State == catalog.Ready && current.Incarnation == t.Incarnation && current.SameSoftware(t)
 }
 
 // refuseAtLimit refuses a request for which all usable targets are at their limits. It
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -121,7 +121,9 @@
 	for {
 		now := x.e.deps.Clock.Now()
 		addresses := x.roster.Addresses(now)
+		x.e.observeVersions()
 		x.send(addresses, x.e.quarantine.Changes(now))
+		x.tellStreams(now)
 		pause := max(minUpdateInterval, time.Duration(len(addresses))*updateIntervalPerPeer)
 		select {
 		case <-ctx.Done():
@@ -184,7 +186,7 @@
 	x.sequence++
 	u := &direct.PeerUpdate{
 		From: x.e.cfg.Name, Incarnation: x.incarnation, Sequence: x.sequence, Address: x.e.cfg.PeerAddress,
-		Version: x.e.configVersion(),
+		Version: x.e.configVersion(), Zone: x.e.cfg.Place.Zone,
 	}
 	u.StoreReachable = x.e.targetsListed.Load() && !x.storeWatcher.storeUnavailable()
 	if start := x.e.drainStart.Load(); start != nil {
@@ -197,6 +199,9 @@
 	u := x.header(now)
 	u.KnownPeers, u.Loads, u.Runs = x.roster.Alive(now), x.e.balancer.Loads(), x.e.handover.RunsToShare(now)
 	u.Leaving = x.e.withdrawn.Reports(now)
+	if x.e.versions.Mixed(now) {
+		u.Versions = x.versionReport(now)
+	}
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
 	for lost, age := range x.e.balancer.RecentLosses(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
@@ -232,7 +237,8 @@
 
 func (x *peerExchange) apply(ctx context.Context, u *direct.PeerUpdate) {
 	now := x.e.deps.Clock.Now()
-	peer := roster.Peer{Name: u.From, Address: u.Address, Incarnation: u.Incarnation, Sequence: u.Sequence, StopsIn: u.StopsIn()}
+	x.applyStreams(now, u)
+	peer := roster.Peer{Name: u.From, Address: u.Address, Zone: u.Zone, Incarnation: u.Incarnation, Sequence: u.Sequence, StopsIn: u.StopsIn()}
 	verdict := x.roster.Observe(now, peer, u.KnownPeers)
 	if verdict == roster.Stale {
 		return
@@ -245,6 +251,7 @@
 		// Reports the known suspects at once to an entry that has just started.
 		suspects, _ := x.e.quarantine.Suspects(now)
 		x.send([]string{u.Address}, suspects)
+		x.greet(now, u.Address)
 	}
 }
 
@@ -256,6 +263,9 @@
 	x.e.mergeWithdrawn(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
+	if u.Versions != nil {
+		x.e.versions.Merge(now, *u.Versions, 0)
+	}
 	x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
 	for _, s := range u.Successors {
 		x.storeWatcher.addSuccessor(s)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -147,6 +147,9 @@
 var (
 	errWrongAttempt = errors.New("answer belongs to another attempt")
 	errUnsigned     = errors.New("answer is not signed")
+	// errReplaced and errUnconfirmed end attempts to go on with a stream.
+	errReplaced    = errors.New("another process runs under the target's id")
+	errUnconfirmed = errors.New("the target's record is not confirmed")
 )
 
 // attemptDeadline returns the time by which one target must have answered.
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -23,6 +23,9 @@
 	noTargetRetryAfter = 500 * time.Millisecond
 )
 
+// statusNotRun promises that a request was not run and never will be.
+const statusNotRun = http.StatusServiceUnavailable
+
 // refusal is an error answer that the entry itself gives.
 type refusal struct {
 	status int
@@ -36,7 +39,7 @@
 // stops. Retry-After tells the client when another entry accepts requests.
 func (c *call) refuseDraining() {
 	wait, _ := c.e.roster.TimeUntilServing(c.now())
-	c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "draining", retryAfter: max(wait, otherEntryRetryAfter)})
+	c.refuse(refusal{status: statusNotRun, reason: "draining", retryAfter: max(wait, otherEntryRetryAfter)})
 }
 
 // refuse answers the request with the refusal.
@@ -71,21 +74,24 @@
 	case c.clientGone():
 		c.abandon()
 	case c.runs == 0 && c.quarantineLeft > 0:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "quarantine", retryAfter: c.quarantineLeft})
+		c.refuse(refusal{status: statusNotRun, reason: "quarantine", retryAfter: c.quarantineLeft})
 	case c.runs == 0 && c.heldBack:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "suspect", retryAfter: quarantine.SettleTime})
+		c.refuse(refusal{status: statusNotRun, reason: "suspect", retryAfter: quarantine.SettleTime})
+	case c.runs == 0 && !c.expired() && c.versionGone():
+		c.log(event.RecoveryRefused, "reason", "versionGone", "resumes", c.meta.Resumes, "lastEvent", c.meta.LastEventID)
+		c.refuse(refusal{status: statusNotRun, reason: "versionGone", retryAfter: versionGoneRetryAfter})
 	case c.runs == 0 && c.limitedTarget != nil && !c.expired():
 		c.refuseAtLimit()
 	case c.runs == 0 && !c.expired() && c.pause() > 0:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targetsPaused", retryAfter: c.pause()})
+		c.refuse(refusal{status: statusNotRun, reason: "targetsPaused", retryAfter: c.pause()})
 	case c.runs == 0 && c.targetBusy:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targetsBusy", retryAfter: busyRetryAfter})
+		c.refuse(refusal{status: statusNotRun, reason: "targetsBusy", retryAfter: busyRetryAfter})
 	case c.runs == 0 && c.budgetExhausted:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "retryBudget", retryAfter: noTargetRetryAfter})
+		c.refuse(refusal{status: statusNotRun, reason: "retryBudget", retryAfter: noTargetRetryAfter})
 	case c.runs == 0 && !c.expired():
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "noTarget", retryAfter: noTargetRetryAfter})
+		c.refuse(refusal{status: statusNotRun, reason: "noTarget", retryAfter: noTargetRetryAfter})
 	case c.runs == 0:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeout"})
+		c.refuse(refusal{status: statusNotRun, reason: "timeout"})
 	case c.expired():
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
 	default:
--- /dev/null
+++ b/internal/transport/direct/reports.go
@@ -0,0 +1,130 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// confirmation says whether a target is still the process that its record describes.
+type confirmation string
+
+const (
+	confirmed confirmation = "confirmed"
+	// replaced means that another process runs under the target's id.
+	replaced confirmation = "replaced"
+	// unconfirmed means that neither the target nor its record tells.
+	unconfirmed confirmation = "unconfirmed"
+)
+
+// recordDelay is how late a target's record may arrive. A record that arrived later than
+// this after a loss was written by the process that runs since.
+const recordDelay = time.Second
+
+// reportReader asks targets for the time of their start. Targets start again under their
+// ids, and the requests that are sent to an id reach whichever process runs there. A
+// target whose record names no start time gets a new id with each start, so it is not
+// asked. It is safe for concurrent use.
+//
+// A process that is still the same after a request as its record said before it has also
+// answered that request, because only one process runs under an id at a time. So one
+// report confirms all requests that were sent before it was asked for.
+type reportReader struct {
+	e *Entry
+
+	mu    sync.Mutex
+	reads map[id.TargetIncarnation]*reportRead
+}
+
+// reportRead is the reading of one target's reports. next is closed with the end of the
+// read that begins after the current one.
+type reportRead struct {
+	running bool
+	next    *reportResult
+}
+
+type reportResult struct {
+	done   chan struct{}
+	result confirmation
+}
+
+func newReportReader(e *Entry) *reportReader {
+	return &reportReader{e: e, reads: map[id.TargetIncarnation]*reportRead{}}
+}
+
+// confirm reports whether the target is still the process that its record describes, by
+// a report that is asked for from now on.
+func (r *reportReader) confirm(ctx context.Context, t *catalog.Target) confirmation {
+	if t.Incarnation == 0 {
+		return confirmed
+	}
+	r.mu.Lock()
+	read := r.reads[t.Key()]
+	if read == nil {
+		read = &reportRead{}
+		r.reads[t.Key()] = read
+	}
+	if read.next == nil {
+		read.next = &reportResult{done: make(chan struct{})}
+	}
+	next := read.next
+	if !read.running {
+		read.running = true
+		go r.readAll(t, read)
+	}
+	r.mu.Unlock()
+	select {
+	case <-next.done:
+		return next.result
+	case <-ctx.Done():
+		return unconfirmed
+	}
+}
+
+// readAll reads reports as long as requests wait for one.
+func (r *reportReader) readAll(t *catalog.Target, read *reportRead) {
+	for {
+		r.mu.Lock()
+		current := read.next
+		read.next = nil
+		if current == nil {
+			read.running = false
+			delete(r.reads, t.Key())
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		current.result = r.read(t)
+		close(current.done)
+	}
+}
+
+// read reads one report. Without one, a record that was written after the last loss of the
+// target tells.
+func (r *reportReader) read(t *catalog.Target) confirmation {
+	ctx, cancel := context.WithTimeout(context.Background(), copyCallTimeout)
+	defer cancel()
+	status, body, err := r.e.callEngine(ctx, t.Address, r.e.deps.Dialect.ReportCall())
+	if err == nil && status == http.StatusOK {
+		if born, ok := r.e.deps.Dialect.DecodeReport(body); ok {
+			if born == t.Incarnation {
+				return confirmed
+			}
+			return replaced
+		}
+	}
+	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
+	switch {
+	case current == nil:
+		return unconfirmed
+	case current.Incarnation != t.Incarnation:
+		return replaced
+	case current.RecordedAt.Sub(r.e.balancer.LostAt(t.Key())) > recordDelay:
+		return confirmed
+	}
+	return unconfirmed
+}
--- /dev/null
+++ b/internal/transport/direct/software.go
@@ -0,0 +1,239 @@
+package direct
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/origin"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+const (
+	// askInterval is the time between two questions of where a stream began, and
+	// askTimeout how long a request waits for the answer.
+	askInterval = 80 * time.Millisecond
+	askTimeout  = 250 * time.Millisecond
+	// versionUnknownRetryAfter is used while it is not known where a stream began: entries
+	// that have started, and the key-value service, may tell soon.
+	versionUnknownRetryAfter = 500 * time.Millisecond
+	// versionGoneRetryAfter is used if no target of a stream's version serves. One that
+	// crashed is back within about this time.
+	versionGoneRetryAfter = time.Second
+)
+
+// requiredSoftware is the version at which a stream goes on. It is safe for concurrent
+// use.
+type requiredSoftware struct {
+	mu      sync.Mutex
+	known   bool
+	version id.SoftwareVersion
+	// target is the target that began the stream, if its record may still tell the
+	// version; otherwise empty.
+	target id.Target
+}
+
+// version returns the required version, if it is known.
+func (r *requiredSoftware) resolve(listed catalog.Targets) (id.SoftwareVersion, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := listed.Find(r.target); !r.known && r.target != "" && t != nil && t.Incarnation == 0 && !t.SoftwareUnknown {
+		r.version, r.known = t.Software, true
+	}
+	return r.version, r.known
+}
+
+func (r *requiredSoftware) set(v id.SoftwareVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.known = v, true
+}
+
+// eligibleTargets returns the currently known targets of the request's service at which
+// its stream may go on: all before it has begun.
+func (c *call) eligibleTargets() catalog.Targets {
+	listed := c.allTargets()
+	if c.software == nil {
+		return listed
+	}
+	version, known := c.software.resolve(listed)
+	if !known {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(listed), func(t *catalog.Target) bool { return t.SoftwareUnknown || t.Software != version })
+}
+
+// resumesStream reports whether the client goes on with a stream that it has a part of.
+func (c *call) resumesStream() bool {
+	return c.route.Resumable && (c.meta.LastEventID != "" || c.meta.Resumes != "")
+}
+
+// originAttempt returns the attempt that began the request's stream.
+func (c *call) originAttempt() id.Request {
+	if c.resumesStream() && c.meta.Resumes != "" {
+		return id.Request(c.meta.Resumes)
+	}
+	return id.Request(c.meta.Attempt)
+}
+
+// findOrigin finds out where the stream that the client resumes began. It returns false
+// if that is not known.
+func (c *call) findOrigin(ctx context.Context) bool {
+	clock := c.e.deps.Clock
+	timeout := clock.After(askTimeout)
+	for {
+		changed := c.e.streams.Changed()
+		if c.knowsOrigin() {
+			return true
+		}
+		if c.e.peerExchange != nil && c.meta.Resumes != "" {
+			c.e.peerExchange.ask(c.now(), c.originAttempt())
+		}
+		select {
+		case <-changed:
+		case <-clock.After(askInterval):
+		case <-timeout:
+			return c.knowsOrigin()
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// knowsOrigin sets the required version, if this entry knows it now.
+func (c *call) knowsOrigin() bool {
+	now := c.now()
+	if s, ok := c.e.streams.Find(now, c.originAttempt()); ok {
+		c.software = &requiredSoftware{known: !s.Unknown, version: s.Software, target: s.Target}
+		_, known := c.software.resolve(c.allTargets())
+		return known
+	}
+	c.e.observeVersions()
+	version, ok := c.e.versions.Sole(now, c.service)
+	if ok {
+		c.software = &requiredSoftware{known: true, version: version}
+	}
+	return ok
+}
+
+// refuseUnknownOrigin refuses to go on with a stream of which nobody knows where it began.
+func (c *call) refuseUnknownOrigin() {
+	if c.clientGone() {
+		c.abandon()
+	}
+	c.log(event.RecoveryRefused, "reason", "versionUnknown", "resumes", c.meta.Resumes, "lastEvent", c.meta.LastEventID)
+	c.refuse(refusal{status: statusNotRun, reason: "versionUnknown", retryAfter: versionUnknownRetryAfter})
+}
+
+// versionGone reports whether the request's stream has begun at a version of which no
+// target is listed.
+func (c *call) versionGone() bool {
+	return c.software != nil && len(c.eligibleTargets().Ready()) == 0
+}
+
+// recordBegin records that the target has sent the first event of the request's stream.
+func (c *call) recordBegin(ctx context.Context, t *catalog.Target) {
+	if c.software != nil || !c.route.Resumable {
+		return
+	}
+	if current := c.allTargets().Find(t.ID); current != nil && current.Incarnation == t.Incarnation {
+		// The record of a target that was found as a successor may have arrived meanwhile.
+		t = current
+	}
+	c.software = &requiredSoftware{}
+	if t.Incarnation == 0 {
+		c.software.known, c.software.version, c.software.target = !t.SoftwareUnknown, t.Software, t.ID
+		c.recordOrigin()
+		return
+	}
+	c.recordOrigin()
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		if c.e.reports.confirm(ctx, t) == confirmed {
+			c.software.set(t.Software)
+			c.recordOrigin()
+		}
+	}()
+}
+
+// recordOrigin records where the request's stream began, and tells the entries that keep it.
+func (c *call) recordOrigin() {
+	now := c.now()
+	s := origin.Stream{Attempt: c.originAttempt()}
+	c.software.mu.Lock()
+	s.Software, s.Unknown = c.software.version, !c.software.known
+	if s.Unknown {
+		s.Target = c.software.target
+	}
+	c.software.mu.Unlock()
+	c.e.streams.Record(now, s)
+	if c.e.peerExchange != nil {
+		c.e.peerExchange.tellStream(now, s.Attempt)
+	}
+}
+
+// observeVersions records which versions are listed now, and tells the other entries at
+// once if a service has become mixed.
+func (e *Entry) observeVersions() {
+	if !e.targetsListed.Load() {
+		return
+	}
+	now := e.deps.Clock.Now()
+	if e.versions.Observe(now, e.directory.View().Targets, e.listFresh(now)) && e.peerExchange != nil {
+		e.peerExchange.sendNow()
+	}
+}
+
+// listFresh reports whether the list of targets is up to date: the key-value service
+// answers, or every other entry is heard from, one of which may have a newer list.
+func (e *Entry) listFresh(now time.Time) bool {
+	if !e.storeWatcher.storeUnavailable() {
+		return true
+	}
+	return len(e.roster.Alive(now)) > 0 && e.roster.ContactShare(now) >= 1
+}
+
+// setStreamLifetime sets how long streams are remembered: as long as a client may go on
+// with one under the configuration.
+func (e *Entry) setStreamLifetime(cfg *catalog.Config) {
+	var longest time.Duration
+	for i := range cfg.Routes {
+		if cfg.Routes[i].Kind == catalog.Streaming {
+			longest = max(longest, cfg.Routes[i].Timeout)
+		}
+	}
+	e.streams.SetLifetime(longest + origin.ResumeMargin)
+	e.versions.SetLifetime(longest + origin.ResumeMargin)
+}
+
+// lasting returns the targets at which a new stream can go on after a loss: those that
+// share their version with another usable target in another zone. It returns all targets
+// if there are none, or if all are of one version.
+func (c *call) lasting(targets catalog.Targets) catalog.Targets {
+	if c.software != nil || !c.route.Resumable || sameSoftware(targets) {
+		return targets
+	}
+	now := c.now()
+	usable := slices.DeleteFunc(targets.Ready(), func(t *catalog.Target) bool { return c.tried[t.ID] || c.e.balancer.Suspected(now, t) })
+	zones := map[id.SoftwareVersion]map[id.Zone]bool{}
+	for _, t := range usable {
+		if !t.SoftwareUnknown {
+			if zones[t.Software] == nil {
+				zones[t.Software] = map[id.Zone]bool{}
+			}
+			zones[t.Software][t.Zone] = true
+		}
+	}
+	lasting := slices.DeleteFunc(usable, func(t *catalog.Target) bool { return t.SoftwareUnknown || len(zones[t.Software]) < 2 })
+	if len(lasting) == 0 {
+		return targets
+	}
+	return lasting
+}
+
+func sameSoftware(targets catalog.Targets) bool {
+	return !slices.ContainsFunc(targets, func(t *catalog.Target) bool { return !t.SameSoftware(targets[0]) })
+}
--- a/internal/transport/direct/software_test.go
+++ b/internal/transport/direct/software_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package direct_test
 
 import (
@@ -172,7 +170,11 @@
 		env.start()
 		done := make(chan answer, 6)
 		for i := range 6 {
-			go func() { done <- env.do("POST", "/r/x", fmt.Sprint("a", i), fmt.Sprint("prompt", i)) }()
+			c := env.client()
+			go func() {
+				c.send("POST", "/r/x", fmt.Sprint("a", i), fmt.Sprint("prompt", i))
+				done <- c.receive()
+			}()
 		}
 		time.Sleep(200 * time.Millisecond)
 		for i, address := range addresses {
@@ -191,3 +193,135 @@
 		}
 	})
 }
+
+// TestResumptionRefused checks that a stream which can't go on is refused at once, with
+// the reason and a time.
+func TestResumptionRefused(t *testing.T) {
+	tests := []struct {
+		name, reason string
+		// versions are those of the targets, and resumes the attempt that is resumed.
+		versions []string
+		resumes  string
+		atMost   time.Duration
+	}{
+		{"several versions serve, and nobody knows the stream", "versionUnknown", []string{"v1", "v2"}, "foreign", 300 * time.Millisecond},
+		{"the client does not say which attempt", "versionUnknown", []string{"v1", "v2"}, "", 300 * time.Millisecond},
+		{"the version is gone", "versionGone", []string{"v1"}, "a0", 10 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				for i, v := range tt.versions {
+					env.softwareTarget(fmt.Sprint("t", i), fmt.Sprintf("10.0.%d.1:80", i), string(rune('a'+i)), v, 0, softwareEngine(v, 0))
+				}
+				env.start()
+				_, _, last := env.holdPart("a0")
+				env.list(softwareItem("t9", "10.0.9.1:80", "c", "v9", 0))
+				for i := range tt.versions {
+					if tt.reason == "versionGone" {
+						env.crash(fmt.Sprintf("10.0.%d.1:80", i))
+						env.changes <- store.Change{Item: store.Item{Key: fmt.Sprint("t", i)}, Deleted: true}
+					}
+				}
+				synctest.Wait()
+				begin := time.Now()
+				a := env.do("POST", "/r/x", "a1", "prompt", "Last", last, "Resumes", tt.resumes)
+				env.is.Equal(a.status, http.StatusServiceUnavailable)
+				env.is.Equal(strings.TrimSpace(a.body), tt.reason)
+				env.is.True(a.header.Get("Retry-After") != "")
+				env.is.True(time.Since(begin) <= tt.atMost)
+				env.is.Equal(env.log.count("name=recoveryRefused request=a1 reason="+tt.reason), 1)
+			})
+		})
+	}
+}
+
+// TestResumptionOfSoleVersion checks that a stream that nobody knows goes on while one
+// version alone has served for longer than a stream lasts.
+func TestResumptionOfSoleVersion(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, softwareEngine("v1", 0))
+		env.start()
+		a := env.do("POST", "/r/x", "a1", "prompt", "Last", "5", "Resumes", "foreign")
+		env.is.Equal(a.status, http.StatusOK)
+		env.is.Equal(versions(a.body)["v1"], softwareEvents-5)
+	})
+}
+
+// TestSuccessorOfUnknownVersion checks that a stream does not go on at a target of which
+// only its health check tells, and does so once its record is written.
+func TestSuccessorOfUnknownVersion(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, softwareEngine("v1", 0))
+		env.softwareTarget("t2", "10.0.2.1:80", "b", "v2", 0, softwareEngine("v2", 0))
+		env.start()
+		c, body, last := env.holdPart("a0")
+		env.is.Equal(versions(body)["v1"], 5)
+		env.crash("10.0.1.1:80")
+		successor := func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == healthPath {
+				withIdentity("t3", targetSlots)(rw, r)
+				return
+			}
+			softwareEngine("v1", 0)(rw, r)
+		}
+		env.startUnlisted("t3", "10.0.1.1:80", successor)
+		time.Sleep(500 * time.Millisecond)
+		env.is.Equal(env.log.count("state=found"), 1)
+		_ = c.conn.Close()
+		a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
+		env.is.Equal(strings.TrimSpace(a.body), "versionGone")
+		env.list(softwareItem("t3", "10.0.1.1:80", "a", "v1", 0))
+		a = env.do("POST", "/r/x", "a2", "prompt a0", "Last", last, "Resumes", "a0")
+		env.is.Equal(versions(body+a.body)["v1"], softwareEvents)
+	})
+}
+
+// TestNewStreamsAvoidLoneVersion checks that new streams begin at a version that has another
+// target in another zone.
+func TestNewStreamsAvoidLoneVersion(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		for i, v := range []string{"v2", "v1", "v1"} {
+			env.softwareTarget(fmt.Sprint("t", i), fmt.Sprintf("10.0.%d.1:80", i), string(rune('a'+i)), v, 0, softwareEngine(v, 0))
+		}
+		env.start()
+		env.is.Equal(versions(env.do("POST", "/r/x", "a0", "prompt").body)["v1"], softwareEvents)
+	})
+}
+
+// TestResumptionByReport checks that a target's own report decides whether a stream goes on
+// there, whatever its record says.
+func TestResumptionByReport(t *testing.T) {
+	tests := []struct {
+		name string
+		// born is the start that the second target reports; its record says 1.
+		born  string
+		whole bool
+	}{
+		{"the process of the record", "1", true},
+		{"another process", "2", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				reporting := func(born string, handler http.HandlerFunc) http.HandlerFunc {
+					return func(rw http.ResponseWriter, r *http.Request) {
+						if r.URL.Path == reportPath {
+							_, _ = rw.Write([]byte(born))
+							return
+						}
+						handler(rw, r)
+					}
+				}
+				software := map[string]string{"1": "v1", "2": "v2"}[tt.born]
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, reporting("1", softwareEngine("v1", 7)))
+				env.softwareTarget("t2", "10.0.2.1:80", "b", "v1", 1, reporting(tt.born, softwareEngine(software, 0)))
+				env.start()
+				a := env.do("POST", "/r/x", "a1", "prompt")
+				env.is.Equal(versions(a.body)["v2"], 0)
+				env.is.Equal(a.broken, !tt.whole)
+				env.is.Equal(versions(a.body)["v1"] == softwareEvents, tt.whole)
+			})
+		})
+	}
+}
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/handover"
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -23,9 +24,9 @@
 	stateTimeout = 10 * time.Second
 )
 
-// stateSaver saves the entry's unfinished runs, and the requests that are
-// suspected of crashing targets, in the key-value service. Entries also report
-// both to each other; the saved state is needed if all entries end at the same
+// stateSaver saves the entry's unfinished runs, where its streams began, and the requests
+// that are suspected of crashing targets, in the key-value service. Entries also report
+// these to each other; the saved state is needed if all entries end at the same
 // time.
 type stateSaver struct {
 	e *Entry
@@ -37,6 +38,10 @@
 	// savedVersion is the version of those that were saved last.
 	savedSuspects bool
 	savedVersion  uint64
+	// savedStreams is set while the key-value service holds streams of this entry, and
+	// streamsLoaded once those that were saved have been read.
+	savedStreams  bool
+	streamsLoaded bool
 	// savedEra is the newest era that was known when the state was saved last. What
 	// was saved in an earlier era may be gone.
 	savedEra store.Era
@@ -50,9 +55,19 @@
 	Records   []quarantine.Record `json:"records"`
 }
 
+// streamsItem is what an entry saves about the streams that it has served, while several
+// versions of targets' software serve.
+type streamsItem struct {
+	// SavedAtMS is the time of day of the save, in milliseconds since 1970.
+	SavedAtMS int64           `json:"savedAtMs"`
+	Streams   []origin.Stream `json:"streams"`
+	Versions  origin.Report   `json:"versions"`
+}
+
 // run loads the state that all entries saved, then saves this entry's state until
 // ctx ends.
 func (s *stateSaver) run(ctx context.Context) {
+	s.loadStreams(ctx)
 	s.loadRuns(ctx)
 	s.loadSuspects(ctx)
 	s.savedEra = s.e.storeWatcher.eras.Era()
@@ -60,6 +75,9 @@
 		if !s.loaded {
 			s.loadSuspects(ctx)
 		}
+		if !s.streamsLoaded {
+			s.loadStreams(ctx)
+		}
 		s.save(ctx)
 	}
 }
@@ -97,6 +115,28 @@
 	})
 }
 
+// loadStreams reads the streams that entries saved before they ended. The versions that
+// served since the last save are listed, unless they came and went within that time.
+func (s *stateSaver) loadStreams(ctx context.Context) {
+	s.streamsLoaded = s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
+		var saved streamsItem
+		if err := json.Unmarshal(value, &saved); err != nil {
+			return err
+		}
+		now := s.e.deps.Clock.Now()
+		age := max(0, now.Sub(time.UnixMilli(saved.SavedAtMS)))
+		for i := range saved.Streams {
+			saved.Streams[i].AgeMS += age.Milliseconds()
+		}
+		s.e.streams.Merge(now, saved.Streams)
+		s.e.versions.Merge(now, saved.Versions, age)
+		return nil
+	})
+	if s.streamsLoaded {
+		s.e.versions.Cover(s.e.deps.Clock.Now())
+	}
+}
+
 // load applies the items with a prefix. It logs those that can't be decoded, and
 // returns false if the items can't be read.
 func (s *stateSaver) load(ctx context.Context, prefix string, failed event.Event, apply func(value []byte) error) bool {
@@ -133,6 +173,11 @@
 		value := encodeState(suspectsItem{SavedAtMS: now.UnixMilli(), Records: suspects})
 		puts = append(puts, store.Put{Key: store.SuspectsPrefix + string(s.e.cfg.Name), Value: value})
 	}
+	streams := s.streamsToSave(now)
+	if len(streams) > 0 || s.savedStreams {
+		value := encodeState(streamsItem{SavedAtMS: now.UnixMilli(), Streams: streams, Versions: s.e.versions.Report(now)})
+		puts = append(puts, store.Put{Key: store.StreamsPrefix + string(s.e.cfg.Name), Value: value})
+	}
 	if len(puts) == 0 {
 		return
 	}
@@ -145,9 +190,20 @@
 		return
 	}
 	s.e.storeWatcher.observeEra(result.Era)
+	s.savedStreams = len(streams) > 0
 	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, era
 }
 
+// streamsToSave returns the streams of this entry, if they began while several versions
+// served.
+func (s *stateSaver) streamsToSave(now time.Time) []origin.Stream {
+	s.e.observeVersions()
+	if !s.e.versions.Mixed(now) {
+		return nil
+	}
+	return s.e.streams.Own(now)
+}
+
 // encodeState returns v as JSON. The saved types contain only strings, numbers and
 // bools, so encoding cannot fail.
 func encodeState(v any) []byte {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -66,6 +66,9 @@
 	complete bool
 	// copyTracker tracks where the run's memory is copied to.
 	copyTracker copyTracker
+	// repeatsTargets is set once targets may get the stream again that it was sent to
+	// before.
+	repeatsTargets bool
 	// targetFailure is an error answer of a target. It is sent to the client if no
 	// other target accepts the request.
 	targetFailure *bufferedAnswer
@@ -87,6 +90,10 @@
 func (c *call) serveStream(ctx context.Context) {
 	s := &stream{c: c, out: http.NewResponseController(c.w), lastEventID: c.meta.LastEventID}
 	s.key = c.handoverKey()
+	if c.resumesStream() && !c.findOrigin(ctx) {
+		c.refuseUnknownOrigin()
+		return
+	}
 	defer s.endHandover()
 	s.lastNumber, _ = (&eventstream.Event{ID: string(s.lastEventID)}).Number()
 	for c.runs < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.expired() {
@@ -128,9 +135,28 @@
 		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsBackup}, resumeFrom: ref}, true
 	}
 	choice, ok := c.choose(ctx)
+	if !ok && s.mayRepeatTargets(now) {
+		choice, ok = c.choose(ctx)
+	}
 	return attempt{choice: choice}, ok
 }
 
+// mayRepeatTargets reports whether a stream that has begun may be sent to targets that it was
+// sent to before, because no other one of its version is left. It does so once.
+func (s *stream) mayRepeatTargets(now time.Time) bool {
+	c := s.c
+	if c.software == nil || s.repeatsTargets {
+		return false
+	}
+	s.repeatsTargets = true
+	for _, t := range c.targets().Ready() {
+		if c.tried[t.ID] && !c.e.balancer.Suspected(now, t) {
+			delete(c.tried, t.ID)
+		}
+	}
+	return true
+}
+
 // copyHolder returns the engine that holds a copy of the lost run, and the copy,
 // if that engine accepts requests now. Each copy is used only once.
 func (s *stream) copyHolder(now time.Time, targets catalog.Targets) (*catalog.Target, direct.CopyRef) {
@@ -203,6 +229,7 @@
 	if outcome, err := s.checkHead(answer, a.choice.Target, sent); outcome != balance.Succeeded {
 		return outcome, err
 	}
+	goesOn := c.software != nil
 	events := eventstream.NewReader(answer.Body)
 	packetLoss := detect.NewPacketLossDetector()
 	for {
@@ -222,6 +249,13 @@
 			run.RecordPacketLoss(c.now())
 		}
 		detector.RecordTokens(c.now(), 1)
+		if goesOn {
+			if outcome, err := s.confirmTarget(ctx, a.choice.Target); outcome != balance.Succeeded {
+				return outcome, err
+			}
+			goesOn = false
+		}
+		c.recordBegin(ctx, a.choice.Target)
 		if err := s.writeEvent(answer, &next); err != nil {
 			return balance.ClientCancelled, err
 		}
@@ -230,6 +264,19 @@
 	}
 }
 
+// confirmTarget returns Succeeded if the target is still the process that its record
+// describes, so that a stream may go on there, and otherwise the outcome of the attempt.
+func (s *stream) confirmTarget(ctx context.Context, t *catalog.Target) (balance.Outcome, error) {
+	switch s.c.e.reports.confirm(ctx, t) {
+	case replaced:
+		return balance.Replaced, errReplaced
+	case unconfirmed:
+		return balance.Rerouted, errUnconfirmed
+	case confirmed:
+	}
+	return balance.Succeeded, nil
+}
+
 func (s *stream) upstreamRequest(a attempt) *upstream.Request {
 	c := s.c
 	forward := c.forwardMetadata(a.choice)
@@ -355,6 +402,7 @@
 // endHandover removes a complete stream from the handover registry. An
 // incomplete one stays there, so that another entry can resume it.
 func (s *stream) endHandover() {
+	s.c.e.streams.Touch(s.c.now(), s.c.originAttempt())
 	s.c.e.handover.EndLocal(s.c.now(), s.key, s.complete)
 	if s.complete {
 		s.freeCopy()
@@ -376,13 +424,21 @@
 		"longestPause", s.longestPause, "after", c.now().Sub(c.start))
 }
 
+// brokenReason says why an answer that has begun can't be completed.
+func (s *stream) brokenReason() string {
+	if !s.c.expired() && s.c.versionGone() {
+		return "versionGone"
+	}
+	return outcomeBroken
+}
+
 // fail ends an answer that can't be completed.
 func (s *stream) fail() {
 	c := s.c
 	switch {
 	case s.headSent:
 		c.e.metrics.requestEnded(c.route, outcomeBroken, 0)
-		c.log(event.RequestFailed, "reason", "streamBroken", "sends", c.sends, "lastEvent", s.lastEventID, "after", c.now().Sub(c.start))
+		c.log(event.RequestFailed, "reason", s.brokenReason(), "sends", c.sends, "lastEvent", s.lastEventID, "after", c.now().Sub(c.start))
 		c.abort()
 	case s.targetFailure != nil && !c.clientGone():
 		c.relay(s.targetFailure)
--- /dev/null
+++ b/internal/transport/direct/streampeers.go
@@ -0,0 +1,98 @@
+package direct
+
+import (
+	"slices"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/origin"
+	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+const (
+	// streamKeepers is the number of other entries that keep the version of a stream.
+	streamKeepers = 3
+	// streamAsked is the number of entries that are asked for it. It is larger because
+	// entries may know different ones, and because some may have ended.
+	streamAsked = 6
+	// maxStreamsPerMessage keeps messages about streams well below the size limit.
+	maxStreamsPerMessage = 200
+)
+
+// tellStreams tells the entries that keep them at which versions this entry's streams
+// began, while several versions serve. Before that, an entry can tell by itself.
+func (x *peerExchange) tellStreams(now time.Time) {
+	if !x.e.versions.Mixed(now) {
+		return
+	}
+	untold := x.e.streams.Untold(now, func(attempt id.Request) []string {
+		return x.roster.Closest(now, string(attempt), streamKeepers)
+	})
+	for address, streams := range untold {
+		x.sendStreams(address, streams)
+	}
+}
+
+// sendStreams tells another entry about streams.
+func (x *peerExchange) sendStreams(address string, streams []origin.Stream) {
+	for part := range slices.Chunk(streams, maxStreamsPerMessage) {
+		x.sendPartial([]string{address}, func(u *direct.PeerUpdate) { u.Streams = part })
+	}
+}
+
+// sendPartial sends a message that says nothing about what is left out.
+func (x *peerExchange) sendPartial(addresses []string, fill func(u *direct.PeerUpdate)) {
+	x.sendMu.Lock()
+	defer x.sendMu.Unlock()
+	update := x.header(x.e.deps.Clock.Now())
+	update.Announcement = true
+	fill(update)
+	x.encodeAndSend(addresses, update)
+}
+
+// greet tells an entry that has just started which versions have served, and has it told
+// again about the streams that it keeps.
+func (x *peerExchange) greet(now time.Time, address string) {
+	x.e.streams.Forgotten(address)
+	report := x.versionReport(now)
+	x.sendPartial([]string{address}, func(u *direct.PeerUpdate) { u.Versions = report })
+}
+
+func (x *peerExchange) versionReport(now time.Time) *direct.VersionReport {
+	report := x.e.versions.Report(now)
+	return &report
+}
+
+// applyStreams applies what a message says about streams, and answers what it asks. It
+// holds whatever the order of messages.
+func (x *peerExchange) applyStreams(now time.Time, u *direct.PeerUpdate) {
+	x.e.streams.Merge(now, u.Streams)
+	if u.Announcement && u.Versions != nil {
+		x.e.versions.Merge(now, *u.Versions, 0)
+	}
+	var known []origin.Stream
+	for _, attempt := range u.Asks {
+		if s, ok := x.e.streams.Find(now, attempt); ok {
+			known = append(known, s)
+		}
+	}
+	if len(known) > 0 {
+		x.sendStreams(u.Address, known)
+	}
+}
+
+// tellStream tells the entries that keep it where a stream of this entry began, at once.
+func (x *peerExchange) tellStream(now time.Time, attempt id.Request) {
+	if !x.e.versions.Mixed(now) {
+		return
+	}
+	s, addresses := x.e.streams.Tell(now, attempt, x.roster.Closest(now, string(attempt), streamKeepers))
+	if len(addresses) > 0 {
+		x.sendPartial(addresses, func(u *direct.PeerUpdate) { u.Streams = []origin.Stream{s} })
+	}
+}
+
+// ask asks the entries that may keep it where a stream began.
+func (x *peerExchange) ask(now time.Time, attempt id.Request) {
+	x.sendPartial(x.roster.Closest(now, string(attempt), streamAsked), func(u *direct.PeerUpdate) { u.Asks = []id.Request{attempt} })
+}
--- a/internal/transport/direct/withdrawal.go
+++ b/internal/transport/direct/withdrawal.go
@@ -11,9 +11,11 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// targets returns the currently known targets of the request's service that have not
-// withdrawn.
-func (c *call) targets() catalog.Targets { return c.e.withdrawn.Usable(c.now(), c.allTargets()) }
+// targets returns the targets that may get the request now: those at which its stream may
+// go on and that have not withdrawn.
+func (c *call) targets() catalog.Targets {
+	return c.e.withdrawn.Usable(c.now(), c.eligibleTargets())
+}
 
 // allTargets returns the currently known targets of the request's service.
 func (c *call) allTargets() catalog.Targets { return c.e.directory.View().Targets[c.service] }
@@ -57,5 +59,5 @@
 	if len(c.targets()) > 0 {
 		return 0
 	}
-	return c.e.withdrawn.UntilUsable(c.now(), c.allTargets())
+	return c.e.withdrawn.UntilUsable(c.now(), c.eligibleTargets())
 }
