Streams of clients that name no attempt are found by content; targets of unknown version count until their records arrive

Now a stream is also remembered by its content, which is ambiguous if equal requests began at different versions, and a successor counts only until its record arrives.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -26,6 +26,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,7 +50,8 @@
 
 // Stream says where a stream began.
 type Stream struct {
-	// Attempt is the client's attempt that brought the stream's first event.
+	// Attempt is the client's attempt that brought the stream's first event, or what
+	// ContentKey returns.
 	Attempt id.Request `json:"attempt"`
 	// Software is the version that began the stream.
 	Software id.SoftwareVersion `json:"software,omitempty"`
@@ -57,10 +59,36 @@
 	// stream, if its record can still tell the version.
 	Unknown bool      `json:"unknown,omitempty"`
 	Target  id.Target `json:"target,omitempty"`
+	// Ambiguous is set if streams of equal requests began at different versions.
+	Ambiguous bool `json:"ambiguous,omitempty"`
 	// AgeMS is the time since the stream was last known to run, in milliseconds.
 	AgeMS int64 `json:"agoMs,omitempty"`
 }
 
+// contentPrefix begins the keys of streams by what their requests ask for.
+const contentPrefix = "content:"
+
+// ContentKey returns the key by which the stream of a client is found that does not name
+// its attempt. Streams of equal requests share it, so it tells the version only if they
+// all began at the same one.
+func ContentKey(key string) id.Request { return id.Request(contentPrefix + key) }
+
+// Known reports whether the stream's version is known.
+func (s *Stream) Known() bool { return !s.Unknown && !s.Ambiguous }
+
+// merged returns what is known of a stream with what else is said of it. The version that
+// was known first stays.
+func (s *Stream) merged(other Stream) Stream {
+	byContent := strings.HasPrefix(string(s.Attempt), contentPrefix)
+	switch {
+	case s.Ambiguous, other.Ambiguous, byContent && !s.Unknown && !other.Unknown && s.Software != other.Software:
+		return Stream{Attempt: s.Attempt, Ambiguous: true}
+	case s.Unknown && !other.Unknown:
+		return other
+	}
+	return *s
+}
+
 // tracked is a stream that this entry knows.
 type tracked struct {
 	Stream
@@ -103,14 +131,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.streams[s.Attempt]
-	if t == nil || (t.Unknown && !s.Unknown) {
-		t = &tracked{Stream: s}
+	if t == nil {
+		t = &tracked{Stream: s, told: map[string]tells{}}
 		r.streams[s.Attempt] = t
 	}
 	t.activeAt, t.own = now, true
-	if t.told == nil {
-		t.told = map[string]tells{}
-	}
+	t.update(s)
 }
 
 // Touch records that this entry still serves a stream.
@@ -136,12 +162,10 @@
 		switch {
 		case s.Attempt == "" || now.Sub(activeAt) > r.lifetime:
 		case t == nil && len(r.streams) < maxStreams:
-			r.streams[s.Attempt] = &tracked{Stream: s, activeAt: activeAt}
+			r.streams[s.Attempt] = &tracked{Stream: s, activeAt: activeAt, told: map[string]tells{}}
 		case t == nil:
-		case t.Unknown && !s.Unknown:
-			t.Stream = s
-			t.activeAt = latest(t.activeAt, activeAt)
 		default:
+			t.update(s)
 			t.activeAt = latest(t.activeAt, activeAt)
 		}
 	}
@@ -149,6 +173,16 @@
 	r.changed = make(chan struct{})
 }
 
+// update records what else is said of the stream. The entries that keep it are told again
+// of a change.
+func (t *tracked) update(s Stream) {
+	merged := t.merged(s)
+	if merged != t.Stream {
+		t.Stream = merged
+		t.told = map[string]tells{}
+	}
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -14,9 +15,9 @@
 type SeenVersion struct {
 	Service  id.Service         `json:"service"`
 	Software id.SoftwareVersion `json:"software,omitempty"`
-	// Unknown is set for targets whose version was not known.
-	Unknown bool  `json:"unknown,omitempty"`
-	AgeMS   int64 `json:"agoMs,omitempty"`
+	// Unknown is a target whose version was not known; empty if Software is the version.
+	Unknown id.Target `json:"unknown,omitempty"`
+	AgeMS   int64     `json:"agoMs,omitempty"`
 }
 
 // Report tells another entry which versions have served recently.
@@ -27,11 +28,19 @@
 	Seen      []SeenVersion `json:"seen,omitempty"`
 }
 
-// seenKey identifies a version of a service.
+// seenKey identifies a version of a service, or a target of unknown version.
 type seenKey struct {
 	service  id.Service
 	software id.SoftwareVersion
-	unknown  bool
+	unknown  id.Target
+}
+
+// keyOf returns the key of a target's version.
+func keyOf(t *catalog.Target) seenKey {
+	if t.SoftwareUnknown {
+		return seenKey{service: t.Service, unknown: t.ID}
+	}
+	return seenKey{service: t.Service, software: t.Software}
 }
 
 // Versions holds which versions of each service's targets have been listed within the
@@ -70,7 +79,11 @@
 	for service, listed := range targets {
 		before := v.versions(now, service)
 		for _, t := range listed {
-			v.seen[seenKey{service, t.Software, t.SoftwareUnknown}] = now
+			v.seen[keyOf(t)] = now
+			if !t.SoftwareUnknown {
+				// Its record has arrived.
+				delete(v.seen, seenKey{service: service, unknown: t.ID})
+			}
 		}
 		newlyMixed = newlyMixed || (before < 2 && v.versions(now, service) > 1)
 	}
@@ -78,8 +91,8 @@
 	return newlyMixed
 }
 
-// versions counts the versions of a service within the lifetime. Targets of unknown
-// versions count as one more.
+// versions counts the versions of a service within the lifetime. Each target of unknown
+// version counts as one more.
 func (v *Versions) versions(now time.Time, service id.Service) int {
 	n := 0
 	for key, at := range v.seen {
@@ -118,7 +131,7 @@
 		return "", false
 	}
 	for key := range v.seen {
-		if key.service == service && !key.unknown {
+		if key.service == service && key.unknown == "" {
 			return key.software, true
 		}
 	}
@@ -139,7 +152,7 @@
 		}
 	}
 	slices.SortFunc(r.Seen, func(a, b SeenVersion) int {
-		return slices.Compare([]string{string(a.Service), string(a.Software)}, []string{string(b.Service), string(b.Software)})
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Software, b.Software), cmp.Compare(a.Unknown, b.Unknown))
 	})
 	return r
 }
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -79,6 +80,8 @@
 	// endUncertain is set if the end of the connection ended a complete answer, which the
 	// target may not have meant.
 	endUncertain bool
+	// contentKey is what handoverKey returns; empty before that.
+	contentKey handover.Key
 	// software is the version at which the request's stream goes on; nil before it has
 	// begun.
 	software *requiredSoftware
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -46,6 +46,16 @@
 	return r.version, r.known
 }
 
+// stream returns the version as it is remembered.
+func (r *requiredSoftware) stream() origin.Stream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known {
+		return origin.Stream{Software: r.version}
+	}
+	return origin.Stream{Unknown: true, Target: r.target}
+}
+
 func (r *requiredSoftware) set(v id.SoftwareVersion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -71,32 +81,38 @@
 	return c.route.Resumable && (c.meta.LastEventID != "" || c.meta.Resumes != "")
 }
 
-// originAttempt returns the attempt that began the request's stream.
-func (c *call) originAttempt() id.Request {
-	if c.resumesStream() && c.meta.Resumes != "" {
-		return id.Request(c.meta.Resumes)
+// originKeys returns the keys by which the request's stream is remembered: the attempt that
+// began it, and its content, for clients that do not name the attempt.
+func (c *call) originKeys() []id.Request {
+	content := origin.ContentKey(string(c.handoverKey()))
+	switch {
+	case !c.resumesStream():
+		return []id.Request{id.Request(c.meta.Attempt), content}
+	case c.meta.Resumes != "":
+		return []id.Request{id.Request(c.meta.Resumes), content}
 	}
-	return id.Request(c.meta.Attempt)
+	return []id.Request{content}
 }
 
 // findOrigin finds out where the stream that the client resumes began. It returns false
 // if that is not known.
 func (c *call) findOrigin(ctx context.Context) bool {
 	clock := c.e.deps.Clock
+	key := c.originKeys()[0]
 	timeout := clock.After(askTimeout)
 	for {
 		changed := c.e.streams.Changed()
-		if c.knowsOrigin() {
+		if c.knowsOrigin(key) {
 			return true
 		}
-		if c.e.peerExchange != nil && c.meta.Resumes != "" {
-			c.e.peerExchange.ask(c.now(), c.originAttempt())
+		if c.e.peerExchange != nil {
+			c.e.peerExchange.ask(c.now(), key)
 		}
 		select {
 		case <-changed:
 		case <-clock.After(askInterval):
 		case <-timeout:
-			return c.knowsOrigin()
+			return c.knowsOrigin(key)
 		case <-ctx.Done():
 			return false
 		}
@@ -104,10 +120,10 @@
 }
 
 // knowsOrigin sets the required version, if this entry knows it now.
-func (c *call) knowsOrigin() bool {
+func (c *call) knowsOrigin(key id.Request) bool {
 	now := c.now()
-	if s, ok := c.e.streams.Find(now, c.originAttempt()); ok {
-		c.software = &requiredSoftware{known: !s.Unknown, version: s.Software, target: s.Target}
+	if s, ok := c.e.streams.Find(now, key); ok {
+		c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target}
 		_, known := c.software.resolve(c.allTargets())
 		return known
 	}
@@ -162,16 +178,13 @@
 // recordOrigin records where the request's stream began, and tells the entries that keep it.
 func (c *call) recordOrigin() {
 	now := c.now()
-	s := origin.Stream{Attempt: c.originAttempt()}
-	c.software.mu.Lock()
-	s.Software, s.Unknown = c.software.version, !c.software.known
-	if s.Unknown {
-		s.Target = c.software.target
-	}
-	c.software.mu.Unlock()
-	c.e.streams.Record(now, s)
+	s := c.software.stream()
+	for _, key := range c.originKeys() {
+		s.Attempt = key
+		c.e.streams.Record(now, s)
+	}
 	if c.e.peerExchange != nil {
-		c.e.peerExchange.tellStream(now, s.Attempt)
+		c.e.peerExchange.tellStream(now, c.originKeys())
 	}
 }
 
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -379,10 +379,13 @@
 	s.events++
 }
 
-// handoverKey returns a key that is the same for all attempts of the client at
+// handoverKey returns a key of the request's content that is the same for all attempts of the client at
 // this request.
 func (c *call) handoverKey() handover.Key {
-	return handover.KeyOf(string(c.accountName()), c.r.Host, c.r.Method, c.r.RequestURI, string(c.meta.OwnPart()), string(c.body))
+	if c.contentKey == "" {
+		c.contentKey = handover.KeyOf(string(c.accountName()), c.r.Host, c.r.Method, c.r.RequestURI, string(c.meta.OwnPart()), string(c.body))
+	}
+	return c.contentKey
 }
 
 // inheritCopy takes over the copy of the run that served an earlier connection
@@ -402,7 +405,9 @@
 // endHandover removes a complete stream from the handover registry. An
 // incomplete one stays there, so that another entry can resume it.
 func (s *stream) endHandover() {
-	s.c.e.streams.Touch(s.c.now(), s.c.originAttempt())
+	for _, key := range s.c.originKeys() {
+		s.c.e.streams.Touch(s.c.now(), key)
+	}
 	s.c.e.handover.EndLocal(s.c.now(), s.key, s.complete)
 	if s.complete {
 		s.freeCopy()
--- a/internal/transport/direct/streampeers.go
+++ b/internal/transport/direct/streampeers.go
@@ -82,13 +82,15 @@
 }
 
 // tellStream tells the entries that keep it where a stream of this entry began, at once.
-func (x *peerExchange) tellStream(now time.Time, attempt id.Request) {
+func (x *peerExchange) tellStream(now time.Time, keys []id.Request) {
 	if !x.e.versions.Mixed(now) {
 		return
 	}
-	s, addresses := x.e.streams.Tell(now, attempt, x.roster.Closest(now, string(attempt), streamKeepers))
-	if len(addresses) > 0 {
-		x.sendPartial(addresses, func(u *direct.PeerUpdate) { u.Streams = []origin.Stream{s} })
+	for _, key := range keys {
+		s, addresses := x.e.streams.Tell(now, key, x.roster.Closest(now, string(key), streamKeepers))
+		if len(addresses) > 0 {
+			x.sendPartial(addresses, func(u *direct.PeerUpdate) { u.Streams = []origin.Stream{s} })
+		}
 	}
 }
 
