A run at a process that has replaced its target counts as a run

Cause: a stream that goes on at a process which runs under its target's id counted as misdirected, which promises that nothing ran.

--- a/internal/transport/direct/software_test.go
+++ b/internal/transport/direct/software_test.go
@@ -325,3 +325,20 @@
 		})
 	}
 }
+
+// TestRunAtReplacedTargetCounts guards against a refusal that promises "not run" after the
+// process that runs under a target's id has run the request.
+func TestRunAtReplacedTargetCounts(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == reportPath {
+				_, _ = rw.Write([]byte("2"))
+				return
+			}
+			softwareEngine("v2", 0)(rw, r)
+		})
+		env.start()
+		a := env.do("POST", "/r/x", "a1", "prompt", "Last", "5", "Resumes", "foreign")
+		env.is.Equal(a.status, http.StatusBadGateway)
+	})
+}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -269,6 +269,8 @@
 func (s *stream) confirmTarget(ctx context.Context, t *catalog.Target) (balance.Outcome, error) {
 	switch s.c.e.reports.confirm(ctx, t) {
 	case replaced:
+		// The other process has run the request, though nothing of it is used.
+		s.c.runs++
 		return balance.Replaced, errReplaced
 	case unconfirmed:
 		return balance.Rerouted, errUnconfirmed
