Soak: releases of several software versions, under new names and in place, with ORDER and LOST checked

Engines name their version in each event and report the time of their start; clients name the attempt that they resume. Releases overlap crashes, cuts, killed and restarted entries; an entry is killed beside each. softwareKept and streamsGoOn are checked from what clients hold.

--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -16,6 +16,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/protocol/eventstream"
 	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/platform"
 )
 
@@ -98,6 +99,9 @@
 	startedAt  time.Time
 	// lastEvent is the number of the last event that the client has received.
 	lastEvent int
+	// began is the attempt that brought the first event, and software its version.
+	began    direct.AttemptID
+	software id.SoftwareVersion
 	// disconnectAt is when the client disconnects without waiting for the answer. The
 	// zero time means never.
 	disconnectAt time.Time
@@ -114,7 +118,7 @@
 		q.disconnectAt = q.startedAt.Add(time.Duration(c.random.Float64() * float64(time.Second)))
 	}
 	for range maxAttempts {
-		result := c.attempt(q)
+		result := c.trackedAttempt(q)
 		switch result.outcome {
 		case answered:
 			c.w.history.count("answered " + prefix)
@@ -161,13 +165,22 @@
 	pause   time.Duration
 }
 
-// attempt sends the request once.
-func (c *client) attempt(q *request) attemptResult {
-	attempt := direct.AttemptID(fmt.Sprintf("%016x", c.random.Uint64()))
+// trackedAttempt sends the request once and counts whether its stream began or went on.
+func (c *client) trackedAttempt(q *request) attemptResult {
 	if err := c.connect(); err != nil {
 		q.lastResult = "connecting failed: " + err.Error()
 		return attemptResult{retry, thinkTime}
 	}
+	before := q.lastEvent
+	ended := c.w.trackStream(q, c.conn.entry.name)
+	result := c.attempt(q)
+	ended(q.lastEvent > before)
+	return result
+}
+
+// attempt sends the request once.
+func (c *client) attempt(q *request) attemptResult {
+	attempt := direct.AttemptID(fmt.Sprintf("%016x", c.random.Uint64()))
 	used := c.conn.used
 	c.conn.used = true
 	c.w.history.recordSent(attempt, sentAttempt{sentAt: time.Now(), path: q.path, body: q.body, account: account, entry: c.conn.entry.name})
@@ -218,7 +231,7 @@
 		metadata.PromptTokens, metadata.OutputTokens, metadata.PromptParts = promptTokens, streamEvents, c.w.promptParts(q.body)
 	}
 	if q.lastEvent > 0 {
-		metadata.LastEventID = direct.EventID(strconv.Itoa(q.lastEvent))
+		metadata.LastEventID, metadata.Resumes = direct.EventID(strconv.Itoa(q.lastEvent)), q.began
 	}
 	platform.EncodeRequestMetadata(req.Header, &metadata)
 	if err := req.Write(c.conn); err != nil {
@@ -321,7 +334,9 @@
 		case err != nil:
 			return c.connectionLost(attempt, q, false, err)
 		}
-		if want := streamEvent(q.body, q.lastEvent+1); string(next.Raw) != want {
+		software := softwareOf(string(next.Raw))
+		c.w.recordSoftware(attempt, q, software)
+		if want := streamEvent(q.body, q.lastEvent+1, software); string(next.Raw) != want {
 			c.w.history.recordViolation(EventsInOrder, attempt, "received event %q, want %q", next.Raw, want)
 		}
 		q.lastEvent++
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -28,9 +28,13 @@
 	allEntries
 )
 
+var entryKilled = action{name: "entryKilled", disturbs: oneEntry, run: func(ctx context.Context, w *world, s *step) {
+	w.entry(s).killAndRestart(ctx, s.duration)
+}}
+
 // faults are the unplanned failures that a run may inject.
 var faults = []action{
-	{name: "entryKilled", disturbs: oneEntry, run: func(ctx context.Context, w *world, s *step) { w.entry(s).killAndRestart(ctx, s.duration) }},
+	entryKilled,
 	{name: "allEntriesKilled", disturbs: allEntries, run: killAllEntries},
 	{name: "entryPaused", disturbs: oneEntry, run: pauseEntry},
 	{name: "clientLinkReset", disturbs: oneEntry, run: func(_ context.Context, w *world, s *step) { w.entry(s).clients.resetConns() }},
@@ -224,6 +228,7 @@
 		return
 	}
 	p.w.mustCommit(ctx, func() error { return p.w.writeTarget(ctx, p) })
+	p.recordListed()
 }
 
 // mustCommit records a violation if a write fails before ctx ends. commit retries
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -46,6 +46,11 @@
 	// LimitKept means that a target that names a limit gets no more requests than that
 	// allows, from all entries together.
 	LimitKept Guarantee = "limitKept"
+	// SoftwareKept means that a stream holds events of one version of its target's software.
+	SoftwareKept Guarantee = "softwareKept"
+	// StreamsGoOn means that streams that clients resume go on about as often as new ones
+	// begin, while their versions serve.
+	StreamsGoOn Guarantee = "streamsGoOn"
 	// ProcessLifecycle: processes exit only when they are told to, and in time.
 	ProcessLifecycle Guarantee = "running"
 )
@@ -120,6 +125,15 @@
 	h.counts[name]++
 }
 
+// countN adds to a count of the report.
+func (h *history) countN(name string, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n > 0 {
+		h.counts[name] += n
+	}
+}
+
 // recordSent records that a client is about to send an attempt.
 func (h *history) recordSent(attempt direct.AttemptID, s sentAttempt) {
 	h.mu.Lock()
--- a/internal/standin/soak/proxy.go
+++ b/internal/standin/soak/proxy.go
@@ -75,6 +75,13 @@
 	p.blockMode, p.latency, p.refuse = mode, latency, refuse
 }
 
+// faulty reports whether the link has a fault.
+func (p *proxy) faulty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.blockMode != blockNone || p.latency > 0 || p.refuse
+}
+
 // resetConns resets all connections of the link.
 func (p *proxy) resetConns() {
 	p.mu.Lock()
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -55,6 +55,9 @@
 	// backups holds the handles of copies of runs of other engines.
 	backups       map[string]bool
 	plainRequests int
+	// listedAt is when the key-value service got the current start's record; zero while it
+	// has none or the target is down.
+	listedAt time.Time
 	// drainedAt is when the key-value service confirmed that the target drains.
 	drainedAt time.Time
 }
@@ -68,6 +71,7 @@
 	if p.link, err = newProxy(w.host(0, 1)+":0", p.server.Address()); err != nil {
 		return nil, err
 	}
+	p.setSoftware(softwareName(0))
 	p.setIdentity(w.newTargetName(), service)
 	return p, nil
 }
@@ -79,10 +83,10 @@
 	defer p.mu.Unlock()
 	p.target = catalog.Target{
 		ID: name, Service: service, Address: p.link.address(), Zone: zoneName(p.zone),
-		Slots: slots, State: catalog.Ready, Sequence: 1, Incarnation: id.Incarnation(time.Now().UnixMilli()),
+		Slots: slots, State: catalog.Ready, Software: p.target.Software, Sequence: 1, Incarnation: id.Incarnation(time.Now().UnixMilli()),
 	}
 	p.backups = map[string]bool{}
-	p.drainedAt = time.Time{}
+	p.drainedAt, p.listedAt = time.Time{}, time.Time{}
 }
 
 // currentTarget returns the replica's current item for the key-value service.
@@ -118,6 +122,11 @@
 		platform.EncodeIdentity(w.Header(), direct.Identity{Target: identity.ID, Slots: identity.Slots})
 		return
 	}
+	if r.URL.Path == platform.ReportPath {
+		// An error means that the entry has disconnected and needs no response.
+		_, _ = w.Write(platform.EncodeReport(&identity))
+		return
+	}
 	forwarded := platform.DecodeForwardedRequest(r.Header)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -161,7 +170,7 @@
 		return
 	}
 	if routeKindOf(r.URL.Path) == catalog.Streaming {
-		p.serveStream(ctx, w, &forwarded, string(body))
+		p.serveStream(ctx, w, &forwarded, string(body), identity.Software)
 		return
 	}
 	p.servePlain(ctx, w, &forwarded, string(body))
@@ -242,7 +251,7 @@
 }
 
 // serveStream sends the events after the client's last one.
-func (p *replica) serveStream(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, body string) {
+func (p *replica) serveStream(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, body string, software id.SoftwareVersion) {
 	if to := p.w.replicaAt(forwarded.BackupAddress); to != nil {
 		to.addBackup(string(forwarded.Attempt))
 	}
@@ -258,7 +267,7 @@
 		if !sleep(ctx, eventGap) {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(w, streamEvent(body, i)); err != nil || out.Flush() != nil {
+		if _, err := io.WriteString(w, streamEvent(body, i, software)); err != nil || out.Flush() != nil {
 			return
 		}
 	}
@@ -280,9 +289,19 @@
 	return "answer to " + string(attempt) + " " + body
 }
 
-// streamEvent returns event i of the stream that answers a request with this body.
-func streamEvent(body string, i int) string {
-	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", i, body, i)
+// streamEvent returns event i of the stream that a version answers a request with this body
+// with.
+func streamEvent(body string, i int, software id.SoftwareVersion) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d%s%s\n\n", i, body, i, softwareMark, software)
+}
+
+// softwareMark stands before the version in each event.
+const softwareMark = " of "
+
+// softwareOf returns the version that an event names.
+func softwareOf(event string) id.SoftwareVersion {
+	_, software, _ := strings.Cut(strings.TrimSuffix(event, "\n\n"), softwareMark)
+	return id.SoftwareVersion(software)
 }
 
 // crash stops the replica, resets its connections and discards its copies.
@@ -291,7 +310,7 @@
 	p.link.resetConns()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backups = map[string]bool{}
+	p.backups, p.listedAt = map[string]bool{}, time.Time{}
 }
 
 // restart starts the replica again with a name and a service.
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -62,6 +62,8 @@
 	// LargeConfigs makes every other configuration large, and the key-value service's
 	// answers to half of the entries slow.
 	LargeConfigs bool
+	// Releases adds releases of engines, so that several versions serve.
+	Releases bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
 	// instance that requests are served and configuration changes are applied in time
 	// while no fault is active.
@@ -139,6 +141,7 @@
 	w.restarts.Wait()
 	w.checkCrashingRequests()
 	w.checkTargetLimits()
+	w.checkShares()
 	w.checkRecovery(ctx)
 }
 
@@ -150,5 +153,6 @@
 	returnRandomStream   = 3
 	limitRandomStream    = 4
 	partRandomStream     = 5
+	releaseRandomStream  = 6
 	clientRandomStream   = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,7 +41,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(200) {
-		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0}
+		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0}
 		is.Equal(soak.PlanText(o), soak.PlanText(o))
 		is.True(soak.PlanFitsDuration(o))
 		is.True(len(soak.PlanText(o)) > 0)
@@ -231,6 +231,15 @@
 	playSeeds(t, targetLimitSeeds, soak.Options{TargetLimits: true}, "targetLimited")
 }
 
+// releaseSeeds are run by each TestRunReleases, with the cause of an earlier failure.
+var releaseSeeds = []seedCase{{1, 15 * time.Second, "no earlier failure"}}
+
+// TestRunReleases runs real entries whose engines are replaced by ones of other software
+// versions, among other faults.
+func TestRunReleases(t *testing.T) {
+	playSeeds(t, releaseSeeds, soak.Options{Releases: true}, "released")
+}
+
 // TestRun runs real entries under several seconds of faults.
 func TestRun(t *testing.T) { playSeeds(t, seeds, soak.Options{}, "") }
 
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -61,11 +61,16 @@
 	store     store.Store
 	storeHTTP *server.Server
 
+	// shares counts the streams that began and went on.
+	shares streamShares
+
 	entries  []*process
 	replicas []*replica
 
 	mu     sync.Mutex
 	config catalog.Config
+	// releases is the number of releases so far.
+	releases int
 	// targetCount is the number of target names given out so far.
 	targetCount int
 }
@@ -162,6 +167,7 @@
 		if err := w.writeTarget(ctx, p); err != nil {
 			return fault.Wrap(op, Failed, err)
 		}
+		p.recordListed()
 	}
 	for i := range w.opts.Entries {
 		p, err := newProcess(w, i)
