--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -157,19 +157,24 @@
 	return r
 }
 
-// Merge records what another entry, or a saved report of age, says.
-func (v *Versions) Merge(now time.Time, r Report, age time.Duration) {
+// Merge records what another entry, or a saved report of age, says. It reports whether a
+// service has become mixed.
+func (v *Versions) Merge(now time.Time, r Report, age time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	newlyMixed := false
 	for _, s := range r.Seen {
+		before := v.versions(now, s.Service)
 		key := seenKey{s.Service, s.Software, s.Unknown}
 		at := now.Add(-age - time.Duration(s.AgeMS)*time.Millisecond)
 		if now.Sub(at) <= v.lifetime {
 			v.seen[key] = latest(v.seen[key], at)
 		}
+		newlyMixed = newlyMixed || (before < 2 && v.versions(now, s.Service) > 1)
 	}
 	since := now.Add(-age - time.Duration(r.CoveredMS)*time.Millisecond)
 	if age == 0 && r.CoveredMS > 0 && (v.coveredSince.IsZero() || since.Before(v.coveredSince)) {
 		v.coveredSince = since
 	}
+	return newlyMixed
 }
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -263,9 +263,7 @@
 	x.e.mergeWithdrawn(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
-	if u.Versions != nil {
-		x.e.versions.Merge(now, *u.Versions, 0)
-	}
+	x.mergeVersions(now, u.Versions)
 	x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
 	for _, s := range u.Successors {
 		x.storeWatcher.addSuccessor(s)
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -190,22 +190,24 @@
 
 // observeVersions records which versions are listed now, and tells the other entries at
 // once if a service has become mixed.
-func (e *Entry) observeVersions() {
+func (e *Entry) observeVersions() { e.observeVersionsWith(!e.storeWatcher.storeUnavailable()) }
+
+// observeVersionsLocked does the same; the caller holds the lock of the store watcher.
+func (e *Entry) observeVersionsLocked() { e.observeVersionsWith(!e.directory.StoreUnavailable()) }
+
+func (e *Entry) observeVersionsWith(storeAnswers bool) {
 	if !e.targetsListed.Load() {
 		return
 	}
 	now := e.deps.Clock.Now()
-	if e.versions.Observe(now, e.directory.View().Targets, e.listFresh(now)) && e.peerExchange != nil {
+	if e.versions.Observe(now, e.directory.View().Targets, storeAnswers || e.hearsAll(now)) && e.peerExchange != nil {
 		e.peerExchange.sendNow()
 	}
 }
 
-// listFresh reports whether the list of targets is up to date: the key-value service
-// answers, or every other entry is heard from, one of which may have a newer list.
-func (e *Entry) listFresh(now time.Time) bool {
-	if !e.storeWatcher.storeUnavailable() {
-		return true
-	}
+// hearsAll reports whether every other entry is heard from. One of them may have a newer list
+// of targets, which this one reads then.
+func (e *Entry) hearsAll(now time.Time) bool {
 	return len(e.roster.Alive(now)) > 0 && e.roster.ContactShare(now) >= 1
 }
 
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -243,6 +243,7 @@
 	}
 	w.keepNewest(t, c.Item, w.targetItems)
 	if w.e.directory.Put(t) {
+		w.e.observeVersionsLocked()
 		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", t.State, "zone", t.Zone, "software", t.SoftwareText(), "incarnation", t.Incarnation, "sequence", t.Sequence, "revision", c.Item.ModRevision)
 	}
 }
--- a/internal/transport/direct/streampeers.go
+++ b/internal/transport/direct/streampeers.go
@@ -63,12 +63,20 @@
 	return &report
 }
 
+// mergeVersions records which versions have served according to another entry. If that
+// makes a service mixed, this entry's streams are told at once.
+func (x *peerExchange) mergeVersions(now time.Time, report *direct.VersionReport) {
+	if report != nil && x.e.versions.Merge(now, *report, 0) {
+		x.sendNow()
+	}
+}
+
 // applyStreams applies what a message says about streams, and answers what it asks. It
 // holds whatever the order of messages.
 func (x *peerExchange) applyStreams(now time.Time, u *direct.PeerUpdate) {
 	x.e.streams.Merge(now, u.Streams)
-	if u.Announcement && u.Versions != nil {
-		x.e.versions.Merge(now, *u.Versions, 0)
+	if u.Announcement {
+		x.mergeVersions(now, u.Versions)
 	}
 	var known []origin.Stream
 	for _, attempt := range u.Asks {
