Streams that go on are bounded by the places of their version's targets; versions are told once a second

What callers would see: after the loss of one of the last two targets of a version, all its streams arrive at the other one, beyond what it runs and queues, and slow those that it has. Now a target with as many requests as it runs and queues, as far as entries have told, gets no further stream that goes on, and one that finds no other is refused at once. TestResumptionsBounded failed before.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -227,6 +227,15 @@
 	return now.Before(b.record(now, t).replacedUntil)
 }
 
+// Running returns the number of requests that all entries have at a target, as far as they
+// have told.
+func (b *Balancer) Running(now time.Time, t *catalog.Target) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.total(b.record(now, t), t)
+	return l.Running
+}
+
 // LastActivity returns when the target last sent something; zero means never.
 func (b *Balancer) LastActivity(now time.Time, t *catalog.Target) time.Time {
 	b.mu.Lock()
--- a/internal/transport/direct/limits.go
+++ b/internal/transport/direct/limits.go
@@ -142,7 +142,7 @@
 	for ctx.Err() == nil {
 		c.limitedTarget = nil
 		now := c.now()
-		free, full := c.e.limits.split(now, c.lasting(c.targets()))
+		free, full := c.e.limits.split(now, c.withRoom(c.lasting(c.targets())))
 		choice, ok := c.e.balancer.Choose(now, c.requirements, free, c.tried)
 		if !ok || choice.Reason == balance.LastResort {
 			if first := c.firstInTime(full); first != nil {
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/handover"
@@ -24,6 +25,9 @@
 	// number. It is at least minUpdateInterval.
 	minUpdateInterval     = 150 * time.Millisecond
 	updateIntervalPerPeer = 15 * time.Millisecond
+	// versionReportInterval is the least time between two reports of the versions that have
+	// served, unless a service has just become mixed.
+	versionReportInterval = time.Second
 	// peerIdleTimeout is how long connections to other entries stay open unused.
 	peerIdleTimeout = 20 * time.Second
 )
@@ -44,9 +48,13 @@
 	// urgent triggers an update before the next one is due.
 	urgent chan struct{}
 
-	// sendMu guards sequence and serializes the sending of updates.
-	sendMu   sync.Mutex
-	sequence id.Sequence
+	// sendMu guards sequence and versionsSentAt, which is when the versions that have
+	// served were last told, and serializes the sending of updates.
+	sendMu         sync.Mutex
+	sequence       id.Sequence
+	versionsSentAt time.Time
+	// versionsDue is set if a service has become mixed since.
+	versionsDue atomic.Bool
 
 	mu sync.Mutex
 	// snapshotReading is set while another entry's list of targets is read.
@@ -199,7 +207,8 @@
 	u := x.header(now)
 	u.KnownPeers, u.Loads, u.Runs = x.roster.Alive(now), x.e.balancer.Loads(), x.e.handover.RunsToShare(now)
 	u.Leaving = x.e.withdrawn.Reports(now)
-	if x.e.versions.Mixed(now) {
+	if x.e.versions.Mixed(now) && (x.versionsDue.Swap(false) || now.Sub(x.versionsSentAt) >= versionReportInterval) {
+		x.versionsSentAt = now
 		u.Versions = x.versionReport(now)
 	}
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -17,6 +17,8 @@
 	// askTimeout how long a request waits for the answer.
 	askInterval = 80 * time.Millisecond
 	askTimeout  = 250 * time.Millisecond
+	// queueDivisor is the divisor of a target's slots that gives how many requests it queues.
+	queueDivisor = 4
 	// versionUnknownRetryAfter is used while it is not known where a stream began: entries
 	// that have started, and the key-value service, may tell soon.
 	versionUnknownRetryAfter = 500 * time.Millisecond
@@ -201,7 +203,7 @@
 	}
 	now := e.deps.Clock.Now()
 	if e.versions.Observe(now, e.directory.View().Targets, storeAnswers || e.hearsAll(now)) && e.peerExchange != nil {
-		e.peerExchange.sendNow()
+		e.peerExchange.tellVersions()
 	}
 }
 
@@ -249,6 +251,20 @@
 	return lasting
 }
 
+// withRoom leaves out the targets of a stream that goes on which have as many requests as
+// they run and queue at once: all that go on come to the few targets of a version.
+func (c *call) withRoom(targets catalog.Targets) catalog.Targets {
+	if c.software == nil {
+		return targets
+	}
+	now := c.now()
+	return slices.DeleteFunc(slices.Clone(targets), func(t *catalog.Target) bool {
+		full := t.Slots > 0 && c.e.balancer.Running(now, t) >= t.Slots+t.Slots/queueDivisor
+		c.targetBusy = c.targetBusy || full
+		return full
+	})
+}
+
 func sameSoftware(targets catalog.Targets) bool {
 	return !slices.ContainsFunc(targets, func(t *catalog.Target) bool { return !t.SameSoftware(targets[0]) })
 }
--- a/internal/transport/direct/software_test.go
+++ b/internal/transport/direct/software_test.go
@@ -342,3 +342,40 @@
 		env.is.Equal(a.status, http.StatusBadGateway)
 	})
 }
+
+// TestResumptionsBounded guards against more streams that go on at the few targets of a
+// version than these run and queue.
+func TestResumptionsBounded(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		// Copies of runs would hold places of their own.
+		env.config.Services[service].Engine.SupportsBackup = false
+		for i, v := range []string{"v1", "v1", "v2", "v2"} {
+			env.softwareTarget(fmt.Sprint("t", i), fmt.Sprintf("10.0.%d.1:80", i), string(rune('a'+i)), v, 0, softwareEngine(v, 0))
+		}
+		env.start()
+		const streams = 4 * targetSlots
+		done := make(chan answer, streams)
+		for i := range streams {
+			c := env.client()
+			go func() {
+				c.send("POST", "/r/x", fmt.Sprint("a", i), fmt.Sprint("prompt", i))
+				done <- c.receive()
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		env.crash("10.0.0.1:80")
+		begin := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		running := 0
+		for _, r := range env.requests() {
+			if r.target == "t1" {
+				running++
+			}
+		}
+		env.is.True(running <= targetSlots+targetSlots/4)
+		for range streams {
+			env.is.Equal(len(versions((<-done).body)), 1)
+		}
+		env.is.True(time.Since(begin) < 2*time.Second)
+	})
+}
--- a/internal/transport/direct/streampeers.go
+++ b/internal/transport/direct/streampeers.go
@@ -67,10 +67,16 @@
 // makes a service mixed, this entry's streams are told at once.
 func (x *peerExchange) mergeVersions(now time.Time, report *direct.VersionReport) {
 	if report != nil && x.e.versions.Merge(now, *report, 0) {
-		x.sendNow()
+		x.tellVersions()
 	}
 }
 
+// tellVersions tells the other entries at once which versions have served.
+func (x *peerExchange) tellVersions() {
+	x.versionsDue.Store(true)
+	x.sendNow()
+}
+
 // applyStreams applies what a message says about streams, and answers what it asks. It
 // holds whatever the order of messages.
 func (x *peerExchange) applyStreams(now time.Time, u *direct.PeerUpdate) {
