--- a/internal/transport/direct/withdrawal.go
+++ b/internal/transport/direct/withdrawal.go
@@ -45,6 +45,9 @@
 // sent is when the request was sent there.
 func (c *call) observeAnswer(sent time.Time, t *catalog.Target, meta direct.ResponseMetadata) {
 	c.e.limits.observe(sent, t, meta.Limit)
+	if meta.Notice.Pause > 0 {
+		c.log(event.TargetPaused, "target", t.ID, "incarnation", t.Incarnation, "for", meta.Notice.Pause)
+	}
 	if c.e.withdrawn.Observe(c.now(), t.Key(), meta.Notice) {
 		c.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", "leaving", "zone", t.Zone, "incarnation", t.Incarnation)
 		if c.e.peerExchange != nil {
