--- a/internal/coordination/targetlimit/targetlimit.go
+++ b/internal/coordination/targetlimit/targetlimit.go
@@ -238,6 +238,18 @@
 	}
 }
 
+// Listed records that a target is listed with an incarnation. A limit of a target whose
+// start was not known before is that one's.
+func (l *Limits) Listed(target id.TargetIncarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := id.TargetIncarnation{Target: target.Target}
+	if known := l.targets[before]; known != nil && target.Incarnation != 0 && l.targets[target] == nil {
+		l.targets[target] = known
+		delete(l.targets, before)
+	}
+}
+
 // Forget drops what is known of targets that are gone.
 func (l *Limits) Forget(gone func(id.TargetIncarnation) bool) {
 	l.mu.Lock()
--- a/internal/coordination/withdrawal/withdrawal.go
+++ b/internal/coordination/withdrawal/withdrawal.go
@@ -3,12 +3,17 @@
 //
 // A target that is leaving says so in its answers, to all entries. That holds for its
 // incarnation, and entries tell each other. A pause holds for the entry that was asked
-// for it alone, and ends by itself.
+// for it alone, and ends by itself. After it, a few requests try the target until one is
+// answered.
+//
+// What a target has said holds for its process, whether it is listed or not: a record may
+// lapse and be back, or name the process's start only later.
 //
 // # Usage
 //
 //	t := withdrawal.New()
 //	if t.Observe(now, target.Key(), notice) { … tell the other entries … }
+//	t.Listed(now, target.Key())
 //	usable := t.Usable(now, targets)
 //	t.Merge(now, received)
 package withdrawal
@@ -27,9 +32,18 @@
 const (
 	// maxPause limits a pause, so that a mistaken value does not withdraw a target for
 	// good.
-	maxPause = 10 * time.Minute
+	maxPause = time.Hour
 	// reportTime is how long an entry tells others that a target is leaving.
 	reportTime = 10 * time.Second
+	// retention is how long what a target has said is kept after it was last listed, said
+	// something, or was paused.
+	retention = 10 * time.Minute
+	// maxTrials is the number of requests that try a target at the same time after its
+	// pause.
+	maxTrials = 2
+	// recordDelay is how late the record of a process may arrive. What was learned shortly
+	// before from the process that had its name may be from it already.
+	recordDelay = time.Second
 )
 
 // Notice is what an answer of a target says about further requests.
@@ -46,54 +60,110 @@
 	Incarnation id.Incarnation `json:"incarnation,omitempty"`
 }
 
+// state is what a target has said.
+type state struct {
+	// incarnation is 0 while it is not known.
+	incarnation id.Incarnation
+	// saidAt is when the target said something last, and listedAt when it was last found
+	// among the targets to choose from.
+	saidAt, listedAt time.Time
+	// leaving is set once the target is leaving, and toldAt when it told this process itself;
+	// zero if it did not.
+	leaving bool
+	toldAt  time.Time
+	// pausedUntil is the end of a pause, and trying is set from its begin until the target
+	// has answered a request after it.
+	pausedUntil time.Time
+	trying      bool
+	// trials is the number of requests that try the target.
+	trials int
+}
+
 // Tracker holds the targets that have withdrawn. It is safe for concurrent use.
 type Tracker struct {
-	mu sync.Mutex
-	// leaving holds when this process learned that a target is leaving. reported holds
-	// when a target told this process itself.
-	leaving, reported map[id.TargetIncarnation]time.Time
-	// pausedUntil holds the ends of pauses.
-	pausedUntil map[id.TargetIncarnation]time.Time
+	mu      sync.Mutex
+	targets map[id.Target]*state
 }
 
 // New returns a Tracker without targets.
-func New() *Tracker {
-	return &Tracker{
-		leaving: map[id.TargetIncarnation]time.Time{}, reported: map[id.TargetIncarnation]time.Time{},
-		pausedUntil: map[id.TargetIncarnation]time.Time{},
+func New() *Tracker { return &Tracker{targets: map[id.Target]*state{}} }
+
+// find returns what an incarnation of a target has said, or nil.
+func (t *Tracker) find(key id.TargetIncarnation) *state {
+	s := t.targets[key.Target]
+	if s == nil || !s.incarnation.Matches(key.Incarnation) {
+		return nil
+	}
+	return s
+}
+
+// findOrAdd returns the state of an incarnation of a target, or nil if a later one is
+// known.
+func (t *Tracker) findOrAdd(key id.TargetIncarnation) *state {
+	s := t.targets[key.Target]
+	switch {
+	case s != nil && s.incarnation.Matches(key.Incarnation):
+		s.incarnation = max(s.incarnation, key.Incarnation)
+	case s != nil && s.incarnation > key.Incarnation:
+		return nil
+	default:
+		s = &state{incarnation: key.Incarnation}
+		t.targets[key.Target] = s
 	}
+	return s
 }
 
 // Observe records what an answer of a target said. It reports whether the target is
 // leaving and this was not known.
 func (t *Tracker) Observe(now time.Time, key id.TargetIncarnation, n Notice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if n == (Notice{}) {
+		if s := t.find(key); s != nil && !now.Before(s.pausedUntil) {
+			s.trying = false
+		}
 		return false
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if until := now.Add(min(n.Pause, maxPause)); n.Pause > 0 && until.After(t.pausedUntil[key]) {
-		t.pausedUntil[key] = until
+	s := t.findOrAdd(key)
+	if s == nil {
+		return false
+	}
+	s.saidAt = now
+	if until := now.Add(min(n.Pause, maxPause)); n.Pause > 0 {
+		s.trying = true
+		if until.After(s.pausedUntil) {
+			s.pausedUntil = until
+		}
 	}
 	if !n.Leaving {
 		return false
 	}
-	t.reported[key] = now
-	_, known := t.leaving[key]
-	if !known {
-		t.leaving[key] = now
-	}
+	known := s.leaving
+	s.leaving, s.toldAt = true, now
 	return !known
 }
 
+// Listed records that a target is listed with an incarnation. A process that has started
+// under the name of another one may have answered before its record arrived.
+func (t *Tracker) Listed(now time.Time, key id.TargetIncarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.targets[key.Target]
+	if s == nil || key.Incarnation == 0 {
+		return
+	}
+	if s.incarnation.Matches(key.Incarnation) || now.Sub(s.saidAt) <= recordDelay {
+		s.incarnation = max(s.incarnation, key.Incarnation)
+	}
+}
+
 // Merge records the targets that are leaving according to another entry.
 func (t *Tracker) Merge(now time.Time, reports []Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range reports {
-		key := id.TargetIncarnation(r)
-		if _, known := t.leaving[key]; !known {
-			t.leaving[key] = now
+		if s := t.findOrAdd(id.TargetIncarnation(r)); s != nil {
+			s.leaving, s.saidAt = true, now
 		}
 	}
 }
@@ -103,17 +173,22 @@
 func (t *Tracker) Reports(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.targets, func(_ id.Target, s *state) bool {
+		last := s.pausedUntil
+		for _, at := range []time.Time{s.saidAt, s.listedAt} {
+			if at.After(last) {
+				last = at
+			}
+		}
+		return now.Sub(last) > retention
+	})
 	var reports []Report
-	for key, at := range t.reported {
-		if now.Sub(at) > reportTime {
-			delete(t.reported, key)
-			continue
+	for name, s := range t.targets {
+		if !s.toldAt.IsZero() && now.Sub(s.toldAt) <= reportTime {
+			reports = append(reports, Report{Target: name, Incarnation: s.incarnation})
 		}
-		reports = append(reports, Report(key))
 	}
-	slices.SortFunc(reports, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Target, b.Target) })
 	return reports
 }
 
@@ -121,17 +196,65 @@
 func (t *Tracker) Usable(now time.Time, targets catalog.Targets) catalog.Targets {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.pausedUntil, func(_ id.TargetIncarnation, until time.Time) bool { return !now.Before(until) })
-	if len(t.leaving)+len(t.pausedUntil) == 0 {
+	if len(t.targets) == 0 {
 		return targets
 	}
 	return slices.DeleteFunc(slices.Clone(targets), func(target *catalog.Target) bool {
-		_, leaving := t.leaving[target.Key()]
-		_, paused := t.pausedUntil[target.Key()]
-		return leaving || paused
+		s := t.find(target.Key())
+		if s == nil {
+			return false
+		}
+		s.listedAt = now
+		return s.leaving || now.Before(s.pausedUntil)
 	})
 }
 
+// Paused reports whether a target wants a pause now.
+func (t *Tracker) Paused(now time.Time, key id.TargetIncarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(key)
+	return s != nil && now.Before(s.pausedUntil)
+}
+
+// Trial is the verdict on a request to a target.
+type Trial string
+
+// Verdicts.
+const (
+	// NoTrial means that the target may get the request as any other.
+	NoTrial Trial = "none"
+	// Tries means that the request tries the target after its pause. EndTrial must follow.
+	Tries Trial = "tries"
+	// MustWait means that enough other requests try the target.
+	MustWait Trial = "mustWait"
+)
+
+// BeginTrial decides whether a target may get a request now: after a pause it gets few until it
+// has answered one.
+func (t *Tracker) BeginTrial(now time.Time, key id.TargetIncarnation) Trial {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(key)
+	switch {
+	case s == nil || !s.trying:
+		return NoTrial
+	case s.trials >= maxTrials || now.Before(s.pausedUntil):
+		return MustWait
+	}
+	s.trials++
+	return Tries
+}
+
+// EndTrial records that a request which tried a target has ended.
+func (t *Tracker) EndTrial(key id.TargetIncarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.find(key); s != nil {
+		s.trials = max(0, s.trials-1)
+	}
+}
+
 // UntilUsable returns the time until the first pause of any of the targets ends, and 0 if
 // none of them is paused.
 func (t *Tracker) UntilUsable(now time.Time, targets catalog.Targets) time.Duration {
@@ -139,22 +262,13 @@
 	defer t.mu.Unlock()
 	var least time.Duration
 	for _, target := range targets {
-		_, leaving := t.leaving[target.Key()]
-		left := t.pausedUntil[target.Key()].Sub(now)
-		if !leaving && left > 0 && (least == 0 || left < least) {
+		s := t.find(target.Key())
+		if s == nil || s.leaving {
+			continue
+		}
+		if left := s.pausedUntil.Sub(now); left > 0 && (least == 0 || left < least) {
 			least = left
 		}
 	}
 	return least
 }
-
-// Forget drops what is known about targets that are gone.
-func (t *Tracker) Forget(gone catalog.Targets) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, target := range gone {
-		for _, known := range []map[id.TargetIncarnation]time.Time{t.leaving, t.reported, t.pausedUntil} {
-			delete(known, target.Key())
-		}
-	}
-}
--- a/internal/state/id/id.go
+++ b/internal/state/id/id.go
@@ -70,6 +70,10 @@
 	TokenIndex uint32
 )
 
+// Matches reports whether two incarnations of a process may be the same one. An unknown
+// one may be any.
+func (i Incarnation) Matches(other Incarnation) bool { return i == 0 || other == 0 || i == other }
+
 // TargetIncarnation identifies one start of a target.
 type TargetIncarnation struct {
 	Target      Target
--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -130,7 +130,7 @@
 	c := s.c
 	now := c.now()
 	holder, requested, calledAt, due := s.copyTracker.checkDue(now)
-	if !due || c.requirements.Engine == nil || !c.requirements.Engine.SupportsBackup {
+	if !due || c.e.withdrawn.Paused(now, source.Key()) || c.requirements.Engine == nil || !c.requirements.Engine.SupportsBackup {
 		return
 	}
 	targets := c.targets()
@@ -166,11 +166,12 @@
 		return "", err
 	}
 	e.limits.charge(e.deps.Clock.Now(), source)
-	status, body, err := e.callEngine(ctx, source.Address, call)
+	answer, err := e.callEngine(ctx, source.Address, call)
 	if err != nil {
 		return "", err
 	}
-	return e.deps.Dialect.DecodeCopyHandle(status, body)
+	e.observeNotice(source, e.deps.Dialect.DecodeResponse(answer.status, answer.header).Notice)
+	return e.deps.Dialect.DecodeCopyHandle(answer.status, answer.body)
 }
 
 // freeCopy frees a copy that the entry requested, after the stream has ended. If
@@ -186,23 +187,23 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), copyCallTimeout)
 		defer cancel()
-		status, _, err := c.e.callEngine(ctx, ref.Address, c.e.deps.Dialect.FreeCopyCall(ref.Handle))
-		if err != nil || status != http.StatusOK {
-			c.log(event.CopyNotFreed, "engine", ref.Address, "status", status, "error", err)
+		answer, err := c.e.callEngine(ctx, ref.Address, c.e.deps.Dialect.FreeCopyCall(ref.Handle))
+		if err != nil || answer.status != http.StatusOK {
+			c.log(event.CopyNotFreed, "engine", ref.Address, "status", answer.status, "error", err)
 		}
 	}()
 }
 
-// callEngine calls an engine and returns the status and body of its answer.
-func (e *Entry) callEngine(ctx context.Context, address string, call direct.Call) (int, []byte, error) {
+// callEngine calls an engine and returns its answer.
+func (e *Entry) callEngine(ctx context.Context, address string, call direct.Call) (bufferedAnswer, error) {
 	deadline := e.deps.Clock.Now().Add(copyCallTimeout)
 	answer, err := e.pool.Do(ctx, address, &upstream.Request{
 		Method: call.Method, URI: call.Path, Host: address, Header: call.Header, Body: call.Body,
 	}, deadline)
 	if err != nil {
-		return 0, nil, err
+		return bufferedAnswer{}, err
 	}
 	defer answer.Close()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, smallAnswerBytes))
-	return answer.Status, body, err
+	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, err
 }
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -63,6 +63,10 @@
 	// limitedTarget is the target at its limit that would have been free first; nil if
 	// that did not keep the request from being sent.
 	limitedTarget *catalog.Target
+	// targetsTried is set if a target was left out because others try it after its pause.
+	targetsTried bool
+	// trial is the target that the request tries after its pause; nil for none.
+	trial *catalog.Target
 	// budgetExhausted is set if the retry budget did not allow another attempt.
 	budgetExhausted bool
 	// requestFingerprint identifies the content of the request. quarantineLeft is
@@ -107,6 +111,7 @@
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "left", c.timeLeft())
 	defer c.release()
+	defer c.endTrial()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
--- a/internal/transport/direct/limits.go
+++ b/internal/transport/direct/limits.go
@@ -111,6 +111,9 @@
 	return max(minLimitRetryAfter, l.limits.RetryAfter(now, t.Key(), share))
 }
 
+// listed records that a target is listed with an incarnation.
+func (l *targetLimits) listed(key id.TargetIncarnation) { l.limits.Listed(key) }
+
 // forget drops the limits of targets that are gone.
 func (l *targetLimits) forget(gone catalog.Targets) {
 	names := make(map[id.Target]bool, len(gone))
@@ -139,10 +142,12 @@
 // the target's limit. Targets at their limit are used only if there is no other one that
 // is not suspected.
 func (c *call) choose(ctx context.Context) (balance.Choice, bool) {
+	// occupied holds the targets that others try after their pauses.
+	occupied := map[id.Target]bool{}
 	for ctx.Err() == nil {
 		c.limitedTarget = nil
 		now := c.now()
-		free, full := c.e.limits.split(now, c.withRoom(c.lasting(c.targets())))
+		free, full := c.e.limits.split(now, c.withRoom(c.lasting(without(c.targets(), occupied))))
 		choice, ok := c.e.balancer.Choose(now, c.requirements, free, c.tried)
 		if !ok || choice.Reason == balance.LastResort {
 			if first := c.firstInTime(full); first != nil {
@@ -152,13 +157,30 @@
 				continue
 			}
 		}
+		if !ok && len(occupied) > 0 && c.awaitTrial(ctx) {
+			clear(occupied)
+			continue
+		}
+		if ok && !c.beginTrial(choice.Target) {
+			occupied[choice.Target.ID] = true
+			continue
+		}
 		if !ok || c.e.limits.take(now, choice.Target, 0) {
 			return choice, ok
 		}
+		c.endTrial()
 	}
 	return balance.Choice{}, false
 }
 
+// without returns the targets that are not excluded.
+func without(targets catalog.Targets, excluded map[id.Target]bool) catalog.Targets {
+	if len(excluded) == 0 {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(t *catalog.Target) bool { return excluded[t.ID] })
+}
+
 func (c *call) choiceAtLimit(t *catalog.Target) balance.Choice {
 	backup := c.e.balancer.BackupFor(c.now(), c.requirements, c.targets(), t, c.tried)
 	return balance.Choice{Target: t, Backup: backup, Reason: balance.AtLimit}
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -269,7 +269,7 @@
 	x.e.balancer.ApplyPeerLoads(now, u.From, u.Loads)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
 	x.e.limits.merge(now, u.Limits)
-	x.e.mergeWithdrawn(now, u.Leaving)
+	x.e.withdrawn.Merge(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
 	x.mergeVersions(now, u.Versions)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -90,6 +90,7 @@
 
 // recordSend records the outcome of one attempt.
 func (c *call) recordSend(run *balance.Attempt, choice balance.Choice, outcome balance.Outcome, sent time.Time, err error) {
+	c.endTrial()
 	now := c.now()
 	if outcome == balance.Unreachable && c.reached {
 		c.e.retryBudgets.undoRetry(now, c.service)
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -83,8 +83,8 @@
 	case c.runs == 0 && c.limitedTarget != nil && !c.expired():
 		c.refuseAtLimit()
 	case c.runs == 0 && !c.expired() && c.pause() > 0:
-		c.refuse(refusal{status: statusNotRun, reason: "targetsPaused", retryAfter: c.pause()})
-	case c.runs == 0 && c.targetBusy:
+		c.refuse(refusal{status: statusNotRun, reason: "targetsPaused", retryAfter: c.pause() + c.spread()})
+	case c.runs == 0 && (c.targetBusy || c.targetsTried):
 		c.refuse(refusal{status: statusNotRun, reason: "targetsBusy", retryAfter: busyRetryAfter})
 	case c.runs == 0 && c.budgetExhausted:
 		c.refuse(refusal{status: statusNotRun, reason: "retryBudget", retryAfter: noTargetRetryAfter})
@@ -99,6 +99,11 @@
 	}
 }
 
+// spread returns a random part of pauseSpread, so that clients do not come back all at once.
+func (c *call) spread() time.Duration {
+	return time.Duration(c.e.deps.Random() * float64(pauseSpread))
+}
+
 // abandon ends a request whose client has disconnected.
 func (c *call) abandon() {
 	c.e.metrics.requestEnded(c.route, outcomeAbandoned, 0)
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -103,19 +103,29 @@
 	}
 }
 
+// ask asks a target for the time of its start. It returns false if the target does not tell, or
+// wants a pause.
+func (r *reportReader) ask(ctx context.Context, t *catalog.Target) (id.Incarnation, bool) {
+	if r.e.withdrawn.Paused(r.e.deps.Clock.Now(), t.Key()) {
+		return 0, false
+	}
+	answer, err := r.e.callEngine(ctx, t.Address, r.e.deps.Dialect.ReportCall())
+	if err != nil || answer.status != http.StatusOK {
+		return 0, false
+	}
+	return r.e.deps.Dialect.DecodeReport(answer.body)
+}
+
 // read reads one report. Without one, a record that was written after the last loss of the
 // target tells.
 func (r *reportReader) read(t *catalog.Target) confirmation {
 	ctx, cancel := context.WithTimeout(context.Background(), copyCallTimeout)
 	defer cancel()
-	status, body, err := r.e.callEngine(ctx, t.Address, r.e.deps.Dialect.ReportCall())
-	if err == nil && status == http.StatusOK {
-		if born, ok := r.e.deps.Dialect.DecodeReport(body); ok {
-			if born == t.Incarnation {
-				return confirmed
-			}
-			return replaced
+	if born, ok := r.ask(ctx, t); ok {
+		if born == t.Incarnation {
+			return confirmed
 		}
+		return replaced
 	}
 	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
 	switch {
--- a/internal/transport/direct/snapshot.go
+++ b/internal/transport/direct/snapshot.go
@@ -128,8 +128,10 @@
 			return
 		}
 		first := !w.e.targetsListed.Swap(true)
-		gone := w.e.directory.ReplaceFromPeer(w.decodeTargets(s.Items))
-		w.forgetTargets(gone)
+		listed := w.decodeTargets(s.Items)
+		gone := w.e.directory.ReplaceFromPeer(listed)
+		w.delistTargets(gone)
+		w.recordListed(listed...)
 		if first || len(gone) > 0 {
 			w.e.deps.Log.Emit(event.StoreSnapshotAdopted, "targets", len(s.Items), "gone", len(gone))
 		}
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -10,6 +10,7 @@
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/timing"
 )
 
@@ -20,6 +21,9 @@
 	// removeMissingInterval is how often targets are removed that did not reappear
 	// after an outage of the key-value service.
 	removeMissingInterval = 250 * time.Millisecond
+	// goneRetention is how long what was learned of a target is kept after it was last
+	// listed.
+	goneRetention = time.Minute
 )
 
 // storeWatcher updates the directory from the key-value service.
@@ -45,13 +49,22 @@
 	configItem  store.Item
 	configEra   store.Era
 	targetItems map[string]store.Item
+	// gone holds the targets that are no longer listed, with the time since which. What was
+	// learned of them is kept for goneRetention, because a record may lapse and be back.
+	gone map[id.TargetIncarnation]goneTarget
 	// cancelConfigWatch ends the watch of the configuration, so that it continues after
 	// configItem; nil before the first watch.
 	cancelConfigWatch context.CancelFunc
 }
 
 func newStoreWatcher(e *Entry) *storeWatcher {
-	return &storeWatcher{e: e, eras: store.NewEraTracker(), undecodable: map[string]int64{}, targetItems: map[string]store.Item{}}
+	return &storeWatcher{e: e, eras: store.NewEraTracker(), undecodable: map[string]int64{}, targetItems: map[string]store.Item{}, gone: map[id.TargetIncarnation]goneTarget{}}
+}
+
+// goneTarget is a target that is no longer listed.
+type goneTarget struct {
+	target *catalog.Target
+	since  time.Time
 }
 
 // run watches the key-value service until ctx ends.
@@ -186,7 +199,8 @@
 
 func (w *storeWatcher) replaceTargets(page store.Page) {
 	listed := w.decodeTargets(page.Items)
-	w.forgetTargets(w.e.directory.Replace(w.e.deps.Clock.Now(), listed))
+	w.delistTargets(w.e.directory.Replace(w.e.deps.Clock.Now(), listed))
+	w.recordListed(listed...)
 	w.e.targetsListed.Store(true)
 }
 
@@ -232,7 +246,7 @@
 	if c.Deleted {
 		delete(w.targetItems, c.Item.Key)
 		if t := w.e.directory.Remove(now, name); t != nil {
-			w.forgetTargets(catalog.Targets{t})
+			w.delistTargets(catalog.Targets{t})
 		}
 		return
 	}
@@ -242,6 +256,7 @@
 		return
 	}
 	w.keepNewest(t, c.Item, w.targetItems)
+	w.recordListed(t)
 	if w.e.directory.Put(t) {
 		w.e.observeVersionsLocked()
 		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", t.State, "zone", t.Zone, "software", t.SoftwareText(), "incarnation", t.Incarnation, "sequence", t.Sequence, "revision", c.Item.ModRevision)
@@ -256,27 +271,57 @@
 		if t = w.e.directory.AddSuccessor(w.e.deps.Clock.Now(), s.Predecessor, s.Target); t == nil {
 			return
 		}
-		w.forgetTargets(catalog.Targets{{ID: s.Predecessor, Service: t.Service, Address: t.Address, Zone: t.Zone}})
+		w.delistTargets(catalog.Targets{{ID: s.Predecessor, Service: t.Service, Address: t.Address, Zone: t.Zone}})
 		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", "found", "zone", t.Zone, "of", s.Predecessor)
 	})
 	return t != nil
 }
 
-// forgetTargets drops the connections and balancing state of removed targets.
-func (w *storeWatcher) forgetTargets(ts catalog.Targets) {
+// recordListed records that targets are listed. What was learned of one whose start was not
+// known holds for the start that its record names now.
+func (w *storeWatcher) recordListed(listed ...*catalog.Target) {
+	now := w.e.deps.Clock.Now()
+	for _, t := range listed {
+		delete(w.gone, t.Key())
+		w.e.withdrawn.Listed(now, t.Key())
+		w.e.limits.listed(t.Key())
+	}
+}
+
+// delistTargets drops the connections of targets that are no longer listed.
+func (w *storeWatcher) delistTargets(ts catalog.Targets) {
+	now := w.e.deps.Clock.Now()
 	for _, t := range ts {
 		w.e.pool.CloseIdle(t.Address)
+		w.gone[t.Key()] = goneTarget{target: t, since: now}
 		w.e.deps.Log.Emit(event.MemberChanged, "target", t.ID, "state", "gone", "zone", t.Zone)
 	}
-	w.e.balancer.Forget(ts)
-	w.e.limits.forget(ts)
-	w.e.withdrawn.Forget(ts)
+}
+
+// forgetGone drops what was learned of targets that have been gone for long.
+func (w *storeWatcher) forgetGone() {
+	now := w.e.deps.Clock.Now()
+	var forgotten catalog.Targets
+	for key, g := range w.gone {
+		if now.Sub(g.since) <= goneRetention {
+			continue
+		}
+		delete(w.gone, key)
+		if w.e.directory.View().Targets[g.target.Service].Find(key.Target) == nil {
+			forgotten = append(forgotten, g.target)
+		}
+	}
+	w.e.balancer.Forget(forgotten)
+	w.e.limits.forget(forgotten)
 }
 
 // removeMissing periodically removes the targets that did not reappear after an
-// outage of the key-value service.
+// outage of the key-value service, and forgets those that have been gone for long.
 func (w *storeWatcher) removeMissing(ctx context.Context) {
 	timing.Every(ctx, w.e.deps.Clock, removeMissingInterval, func() {
-		w.withLock(func() { w.forgetTargets(w.e.directory.RemoveMissing(w.e.deps.Clock.Now())) })
+		w.withLock(func() {
+			w.delistTargets(w.e.directory.RemoveMissing(w.e.deps.Clock.Now()))
+			w.forgetGone()
+		})
 	})
 }
--- a/internal/transport/direct/successor.go
+++ b/internal/transport/direct/successor.go
@@ -109,6 +109,9 @@
 		if !s.unreplaced(t) || s.e.balancer.LastActivity(s.e.deps.Clock.Now(), t).After(lastActivity) {
 			return
 		}
+		if s.e.withdrawn.Paused(s.e.deps.Clock.Now(), t.Key()) {
+			continue
+		}
 		identity, ok := s.identify(ctx, t, path, end)
 		if !ok {
 			continue
--- a/internal/transport/direct/withdrawal_lapse_test.go
+++ b/internal/transport/direct/withdrawal_lapse_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package direct_test
 
 import (
@@ -130,3 +128,46 @@
 		env.is.Equal(env.do("POST", "/u/x", "c", "body").status, http.StatusOK)
 	})
 }
+
+// TestLimitOutlivesListing checks the same for a limit that a target has named.
+func TestLimitOutlivesListing(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, respondWith(http.StatusOK, "fine", "Signed", "yes", "Limit", "0.2"))
+		env.start()
+		served := func(i int) bool { return env.do("POST", "/u/x", fmt.Sprint("a", i), "body").status == http.StatusOK }
+		n := 0
+		for served(n) {
+			n++
+		}
+		env.unlist("t1")
+		time.Sleep(300 * time.Millisecond)
+		env.list(softwareItem("t1", "10.0.1.1:80", "a", "v1", 7))
+		env.is.True(!served(100))
+		env.is.Equal(env.countFor("t1"), n)
+	})
+}
+
+// TestCopyCallsRespectPause guards against calls about copies of runs to a target that wants a
+// pause.
+func TestCopyCallsRespectPause(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		calls := 0
+		env.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/copy" {
+				calls++
+				respondWith(http.StatusServiceUnavailable, "no", "Not-Run", "1", "Pause", "2s")(rw, r)
+				return
+			}
+			events(rw, after(r), 30, 100*time.Millisecond)
+		})
+		env.target("t2", "10.0.2.1:80", "b", engineHandler)
+		env.target("t3", "10.0.3.1:80", "c", engineHandler)
+		env.start()
+		time.AfterFunc(500*time.Millisecond, func() {
+			// The holder of the copy is gone.
+			env.changes <- store.Change{Item: store.Item{Key: "t2"}, Deleted: true}
+		})
+		env.is.Equal(env.do("POST", "/r/x", "a1", "prompt").body, wholeStream(30))
+		env.is.Equal(calls, 2) // the second one after the pause
+	})
+}
