Soak: targets that want rests, whose records lapse meanwhile

Each asks every entry once, 503 with Retry-After, and counts what reaches it from that entry in the time (restKept).

--- a/cmd/foxtailward-lab/soak.go
+++ b/cmd/foxtailward-lab/soak.go
@@ -57,6 +57,7 @@
 	f.BoolVar(&flags.opts.LargeConfigs, "large-configs", true, "make every other configuration large, and the key-value service's answers to half of the entries slow")
 	f.BoolVar(&flags.opts.TargetLimits, "target-limits", true, "let targets name limits of the requests that they take")
 	f.BoolVar(&flags.opts.Releases, "releases", true, "replace engines by ones of other software versions, under new and under the same names")
+	f.BoolVar(&flags.opts.Rests, "rests", true, "let targets ask entries for rests, and their records lapse meanwhile")
 	f.BoolVar(&flags.opts.SafetyOnly, "safety-only", false, "skip the checks that depend on the machine's speed")
 	f.BoolVar(&flags.json, "json", false, "print JSON")
 	return cmd
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -46,6 +46,9 @@
 	// LimitKept means that a target that names a limit gets no more requests than that
 	// allows, from all entries together.
 	LimitKept Guarantee = "limitKept"
+	// RestKept means that a target that wants a rest gets no requests from the entry that it
+	// asked.
+	RestKept Guarantee = "restKept"
 	// SoftwareKept means that a stream holds events of one version of its target's software.
 	SoftwareKept Guarantee = "softwareKept"
 	// StreamsGoOn means that streams that clients resume go on about as often as new ones
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -47,6 +47,9 @@
 	if opts.TargetLimits {
 		p = append(p, newTargetLimits(opts, rand.New(rand.NewPCG(opts.Seed, limitRandomStream)))...)
 	}
+	if opts.Rests {
+		p = append(p, newRests(opts, rand.New(rand.NewPCG(opts.Seed, restRandomStream)))...)
+	}
 	if opts.Releases {
 		p = append(p, newReleases(opts, rand.New(rand.NewPCG(opts.Seed, releaseRandomStream)))...)
 	}
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -46,6 +46,8 @@
 
 	// limits are the limits that the target names.
 	limits targetLimits
+	// rests are the rests that the target wants.
+	rests targetRests
 
 	// restartMu is held from stopping the target until it is started again.
 	restartMu sync.Mutex
@@ -144,6 +146,9 @@
 		platform.EncodeLimit(w.Header(), limit)
 	}
 	p.checkNotDrained(forwarded.Attempt)
+	if p.serveRest(w, identity.ID, forwarded.Attempt) {
+		return
+	}
 	if serviceOf(r.URL.Path) != identity.Service {
 		p.w.history.recordViolation(MatchesRequest, forwarded.Attempt, "target %s of service %s received a request to %s", identity.ID, identity.Service, r.URL.Path)
 	}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -64,6 +64,8 @@
 	LargeConfigs bool
 	// Releases adds releases of engines, so that several versions serve.
 	Releases bool
+	// Rests adds targets that want rests, and records that lapse meanwhile.
+	Rests bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
 	// instance that requests are served and configuration changes are applied in time
 	// while no fault is active.
@@ -154,5 +156,6 @@
 	limitRandomStream    = 4
 	partRandomStream     = 5
 	releaseRandomStream  = 6
+	restRandomStream     = 7
 	clientRandomStream   = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,7 +41,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(200) {
-		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0}
+		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0, Rests: seed%7 == 0}
 		is.Equal(soak.PlanText(o), soak.PlanText(o))
 		is.True(soak.PlanFitsDuration(o))
 		is.True(len(soak.PlanText(o)) > 0)
@@ -240,6 +240,14 @@
 	playSeeds(t, releaseSeeds, soak.Options{Releases: true}, "released")
 }
 
+// restSeeds are run by each TestRunRests, with the cause of an earlier failure.
+var restSeeds = []seedCase{{1, 12 * time.Second, "no earlier failure"}}
+
+// TestRunRests runs real entries whose targets want rests, among other faults.
+func TestRunRests(t *testing.T) {
+	playSeeds(t, restSeeds, soak.Options{Rests: true}, "targetRests")
+}
+
 // TestRun runs real entries under several seconds of faults.
 func TestRun(t *testing.T) { playSeeds(t, seeds, soak.Options{}, "") }
 
