TestOpenCorruptAttempt reads a token before the corrupt one is sent

Cause, in one play that the users looked into: the corrupt attempt was noticed before any token had reached the reader, so the answer was allowed to start anew; permits on the real clock do not exclude that.

--- a/internal/coordination/request/coordinator_test.go
+++ b/internal/coordination/request/coordinator_test.go
@@ -70,12 +70,19 @@
 			f := newFakeTargets(2)
 			f.scripts = []script{{disconnectAfter: -1, stallAfter: -1, corruptAt: 7}}
 			f.tokenPermits = make(chan struct{})
-			go releaseTokens(t.Context(), f.tokenPermits)
 			co := newCoordinator(t, f, clockwork.NewRealClock(), soloPeers("e1"))
 			req := newRequest("stapler", "", "p", answerTokens)
 			req.Buffered = buffered
 			reader, err := co.Open(t.Context(), req)
 			is.NoErr(err)
+			if !buffered {
+				// The caller has a token before the corrupt one is sent.
+				f.tokenPermits <- struct{}{}
+				part, err := reader.Next(t.Context())
+				is.NoErr(err)
+				is.Equal(part.Tokens, expected("v1", "p", answerTokens)[:1])
+			}
+			go releaseTokens(t.Context(), f.tokenPermits)
 			got, err := readAll(t.Context(), reader)
 			if !buffered {
 				is.Equal(wantRefusal(t, err).Outcome, answer.Failed)
