--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -118,7 +118,7 @@
 		q.disconnectAt = q.startedAt.Add(time.Duration(c.random.Float64() * float64(time.Second)))
 	}
 	for range maxAttempts {
-		result := c.trackedAttempt(q)
+		result := c.attempt(q)
 		switch result.outcome {
 		case answered:
 			c.w.history.count("answered " + prefix)
@@ -165,21 +165,21 @@
 	pause   time.Duration
 }
 
-// trackedAttempt sends the request once and counts whether its stream began or went on.
-func (c *client) trackedAttempt(q *request) attemptResult {
+// attempt sends the request once and counts whether its stream began or went on.
+func (c *client) attempt(q *request) attemptResult {
 	if err := c.connect(); err != nil {
 		q.lastResult = "connecting failed: " + err.Error()
 		return attemptResult{retry, thinkTime}
 	}
 	before := q.lastEvent
 	ended := c.w.trackStream(q, c.conn.entry.name)
-	result := c.attempt(q)
+	result := c.attemptConnected(q)
 	ended(q.lastEvent > before)
 	return result
 }
 
-// attempt sends the request once.
-func (c *client) attempt(q *request) attemptResult {
+// attemptConnected sends the request once over the open connection.
+func (c *client) attemptConnected(q *request) attemptResult {
 	attempt := direct.AttemptID(fmt.Sprintf("%016x", c.random.Uint64()))
 	used := c.conn.used
 	c.conn.used = true
--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -116,6 +116,20 @@
 	}
 }
 
+// copyHolder returns the engine that holds a copy of the lost run, and the copy,
+// if that engine accepts requests now. Each copy is used only once.
+func (s *stream) copyHolder(now time.Time, targets catalog.Targets) (*catalog.Target, direct.CopyRef) {
+	held, ref := s.copyTracker.take()
+	if held == nil {
+		return nil, direct.CopyRef{}
+	}
+	t := targets.Find(held.ID)
+	if t == nil || t.State != catalog.Ready || s.c.tried[t.ID] || s.c.e.balancer.Suspected(now, t) {
+		return nil, direct.CopyRef{}
+	}
+	return t, ref
+}
+
 // reportCopy records for the other entries where the run is copied to.
 func (s *stream) reportCopy() {
 	holder, ref, changed := s.copyTracker.unreported()
@@ -207,3 +221,38 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, smallAnswerBytes))
 	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, err
 }
+
+// handoverKey returns a key of the request's content that is the same for all attempts of the client at
+// this request.
+func (c *call) handoverKey() handover.Key {
+	if c.contentKey == "" {
+		c.contentKey = handover.KeyOf(string(c.accountName()), c.r.Host, c.r.Method, c.r.RequestURI, string(c.meta.OwnPart()), string(c.body))
+	}
+	return c.contentKey
+}
+
+// inheritCopy takes over the copy of the run that served an earlier connection
+// of the client, at this entry or another one.
+func (s *stream) inheritCopy(now time.Time, targets catalog.Targets) {
+	run, ok := s.c.e.handover.Take(now, s.key)
+	if !ok {
+		return
+	}
+	holder := targets.Find(run.Holder)
+	s.c.log(event.RequestAdopted, "holder", run.Holder, "listed", holder != nil, "handle", run.Handle, "lastEvent", s.lastEventID)
+	if holder != nil {
+		s.copyTracker.setInherited(holder, direct.CopyRef{Address: run.Address, Handle: run.Handle})
+	}
+}
+
+// endHandover removes a complete stream from the handover registry. An
+// incomplete one stays there, so that another entry can resume it.
+func (s *stream) endHandover() {
+	for _, key := range s.c.originKeys() {
+		s.c.e.streams.Touch(s.c.now(), key)
+	}
+	s.c.e.handover.EndLocal(s.c.now(), s.key, s.complete)
+	if s.complete {
+		s.freeCopy()
+	}
+}
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -17,8 +17,6 @@
 	// askTimeout how long a request waits for the answer.
 	askInterval = 80 * time.Millisecond
 	askTimeout  = 250 * time.Millisecond
-	// queueDivisor is the divisor of a target's slots that gives how many requests it queues.
-	queueDivisor = 4
 	// versionUnknownRetryAfter is used while it is not known where a stream began: entries
 	// that have started, and the key-value service, may tell soon.
 	versionUnknownRetryAfter = 500 * time.Millisecond
@@ -38,7 +36,8 @@
 	target id.Target
 }
 
-// version returns the required version, if it is known.
+// resolve returns the required version, if it is known, also from the record of the target
+// that began the stream.
 func (r *requiredSoftware) resolve(listed catalog.Targets) (id.SoftwareVersion, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -225,46 +224,3 @@
 	e.streams.SetLifetime(longest + origin.ResumeMargin)
 	e.versions.SetLifetime(longest + origin.ResumeMargin)
 }
-
-// lasting returns the targets at which a new stream can go on after a loss: those that
-// share their version with another usable target in another zone. It returns all targets
-// if there are none, or if all are of one version.
-func (c *call) lasting(targets catalog.Targets) catalog.Targets {
-	if c.software != nil || !c.route.Resumable || sameSoftware(targets) {
-		return targets
-	}
-	now := c.now()
-	usable := slices.DeleteFunc(targets.Ready(), func(t *catalog.Target) bool { return c.tried[t.ID] || c.e.balancer.Suspected(now, t) })
-	zones := map[id.SoftwareVersion]map[id.Zone]bool{}
-	for _, t := range usable {
-		if !t.SoftwareUnknown {
-			if zones[t.Software] == nil {
-				zones[t.Software] = map[id.Zone]bool{}
-			}
-			zones[t.Software][t.Zone] = true
-		}
-	}
-	lasting := slices.DeleteFunc(usable, func(t *catalog.Target) bool { return t.SoftwareUnknown || len(zones[t.Software]) < 2 })
-	if len(lasting) == 0 {
-		return targets
-	}
-	return lasting
-}
-
-// withRoom leaves out the targets of a stream that goes on which have as many requests as
-// they run and queue at once: all that go on come to the few targets of a version.
-func (c *call) withRoom(targets catalog.Targets) catalog.Targets {
-	if c.software == nil {
-		return targets
-	}
-	now := c.now()
-	return slices.DeleteFunc(slices.Clone(targets), func(t *catalog.Target) bool {
-		full := t.Slots > 0 && c.e.balancer.Running(now, t) >= t.Slots+t.Slots/queueDivisor
-		c.targetBusy = c.targetBusy || full
-		return full
-	})
-}
-
-func sameSoftware(targets catalog.Targets) bool {
-	return !slices.ContainsFunc(targets, func(t *catalog.Target) bool { return !t.SameSoftware(targets[0]) })
-}
