--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -321,6 +321,7 @@
 // restart starts the replica again with a name and a service.
 func (p *replica) restart(name id.Target, service id.Service) error {
 	p.limits.end()
+	p.rests.forget()
 	p.setIdentity(name, service)
 	return p.server.Start()
 }
--- a/internal/standin/soak/rest.go
+++ b/internal/standin/soak/rest.go
@@ -89,6 +89,15 @@
 	return true
 }
 
+// forget drops the rests that entries were asked for, because another process begins.
+func (r *targetRests) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.length > 0 {
+		r.asked = map[string]*askedRest{}
+	}
+}
+
 // end ends the rests.
 func (r *targetRests) end() {
 	r.mu.Lock()
