An entry that goes on with a stream remembers where it began; questions about streams are not repeated with each message

What callers would see: a stream that went on at a second entry is refused once that one has ended too and the first one has saved its own streams again; and where several versions serve, each arriving message about any stream repeats a waiting question to six entries.

--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -100,18 +100,19 @@
 func (c *call) findOrigin(ctx context.Context) bool {
 	clock := c.e.deps.Clock
 	key := c.originKeys()[0]
-	timeout := clock.After(askTimeout)
+	timeout, ask := clock.After(askTimeout), clock.After(0)
 	for {
 		changed := c.e.streams.Changed()
 		if c.knowsOrigin(key) {
 			return true
 		}
-		if c.e.peerExchange != nil {
-			c.e.peerExchange.ask(c.now(), key)
-		}
 		select {
 		case <-changed:
-		case <-clock.After(askInterval):
+		case <-ask:
+			ask = clock.After(askInterval)
+			if c.e.peerExchange != nil {
+				c.e.peerExchange.ask(c.now(), key)
+			}
 		case <-timeout:
 			return c.knowsOrigin(key)
 		case <-ctx.Done():
--- a/internal/transport/direct/software_test.go
+++ b/internal/transport/direct/software_test.go
@@ -379,3 +379,29 @@
 		env.is.True(time.Since(begin) < 2*time.Second)
 	})
 }
+
+// TestResumptionAfterResumption guards against a stream that nobody remembers after the entry
+// which went on with it has ended too.
+func TestResumptionAfterResumption(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		for i := range 4 {
+			software := fmt.Sprint("v", 1+i%2)
+			env.softwareTarget(fmt.Sprint("t", i), fmt.Sprintf("10.0.%d.1:80", i), string(rune('a'+i)), software, 0, softwareEngine(software, 0))
+		}
+		env.start()
+		_, body, last := env.holdPart("a0")
+		time.Sleep(1500 * time.Millisecond) // what runs is saved about once a second
+		env.restart()
+		env.shutdown[len(env.shutdown)-1]()
+		<-env.ended // the earlier entry saves nothing more
+		a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
+		env.is.Equal(versions(body + a.body)["v1"], softwareEvents)
+		env.do("POST", "/r/x", "b0", "another prompt")
+		time.Sleep(1500 * time.Millisecond)
+		env.mu.Lock()
+		saved := string(env.saved[store.StreamsPrefix+"e"].Value)
+		env.mu.Unlock()
+		env.is.True(strings.Contains(saved, `"a0"`))
+		env.is.True(strings.Contains(saved, `"b0"`))
+	})
+}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -94,6 +94,10 @@
 		c.refuseUnknownOrigin()
 		return
 	}
+	if c.software != nil {
+		// This entry serves the stream now, so it tells and saves where it began.
+		c.recordOrigin()
+	}
 	defer s.endHandover()
 	s.lastNumber, _ = (&eventstream.Event{ID: string(s.lastEventID)}).Number()
 	for c.runs < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.expired() {
