Streams that are over are dropped while one version serves, too

Found by reading the diff: where streams began was dropped only when it was told or saved, which happens only while several versions serve. With one version, an entry kept about 300 bytes a key for each stream for good (worked out: 1.4 kB a second at 2.4 streams a second), and at 100,000 it would have taken no more from other entries. Now each record drops what is over, at most once a second. TestExpire failed before and passes; go test -race of origin and transport/direct passes.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -44,6 +44,8 @@
 	retellDelay = 300 * time.Millisecond
 	// maxTells is the number of messages about a stream to each entry that keeps it.
 	maxTells = 2
+	// expireInterval is how often streams that are over are dropped.
+	expireInterval = time.Second
 	// maxStreams limits the streams of other entries.
 	maxStreams = 100_000
 )
@@ -110,6 +112,8 @@
 	mu       sync.Mutex
 	lifetime time.Duration
 	streams  map[id.Request]*tracked
+	// expiredAt is when streams that are over were last dropped.
+	expiredAt time.Time
 	// changed is closed and replaced when streams of other entries arrive.
 	changed chan struct{}
 }
@@ -130,6 +134,7 @@
 func (r *Registry) Record(now time.Time, s Stream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expire(now)
 	t := r.streams[s.Attempt]
 	if t == nil {
 		t = &tracked{Stream: s, told: map[string]tells{}}
@@ -155,6 +160,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expire(now)
 	for _, s := range streams {
 		activeAt := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
 		s.AgeMS = 0
@@ -229,7 +235,12 @@
 	return own
 }
 
+// expire drops the streams that are over. It does nothing if it did so a short time ago.
 func (r *Registry) expire(now time.Time) {
+	if now.Sub(r.expiredAt) < expireInterval {
+		return
+	}
+	r.expiredAt = now
 	maps.DeleteFunc(r.streams, func(_ id.Request, t *tracked) bool { return now.Sub(t.activeAt) > r.lifetime })
 }
 
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -144,3 +145,15 @@
 	is.Equal(len(v.Report(start.Add(time.Second)).Seen), 2)
 	is.True(!v.Mixed(start.Add(time.Hour)))
 }
+
+// TestExpire guards against streams that are kept for good while one version alone serves,
+// when nothing is told or saved.
+func TestExpire(t *testing.T) {
+	is := is.New(t)
+	r := origin.New()
+	const streams = 1000
+	for i := range streams {
+		r.Record(start.Add(time.Duration(i)*time.Second), origin.Stream{Attempt: id.Request(fmt.Sprint("a", i))})
+	}
+	is.True(r.Len() <= int(origin.DefaultLifetime/time.Second)+2)
+}
