--- a/internal/state/catalog/target.go
+++ b/internal/state/catalog/target.go
@@ -36,6 +36,9 @@
 	// Sequence rises with each record that the target writes about itself; 0 if it
 	// is unknown.
 	Sequence id.Sequence
+	// Revision is the key-value service's revision of the record; 0 if it is unknown. It
+	// orders the records of one era of the service, whoever wrote them.
+	Revision int64
 	// RecordedAt is when this process read the record.
 	RecordedAt time.Time
 	// WarmAt is when the target reaches full speed after its start.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -38,6 +38,8 @@
 	// keepAliveMargin is subtracted from the target's Keep-Alive timeout, so that
 	// no request is sent while the target closes the connection.
 	keepAliveMargin = time.Second
+	// maxKeepAliveSeconds limits the timeout that a target names.
+	maxKeepAliveSeconds = 3600
 
 	// probeInterval is the time between two TCP keep-alive probes.
 	probeInterval = time.Second
@@ -183,7 +185,7 @@
 		if err != nil || seconds < 0 {
 			return 0
 		}
-		return max(time.Duration(seconds)*time.Second-keepAliveMargin, 1)
+		return max(time.Duration(min(seconds, maxKeepAliveSeconds))*time.Second-keepAliveMargin, 1)
 	}
 	return 0
 }
