Records of targets are ordered by the store's revision; an odd one stands for nothing

What callers would see: a replica whose later records (draining, another address) are never believed, or one that is taken for gone, because another writer left one item under its key. Cause: records were ordered by the sequence that the item names, for good; an item that can't be decoded counted as not listed. Change: within one era the store's revision orders records; a sequence is believed for at most 30 s; a known record stands for an item that can't be decoded.

--- a/internal/coordination/directory/absence.go
+++ b/internal/coordination/directory/absence.go
@@ -19,11 +19,15 @@
 // Other entries may still report a successor for a second after it was added.
 const departedRetention = time.Minute
 
+// sequenceTrustTime is how long a record is kept because its sequence is higher than
+// that of the listed one. Targets write again, or their records expire, much sooner.
+const sequenceTrustTime = 30 * time.Second
+
 // departure is what is known of a target that has left.
 type departure struct {
 	at          time.Time
 	incarnation id.Incarnation
-	sequence    id.Sequence
+	version     recordVersion
 }
 
 // markListed records that a target is listed.
@@ -36,7 +40,10 @@
 // sequence that is not known.
 func (d *Directory) hasLeft(t *catalog.Target) bool {
 	left, departed := d.departed[t.ID]
-	return departed && left.incarnation == t.Incarnation && t.Sequence > 0 && t.Sequence <= left.sequence
+	if !departed || left.incarnation != t.Incarnation || t.Sequence == 0 {
+		return false
+	}
+	return t.Sequence == left.version.sequence || d.olderThan(t, left.version)
 }
 
 // leftBeforeReturn reports whether the target had left before the service returned from an
@@ -80,7 +87,7 @@
 }
 
 func departureOf(now time.Time, t *catalog.Target) departure {
-	return departure{at: now, incarnation: t.Incarnation, sequence: t.Sequence}
+	return departure{at: now, incarnation: t.Incarnation, version: versionOf(t)}
 }
 
 // listIncomplete reports whether the key-value service's list may lack live
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -175,7 +175,7 @@
 	if known == nil || known.Incarnation != t.Incarnation || !known.SameSoftware(t) {
 		return t
 	}
-	if t.Sequence < known.Sequence {
+	if d.olderThan(t, versionOf(known)) {
 		return known
 	}
 	if t.Sequence > 0 && t.Sequence == known.Sequence {
@@ -185,6 +185,33 @@
 	return t
 }
 
+// recordVersion orders the records of one target.
+type recordVersion struct {
+	sequence   id.Sequence
+	revision   int64
+	recordedAt time.Time
+}
+
+func versionOf(t *catalog.Target) recordVersion {
+	return recordVersion{t.Sequence, t.Revision, t.RecordedAt}
+}
+
+// olderThan reports whether t was written before a known record of the same target.
+// Within one era of the key-value service its revisions tell. Where they do not, the
+// target's sequence does, but not for long: anybody can write a sequence that no later
+// record of the target reaches.
+func (d *Directory) olderThan(t *catalog.Target, known recordVersion) bool {
+	sameEra := !known.recordedAt.Before(d.restoredAt)
+	if sameEra && t.Revision > 0 && known.revision > 0 {
+		return t.Revision < known.revision
+	}
+	since := known.recordedAt
+	if !sameEra {
+		since = d.restoredAt
+	}
+	return t.Sequence < known.sequence && t.RecordedAt.Sub(since) <= sequenceTrustTime
+}
+
 // hasSuccessor reports whether another target has taken the place of this
 // incarnation. The record of the replaced target expires only later.
 func (d *Directory) hasSuccessor(t *catalog.Target) bool {
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -279,3 +279,49 @@
 		})
 	}
 }
+
+// revised returns the record of a target that the service stored at a revision.
+func revised(state catalog.TargetState, sequence id.Sequence, revision int64, at time.Time) *catalog.Target {
+	t := record("t1", state, sequence)
+	t.Revision, t.RecordedAt = revision, at
+	return t
+}
+
+// A record with a sequence that the target never reaches, which another writer left under
+// the target's key, must not hide the target's later records.
+func TestPutForeignSequence(t *testing.T) {
+	const foreign = 1<<53 - 1
+	tests := []struct {
+		name  string
+		apply func(d *directory.Directory)
+		want  catalog.TargetState
+	}{
+		{"a change", func(d *directory.Directory) {
+			d.Put(revised(catalog.Draining, 5, 12, start))
+		}, catalog.Draining},
+		{"a list", func(d *directory.Directory) {
+			d.Replace(start, catalog.Targets{revised(catalog.Draining, 5, 12, start)})
+		}, catalog.Draining},
+		{"an older change", func(d *directory.Directory) {
+			d.Put(revised(catalog.Draining, 5, 9, start))
+		}, catalog.Ready},
+		{"soon after the service's return from an older copy", func(d *directory.Directory) {
+			d.MarkStoreRestored(start.Add(time.Second))
+			d.Put(revised(catalog.Draining, 5, 8, start.Add(2*time.Second)))
+		}, catalog.Ready},
+		{"long after it", func(d *directory.Directory) {
+			d.MarkStoreRestored(start.Add(time.Second))
+			d.Put(revised(catalog.Draining, 25, 40, start.Add(time.Minute)))
+		}, catalog.Draining},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := directory.New()
+			d.Put(revised(catalog.Ready, 4, 10, start))
+			d.Put(revised(catalog.Ready, foreign, 11, start))
+			tt.apply(d)
+			is.Equal(d.View().Targets["m"].Find("t1").State, tt.want)
+		})
+	}
+}
--- a/internal/transport/direct/configreader.go
+++ b/internal/transport/direct/configreader.go
@@ -79,7 +79,7 @@
 
 // putInForce is called when a version is in force. It tells other entries: all of them
 // if the version was read from the key-value service, and some otherwise.
-func (c *configReader) putInForce(v catalog.Version, source configOrigin) {
+func (c *configReader) putInForce(v catalog.Version, source itemSource) {
 	c.tracker.PutInForce(v)
 	c.mu.Lock()
 	c.encoded = nil
--- a/internal/transport/direct/configwatch.go
+++ b/internal/transport/direct/configwatch.go
@@ -10,13 +10,13 @@
 	"foxtailward.example/foxtailward/internal/state/fault"
 )
 
-// configOrigin says how a configuration was read.
-type configOrigin string
+// itemSource says how items of the key-value service were read.
+type itemSource string
 
 const (
-	fromList  configOrigin = "list"
-	fromWatch configOrigin = "watch"
-	fromEntry configOrigin = "entry"
+	fromList  itemSource = "list"
+	fromWatch itemSource = "watch"
+	fromEntry itemSource = "entry"
 )
 
 // watchConfig lists the configuration and then watches it for changes. A watch that
@@ -80,7 +80,7 @@
 // applyConfig puts a configuration in force if it is newer than the current one. It
 // decodes an item only once, and without holding the lock. It logs and returns the error
 // of one that can't be decoded.
-func (w *storeWatcher) applyConfig(i store.Item, era store.Era, origin configOrigin) error {
+func (w *storeWatcher) applyConfig(i store.Item, era store.Era, origin itemSource) error {
 	current, currentEra := w.currentConfig()
 	if i.Key != w.e.deps.Codec.ConfigKey || (current.ModRevision == i.ModRevision && currentEra == era) {
 		return nil
--- a/internal/transport/direct/snapshot.go
+++ b/internal/transport/direct/snapshot.go
@@ -128,7 +128,7 @@
 			return
 		}
 		first := !w.e.targetsListed.Swap(true)
-		listed := w.decodeTargets(s.Items)
+		listed := w.decodeTargets(s.Items, fromEntry)
 		gone := w.e.directory.ReplaceFromPeer(listed)
 		w.delistTargets(gone)
 		w.recordListed(listed...)
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -29,15 +29,16 @@
 }
 
 func (w *storeWatcher) replaceTargets(page store.Page) {
-	listed := w.decodeTargets(page.Items)
+	listed := w.decodeTargets(page.Items, fromList)
 	w.delistTargets(w.e.directory.Replace(w.e.deps.Clock.Now(), listed))
 	w.recordListed(listed...)
 	w.e.targetsListed.Store(true)
 }
 
-// decodeTargets decodes a list of targets and skips items that can't be decoded. It
-// keeps the newest item of each target that has not left.
-func (w *storeWatcher) decodeTargets(items []store.Item) catalog.Targets {
+// decodeTargets decodes a list of targets and keeps the newest item of each target that
+// has not left. An item that can't be decoded says nothing: if its target is known, the
+// known record stands for it.
+func (w *storeWatcher) decodeTargets(items []store.Item, source itemSource) catalog.Targets {
 	now := w.e.deps.Clock.Now()
 	var listed catalog.Targets
 	known := w.targetItems
@@ -46,14 +47,38 @@
 		t, err := w.e.deps.Codec.DecodeTarget(items[i], now)
 		if err != nil {
 			w.logUndecodable(items[i], err)
+			if t = w.knownTarget(items[i].Key); t != nil {
+				listed = append(listed, t)
+				if item, ok := known[items[i].Key]; ok {
+					w.targetItems[item.Key] = item
+				}
+			}
 			continue
 		}
+		if source == fromEntry {
+			// The other entry may have read the item in an earlier era.
+			t.Revision = 0
+		}
 		w.keepNewest(t, items[i], known)
 		listed = append(listed, t)
 	}
 	return listed
 }
 
+// knownTarget returns the known record of the target whose item has the key, or nil.
+func (w *storeWatcher) knownTarget(key string) *catalog.Target {
+	name, ok := w.e.deps.Codec.ParseTargetID(key)
+	if !ok {
+		return nil
+	}
+	for _, targets := range w.e.directory.View().Targets {
+		if t := targets.Find(name); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
 // keepNewest keeps the item of a target that is listed as t, or the known one if that is
 // newer.
 func (w *storeWatcher) keepNewest(t *catalog.Target, item store.Item, known map[string]store.Item) {
