--- a/internal/transport/direct/successor_test.go
+++ b/internal/transport/direct/successor_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -40,6 +41,8 @@
 	env.start()
 	env.is.Equal(env.do("POST", "/u/x", "a1", "body").status, http.StatusOK)
 	env.is.Equal(env.do("POST", "/u/x", "a2", "crash").status, http.StatusBadGateway)
+	// The crash must not close what starts at the address next.
+	synctest.Wait()
 }
 
 // A target that crashes and is restarted under another name must be used again,
