Copies that are ordered count at their holder, and are spread

Cause: after the loss of the holders, a new copy was ordered but not counted at its new holder, so that all streams of all entries chose the same engines, most of which had just started; an engine without room was asked again each 200 ms. Change: Attempt.MoveBackup and RefuseBackup; the holder is drawn among those that cost about the same.

--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -32,12 +32,8 @@
 	r.Running++
 	r.PrefillTokens += request.PromptTokens
 	r.MemoryTokens += request.memory()
-	if c.Backup != nil {
-		backup := b.record(now, c.Backup)
-		backup.Backups++
-		backup.MemoryTokens += request.memory()
-	}
-	attempt := &Attempt{balancer: b, request: request, target: c.Target, backup: c.Backup, cancel: cancel}
+	attempt := &Attempt{balancer: b, request: request, target: c.Target, cancel: cancel}
+	attempt.setBackup(now, c.Backup)
 	b.waiting[attempt] = struct{}{}
 	return attempt
 }
@@ -95,10 +91,41 @@
 	rec := a.balancer.record(now, a.target)
 	rec.Running = max(0, rec.Running-1)
 	rec.MemoryTokens = max(0, rec.MemoryTokens-a.request.memory())
+	a.setBackup(now, nil)
+}
+
+// MoveBackup counts the attempt's backup copy at another engine, from when the copy is
+// ordered; nil for none. After the attempt has ended it does nothing.
+func (a *Attempt) MoveBackup(now time.Time, to *catalog.Target) {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	if !a.ended {
+		a.setBackup(now, to)
+	}
+}
+
+// RefuseBackup records that an engine had no room for the attempt's backup copy.
+func (a *Attempt) RefuseBackup(now time.Time, by *catalog.Target) {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	a.balancer.record(now, by).noBackupsUntil = now.Add(backupRefusedTime)
+	if !a.ended && a.backup != nil && a.backup.ID == by.ID {
+		a.setBackup(now, nil)
+	}
+}
+
+// setBackup moves what is counted for the backup copy. The caller holds the lock.
+func (a *Attempt) setBackup(now time.Time, to *catalog.Target) {
 	if a.backup != nil {
-		backup := a.balancer.record(now, a.backup)
-		backup.Backups = max(0, backup.Backups-1)
-		backup.MemoryTokens = max(0, backup.MemoryTokens-a.request.memory())
+		old := a.balancer.record(now, a.backup)
+		old.Backups = max(0, old.Backups-1)
+		old.MemoryTokens = max(0, old.MemoryTokens-a.request.memory())
+	}
+	a.backup = to
+	if to != nil {
+		r := a.balancer.record(now, to)
+		r.Backups++
+		r.MemoryTokens += a.request.memory()
 	}
 }
 
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -19,6 +19,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -189,24 +190,41 @@
 	return b.backup(now, request, targets, runner, tried)
 }
 
-// backup returns the engine of lowest backup cost that runs the same version of its
-// software as the runner, in another zone.
+// backup returns an engine of low backup cost that runs the same version of its
+// software as the runner, in another zone. Among engines that cost at most
+// backupTolerance more than the cheapest, it draws one: after the loss of a zone all
+// entries look for backups at the same time, with the same knowledge.
 func (b *Balancer) backup(now time.Time, request Request, targets catalog.Targets, runner *catalog.Target, tried map[id.Target]bool) *catalog.Target {
 	if request.Engine == nil || !request.Engine.SupportsBackup {
 		return nil
 	}
-	var best *catalog.Target
-	least := 0.0
+	candidates := make(catalog.Targets, 0, len(targets))
+	costs := make([]float64, 0, len(targets))
 	for _, t := range targets {
 		if t.State != catalog.Ready || t.ID == runner.ID || t.Zone == runner.Zone || !t.SameSoftware(runner) || tried[t.ID] || b.isReplaced(now, t) {
 			continue
 		}
-		cost := b.backupCost(now, request, t)
-		if cost < suspectCost && (best == nil || cost < least) {
-			best, least = t, cost
+		if cost := b.backupCost(now, request, t); cost < suspectCost {
+			candidates, costs = append(candidates, t), append(costs, cost)
+		}
+	}
+	return b.drawCheap(candidates, costs)
+}
+
+// drawCheap draws one of the targets that cost at most backupTolerance more than the
+// cheapest. It returns nil if there are no targets.
+func (b *Balancer) drawCheap(targets catalog.Targets, costs []float64) *catalog.Target {
+	if len(targets) == 0 {
+		return nil
+	}
+	most := slices.Min(costs) + backupTolerance
+	var cheap catalog.Targets
+	for i, t := range targets {
+		if costs[i] <= most {
+			cheap = append(cheap, t)
 		}
 	}
-	return best
+	return cheap[int(b.random()*float64(len(cheap)))]
 }
 
 // Suspected reports whether new requests avoid the target.
--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -37,6 +37,9 @@
 	// repeated prompt to the engine that it hashes to. It is less than the wait
 	// for another prompt.
 	affinityCost = 0.35
+	// backupTolerance is the most additional cost that is accepted to spread backup
+	// copies. It is about that of two generations.
+	backupTolerance = 0.3
 	// jitter spreads the choices of entries that see the same costs.
 	jitter = 0.03
 	// suspectCost is more than any cost of a target that is not suspected.
@@ -82,9 +85,9 @@
 
 func (b *Balancer) backupCost(now time.Time, request Request, t *catalog.Target) float64 {
 	l := b.total(b.record(now, t), t)
-	cost := jitter*b.random() + runCost*float64(l.Running+l.Backups) + memoryCost*memoryShare(request, l)
+	cost := runCost*float64(l.Running+l.Backups) + memoryCost*memoryShare(request, l)
 	cost += float64(l.PrefillTokens) / prefillPerSecond
-	if b.suspected(now, t) {
+	if b.suspected(now, t) || now.Before(b.record(now, t).noBackupsUntil) {
 		cost += suspectCost
 	}
 	return cost
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -18,6 +18,10 @@
 	// to another one. After that time it is no longer listed.
 	replacedTime = 10 * time.Second
 
+	// backupRefusedTime is how long an engine that had no room for a backup copy gets no
+	// further ones.
+	backupRefusedTime = time.Second
+
 	// failureHalfLife is the time in which the share of failures halves while
 	// nothing is sent.
 	failureHalfLife = 2 * time.Second
@@ -49,6 +53,10 @@
 	// belong to another one. Until then, nothing is sent there under this name.
 	replacedUntil time.Time
 
+	// noBackupsUntil is the time until which the engine gets no backup copies, because it
+	// had no room for one.
+	noBackupsUntil time.Time
+
 	// failures is the share of failures at failuresAt. Refused and lost attempts
 	// count as failures too.
 	failures   float64
--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -140,7 +141,7 @@
 
 // maintainCopy has the run copied to another engine if the holder of the copy is
 // lost, and refreshes copies that the engine does not update by itself.
-func (s *stream) maintainCopy(ctx context.Context, source *catalog.Target) {
+func (s *stream) maintainCopy(ctx context.Context, run *balance.Attempt, source *catalog.Target) {
 	c := s.c
 	now := c.now()
 	holder, requested, calledAt, due := s.copyTracker.checkDue(now)
@@ -152,19 +153,23 @@
 	switch {
 	case lost:
 		holder = c.e.balancer.BackupFor(now, c.requirements, targets, source, c.tried)
+		run.MoveBackup(now, holder)
 	case !requested || now.Sub(calledAt) < copyRefreshInterval:
 		return
 	}
 	if holder == nil {
 		return
 	}
-	go s.copyTo(ctx, s.copyTracker.callStarted(now), source, holder)
+	go s.copyTo(ctx, run, s.copyTracker.callStarted(now), source, holder)
 }
 
-// copyTo has the running engine copy the run to the holder.
-func (s *stream) copyTo(ctx context.Context, run int, source, holder *catalog.Target) {
+// copyTo has the running engine copy the run to the holder. number is that of the run.
+func (s *stream) copyTo(ctx context.Context, run *balance.Attempt, number int, source, holder *catalog.Target) {
 	handle, err := s.c.e.requestCopy(ctx, source, holder, s.c.meta.Attempt)
-	s.copyTracker.callEnded(run, holder, direct.CopyRef{Address: source.Address, Handle: handle}, err)
+	s.copyTracker.callEnded(number, holder, direct.CopyRef{Address: source.Address, Handle: handle}, err)
+	if err != nil {
+		run.RefuseBackup(s.c.now(), holder)
+	}
 	fields := []any{"target", source.ID, "holder", holder.ID, "zone", holder.Zone}
 	if err != nil {
 		fields = append(fields, "error", err)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -251,7 +251,7 @@
 		if err := s.writeEvent(answer, &next); err != nil {
 			return balance.ClientCancelled, err
 		}
-		s.maintainCopy(ctx, a.choice.Target)
+		s.maintainCopy(ctx, run, a.choice.Target)
 		s.reportCopy()
 	}
 }
