A zone counts as lost by the share of its targets that all entries have lost

Cause: two losses within 0.8 s made a zone lost, whoever reported them, unless this entry had itself heard from as many targets. Entries report losses and not signs of life, so the more entries there are, the more often two of them lose a target each by chance. Change: losses that other entries report count only together with a fifth of the zone's targets; an entry's own two losses count as before.

--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -148,7 +148,7 @@
 		rec.recordOutcome(now, 1)
 		rec.suspect(now)
 		b.lost[t.Key()] = now
-		return b.recordLoss(now, t)
+		return b.recordLoss(now, t, true)
 	case Replaced:
 		rec.replacedUntil = now.Add(replacedTime)
 		b.replaced[t.Key()] = now
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -96,6 +96,11 @@
 
 // Balancer tracks the load and the health of targets as one entry sees them.
 type Balancer struct {
+	// GroupSize returns how many targets of a service are listed in a zone. If it is nil,
+	// the targets that have been considered are counted. It must not be changed once the
+	// Balancer is in use.
+	GroupSize func(id.Service, id.Zone) int
+
 	zone   id.Zone
 	random func() float64
 
@@ -325,7 +330,7 @@
 	g := groupOf(t)
 	z := b.groups[g]
 	if z == nil {
-		z = &zoneRecord{losses: map[id.Target]time.Time{}}
+		z = &zoneRecord{losses: map[id.Target]loss{}}
 		b.groups[g] = z
 	}
 	return z
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -135,7 +135,7 @@
 	defer b.mu.Unlock()
 	at := now.Add(-ago)
 	z := b.zoneRecord(t)
-	if last, known := z.losses[t.ID]; known && at.Sub(last) < lossReportTime {
+	if last, known := z.losses[t.ID]; known && at.Sub(last.at) < lossReportTime {
 		return false
 	}
 	r := b.record(now, t)
@@ -145,5 +145,5 @@
 	if until := at.Add(minSuspectTime); until.After(r.suspectUntil) {
 		r.suspectUntil = until
 	}
-	return b.recordLoss(at, t)
+	return b.recordLoss(at, t, false)
 }
--- a/internal/coordination/balance/zone.go
+++ b/internal/coordination/balance/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -17,6 +18,10 @@
 	// makes the whole zone suspect. The zone is not suspected while at least as
 	// many of its targets have sent something since the first of the losses.
 	zoneLosses = 2
+	// zoneLossShare is the share of a zone's targets that must be lost in addition if
+	// other entries report losses. The more entries there are, the more often some of
+	// them lose a target each by chance, and they do not report which targets live.
+	zoneLossShare = 0.2
 	// zoneSuspectTime is how long the targets of a lost zone are avoided if they
 	// were known before the loss. After that time, targets that have ended are
 	// no longer listed, and targets that started again count as new ones.
@@ -34,11 +39,32 @@
 
 // zoneRecord holds the recent losses of a group of targets.
 type zoneRecord struct {
-	losses map[id.Target]time.Time
+	losses map[id.Target]loss
 	// lostAt is when the group was last lost.
 	lostAt time.Time
 }
 
+// loss is the latest loss of a target.
+type loss struct {
+	at time.Time
+	// own is set if this entry lost the target, and not only others.
+	own bool
+}
+
+// losses counts the targets of a group that were lost within zoneWindow. first is when
+// the first of them was.
+type losses struct {
+	count int
+	first time.Time
+}
+
+func (l *losses) add(at time.Time) {
+	if l.count == 0 || at.Before(l.first) {
+		l.first = at
+	}
+	l.count++
+}
+
 // mayBeLost reports whether a target may have been lost with its group: it was
 // known at that time and has sent nothing since.
 func (z *zoneRecord) mayBeLost(now time.Time, r *record) bool {
@@ -50,50 +76,71 @@
 	return !z.lostAt.IsZero() && now.Sub(z.lostAt) <= zoneWindow
 }
 
-// addLoss records the loss of a target. It returns how many targets were lost
-// within zoneWindow, and when the first of them was.
-func (z *zoneRecord) addLoss(now time.Time, name id.Target) (int, time.Time) {
-	z.losses[name] = now
-	first := now
-	for other, at := range z.losses {
-		if now.Sub(at) > zoneWindow {
+// addLoss records the loss of a target, seen by this entry or another one. It returns the
+// recent losses that this entry has seen, and those that any entry has.
+func (z *zoneRecord) addLoss(now time.Time, name id.Target, own bool) (ownLosses, allLosses losses) {
+	z.losses[name] = loss{now, own || z.losses[name].own}
+	for other, l := range z.losses {
+		if now.Sub(l.at) > zoneWindow {
 			delete(z.losses, other)
 			continue
 		}
-		if at.Before(first) {
-			first = at
+		allLosses.add(l.at)
+		if l.own {
+			ownLosses.add(l.at)
 		}
 	}
-	return len(z.losses), first
+	return ownLosses, allLosses
 }
 
 // recordLoss records the loss of a target, and reports whether its group newly
 // counts as lost because of it. If the group counts as lost, the attempts that
 // wait for a suspected target of the group are cancelled, since they would wait
 // in vain.
-func (b *Balancer) recordLoss(now time.Time, t *catalog.Target) bool {
+func (b *Balancer) recordLoss(now time.Time, t *catalog.Target, own bool) bool {
 	if b.ownHostFault(now) {
 		return false
 	}
-	z := b.zoneRecord(t)
-	lost, first := z.addLoss(now, t.ID)
-	if lost < zoneLosses || lost <= b.activeTargets(groupOf(t), first) {
+	z, g := b.zoneRecord(t), groupOf(t)
+	ownLosses, allLosses := z.addLoss(now, t.ID, own)
+	leastOfAll := max(zoneLosses, int(math.Ceil(zoneLossShare*float64(b.groupSize(g)))))
+	if !b.prevails(g, ownLosses, zoneLosses) && !b.prevails(g, allLosses, leastOfAll) {
 		return false
 	}
-	if b.otherZoneLost(now, groupOf(t)) {
+	if b.otherZoneLost(now, g) {
 		b.attributeToOwnHost(now, t.Service)
 		return false
 	}
 	newlyLost := !z.lostRecently(now)
 	z.lostAt = now
 	for attempt := range b.waiting {
-		if groupOf(attempt.target) == groupOf(t) && attempt.cancel != nil && b.suspected(now, attempt.target) {
+		if groupOf(attempt.target) == g && attempt.cancel != nil && b.suspected(now, attempt.target) {
 			attempt.cancel()
 		}
 	}
 	return newlyLost
 }
 
+// prevails reports whether there are at least so many losses in a group, and more than
+// targets that have sent something since the first of them.
+func (b *Balancer) prevails(g group, l losses, least int) bool {
+	return l.count >= least && l.count > b.activeTargets(g, l.first)
+}
+
+// groupSize returns the number of targets in a group.
+func (b *Balancer) groupSize(g group) int {
+	if b.GroupSize != nil {
+		return b.GroupSize(g.service, g.zone)
+	}
+	n := 0
+	for _, r := range b.targets {
+		if r.group == g {
+			n++
+		}
+	}
+	return n
+}
+
 // otherZoneLost reports whether another zone of the group's service has just
 // been lost. Zones are assumed not to fail together, while a fault of the
 // entry's own host or link looks like a loss of all of them.
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -175,6 +175,7 @@
 		configured:   make(chan struct{}),
 		roster:       roster.New(cfg.PeerAddress, seedPeers(cfg.PeerAddress, cfg.SeedAddresses)),
 	}
+	e.balancer.GroupSize = e.targetsIn
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.limits = newTargetLimits(e)
 	e.withdrawn, e.buffers = withdrawal.New(), newAnswerBuffers(cfg.Limits.MemoryMB)
@@ -192,6 +193,17 @@
 	return e
 }
 
+// targetsIn returns how many targets of a service are listed in a zone.
+func (e *Entry) targetsIn(service id.Service, zone id.Zone) int {
+	n := 0
+	for _, t := range e.directory.View().Targets[service] {
+		if t.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // observeStream records a complete stream of a service, for minStreamTime.
 func (e *Entry) observeStream(service id.Service, events int, took time.Duration) {
 	e.estimatorsMu.Lock()
