Entries report each prompt at once, in messages of what has changed

Cause: what an entry knew of the others' work was 0.45 s old with 31 entries and 1.5 s with 103, while a prompt holds an engine for a second; each lost run sent the complete state to all entries. Change: notices, which hold what has just changed: losses, the loads that changed, turns, limits. At most one each 20 ms or 1 ms times the number of entries, so that what an entry receives has a bound. An engine's backlog of prompts is estimated from them and shrinks with time. An update names at most 16 other entries.

--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -31,6 +31,7 @@
 	r := b.record(now, c.Target)
 	r.Running++
 	r.PrefillTokens += request.PromptTokens
+	b.addBacklog(now, c.Target.ID, request.PromptTokens)
 	r.MemoryTokens += request.memory()
 	attempt := &Attempt{balancer: b, request: request, target: c.Target, cancel: cancel}
 	attempt.setBackup(now, c.Backup)
@@ -68,6 +69,11 @@
 	delete(a.balancer.waiting, a)
 	rec := a.balancer.record(now, a.target)
 	rec.PrefillTokens = max(0, rec.PrefillTokens-a.request.PromptTokens)
+	dropped := 0
+	if !a.started {
+		dropped = a.request.PromptTokens
+	}
+	a.balancer.reduceBacklog(now, a.target.ID, dropped, a.balancer.total(rec, a.target))
 }
 
 // End records the outcome; further calls do nothing. It reports whether the
--- a/internal/coordination/balance/backup_test.go
+++ b/internal/coordination/balance/backup_test.go
@@ -52,7 +52,7 @@
 		for _, target := range ts[33:] {
 			loads[target.ID] = balance.Load{Running: 1, MemoryTokens: 9000}
 		}
-		b.ApplyPeerLoads(start, "other", loads)
+		b.ApplyPeerLoads(start, "other", loads, reportValid)
 		for range copies / entries {
 			holder := b.BackupFor(start, request(), ts, ts[0], nil)
 			b.Start(start, balance.Choice{Target: ts[0], Backup: holder}, request(), nil)
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -112,6 +112,8 @@
 	// sums by target.
 	peers  map[id.Entry]peerLoads
 	others map[id.Target]Load
+	// backlogs estimates what engines have yet to compute.
+	backlogs map[id.Target]backlog
 	// lost holds when targets were lost, to report recent losses to the other
 	// entries.
 	lost map[id.TargetIncarnation]time.Time
@@ -131,7 +133,7 @@
 	return &Balancer{
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, links: map[id.Zone]*linkRecord{}, waiting: map[*Attempt]struct{}{},
-		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, lost: map[id.TargetIncarnation]time.Time{},
+		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, backlogs: map[id.Target]backlog{}, lost: map[id.TargetIncarnation]time.Time{},
 		replaced: map[id.TargetIncarnation]time.Time{},
 	}
 }
@@ -307,9 +309,10 @@
 }
 
 // Forget drops the records of targets that are gone.
-func (b *Balancer) Forget(gone catalog.Targets) {
+func (b *Balancer) Forget(now time.Time, gone catalog.Targets) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetBacklogs(now)
 	for _, t := range gone {
 		delete(b.targets, t.ID)
 	}
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -14,6 +14,9 @@
 
 var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
 
+// reportValid is how long the reports of other entries count.
+const reportValid = 2 * time.Second
+
 func engine() *catalog.Engine {
 	return &catalog.Engine{MemoryTokens: 88000, SupportsBackup: true}
 }
@@ -243,10 +246,10 @@
 	is := is.New(t)
 	b := newBalancer()
 	ts := targets("m", 1, "a", "b")
-	b.ApplyPeerLoads(start, "e2", map[id.Target]balance.Load{ts[0].ID: {Running: 1, PrefillTokens: 8000, MemoryTokens: 9000}})
+	b.ApplyPeerLoads(start, "e2", map[id.Target]balance.Load{ts[0].ID: {Running: 1, PrefillTokens: 8000, MemoryTokens: 9000}}, reportValid)
 	choice, _ := b.Choose(start, request(), ts, nil)
 	is.Equal(choice.Target.ID, ts[1].ID)
-	b.ApplyPeerLoads(start.Add(3*time.Second), "e3", nil)
+	b.ApplyPeerLoads(start.Add(3*time.Second), "e3", nil, reportValid)
 	choice, _ = b.Choose(start.Add(3*time.Second), request(), ts, nil)
 	is.Equal(choice.Target.ID, ts[0].ID)
 }
--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -50,7 +50,7 @@
 	r := b.record(now, t)
 	cost := jitter*b.random() + failureCost*r.failureShare(now)
 	if request.Engine != nil {
-		cost += b.engineCost(request, r, t)
+		cost += b.engineCost(now, request, r, t)
 	} else {
 		cost += b.serviceCost(r, t)
 	}
@@ -66,9 +66,9 @@
 	return cost
 }
 
-func (b *Balancer) engineCost(request Request, r *record, t *catalog.Target) float64 {
+func (b *Balancer) engineCost(now time.Time, request Request, r *record, t *catalog.Target) float64 {
 	l := b.total(r, t)
-	cost := float64(l.PrefillTokens)/prefillPerSecond + runCost*float64(l.Running) + backupHeldCost*float64(l.Backups)
+	cost := b.backlogOf(now, t.ID, l)/prefillPerSecond + runCost*float64(l.Running) + backupHeldCost*float64(l.Backups)
 	if t.Zone != b.zone {
 		cost += otherZoneCost
 	}
@@ -86,7 +86,7 @@
 func (b *Balancer) backupCost(now time.Time, request Request, t *catalog.Target) float64 {
 	l := b.total(b.record(now, t), t)
 	cost := runCost*float64(l.Running+l.Backups) + memoryCost*memoryShare(request, l)
-	cost += float64(l.PrefillTokens) / prefillPerSecond
+	cost += b.backlogOf(now, t.ID, l) / prefillPerSecond
 	if b.suspected(now, t) || now.Before(b.record(now, t).noBackupsUntil) {
 		cost += suspectCost
 	}
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -7,12 +7,8 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-const (
-	// peerLoadTTL is how long the loads that another entry reported are counted.
-	peerLoadTTL = 2 * time.Second
-	// lossReportTime is how long a loss is reported to the other entries.
-	lossReportTime = time.Second
-)
+// lossReportTime is how long a loss is reported to the other entries.
+const lossReportTime = time.Second
 
 // Load is what one entry has in flight at a target.
 type Load struct {
@@ -32,9 +28,10 @@
 	l.Backups += sign * o.Backups
 }
 
-// peerLoads is the last report of another entry.
+// peerLoads is what another entry has in flight, by its last report and the changes that
+// it has reported since. It counts until the given time.
 type peerLoads struct {
-	at    time.Time
+	until time.Time
 	loads map[id.Target]Load
 }
 
@@ -51,34 +48,73 @@
 	return loads
 }
 
-// ApplyPeerLoads records what another entry has in flight, and drops the
-// reports of entries that have sent none for peerLoadTTL.
-func (b *Balancer) ApplyPeerLoads(now time.Time, from id.Entry, loads map[id.Target]Load) {
+// LoadAt returns what this entry has in flight at a target.
+func (b *Balancer) LoadAt(name id.Target) Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.targets[name]; r != nil {
+		return r.Load
+	}
+	return Load{}
+}
+
+// ApplyPeerLoads records what another entry has in flight, which counts for validFor, and
+// drops the reports that no longer count.
+func (b *Balancer) ApplyPeerLoads(now time.Time, from id.Entry, loads map[id.Target]Load, validFor time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	known := b.peers[from].loads
+	for name, l := range loads {
+		b.addBacklog(now, name, l.PrefillTokens-known[name].PrefillTokens)
+	}
 	b.dropPeer(from)
-	b.peers[from] = peerLoads{at: now, loads: loads}
+	b.peers[from] = peerLoads{until: now.Add(validFor), loads: loads}
 	for name, l := range loads {
-		sum := b.others[name]
-		sum.add(l, 1)
-		b.others[name] = sum
+		b.addOthers(name, l, 1)
 	}
 	for name, p := range b.peers {
-		if now.Sub(p.at) > peerLoadTTL {
+		if now.After(p.until) {
 			b.dropPeer(name)
 		}
 	}
 }
 
+// ApplyPeerLoadChanges records what another entry has in flight at some targets. What it
+// has at others is as before, and all of it counts for validFor.
+func (b *Balancer) ApplyPeerLoadChanges(now time.Time, from id.Entry, changes map[id.Target]Load, validFor time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.peers[from]
+	if p.loads == nil {
+		p.loads = map[id.Target]Load{}
+	}
+	p.until = now.Add(validFor)
+	for name, l := range changes {
+		b.addBacklog(now, name, l.PrefillTokens-p.loads[name].PrefillTokens)
+		b.addOthers(name, p.loads[name], -1)
+		b.addOthers(name, l, 1)
+		p.loads[name] = l
+		if l == (Load{}) {
+			delete(p.loads, name)
+		}
+	}
+	b.peers[from] = p
+}
+
+// addOthers adds a load to the sums, or subtracts it if sign is -1.
+func (b *Balancer) addOthers(name id.Target, l Load, sign int) {
+	sum := b.others[name]
+	sum.add(l, sign)
+	b.others[name] = sum
+	if sum == (Load{}) {
+		delete(b.others, name)
+	}
+}
+
 // dropPeer subtracts an entry's report from the sums.
 func (b *Balancer) dropPeer(name id.Entry) {
 	for target, l := range b.peers[name].loads {
-		sum := b.others[target]
-		sum.add(l, -1)
-		b.others[target] = sum
-		if sum == (Load{}) {
-			delete(b.others, target)
-		}
+		b.addOthers(target, l, -1)
 	}
 	delete(b.peers, name)
 }
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -49,16 +49,22 @@
 	// Announcement is set if the message reports only that Version is in force, and what
 	// Streams, Asks and Versions say. It says nothing about what is left out.
 	Announcement bool `json:"announcement,omitempty"`
+	// Notice is set if the message reports what has just changed. It says nothing about
+	// KnownPeers, Runs, and the loads of targets that LoadChanges leaves out.
+	Notice bool `json:"notice,omitempty"`
 	// StopsInMS is the time in milliseconds until a draining entry stops; 0 if it
 	// is not draining.
 	StopsInMS int64 `json:"stopsInMs,omitempty"`
 	// StoreReachable is set if the entry can reach the key-value service.
 	StoreReachable bool `json:"reachesStore,omitempty"`
 	// KnownPeers holds the addresses of the other entries that the sender receives
-	// updates from.
+	// updates from, or some of them if there are many.
 	KnownPeers []string `json:"known,omitempty"`
 	// Loads is what the entry has in flight at each target.
 	Loads map[id.Target]balance.Load `json:"loads,omitempty"`
+	// LoadChanges is what the entry has in flight at the targets where that has changed
+	// since the last message.
+	LoadChanges map[id.Target]balance.Load `json:"loadChanges,omitempty"`
 	// Runs are the runs of unfinished streams that are copied to another engine.
 	Runs []handover.Run `json:"runs,omitempty"`
 	// Retries counts the recent requests and retries to each service.
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -9,13 +9,16 @@
 	"sync/atomic"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/roster"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/timing"
 )
 
 // Times and limits of the exchange between entries.
@@ -25,6 +28,17 @@
 	// number. It is at least minUpdateInterval.
 	minUpdateInterval     = 150 * time.Millisecond
 	updateIntervalPerPeer = 15 * time.Millisecond
+	// The interval between notices is at least noticeIntervalPerPeer times the number of
+	// other entries, so that the notices that an entry receives do not grow with their
+	// number either.
+	minNoticeInterval     = 20 * time.Millisecond
+	noticeIntervalPerPeer = time.Millisecond
+	// loadIntervals is the number of update intervals for which the loads that another
+	// entry has reported count, at least minLoadTime.
+	loadIntervals = 3
+	minLoadTime   = 2 * time.Second
+	// maxMentioned limits the addresses of other entries in an update.
+	maxMentioned = 16
 	// versionReportInterval is the least time between two reports of the versions that have
 	// served, unless a service has just become mixed.
 	versionReportInterval = time.Second
@@ -45,7 +59,7 @@
 	listener     net.Listener
 	incarnation  id.Incarnation
 	client       *http.Client
-	// urgent triggers an update before the next one is due.
+	// urgent triggers a notice.
 	urgent chan struct{}
 
 	// sendMu guards sequence and versionsSentAt, which is when the versions that have
@@ -61,6 +75,9 @@
 	// nextSnapshotAt is when the next one may be read.
 	snapshotReading bool
 	nextSnapshotAt  time.Time
+	// changedLoads holds the targets at which this entry's load has changed since the last
+	// message.
+	changedLoads map[id.Target]struct{}
 }
 
 // openPeerExchange opens the UDP and TCP sockets for other entries.
@@ -79,7 +96,7 @@
 		e: e, roster: e.roster, storeWatcher: w, conn: conn, listener: listener,
 		incarnation: id.Incarnation(e.deps.Clock.Now().UnixMilli()),
 		client:      &http.Client{Transport: peerTransport(e.deps.Dial)},
-		urgent:      make(chan struct{}, 1),
+		urgent:      make(chan struct{}, 1), changedLoads: map[id.Target]struct{}{},
 	}
 	x.configs = newConfigReader(e, x)
 	return x, nil
@@ -124,32 +141,90 @@
 	wg.Wait()
 }
 
-// sendLoop periodically sends updates to the other entries.
+// sendLoop periodically sends updates to the other entries, and notices in between.
 func (x *peerExchange) sendLoop(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		now := x.e.deps.Clock.Now()
 		addresses := x.roster.Addresses(now)
 		x.e.observeVersions()
-		x.send(addresses, x.e.quarantine.Changes(now))
+		// An update reports all loads.
+		x.takeLoadChanges()
+		x.sendUpdate(addresses, x.e.quarantine.Changes(now), x.mentioned(now))
 		x.tellStreams(now)
-		pause := max(minUpdateInterval, time.Duration(len(addresses))*updateIntervalPerPeer)
+		x.sendNotices(ctx, updateInterval(len(addresses)))
+	}
+}
+
+func updateInterval(peers int) time.Duration {
+	return max(minUpdateInterval, time.Duration(peers)*updateIntervalPerPeer)
+}
+
+// sendNotices sends notices as they are triggered, for the time until the next update.
+func (x *peerExchange) sendNotices(ctx context.Context, until time.Duration) {
+	due := x.e.deps.Clock.After(until)
+	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-due:
+			return
 		case <-x.urgent:
-		case <-x.e.deps.Clock.After(pause):
 		}
+		addresses := x.roster.Addresses(x.e.deps.Clock.Now())
+		x.sendNotice(addresses)
+		pause := max(minNoticeInterval, time.Duration(len(addresses))*noticeIntervalPerPeer)
+		if !timing.Sleep(ctx, x.e.deps.Clock, pause) {
+			return
+		}
+	}
+}
+
+// mentioned returns some of the other entries that an update names. Those that it leaves
+// out are named by others, and by later updates.
+func (x *peerExchange) mentioned(now time.Time) []string {
+	alive := x.roster.Alive(now)
+	if len(alive) <= maxMentioned {
+		return alive
 	}
+	first := int(x.e.deps.Random() * float64(len(alive)))
+	return append(alive[first:], alive[:first]...)[:maxMentioned]
 }
 
-// updatePeers triggers an update to the other entries at once, if there can be any.
+// updatePeers triggers a notice to the other entries, if there can be any.
 func (e *Entry) updatePeers() {
 	if e.peerExchange != nil {
 		e.peerExchange.sendNow()
 	}
 }
 
-// sendNow triggers an update at once. It never blocks.
+// loadChanged has the next message report the load at a target. A prompt is reported at
+// once, so that other entries send theirs elsewhere.
+func (e *Entry) loadChanged(t *catalog.Target, atOnce bool) {
+	x := e.peerExchange
+	if x == nil {
+		return
+	}
+	x.mu.Lock()
+	x.changedLoads[t.ID] = struct{}{}
+	x.mu.Unlock()
+	if atOnce {
+		x.sendNow()
+	}
+}
+
+// takeLoadChanges returns the loads that have changed since the last call.
+func (x *peerExchange) takeLoadChanges() map[id.Target]balance.Load {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	changes := make(map[id.Target]balance.Load, len(x.changedLoads))
+	for name := range x.changedLoads {
+		changes[name] = x.e.balancer.LoadAt(name)
+	}
+	clear(x.changedLoads)
+	return changes
+}
+
+// sendNow triggers a notice. It never blocks.
 func (x *peerExchange) sendNow() {
 	select {
 	case x.urgent <- struct{}{}:
@@ -157,12 +232,25 @@
 	}
 }
 
-// send sends an update with the given target failures.
-func (x *peerExchange) send(addresses []string, failures []quarantine.Record) {
+// sendUpdate sends the complete state with the given target failures.
+func (x *peerExchange) sendUpdate(addresses []string, failures []quarantine.Record, mentioned []string) {
 	x.sendMu.Lock()
 	defer x.sendMu.Unlock()
-	update := x.update(x.e.deps.Clock.Now())
-	update.Failures = failures
+	now := x.e.deps.Clock.Now()
+	update := x.changes(now)
+	update.Failures, update.KnownPeers = failures, mentioned
+	update.Loads, update.Runs = x.e.balancer.Loads(), x.e.handover.RunsToShare(now)
+	x.encodeAndSend(addresses, update)
+}
+
+// sendNotice sends what has changed.
+func (x *peerExchange) sendNotice(addresses []string) {
+	x.sendMu.Lock()
+	defer x.sendMu.Unlock()
+	now := x.e.deps.Clock.Now()
+	update := x.changes(now)
+	update.Notice, update.LoadChanges = true, x.takeLoadChanges()
+	update.Failures = x.e.quarantine.Changes(now)
 	x.encodeAndSend(addresses, update)
 }
 
@@ -210,9 +298,10 @@
 	return u
 }
 
-func (x *peerExchange) update(now time.Time) *direct.PeerUpdate {
+// changes returns the next message with all that must reach the other entries soon. The
+// caller holds sendMu.
+func (x *peerExchange) changes(now time.Time) *direct.PeerUpdate {
 	u := x.header(now)
-	u.KnownPeers, u.Loads, u.Runs = x.roster.Alive(now), x.e.balancer.Loads(), x.e.handover.RunsToShare(now)
 	u.Leaving = x.e.withdrawn.Reports(now)
 	if x.e.versions.Mixed(now) && (x.versionsDue.Swap(false) || now.Sub(x.versionsSentAt) >= versionReportInterval) {
 		x.versionsSentAt = now
@@ -266,21 +355,23 @@
 	if verdict == roster.First {
 		// Reports the known suspects at once to an entry that has just started.
 		suspects, _ := x.e.quarantine.Suspects(now)
-		x.send([]string{u.Address}, suspects)
+		x.sendUpdate([]string{u.Address}, suspects, x.roster.Alive(now))
 		x.greet(now, u.Address)
 	}
 }
 
 // applyState applies what a message says about its sender's state.
 func (x *peerExchange) applyState(ctx context.Context, now time.Time, u *direct.PeerUpdate) {
-	x.e.balancer.ApplyPeerLoads(now, u.From, u.Loads)
+	x.applyLoads(now, u)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
 	x.e.limits.merge(now, u.Limits)
 	x.e.withdrawn.Merge(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
 	x.mergeVersions(now, u.Versions)
-	x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
+	if !u.Notice {
+		x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
+	}
 	for _, s := range u.Successors {
 		x.storeWatcher.addSuccessor(s)
 	}
@@ -293,6 +384,16 @@
 	}
 }
 
+// applyLoads applies what a message says about its sender's loads.
+func (x *peerExchange) applyLoads(now time.Time, u *direct.PeerUpdate) {
+	validFor := max(minLoadTime, loadIntervals*updateInterval(len(x.roster.Alive(now))))
+	if u.Notice {
+		x.e.balancer.ApplyPeerLoadChanges(now, u.From, u.LoadChanges, validFor)
+		return
+	}
+	x.e.balancer.ApplyPeerLoads(now, u.From, u.Loads, validFor)
+}
+
 func (x *peerExchange) applyLoss(now time.Time, from id.Entry, l *direct.Loss) {
 	for _, targets := range x.e.directory.View().Targets {
 		t := targets.Find(l.Target)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -180,6 +180,8 @@
 		rerouted.Store(true)
 		cancel()
 	})
+	c.e.loadChanged(a.choice.Target, true)
+	defer c.e.loadChanged(a.choice.Target, false)
 	if c.sends > 1 {
 		c.log(event.RecoveryChosen, "target", a.choice.Target.ID, "software", a.choice.Target.SoftwareText(), "reason", a.choice.Reason, "lastEvent", s.lastEventID)
 	}
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -167,7 +167,7 @@
 			forgotten = append(forgotten, g.target)
 		}
 	}
-	w.e.balancer.Forget(forgotten)
+	w.e.balancer.Forget(now, forgotten)
 	w.e.limits.forget(forgotten)
 }
 
