Ordered copies are refreshed each 1.5 s

Cause: a copy that the entry ordered was refreshed each 3.5 s, and engines discard it after 4 s; a loss in silence is noticed 0.45 s late, so the copy was gone, or lacked 3 s of tokens. Change: copyRefreshInterval 3.5 -> 1.5 s.

--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -20,9 +20,9 @@
 	// checked.
 	copyCheckInterval = 200 * time.Millisecond
 	// copyRefreshInterval is how often a copy is updated that the running engine
-	// does not update by itself. It is well below the time after which engines
-	// discard such a copy.
-	copyRefreshInterval = 3500 * time.Millisecond
+	// does not update by itself. A copy must not have been discarded when the loss of
+	// that engine is noticed, and what it lacks is computed again.
+	copyRefreshInterval = 1500 * time.Millisecond
 	// copyCallTimeout limits a call that copies a run or frees a copy.
 	copyCallTimeout = time.Second
 )
