Retry budget: an entry uses its part of what is left

Cause: entries used three quarters of the budget, so that all could retry at once before they heard of each other's retries. Change: within the time that reports take, an entry uses its part of what is left, by its part of the requests; 0.92 of the budget is used.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -7,11 +7,15 @@
 // share of the entries that it hears from, so that the limit also holds when
 // entries lose contact.
 //
+// What entries know of each other's retries is a little old. When a zone of targets is
+// lost, all entries retry at once, so within that time an entry uses only its part of what
+// is left. Then the limit holds however many entries there are.
+//
 // # Usage
 //
 //	b := retry.New(retry.Config{Ratio: 0.8, MinRetries: 150, Window: 10 * time.Second}, now)
 //	b.RecordRequest(now)
-//	if b.TryRetry(now, others, share) { … }
+//	if b.TryRetry(now, retry.Others{Counts: counts, Share: share, Age: age}) { … }
 package retry
 
 import (
@@ -27,6 +31,9 @@
 	MinRetries float64
 	// Window is the time over which requests and retries are counted.
 	Window time.Duration
+	// Random returns a random number in [0, 1). It rounds an entry's part of what is left,
+	// which may be less than one retry.
+	Random func() float64
 }
 
 // buckets is the number of counters into which a window is divided.
@@ -43,6 +50,10 @@
 	// since then.
 	start   time.Time
 	current int64
+	// partFrom is when this entry's part of the remaining retries was last determined, and
+	// part is what is left of it.
+	partFrom time.Time
+	part     int
 }
 
 // New returns a Budget that has counted nothing.
@@ -69,23 +80,51 @@
 	return Counts{sum(b.requests[:]), sum(b.retries[:])}
 }
 
-// TryRetry reports whether a request may be retried, and counts the retry if
-// so. others is what the other entries have reported for the window; share is
-// the share of MinRetries that this entry and those entries may use together.
-func (b *Budget) TryRetry(now time.Time, others Counts, share float64) bool {
-	all := b.Counts(now).Add(others)
-	if float64(all.Retries+1) > b.cfg.Ratio*float64(all.Requests)+b.cfg.MinRetries*share {
+// Others is what an entry knows of the other entries.
+type Others struct {
+	// Counts is what they have reported for the window.
+	Counts Counts
+	// Share is the share of MinRetries that this entry and those entries may use together.
+	Share float64
+	// Age is how old their reports may be.
+	Age time.Duration
+}
+
+// TryRetry reports whether a request may be retried, and counts the retry if so.
+func (b *Budget) TryRetry(now time.Time, others Others) bool {
+	own := b.Counts(now)
+	all := own.Add(others.Counts)
+	left := b.cfg.Ratio*float64(all.Requests) + b.cfg.MinRetries*others.Share - float64(all.Retries)
+	if left < 1 {
 		return false
 	}
+	if b.partFrom.IsZero() || now.Sub(b.partFrom) >= others.Age {
+		b.partFrom = now
+		b.part = int(left*partOf(own, all) + b.cfg.Random())
+	}
+	if b.part <= 0 {
+		return false
+	}
+	b.part--
 	b.retries[b.bucket()]++
 	return true
 }
 
+// partOf returns the part of the remaining retries that is an entry's, by its part of the
+// requests.
+func partOf(own, all Counts) float64 {
+	if own == all {
+		return 1
+	}
+	return float64(own.Requests) / float64(max(1, all.Requests))
+}
+
 // UndoRetry takes back a retry that TryRetry allowed but that did not reach the
 // service.
 func (b *Budget) UndoRetry(now time.Time) {
 	b.advance(now)
 	b.retries[b.bucket()] = max(0, b.retries[b.bucket()]-1)
+	b.part++
 }
 
 // advance clears the buckets that have left the window.
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -169,7 +169,7 @@
 		handover:     handover.New(),
 		streams:      origin.New(),
 		versions:     origin.NewVersions(),
-		retryBudgets: newRetryBudgets(retryConfig(cfg.Retries)),
+		retryBudgets: newRetryBudgets(retryConfig(cfg.Retries, deps.Random)),
 		estimators:   map[id.Service]*pace.Estimator{},
 		idle:         newIdleConns(deps.Clock),
 		configured:   make(chan struct{}),
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -265,7 +265,7 @@
 	now := c.now()
 	if c.sends == 0 {
 		c.e.retryBudgets.recordRequest(now, c.service)
-	} else if c.reached && !c.e.retryBudgets.tryRetry(now, c.service, c.e.roster.LimitShare(now)) {
+	} else if c.reached && !c.e.retryBudgets.tryRetry(now, c.service, c.e.roster.LimitShare(now), c.reportAge(now)) {
 		c.budgetExhausted = true
 		c.log(event.BudgetExhausted, "service", c.service, "entries", c.e.roster.LimitSharers(now))
 		return false
@@ -274,6 +274,14 @@
 	return true
 }
 
+// reportAge returns how old the other entries' reports of their retries may be.
+func (c *call) reportAge(now time.Time) time.Duration {
+	if c.route.Kind == catalog.Streaming {
+		return streamReportAge
+	}
+	return updateInterval(c.e.roster.LimitSharers(now))
+}
+
 // joinParts returns the parts of a prompt as text for the log.
 func joinParts(parts []direct.PartID) string {
 	var b strings.Builder
--- a/internal/transport/direct/retries.go
+++ b/internal/transport/direct/retries.go
@@ -9,16 +9,22 @@
 	"foxtailward.example/foxtailward/internal/state/settings"
 )
 
-// usableShare is the part of the retry budget that the entries use. The rest
-// covers retries that entries make before they know about each other's.
-const usableShare = 0.75
+const (
+	// usableShare is the part of the retry budget that the entries use. The rest covers
+	// what rounding adds, and reports that are lost.
+	usableShare = 0.92
+	// streamReportAge is how old the other entries' reports of their retries of streams may
+	// be. They report each one at once.
+	streamReportAge = 200 * time.Millisecond
+)
 
 // retryConfig returns the retry budget of all entries together.
-func retryConfig(r settings.Retries) retry.Config {
+func retryConfig(r settings.Retries, random func() float64) retry.Config {
 	return retry.Config{
 		Ratio:      usableShare * r.Ratio,
 		MinRetries: usableShare * r.MinRetries,
 		Window:     time.Duration(r.WindowSeconds * float64(time.Second)),
+		Random:     random,
 	}
 }
 
@@ -58,19 +64,21 @@
 	r.budget(now, service).RecordRequest(now)
 }
 
-// tryRetry reports whether a retry is allowed, and counts it if so.
-func (r *retryBudgets) tryRetry(now time.Time, service id.Service, share float64) bool {
+// tryRetry reports whether a retry is allowed, and counts it if so. share is the part of
+// the common limits that the entries which reach each other may use, and age how old the
+// reports of the others may be.
+func (r *retryBudgets) tryRetry(now time.Time, service id.Service, share float64, age time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var others retry.Counts
+	others := retry.Others{Share: share, Age: age}
 	for name, p := range r.peers {
 		if now.Sub(p.at) > r.cfg.Window {
 			delete(r.peers, name)
 			continue
 		}
-		others = others.Add(p.counts[service])
+		others.Counts = others.Counts.Add(p.counts[service])
 	}
-	return r.budget(now, service).TryRetry(now, others, share)
+	return r.budget(now, service).TryRetry(now, others)
 }
 
 // undoRetry takes back a retry that did not reach the service.
