--- a/internal/coordination/store/era.go
+++ b/internal/coordination/store/era.go
@@ -63,20 +63,12 @@
 
 // While returns a context that ends with ctx, or when a newer era begins.
 func (t *EraTracker) While(ctx context.Context, era Era) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
 	t.mu.Lock()
 	current, ended := t.era == era, t.ended
 	t.mu.Unlock()
+	ctx, cancel := until(ctx, ended)
 	if !current {
 		cancel()
-		return ctx, cancel
 	}
-	go func() {
-		select {
-		case <-ctx.Done():
-		case <-ended:
-			cancel()
-		}
-	}()
 	return ctx, cancel
 }
--- a/internal/coordination/store/store.go
+++ b/internal/coordination/store/store.go
@@ -137,6 +137,9 @@
 	// point, in order, until ctx ends or the watch fails. It always returns an
 	// error, of the kind Restored if the era of the point has ended.
 	Watch func(ctx context.Context, prefix string, after Point, each func(Change)) error
+	// CloseIdle closes the idle connections, which may be dead after an outage. It may be
+	// nil.
+	CloseIdle func()
 	// Grant creates a lease.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease and returns its remaining time. The kind of the
--- a/internal/transport/direct/configwatch.go
+++ b/internal/transport/direct/configwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/store"
@@ -59,13 +60,13 @@
 			}
 			point.Revision = max(point.Revision, c.Item.ModRevision)
 		})
-		superseded := watchCtx.Err() != nil
+		superseded := watchCtx.Err() != nil || errors.Is(err, errReturned)
 		cancelWatch()
 		if fault.Is(err, store.Compacted) || fault.Is(err, store.Restored) {
 			return
 		}
 		if !superseded {
-			w.pause(ctx)
+			w.awaitStore(ctx)
 		}
 	}
 }
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -193,6 +193,8 @@
 	sinceBoot func() time.Duration
 	// watch replaces the watch of targets unless it is nil.
 	watch func(ctx context.Context) error
+	// changeStore changes the key-value service's calls unless it is nil.
+	changeStore func(s *store.Store)
 
 	mu  sync.Mutex
 	got []received
@@ -272,9 +274,13 @@
 
 func (env *testEnv) start() {
 	env.is.NoErr(env.config.ValidateAndIndex())
+	kv := env.store()
+	if env.changeStore != nil {
+		env.changeStore(kv)
+	}
 	env.entry = direct.New(env.settings(), direct.Deps{
 		Clock: clockwork.NewRealClock(), Log: event.NewLogfmtLog(io.MultiWriter(env.t.Output(), &env.log), clockwork.NewRealClock()),
-		Metrics: metrics.NewRegistry(), Store: env.store(), Codec: env.codec(), Dialect: dialect(),
+		Metrics: metrics.NewRegistry(), Store: kv, Codec: env.codec(), Dialect: dialect(),
 		Random: func() float64 { return 0 }, SinceBoot: env.sinceBoot, Listen: env.net.Listen, Dial: env.net.Dial,
 	})
 	env.is.NoErr(env.entry.Listen())
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	e *Entry
 	// eras is the era of the key-value service's answers.
 	eras *store.EraTracker
+	// returns ends watches that began before the service's return from an outage.
+	returns *store.ReturnTracker
 	// mu serializes updates of the directory.
 	mu sync.Mutex
 	// undecodable maps the key of an item that could not be decoded to its
@@ -57,7 +60,7 @@
 }
 
 func newStoreWatcher(e *Entry) *storeWatcher {
-	return &storeWatcher{e: e, eras: store.NewEraTracker(), undecodable: map[string]int64{}, targetItems: map[string]store.Item{}, gone: map[id.TargetIncarnation]goneTarget{}}
+	return &storeWatcher{e: e, eras: store.NewEraTracker(), returns: store.NewReturnTracker(), undecodable: map[string]int64{}, targetItems: map[string]store.Item{}, gone: map[id.TargetIncarnation]goneTarget{}}
 }
 
 // goneTarget is a target that is no longer listed.
@@ -92,14 +95,22 @@
 	return page, true
 }
 
+// errReturned ends a watch that began before the service's return from an outage.
+var errReturned = errors.New("the key-value service has returned from an outage")
+
 // watch calls each for every change of the keys with a prefix, until the watch ends.
 func (w *storeWatcher) watch(ctx context.Context, prefix string, after store.Point, each func(store.Change)) error {
+	watchCtx, cancel := w.returns.While(ctx)
+	defer cancel()
 	start := w.e.deps.Clock.Now()
-	err := w.e.deps.Store.Watch(ctx, prefix, after, func(c store.Change) {
+	err := w.e.deps.Store.Watch(watchCtx, prefix, after, func(c store.Change) {
 		w.withLock(func() { w.storeAnsweredAt = w.e.deps.Clock.Now() })
 		each(c)
 	})
 	w.e.metrics.storeCall("watch", err, w.e.deps.Clock.Since(start))
+	if ctx.Err() == nil && watchCtx.Err() != nil {
+		err = errReturned
+	}
 	if ctx.Err() == nil && !fault.Is(err, store.Compacted) {
 		w.e.deps.Log.Emit(event.WatchEnded, "prefix", prefix, "error", err)
 	}
@@ -135,6 +146,7 @@
 }
 
 func (w *storeWatcher) recordStoreFailure(prefix string, err error) {
+	w.closeIdle()
 	w.withLock(func() {
 		if w.e.directory.MarkStoreUnavailable() {
 			w.e.deps.Log.Emit(event.StoreDown, "prefix", prefix, "error", err)
@@ -161,6 +173,27 @@
 	w.storeAnsweredAt = w.e.deps.Clock.Now()
 	if w.e.directory.MarkStoreAvailable(w.e.deps.Clock.Now()) {
 		w.e.deps.Log.Emit(event.StoreRecovered)
+		w.closeIdle()
+		w.returns.Returned()
+	}
+}
+
+// closeIdle closes connections to the service that may be dead.
+func (w *storeWatcher) closeIdle() {
+	if w.e.deps.Store.CloseIdle != nil {
+		w.e.deps.Store.CloseIdle()
+	}
+}
+
+// awaitStore waits until the service answers again after a watch has failed. It lists no
+// items, because a list of the configuration may be large, and because a watch is not
+// answered before something changes.
+func (w *storeWatcher) awaitStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.pause(ctx)
+		if _, ok := w.list(ctx, w.e.deps.Codec.ConfigKey+"/"); ok {
+			return
+		}
 	}
 }
 
