Entries report the runs of others only to one that has just started

Cause: an entry took another one for silent after 0.4 s without an update, and reported its runs to all. With 28 entries and more the interval of updates is longer than that (0.45 s at 31, 1.5 s at 103), so that each entry reported the runs of all: 103 x 102 messages of all runs each 1.5 s, on links of 20 Mbit/s. Change: broadcasts hold the entry's own runs; those of ended entries go to an entry that has started, from about six others. The test of the old broadcast gives way to TestOrphanedRuns, which also checks that a broadcast holds none of them.

--- a/internal/coordination/handover/handover.go
+++ b/internal/coordination/handover/handover.go
@@ -32,9 +32,6 @@
 	// active. An engine keeps a copy for about as long after it received the last
 	// part.
 	copyTTL = 4 * time.Second
-	// silenceThreshold is how long an entry may send no update before other
-	// entries report its runs.
-	silenceThreshold = 400 * time.Millisecond
 )
 
 // Key identifies a request. It is the same for every attempt of the client to
@@ -120,8 +117,8 @@
 	}
 }
 
-// RunsToShare returns the runs to report to other entries: the local ones, and
-// those reported by entries that have since become silent or restarted.
+// RunsToShare returns the runs of this entry that other entries should know: those that
+// it serves, and those whose streams were interrupted.
 func (r *Registry) RunsToShare(now time.Time) []Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -134,8 +131,19 @@
 	for _, t := range r.ended {
 		runs = append(runs, t.withAge(now))
 	}
+	return runs
+}
+
+// OrphanedRuns returns the runs of entries that have restarted or that have sent no update
+// for longer than silence, for an entry that has just started. The others know them from
+// those entries themselves, so repeating them to all would cost more with each entry.
+func (r *Registry) OrphanedRuns(now time.Time, silence time.Duration) []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	expire(now, r.peers)
+	var runs []Run
 	for _, t := range r.peers {
-		if t.orphaned || (t.owner != Owner{} && now.Sub(t.lastActive) > silenceThreshold) {
+		if t.orphaned || (t.owner != Owner{} && now.Sub(t.lastActive) > silence) {
 			runs = append(runs, t.withAge(now))
 		}
 	}
--- a/internal/coordination/handover/handover_test.go
+++ b/internal/coordination/handover/handover_test.go
@@ -66,26 +66,30 @@
 	is.Equal(len(r.RunsToShare(start.Add(5*time.Second))), 1)
 }
 
-// TestRunsToShareOfPeers checks that an entry reports another entry's runs only
-// when that entry is silent or has restarted. The runs carry their age, because
-// entries that report them to each other would otherwise keep them forever.
-func TestRunsToShareOfPeers(t *testing.T) {
+// TestOrphanedRuns checks that an entry reports another entry's runs only when that entry is
+// silent or has restarted, and never to all. The runs carry their age, because entries that
+// report them to each other would otherwise keep them forever.
+func TestOrphanedRuns(t *testing.T) {
 	is := is.New(t)
+	const silence = 400 * time.Millisecond
 	r := handover.New()
 	r.UpdateFromPeer(start, owner(1), []handover.Run{{Key: "k", Holder: "t"}})
-	is.Equal(len(r.RunsToShare(start)), 0)
-	shared := r.RunsToShare(start.Add(time.Second))
+	is.Equal(len(r.OrphanedRuns(start, silence)), 0)
+	shared := r.OrphanedRuns(start.Add(time.Second), silence)
 	is.Equal(len(shared), 1)
 	is.Equal(shared[0].AgoMS, int64(1000))
+	is.Equal(len(r.OrphanedRuns(start.Add(time.Second), 2*time.Second)), 0)
+	is.Equal(len(r.RunsToShare(start.Add(time.Second))), 0)
 
 	third := handover.New()
 	third.UpdateFromPeer(start.Add(time.Second), handover.Owner{Name: "e2"}, shared)
-	is.Equal(len(third.RunsToShare(start.Add(2*time.Second))), 0) // the report did not come from the run's entry
+	is.Equal(len(third.OrphanedRuns(start.Add(2*time.Second), silence)), 0) // the report did not come from the run's entry
 	_, ok := third.Take(start.Add(4500*time.Millisecond), "k")
 	is.True(!ok)
 
 	r.UpdateFromPeer(start, owner(2), nil)
-	is.Equal(len(r.RunsToShare(start)), 1) // the restarted entry needs the run
+	is.Equal(len(r.OrphanedRuns(start, silence)), 1) // the restarted entry needs the run
+	is.Equal(len(r.RunsToShare(start)), 0)
 }
 
 func TestKeyOf(t *testing.T) {
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -37,6 +37,11 @@
 	// entry has reported count, at least minLoadTime.
 	loadIntervals = 3
 	minLoadTime   = 2 * time.Second
+	// silentIntervals is the number of update intervals after which an entry that has sent
+	// no update counts as ended, so that its runs are reported to one that starts.
+	silentIntervals = 2
+	// orphanReporters is the number of entries that report them.
+	orphanReporters = 6
 	// maxMentioned limits the addresses of other entries in an update.
 	maxMentioned = 16
 	// versionReportInterval is the least time between two reports of the versions that have
@@ -149,7 +154,7 @@
 		x.e.observeVersions()
 		// An update reports all loads.
 		x.takeLoadChanges()
-		x.sendUpdate(addresses, x.e.quarantine.Changes(now), x.mentioned(now))
+		x.sendUpdate(addresses, x.e.quarantine.Changes(now), x.mentioned(now), nil)
 		x.tellStreams(now)
 		x.sendNotices(ctx, updateInterval(len(addresses)))
 	}
@@ -232,17 +237,28 @@
 	}
 }
 
-// sendUpdate sends the complete state with the given target failures.
-func (x *peerExchange) sendUpdate(addresses []string, failures []quarantine.Record, mentioned []string) {
+// sendUpdate sends the complete state with the given target failures, other entries, and
+// runs of other entries.
+func (x *peerExchange) sendUpdate(addresses []string, failures []quarantine.Record, mentioned []string, orphaned []handover.Run) {
 	x.sendMu.Lock()
 	defer x.sendMu.Unlock()
 	now := x.e.deps.Clock.Now()
 	update := x.changes(now)
 	update.Failures, update.KnownPeers = failures, mentioned
-	update.Loads, update.Runs = x.e.balancer.Loads(), x.e.handover.RunsToShare(now)
+	update.Loads, update.Runs = x.e.balancer.Loads(), append(x.e.handover.RunsToShare(now), orphaned...)
 	x.encodeAndSend(addresses, update)
 }
 
+// orphanedRuns returns the runs of entries that have ended, for one that has just started.
+// Of many entries, a few tell it.
+func (x *peerExchange) orphanedRuns(now time.Time) []handover.Run {
+	peers := len(x.roster.Alive(now))
+	if x.e.deps.Random()*float64(peers) >= orphanReporters {
+		return nil
+	}
+	return x.e.handover.OrphanedRuns(now, silentIntervals*updateInterval(peers))
+}
+
 // sendNotice sends what has changed.
 func (x *peerExchange) sendNotice(addresses []string) {
 	x.sendMu.Lock()
@@ -355,7 +371,7 @@
 	if verdict == roster.First {
 		// Reports the known suspects at once to an entry that has just started.
 		suspects, _ := x.e.quarantine.Suspects(now)
-		x.sendUpdate([]string{u.Address}, suspects, x.roster.Alive(now))
+		x.sendUpdate([]string{u.Address}, suspects, x.roster.Alive(now), x.orphanedRuns(now))
 		x.greet(now, u.Address)
 	}
 }
