Plain services: targets are drawn by cost where reports are older than the requests last

Cause: 103 entries took the target that was cheapest by reports up to 1.5 s old. Change: balance.drawService draws with a probability that falls with the cost, the more evenly the older the reports; under 0.2 s (up to 13 entries) the cheapest is taken as before.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -100,6 +100,9 @@
 	// the targets that have been considered are counted. It must not be changed once the
 	// Balancer is in use.
 	GroupSize func(id.Service, id.Zone) int
+	// ReportAge returns how old the other entries' reports of their loads may be. If it is
+	// nil, they are current. It must not be changed once the Balancer is in use.
+	ReportAge func() time.Duration
 
 	zone   id.Zone
 	random func() float64
@@ -155,7 +158,8 @@
 	return c, true
 }
 
-// cheapest returns the target of lowest cost. Among engines that cost at most
+// cheapest returns the target of lowest cost, or one drawn among those of a plain service
+// that cost little more. Among engines that cost at most
 // affinityCost more, it returns the one that the prompt hashes to, which may
 // still have the prompt in its memory.
 func (b *Balancer) cheapest(now time.Time, request Request, targets catalog.Targets, tried map[id.Target]bool) (*catalog.Target, float64) {
@@ -170,6 +174,9 @@
 			best = t
 		}
 	}
+	if best != nil && request.Engine == nil {
+		best = b.drawService(targets, costs, best)
+	}
 	if best == nil || request.Engine == nil || request.Prompt == "" {
 		return best, costs[best]
 	}
--- /dev/null
+++ b/internal/coordination/balance/draw.go
@@ -0,0 +1,60 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+)
+
+const (
+	// maxTemperature is the difference in cost, in shares of a plain service's slots, at
+	// which a target is chosen e times less often, if the other entries' reports are as
+	// old as fullTemperatureAge.
+	maxTemperature     = 0.5
+	fullTemperatureAge = time.Second
+	// currentAge is the age up to which reports count as current.
+	currentAge = 200 * time.Millisecond
+)
+
+// drawService draws a target of a plain service, with a probability that falls with its
+// cost. Requests of such services end long before the other entries' next reports, so if
+// all entries took the target that is cheapest by the last ones, they would overload it
+// until then. While the reports are current, it returns best, the cheapest target.
+func (b *Balancer) drawService(targets catalog.Targets, costs map[*catalog.Target]float64, best *catalog.Target) *catalog.Target {
+	temperature := b.temperature()
+	if temperature == 0 {
+		return best
+	}
+	weight := func(t *catalog.Target) float64 {
+		cost, known := costs[t]
+		if !known {
+			return 0
+		}
+		return math.Exp((costs[best] - cost) / temperature)
+	}
+	total := 0.0
+	for _, t := range targets {
+		total += weight(t)
+	}
+	remaining := b.random() * total
+	for _, t := range targets {
+		remaining -= weight(t)
+		if remaining < 0 {
+			return t
+		}
+	}
+	return best
+}
+
+// temperature returns by how much more a target may cost that is still chosen often.
+func (b *Balancer) temperature() float64 {
+	if b.ReportAge == nil {
+		return 0
+	}
+	age := b.ReportAge()
+	if age <= currentAge {
+		return 0
+	}
+	return maxTemperature * min(1, age.Seconds()/fullTemperatureAge.Seconds())
+}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -176,6 +176,7 @@
 		roster:       roster.New(cfg.PeerAddress, seedPeers(cfg.PeerAddress, cfg.SeedAddresses)),
 	}
 	e.balancer.GroupSize = e.targetsIn
+	e.balancer.ReportAge = func() time.Duration { return updateInterval(len(e.roster.Alive(deps.Clock.Now()))) }
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.limits = newTargetLimits(e)
 	e.withdrawn, e.buffers = withdrawal.New(), newAnswerBuffers(cfg.Limits.MemoryMB)
