Many entries: two of each zone watch targets closely, and report changes to the others

Cause: each of 103 entries watched the targets anew each second. Change: two entries of a zone, by rank of their addresses, watch as before and report each change, with its revision and era, to the entries of the zone; the others pause up to 2.5 s between two watches, and let a watch last up to 9 s. They need no report: what is lost they read themselves. Up to 16 entries all watch as before.

--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -75,7 +75,8 @@
 	var e *direct.Entry
 	kv := platform.NewStore(platform.StoreOptions{
 		Address:    s.StoreAddress,
-		WatchPause: func() time.Duration { return e.WatchPause() },
+		WatchPause: func(prefix string) time.Duration { return e.WatchPause(prefix) },
+		WatchTime:  func() time.Duration { return e.WatchTime() },
 		Large:      func(prefix string) func(context.Context) error { return e.LargeAnswer(prefix) },
 	})
 	e = direct.New(*s, direct.Deps{
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -170,6 +170,34 @@
 	return addresses
 }
 
+// AliveIn returns the addresses of the entries in a zone that a message was recently
+// received from.
+func (r *Roster) AliveIn(now time.Time, zone id.Zone) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []string
+	for address, state := range r.peers {
+		if !state.receivedAt.IsZero() && now.Sub(state.receivedAt) <= aliveTimeout && state.peer.Zone == zone {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Rank returns the place of this entry in an order of the running entries of a zone, which
+// all of them agree on as far as they know each other. The first place is 0.
+func (r *Roster) Rank(now time.Time, zone id.Zone) int {
+	own := xxhash.Sum64String("rank/" + r.self)
+	rank := 0
+	for _, address := range r.AliveIn(now, zone) {
+		if xxhash.Sum64String("rank/"+address) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Closest returns the addresses of n running entries for a key, by rendezvous hashing, so
 // that entries which know the same ones choose the same. They are in different
 // availability zones as far as possible. This entry is not among them.
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -14,6 +14,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
 	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
 	"foxtailward.example/foxtailward/internal/state/catalog"
@@ -88,6 +89,10 @@
 	// attempts for which the entry requests that. Both hold whatever the order of messages.
 	Streams []origin.Stream `json:"streams,omitempty"`
 	Asks    []id.Request    `json:"asks,omitempty"`
+	// TargetChanges are changes of targets' items in the key-value service, in an era of
+	// it. They hold whatever the order of messages.
+	TargetChanges []TargetChange `json:"targetChanges,omitempty"`
+	Era           store.Era      `json:"era,omitempty"`
 	// Versions are the software versions that have served recently, unless it is one alone.
 	Versions *origin.Report `json:"versions,omitempty"`
 }
@@ -96,6 +101,14 @@
 // draining.
 func (u *PeerUpdate) StopsIn() time.Duration { return time.Duration(u.StopsInMS) * time.Millisecond }
 
+// TargetChange is a change of a target's item in the key-value service.
+type TargetChange struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
 // Successor is a target that answers at the address of one that has ended.
 type Successor struct {
 	Target      id.Target `json:"target"`
--- a/internal/standin/configs/configs.go
+++ b/internal/standin/configs/configs.go
@@ -129,6 +129,13 @@
 	// PeerBytes what the entries sent.
 	StoreBytes int64
 	PeerBytes  int64
+	// StoreReads is the number of calls that the key-value service got for reads during
+	// the changes.
+	StoreReads int64
+	// Drained is the number of entries that knew of a draining target within the apply
+	// time, and DrainLast the time after which the last of them did.
+	Drained   int
+	DrainLast time.Duration
 }
 
 // Holds reports whether all changes were in force everywhere in time.
--- a/internal/standin/configs/configs_test.go
+++ b/internal/standin/configs/configs_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -25,6 +26,7 @@
 	for _, c := range report.Changes {
 		t.Logf("version %d, %d routes, %d bytes: in force after %v to %v, late at %d entries", c.Version, c.Routes, c.Bytes, c.First, c.Last, c.Late)
 	}
+	t.Logf("a draining target was known at %d entries, after %v at the last one; %d reads", report.Drained, report.DrainLast, report.StoreReads)
 	t.Logf("bytes sent by the key-value service: %d, by the entries: %d", report.StoreBytes, report.PeerBytes)
 	return report
 }
@@ -47,3 +49,14 @@
 	report := play(t, configs.Options{Entries: 8, FastEntries: 2, IsolatedEntries: 3, Steps: []int{4200, 0}})
 	is.True(report.Holds())
 }
+
+// Entries that watch at longer intervals must learn of a draining target and of changes as
+// soon as those that watch closely.
+func TestDrainKnownAtManyEntries(t *testing.T) {
+	is := is.New(t)
+	const entries = 40
+	report := play(t, configs.Options{Entries: entries, FastEntries: 12, Targets: 88, Steps: []int{10, 10, 10, 10}})
+	is.True(report.Holds())
+	is.Equal(report.Drained, entries)
+	is.True(report.DrainLast <= 1500*time.Millisecond)
+}
--- a/internal/standin/configs/run.go
+++ b/internal/standin/configs/run.go
@@ -58,6 +58,10 @@
 	decoded map[string]*catalog.Config
 	// inForce holds when each entry put each version in force.
 	inForce []map[catalog.Version]time.Time
+	// targets are the targets that are listed. drained holds when each entry learned that
+	// the first of them drains.
+	targets []*catalog.Target
+	drained []time.Time
 }
 
 // Run plays the changes. It returns when the last one had its apply time twice.
@@ -98,7 +102,7 @@
 // play makes the changes and measures them.
 func (r *run) play(ctx context.Context, storeHost *network.Host) (*Report, error) {
 	pause(ctx, meetingTime)
-	sentBefore, peersBefore := storeHost.Traffic().Sent, r.peerBytes()
+	sentBefore, peersBefore, readsBefore := storeHost.Traffic().Sent, r.peerBytes(), r.service.Calls().Reads()
 	report := &Report{}
 	var written []time.Time
 	for _, routes := range r.opts.Steps {
@@ -114,6 +118,10 @@
 	for i := range report.Changes {
 		r.measure(&report.Changes[i], written[i])
 	}
+	if err := r.drain(ctx, report); err != nil {
+		return nil, err
+	}
+	report.StoreReads = r.service.Calls().Reads() - readsBefore
 	return report, ctx.Err()
 }
 
@@ -179,15 +187,51 @@
 
 func (r *run) writeTargets(ctx context.Context) error {
 	for i := range r.opts.Targets {
-		put, err := platform.EncodeTarget(&catalog.Target{
+		t := &catalog.Target{
 			ID: id.Target(fmt.Sprintf("i-%010x", r.random.Uint64N(1<<40))), Service: serviceName,
 			Address: hostPort(fmt.Sprintf("10.100.%d.%d", i/250, 1+i%250), 8126), Zone: "a", Slots: 6, State: catalog.Ready,
-		})
-		if err == nil {
-			_, err = r.store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
 		}
-		if err != nil {
-			return fault.Wrap("run.writeTargets", Failed, err)
+		r.targets = append(r.targets, t)
+		if err := r.writeTarget(ctx, t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) writeTarget(ctx context.Context, t *catalog.Target) error {
+	put, err := platform.EncodeTarget(t)
+	if err == nil {
+		_, err = r.store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+	}
+	return fault.Wrap("run.writeTarget", Failed, err)
+}
+
+// drain has the first target drain and measures when the entries know. Another target
+// changes right before, so that entries pause between two watches.
+func (r *run) drain(ctx context.Context, report *Report) error {
+	if len(r.targets) < 2 {
+		return nil
+	}
+	other := *r.targets[1]
+	other.Slots, other.Sequence = other.Slots+1, other.Sequence+1
+	if err := r.writeTarget(ctx, &other); err != nil {
+		return err
+	}
+	pause(ctx, 100*time.Millisecond)
+	t := *r.targets[0]
+	t.State, t.Sequence = catalog.Draining, t.Sequence+1
+	written := time.Now()
+	if err := r.writeTarget(ctx, &t); err != nil {
+		return err
+	}
+	pause(ctx, r.opts.ApplyTime)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range r.drained {
+		if !at.IsZero() {
+			report.Drained++
+			report.DrainLast = max(report.DrainLast, at.Sub(written))
 		}
 	}
 	return nil
@@ -228,16 +272,17 @@
 	host := r.network.AddHost(entryIP(i), r.opts.link(i))
 	r.hosts = append(r.hosts, host)
 	versions := map[catalog.Version]time.Time{}
-	r.inForce = append(r.inForce, versions)
+	r.inForce, r.drained = append(r.inForce, versions), append(r.drained, time.Time{})
 	var e *direct.Entry
 	client := platform.NewStore(platform.StoreOptions{
 		Address: hostPort(storeIP, storePort), Dial: host.Dial,
-		WatchPause: func() time.Duration { return e.WatchPause() },
+		WatchPause: func(prefix string) time.Duration { return e.WatchPause(prefix) },
+		WatchTime:  func() time.Duration { return e.WatchTime() },
 		Large:      func(prefix string) func(context.Context) error { return e.LargeAnswer(prefix) },
 	})
 	e = direct.New(r.settings(i), direct.Deps{
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewRegistry(),
-		Log:   event.NewLogfmtLog(&versionWriter{run: r, versions: versions}, clockwork.NewRealClock()),
+		Log:   event.NewLogfmtLog(&versionWriter{run: r, entry: i, versions: versions}, clockwork.NewRealClock()),
 		Store: client.Store(), Codec: r.codec(ctx, i), Dialect: platform.Dialect(), Random: r.entryRandom(i),
 		Listen: host.Listen, ListenPacket: host.ListenPacket, Dial: host.Dial,
 	})
@@ -321,15 +366,22 @@
 	}
 }
 
-// versionWriter notes when an entry logs that a version is in force.
+// versionWriter notes when an entry logs that a version is in force, or that a target
+// drains.
 type versionWriter struct {
 	run      *run
+	entry    int
 	versions map[catalog.Version]time.Time
 }
 
 // Write implements io.Writer for one line of the log.
 func (w *versionWriter) Write(line []byte) (int, error) {
 	fields := strings.Fields(string(line))
+	if slices.Contains(fields, "event="+event.MemberChanged.Code()) && slices.Contains(fields, "state="+string(catalog.Draining)) {
+		w.run.mu.Lock()
+		w.run.drained[w.entry] = time.Now()
+		w.run.mu.Unlock()
+	}
 	if !slices.Contains(fields, "event="+event.RevisionInForce.Code()) {
 		return len(line), nil
 	}
--- a/internal/standin/releases/run.go
+++ b/internal/standin/releases/run.go
@@ -298,7 +298,8 @@
 	var process *direct.Entry
 	client := platform.NewStore(platform.StoreOptions{
 		Address: hostPort(storeIP, storePort), Dial: e.dialStore,
-		WatchPause: func() time.Duration { return process.WatchPause() },
+		WatchPause: func(prefix string) time.Duration { return process.WatchPause(prefix) },
+		WatchTime:  func() time.Duration { return process.WatchTime() },
 		Large:      func(prefix string) func(context.Context) error { return process.LargeAnswer(prefix) },
 	})
 	process = direct.New(e.settings(), direct.Deps{
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -83,6 +83,8 @@
 	// changedLoads holds the targets at which this entry's load has changed since the last
 	// message.
 	changedLoads map[id.Target]struct{}
+	// targetChanges are changes of targets that have not been reported yet.
+	targetChanges []direct.TargetChange
 }
 
 // openPeerExchange opens the UDP and TCP sockets for other entries.
@@ -177,6 +179,7 @@
 		}
 		addresses := x.roster.Addresses(x.e.deps.Clock.Now())
 		x.sendNotice(addresses)
+		x.sendTargetChanges()
 		pause := max(minNoticeInterval, time.Duration(len(addresses))*noticeIntervalPerPeer)
 		if !timing.Sleep(ctx, x.e.deps.Clock, pause) {
 			return
@@ -359,6 +362,7 @@
 func (x *peerExchange) apply(ctx context.Context, u *direct.PeerUpdate) {
 	now := x.e.deps.Clock.Now()
 	x.applyStreams(now, u)
+	x.storeWatcher.applyReportedChanges(u)
 	peer := roster.Peer{Name: u.From, Address: u.Address, Zone: u.Zone, Incarnation: u.Incarnation, Sequence: u.Sequence, StopsIn: u.StopsIn()}
 	verdict := x.roster.Observe(now, peer, u.KnownPeers)
 	if verdict == roster.Stale {
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -37,10 +37,6 @@
 	// configuration is known.
 	defaultIdleTimeout = time.Minute
 	readinessTimeout   = 5 * time.Second
-	// WatchPause is watchPausePerEntry for each entry, up to maxWatchPause, which
-	// is well below the time within which changes must take effect.
-	watchPausePerEntry = 50 * time.Millisecond
-	maxWatchPause      = time.Second
 )
 
 // Listen opens the entry's listeners.
@@ -226,13 +222,6 @@
 	})
 }
 
-// WatchPause returns how long to wait between a change in the key-value service
-// and the next watch. It grows with the number of entries, because they share
-// the service's rate limit.
-func (e *Entry) WatchPause() time.Duration {
-	return min(watchPausePerEntry*time.Duration(e.roster.LimitSharers(e.deps.Clock.Now())), maxWatchPause)
-}
-
 func (e *Entry) idleTimeout() time.Duration {
 	cfg := e.directory.View().Config
 	if cfg == nil || cfg.Limits.IdleTimeout == 0 {
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -23,6 +23,9 @@
 		eraCtx, cancel := w.eras.While(ctx, page.Era)
 		_ = w.watch(eraCtx, w.e.deps.Codec.TargetPrefix, page.Point(), func(c store.Change) {
 			w.withLock(func() { w.applyTargetChange(c) })
+			if w.e.peerExchange != nil {
+				w.e.peerExchange.reportChange(c)
+			}
 		})
 		cancel()
 	}
@@ -100,6 +103,10 @@
 		return
 	}
 	if c.Deleted {
+		if t := w.knownTarget(c.Item.Key); t != nil && t.Revision > 0 && c.Item.ModRevision > 0 && c.Item.ModRevision < t.Revision {
+			// Another entry has reported a later record.
+			return
+		}
 		delete(w.targetItems, c.Item.Key)
 		if t := w.e.directory.Remove(now, name); t != nil {
 			w.delistTargets(catalog.Targets{t})
