A request goes to a target again only on a new connection

What operators of similar systems saw: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran. Cause (by reading): a stream that goes on may be sent to a target of its version again, with the same attempt id; on a kept connection the earlier refusal would be taken for the answer. Change: upstream.Request.Fresh for each further sending to an address; an answer to a call about a copy that names another attempt is not used. Measured: TestFreshConnection (without Fresh the second sending gets the first answer).

--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -189,7 +189,11 @@
 	if err != nil {
 		return "", err
 	}
-	e.observeNotice(source, e.deps.Dialect.DecodeResponse(answer.status, answer.header).Notice)
+	meta := e.deps.Dialect.DecodeResponse(answer.status, answer.header)
+	if meta.Attempt != "" && meta.Attempt != run {
+		return "", errWrongAttempt
+	}
+	e.observeNotice(source, meta.Notice)
 	return e.deps.Dialect.DecodeCopyHandle(answer.status, answer.body)
 }
 
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -14,6 +14,7 @@
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
 // Limits of requests.
@@ -50,6 +51,8 @@
 	// attempts to send it.
 	tried map[id.Target]bool
 	sends int
+	// sentTo holds the addresses that the request was sent to.
+	sentTo map[string]bool
 	// reached is set once an attempt has reached its target. Attempts that failed
 	// to connect put no load on the service, so the next one still counts as the
 	// first for the retry budget.
@@ -100,7 +103,7 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
-	c := &call{e: e, w: w, r: r, start: e.deps.Clock.Now(), tried: map[id.Target]bool{}}
+	c := &call{e: e, w: w, r: r, start: e.deps.Clock.Now(), tried: map[id.Target]bool{}, sentTo: map[string]bool{}}
 	c.meta = e.deps.Dialect.DecodeRequest(r.Header)
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -225,6 +228,15 @@
 	return true
 }
 
+// upstreamRequest returns the request as it is sent to the target.
+func (c *call) upstreamRequest(t *catalog.Target, forward direct.ForwardMetadata) *upstream.Request {
+	header := c.header.Clone()
+	c.e.deps.Dialect.EncodeForward(header, forward)
+	fresh := c.sentTo[t.Address]
+	c.sentTo[t.Address] = true
+	return &upstream.Request{Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, Fresh: fresh}
+}
+
 // forwardMetadata returns the metadata that is sent to the target with the
 // request.
 func (c *call) forwardMetadata(choice balance.Choice) direct.ForwardMetadata {
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -124,11 +124,7 @@
 }
 
 func (c *call) roundTrip(ctx context.Context, choice balance.Choice) (*bufferedAnswer, balance.Outcome, error) {
-	header := c.header.Clone()
-	c.e.deps.Dialect.EncodeForward(header, c.forwardMetadata(choice))
-	request := &upstream.Request{
-		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
-	}
+	request := c.upstreamRequest(choice.Target, c.forwardMetadata(choice))
 	sent := c.now()
 	answer, err := c.e.pool.Do(ctx, choice.Target.Address, request, c.attemptDeadline())
 	if err != nil {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -280,9 +280,7 @@
 	if a.resumes() {
 		forward.ResumeFrom = a.resumeFrom
 	}
-	header := c.header.Clone()
-	c.e.deps.Dialect.EncodeForward(header, forward)
-	return &upstream.Request{Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body}
+	return c.upstreamRequest(a.choice.Target, forward)
 }
 
 // readDeadline returns the time by which the next bytes must arrive.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -82,9 +82,9 @@
 }
 
 // get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
 	now := p.opts.Clock.Now()
-	for {
+	for !fresh {
 		c := p.takeIdle(address)
 		if c == nil {
 			break
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -56,6 +56,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Fresh sends the request on a new connection. A request that is sent to a target
+	// again needs that: on a kept connection, the answer to the first sending may arrive
+	// once more, and nothing tells it from the answer to the second one.
+	Fresh bool
 }
 
 // encode returns the request's bytes. The framing headers are set here and not
@@ -96,7 +100,7 @@
 // ctx ends, Do closes the connection, which cancels the request at the target.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, deadline time.Time) (*Answer, error) {
 	const op = "Pool.Do"
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, r.Fresh)
 	if err != nil {
 		return nil, fault.Wrap(op, NotSent, err)
 	}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -227,3 +227,39 @@
 	is.Equal(<-got, "POST /a%2Fb?c shop 5 [] hello <nil>")
 	is.True(!errors.Is(err, io.EOF))
 }
+
+// TestFreshConnection guards against an earlier answer to the same request, written once
+// more on a kept connection, that is taken for the answer to a second sending.
+func TestFreshConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno"
+	for _, fresh := range []bool{true, false} {
+		t.Run(fmt.Sprint("fresh ", fresh), func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(c net.Conn, n int64) bool {
+				if n == 1 {
+					return write(c, refusal)
+				}
+				// On the first connection, the refusal comes first.
+				return write(c, refusal) && write(c, completeAnswer)
+			})
+			pool := upstream.NewPool(upstream.Options{})
+			request := &upstream.Request{Method: "POST", URI: "/", Host: "h"}
+			send := func() int {
+				answer, err := pool.Do(t.Context(), s.address, request, farFuture())
+				is.NoErr(err)
+				defer answer.Close()
+				_, err = io.Copy(io.Discard, answer.Body)
+				is.NoErr(err)
+				return answer.Status
+			}
+			is.Equal(send(), http.StatusServiceUnavailable)
+			request.Fresh = fresh
+			send()
+			if fresh {
+				is.Equal(s.connections.Load(), int64(2))
+			} else {
+				is.Equal(s.connections.Load(), int64(1))
+			}
+		})
+	}
+}
