--- a/internal/coordination/pace/pace.go
+++ b/internal/coordination/pace/pace.go
@@ -9,7 +9,10 @@
 //	if remaining < e.MinRemaining(promptTokens, done) { … }
 package pace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minSamples is the number of complete streams needed before an estimate is
@@ -21,6 +24,9 @@
 	// those of a short and fast one, so that a request is refused only if even
 	// such a stream would not finish in time.
 	optimisticFactor = 0.7
+	// likelyDeviations is the number of average deviations above the average within which
+	// nearly all streams end.
+	likelyDeviations = 2
 	// prefillPerToken is the minimum time that an engine needs per prompt token.
 	prefillPerToken = 125 * time.Microsecond
 )
@@ -33,6 +39,9 @@
 	// average time between two events in seconds.
 	events   float64
 	perEvent float64
+	// whole is the average time from a stream's request to its end in seconds, and
+	// deviation the average difference from it.
+	whole, deviation float64
 }
 
 // New returns an Estimator without observations.
@@ -53,6 +62,24 @@
 	e.perEvent += smoothing * (perEvent - e.perEvent)
 }
 
+// ObserveWhole records the time from the request of a complete stream to its end.
+func (e *Estimator) ObserveWhole(took time.Duration) {
+	if e.whole == 0 {
+		e.whole = took.Seconds()
+	}
+	e.deviation += smoothing * (math.Abs(took.Seconds()-e.whole) - e.deviation)
+	e.whole += smoothing * (took.Seconds() - e.whole)
+}
+
+// Likely returns the time within which nearly all streams end. It returns 0 while there are
+// too few observations.
+func (e *Estimator) Likely() time.Duration {
+	if e.samples < minSamples {
+		return 0
+	}
+	return time.Duration((e.whole + likelyDeviations*e.deviation) * float64(time.Second))
+}
+
 // MinRemaining returns the minimum time needed to finish a stream whose prompt
 // has yet to be processed and of which done events have been sent. It returns 0
 // while there are too few observations.
--- a/internal/coordination/pace/pace_test.go
+++ b/internal/coordination/pace/pace_test.go
@@ -36,3 +36,15 @@
 		})
 	}
 }
+
+func TestLikely(t *testing.T) {
+	is := is.New(t)
+	e := pace.New()
+	for i := range 40 {
+		is.Equal(e.Likely() > 0, i >= 20) // too few observations before
+		e.Observe(120, 5*time.Second)
+		e.ObserveWhole(time.Duration(5+i%5) * time.Second)
+	}
+	is.True(e.Likely() >= 8*time.Second)
+	is.True(e.Likely() <= 11*time.Second)
+}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -16,6 +16,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -205,11 +206,20 @@
 	return n
 }
 
-// observeStream records a complete stream of a service, for minStreamTime.
-func (e *Entry) observeStream(service id.Service, events int, took time.Duration) {
+// observeStream records a complete stream of a service: the time from its first event to
+// its last, and from its request to its end.
+func (e *Entry) observeStream(service id.Service, events int, took, whole time.Duration) {
 	e.estimatorsMu.Lock()
 	defer e.estimatorsMu.Unlock()
 	e.estimator(service).Observe(events, took)
+	e.estimator(service).ObserveWhole(whole)
+}
+
+// likelyStreamTime returns the time within which nearly all streams of a service end.
+func (e *Entry) likelyStreamTime(service id.Service) time.Duration {
+	e.estimatorsMu.Lock()
+	defer e.estimatorsMu.Unlock()
+	return cmp.Or(e.estimator(service).Likely(), defaultStreamTime)
 }
 
 // minStreamTime returns the shortest time in which the rest of a stream can be
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -184,7 +184,7 @@
 // finish.
 func (c *call) expectedTime() time.Duration {
 	if c.route.Kind == catalog.Streaming {
-		return expectedStreamTime
+		return c.e.likelyStreamTime(c.service)
 	}
 	return expectedPlainTime
 }
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -21,10 +21,10 @@
 	// graceMargin is the time before the end of the grace time at which running
 	// requests are aborted.
 	graceMargin = 400 * time.Millisecond
-	// expectedStreamTime and expectedPlainTime are the times within which streams
-	// and other requests usually finish.
-	expectedStreamTime = 6 * time.Second
-	expectedPlainTime  = time.Second
+	// defaultStreamTime is the time within which streams are expected to finish while few
+	// have been observed, and expectedPlainTime the same for other requests.
+	defaultStreamTime = 6 * time.Second
+	expectedPlainTime = time.Second
 	// configWait is how long a request waits for the first configuration and list
 	// of targets.
 	configWait = 400 * time.Millisecond
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -380,7 +380,7 @@
 	// The connection is reused, so the write deadline of the stream must not stay.
 	_ = s.out.SetWriteDeadline(time.Time{})
 	if c.meta.LastEventID == "" {
-		c.e.observeStream(c.service, s.events, c.now().Sub(s.headSentAt))
+		c.e.observeStream(c.service, s.events, c.now().Sub(s.headSentAt), c.now().Sub(c.start))
 	}
 	c.e.metrics.requestEnded(c.route, outcomeAnswered, c.now().Sub(c.start))
 	c.e.metrics.longestPause(c.route, s.longestPause)
