A client that is slow to accept an event keeps its stream

What operators of similar systems saw: slow but sound streams were cut. Cause: an event had to be accepted within 2 s, though clients wait up to four times their objective; and the time in which the entry could not read the target because of that counted as a pause of the target. Change: the write deadline is what the client itself would wait; detect.Detector.Exclude. Stalled streams that send a byte now and then end as before: the deadline is that of a whole event.

--- a/internal/coordination/detect/detect.go
+++ b/internal/coordination/detect/detect.go
@@ -175,6 +175,15 @@
 	d.last = now
 }
 
+// Exclude records that nothing was read until now, for the given time, so that the time
+// says nothing about the target.
+func (d *Detector) Exclude(blocked time.Duration) {
+	d.start = d.start.Add(blocked)
+	if d.tokens > 0 {
+		d.last = d.last.Add(blocked)
+	}
+}
+
 // Timeout returns the gap after the last token from which the attempt is
 // suspected.
 func (d *Detector) Timeout() time.Duration {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -22,8 +22,12 @@
 	// extraStreamSends is how many more targets than maxRuns a stream may be sent
 	// to if targets refuse it without running it.
 	extraStreamSends = 6
-	// writeTimeout limits the time for writing one event to the client.
-	writeTimeout = 2 * time.Second
+	// minWriteTimeout is the least time for writing one event to the client.
+	minWriteTimeout = 2 * time.Second
+	// Clients wait for the next event for a multiple of their route's objectives. For as
+	// long, they may be slow to accept one.
+	writeLatencyFactor = 4
+	writeGapFactor     = 8
 	// prefillPerToken is the time that an engine takes to process one token of a
 	// prompt.
 	prefillPerToken = 125 * time.Microsecond
@@ -250,9 +254,12 @@
 			goesOn = false
 		}
 		c.recordBegin(ctx, a.choice.Target)
+		writeBegan := c.now()
 		if err := s.writeEvent(answer, &next); err != nil {
 			return balance.ClientCancelled, err
 		}
+		// A client that is slow to accept an event holds up the reading.
+		detector.Exclude(c.now().Sub(writeBegan))
 		s.maintainCopy(ctx, run, a.choice.Target)
 		s.reportCopy()
 	}
@@ -347,7 +354,7 @@
 	if err := s.sendHead(a); err != nil {
 		return err
 	}
-	if err := s.out.SetWriteDeadline(s.c.now().Add(writeTimeout)); err != nil {
+	if err := s.out.SetWriteDeadline(s.writeDeadline()); err != nil {
 		return err
 	}
 	if _, err := s.c.w.Write(next.Raw); err != nil {
@@ -363,6 +370,16 @@
 	return s.out.Flush()
 }
 
+// writeDeadline returns the time by which the client must have accepted the next event.
+func (s *stream) writeDeadline() time.Time {
+	c := s.c
+	timeout := max(minWriteTimeout, writeLatencyFactor*c.route.LatencyObjective, writeGapFactor*c.route.GapObjective)
+	if end := c.now().Add(timeout); end.Before(c.deadline) {
+		return end
+	}
+	return c.deadline
+}
+
 // recordPause updates longestPause after an event was forwarded.
 func (s *stream) recordPause() {
 	now := s.c.now()
