Messages between entries are checked by range

What operators of similar systems saw: numbers out of range in what machines read of others ended the readers or hid the truth. Cause: ages of up to 2^63 ms overflowed as durations, loads and counts the sums over all. Change: PeerUpdate.validate; a message out of range is refused as a whole and logged (F0406). Notices are announcements for entries of an earlier build, so that both can run together. Measured: 9 new rows of TestDecodePeerUpdateMalformed, 8 of which were taken before.

--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -218,5 +218,5 @@
 	if u.From == "" {
 		return nil, fault.New(op, Malformed, "missing sender name")
 	}
-	return u, nil
+	return u, fault.Wrap(op, Malformed, u.validate())
 }
--- a/internal/protocol/direct/peerupdate_test.go
+++ b/internal/protocol/direct/peerupdate_test.go
@@ -119,10 +119,19 @@
 
 func TestDecodePeerUpdateMalformed(t *testing.T) {
 	for name, data := range map[string]string{
-		"not JSON":   "\xff",
-		"no address": `{"from":"e1"}`,
-		"no sender":  `{"address":"10.0.0.1:7200"}`,
-		"wrong type": `{"from":7,"address":"10.0.0.1:7200"}`,
+		"not JSON":                    "\xff",
+		"no address":                  `{"from":"e1"}`,
+		"no sender":                   `{"address":"10.0.0.1:7200"}`,
+		"wrong type":                  `{"from":7,"address":"10.0.0.1:7200"}`,
+		"late stop":                   `{"from":"e","address":"10.0.0.1:7200","stopsInMs":9223372036854775807}`,
+		"old loss":                    `{"from":"e","address":"10.0.0.1:7200","losses":[{"target":"t","agoMs":-9223372036854775808}]}`,
+		"old run":                     `{"from":"e","address":"10.0.0.1:7200","runs":[{"key":"k","agoMs":9223372036854}]}`,
+		"large load":                  `{"from":"e","address":"10.0.0.1:7200","loads":{"t":{"prefill":9223372036854775807}}}`,
+		"a negative change of a load": `{"from":"e","address":"10.0.0.1:7200","loadChanges":{"t":{"running":-1}}}`,
+		"many retries":                `{"from":"e","address":"10.0.0.1:7200","retries":{"s":{"first":9223372036854775807}}}`,
+		"high limit":                  `{"from":"e","address":"10.0.0.1:7200","limits":[{"target":"t","perSecond":1e300}]}`,
+		"a change without a key":      `{"from":"e","address":"10.0.0.1:7200","targetChanges":[{"revision":5}]}`,
+		"deep nesting":                `{"from":"e","address":"10.0.0.1:7200","x":` + strings.Repeat("[", 300_000),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -268,7 +268,8 @@
 	defer x.sendMu.Unlock()
 	now := x.e.deps.Clock.Now()
 	update := x.changes(now)
-	update.Notice, update.LoadChanges = true, x.takeLoadChanges()
+	// For entries of an earlier build it is an announcement.
+	update.Notice, update.Announcement, update.LoadChanges = true, true, x.takeLoadChanges()
 	update.Failures = x.e.quarantine.Changes(now)
 	x.encodeAndSend(addresses, update)
 }
@@ -369,7 +370,7 @@
 		return
 	}
 	x.configs.observe(ctx, u.Address, u.Version)
-	if !u.Announcement {
+	if u.Notice || !u.Announcement {
 		x.applyState(ctx, now, u)
 	}
 	if verdict == roster.First {
