A prompt goes for its cache only to an engine with hardly more to compute first

Cause: among engines that cost up to 0.35 s more, the one that the prompt hashes to was taken, also one that computes another prompt for that long. Change: affinityBacklog.

--- a/internal/coordination/balance/backlog.go
+++ b/internal/coordination/balance/backlog.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -58,6 +59,11 @@
 	return max(l.remaining(now), minBacklogShare*float64(load.PrefillTokens))
 }
 
+// totalBacklog returns the prompt tokens that a target has yet to compute.
+func (b *Balancer) totalBacklog(now time.Time, t *catalog.Target) float64 {
+	return b.backlogOf(now, t.ID, b.total(b.record(now, t), t))
+}
+
 // forgetBacklogs drops the backlogs of targets that get no prompts any more.
 func (b *Balancer) forgetBacklogs(now time.Time) {
 	for name, l := range b.backlogs {
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -160,8 +160,8 @@
 
 // cheapest returns the target of lowest cost, or one drawn among those of a plain service
 // that cost little more. Among engines that cost at most
-// affinityCost more, it returns the one that the prompt hashes to, which may
-// still have the prompt in its memory.
+// affinityCost more and have hardly more to compute first, it returns the one that the
+// prompt hashes to, which may still have the prompt in its memory.
 func (b *Balancer) cheapest(now time.Time, request Request, targets catalog.Targets, tried map[id.Target]bool) (*catalog.Target, float64) {
 	costs := make(map[*catalog.Target]float64, len(targets))
 	var best *catalog.Target
@@ -180,11 +180,11 @@
 	if best == nil || request.Engine == nil || request.Prompt == "" {
 		return best, costs[best]
 	}
-	least := costs[best]
+	least, backlog := costs[best], b.totalBacklog(now, best)
 	var highest uint64
 	for t, cost := range costs {
 		score := affinity(request.Prompt, t)
-		if cost <= least+affinityCost && score > highest {
+		if cost <= least+affinityCost && score > highest && b.totalBacklog(now, t) <= backlog+affinityBacklog {
 			best, highest = t, score
 		}
 	}
--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -37,6 +37,8 @@
 	// repeated prompt to the engine that it hashes to. It is less than the wait
 	// for another prompt.
 	affinityCost = 0.35
+	// affinityBacklog is the most additional prompt tokens that are accepted for that.
+	affinityBacklog = 800
 	// backupTolerance is the most additional cost that is accepted to spread backup
 	// copies. It is about that of two generations.
 	backupTolerance = 0.3
