Suspects are reported as often by many entries together as by a few

Cause: each of 103 entries reported all suspects to all others each second, and with each notice again what it had itself observed within the last second. Change: the interval between two reports of all suspects grows with the number of entries; a notice holds what has not been reported twice.

--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -24,8 +24,16 @@
 	// few entries, because any of them may be lost.
 	changeReportTime = time.Second
 	minReports       = 1
-	// suspectReportInterval is the interval between two reports of all suspects.
+	// changeTimePerEntry is what changeReportTime is at least for each entry, because many
+	// entries send updates more rarely.
+	changeTimePerEntry = 20 * time.Millisecond
+	// noticeReports is in how many messages a failure is reported before the next update.
+	noticeReports = 2
+	// suspectReportInterval is the interval between two reports of all suspects by any of
+	// suspectReporters entries. Where there are more, each of them reports more rarely, so
+	// that what an entry receives does not grow with their number.
 	suspectReportInterval = time.Second
+	suspectReporters      = 4
 	// maxReportedObservations limits the size of a report. The loss of a zone takes
 	// many requests with it.
 	maxReportedObservations = 128
@@ -40,6 +48,10 @@
 //	q.Merge(now, received)
 //	if wait := q.RefusedFor(now, fingerprint); wait > 0 { … }
 type Shared struct {
+	// Entries returns the number of entries; nil for a few. It must not be changed once the
+	// tracker is in use.
+	Entries func() int
+
 	mu      sync.Mutex
 	tracker *Tracker
 	turns   turns
@@ -322,22 +334,57 @@
 }
 
 // Changes returns what this entry itself observed within changeReportTime, and what it has
-// not reported minReports times yet. Every suspectReportInterval it adds all suspects, for
-// entries that missed the reports. If that is too much, what was reported least often goes
-// first among fingerprints with as many failures.
+// not reported minReports times yet. From time to time it adds all suspects, for entries
+// that missed the reports. If that is too much, what was reported least often goes first
+// among fingerprints with as many failures.
 func (q *Shared) Changes(now time.Time) []Record {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for f, c := range q.changes {
-		if now.Sub(c.at) > changeReportTime && c.reports >= minReports {
+		if now.Sub(c.at) > q.reportTime() && c.reports >= minReports {
 			delete(q.changes, f)
 		}
 	}
 	fingerprints := slices.Collect(maps.Keys(q.changes))
-	if now.Sub(q.suspectsReportedAt) >= suspectReportInterval {
+	if now.Sub(q.suspectsReportedAt) >= q.suspectInterval() {
 		q.suspectsReportedAt = now
 		fingerprints = append(fingerprints, q.tracker.Repeated()...)
 	}
+	return q.report(now, fingerprints)
+}
+
+// Unreported returns what this entry itself observed and has not reported noticeReports
+// times yet.
+func (q *Shared) Unreported(now time.Time) []Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var fingerprints []id.Fingerprint
+	for f, c := range q.changes {
+		if c.reports < noticeReports {
+			fingerprints = append(fingerprints, f)
+		}
+	}
+	return q.report(now, fingerprints)
+}
+
+// reportTime returns how long a failure is reported.
+func (q *Shared) reportTime() time.Duration {
+	if q.Entries == nil {
+		return changeReportTime
+	}
+	return max(changeReportTime, time.Duration(q.Entries())*changeTimePerEntry)
+}
+
+// suspectInterval returns the time between two reports of all suspects.
+func (q *Shared) suspectInterval() time.Duration {
+	if q.Entries == nil {
+		return suspectReportInterval
+	}
+	return suspectReportInterval * time.Duration(max(suspectReporters, q.Entries())) / suspectReporters
+}
+
+// report returns the records of fingerprints and counts that they are reported.
+func (q *Shared) report(now time.Time, fingerprints []id.Fingerprint) []Record {
 	slices.Sort(fingerprints)
 	slices.SortStableFunc(fingerprints, func(a, b id.Fingerprint) int { return cmp.Compare(q.reportsOf(a), q.reportsOf(b)) })
 	reported := Strongest(q.tracker.RecordsOf(now, slices.Compact(fingerprints)), maxReportedObservations)
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -270,7 +270,7 @@
 	update := x.changes(now)
 	// For entries of an earlier build it is an announcement.
 	update.Notice, update.Announcement, update.LoadChanges = true, true, x.takeLoadChanges()
-	update.Failures = x.e.quarantine.Changes(now)
+	update.Failures = x.e.quarantine.Unreported(now)
 	x.encodeAndSend(addresses, update)
 }
 
