--- a/internal/coordination/balance/backlog_test.go
+++ b/internal/coordination/balance/backlog_test.go
@@ -75,3 +75,19 @@
 	b.ApplyPeerLoads(start.Add(2*time.Minute), "e3", nil, time.Minute)
 	is.Equal(b.Running(start, ts[0]), 0)
 }
+
+// A prompt must not go for its cache to an engine that computes another prompt, while one
+// without a backlog costs little less.
+func TestAffinityAvoidsBacklog(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 2, "a")
+	prompt := request()
+	prompt.Prompt = "p"
+	first, _ := b.Choose(start, prompt, ts, nil)
+	short := request()
+	short.PromptTokens, short.OutputTokens = 1200, 0
+	b.Start(start, balance.Choice{Target: first.Target}, short, nil)
+	second, _ := b.Choose(start, prompt, ts, nil)
+	is.True(second.Target.ID != first.Target.ID)
+}
