Rereading the change: one piece of code where it had written two

No behaviour changes, but that the order of an entry in its zone comes from the project's own score.

--- a/internal/coordination/configsource/configsource.go
+++ b/internal/coordination/configsource/configsource.go
@@ -40,18 +40,10 @@
 // Turn returns how long an entry waits before it reads a large new version from the
 // key-value service. alive are the addresses of the other entries.
 func Turn(self string, alive []string) time.Duration {
-	own := score(self)
-	rank := 0
-	for _, address := range alive {
-		if score(address) > own {
-			rank++
-		}
-	}
+	rank := id.RendezvousRank("config", self, alive)
 	return time.Duration(bits.Len(uint(rank/firstReaders))) * groupInterval
 }
 
-func score(address string) uint64 { return id.RendezvousScore("config", address) }
-
 // Tracker knows which entries have which version. It is safe for concurrent use.
 type Tracker struct {
 	mu      sync.Mutex
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -40,6 +40,16 @@
 	Targets map[id.Service]catalog.Targets
 }
 
+// Find returns the target with the given name, whatever its service, or nil.
+func (v *View) Find(name id.Target) *catalog.Target {
+	for _, targets := range v.Targets {
+		if t := targets.Find(name); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
 // Directory is the mutable state behind the View of one process.
 type Directory struct {
 	view    atomic.Pointer[View]
--- a/internal/coordination/quarantine/shared.go
+++ b/internal/coordination/quarantine/shared.go
@@ -369,18 +369,19 @@
 
 // reportTime returns how long a failure is reported.
 func (q *Shared) reportTime() time.Duration {
-	if q.Entries == nil {
-		return changeReportTime
-	}
-	return max(changeReportTime, time.Duration(q.Entries())*changeTimePerEntry)
+	return max(changeReportTime, time.Duration(q.entries())*changeTimePerEntry)
 }
 
 // suspectInterval returns the time between two reports of all suspects.
 func (q *Shared) suspectInterval() time.Duration {
+	return suspectReportInterval * time.Duration(max(suspectReporters, q.entries())) / suspectReporters
+}
+
+func (q *Shared) entries() int {
 	if q.Entries == nil {
-		return suspectReportInterval
+		return 1
 	}
-	return suspectReportInterval * time.Duration(max(suspectReporters, q.Entries())) / suspectReporters
+	return q.Entries()
 }
 
 // report returns the records of fingerprints and counts that they are reported.
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -82,6 +82,11 @@
 	mentionedAt time.Time
 }
 
+// alive reports whether a message was recently received from the address.
+func (s *peerState) alive(now time.Time) bool {
+	return !s.receivedAt.IsZero() && now.Sub(s.receivedAt) <= aliveTimeout
+}
+
 // New returns a Roster for the entry at the address self, which starts with the
 // addresses of the seeds.
 func New(self string, seeds []string) *Roster {
@@ -158,11 +163,20 @@
 // Alive returns the addresses of the entries that a message was recently
 // received from.
 func (r *Roster) Alive(now time.Time) []string {
+	return r.aliveWhere(now, func(*Peer) bool { return true })
+}
+
+// AliveIn returns those of them that are in a zone.
+func (r *Roster) AliveIn(now time.Time, zone id.Zone) []string {
+	return r.aliveWhere(now, func(p *Peer) bool { return p.Zone == zone })
+}
+
+func (r *Roster) aliveWhere(now time.Time, wanted func(*Peer) bool) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var addresses []string
 	for address, state := range r.peers {
-		if !state.receivedAt.IsZero() && now.Sub(state.receivedAt) <= aliveTimeout {
+		if state.alive(now) && wanted(&state.peer) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -170,32 +184,23 @@
 	return addresses
 }
 
-// AliveIn returns the addresses of the entries in a zone that a message was recently
-// received from.
-func (r *Roster) AliveIn(now time.Time, zone id.Zone) []string {
+// CountAlive returns the number of entries that a message was recently received from.
+func (r *Roster) CountAlive(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var addresses []string
-	for address, state := range r.peers {
-		if !state.receivedAt.IsZero() && now.Sub(state.receivedAt) <= aliveTimeout && state.peer.Zone == zone {
-			addresses = append(addresses, address)
+	n := 0
+	for _, state := range r.peers {
+		if state.alive(now) {
+			n++
 		}
 	}
-	slices.Sort(addresses)
-	return addresses
+	return n
 }
 
 // Rank returns the place of this entry in an order of the running entries of a zone, which
 // all of them agree on as far as they know each other. The first place is 0.
 func (r *Roster) Rank(now time.Time, zone id.Zone) int {
-	own := xxhash.Sum64String("rank/" + r.self)
-	rank := 0
-	for _, address := range r.AliveIn(now, zone) {
-		if xxhash.Sum64String("rank/"+address) > own {
-			rank++
-		}
-	}
-	return rank
+	return id.RendezvousRank("rank", r.self, r.AliveIn(now, zone))
 }
 
 // Closest returns the addresses of n running entries for a key, by rendezvous hashing, so
@@ -210,7 +215,7 @@
 	r.mu.Lock()
 	var candidates []candidate
 	for address, state := range r.peers {
-		if !state.receivedAt.IsZero() && now.Sub(state.receivedAt) <= aliveTimeout {
+		if state.alive(now) {
 			candidates = append(candidates, candidate{address, state.peer.Zone, xxhash.Sum64String(key + "/" + address)})
 		}
 	}
@@ -242,7 +247,7 @@
 // shareOfContacts returns the part of the entries that share common limits, at least
 // least, which this entry hears from.
 func (r *Roster) shareOfContacts(now time.Time, least int) float64 {
-	return float64(1+len(r.Alive(now))) / float64(max(r.LimitSharers(now), least))
+	return float64(1+r.CountAlive(now)) / float64(max(r.LimitSharers(now), least))
 }
 
 // LimitSharers returns the number of entries that share common limits,
@@ -267,7 +272,7 @@
 	defer r.mu.Unlock()
 	soonest, known := time.Duration(0), false
 	for _, state := range r.peers {
-		if state.receivedAt.IsZero() || now.Sub(state.receivedAt) > aliveTimeout {
+		if !state.alive(now) {
 			continue
 		}
 		wait := time.Duration(0)
--- a/internal/protocol/direct/validate.go
+++ b/internal/protocol/direct/validate.go
@@ -15,8 +15,8 @@
 	// maxLoad limits what an entry reports to have in flight. The sums over all entries do
 	// not overflow.
 	maxLoad = 1 << 40
-	// maxPerSecond limits the rates that targets name.
-	maxPerSecond = 1e9
+	// MaxPerSecond is the highest limit that is one at all.
+	MaxPerSecond PerSecond = 1e9
 )
 
 // validate returns an error for the first value that is out of range.
@@ -40,7 +40,7 @@
 		}
 	}
 	for i := range u.Limits {
-		if rate := float64(u.Limits[i].PerSecond); !(rate >= 0 && rate <= maxPerSecond) {
+		if rate := u.Limits[i].PerSecond; !(rate >= 0 && rate <= MaxPerSecond) {
 			return fault.New(op, Malformed, "limit of %s is out of range", u.Limits[i].Target)
 		}
 	}
--- a/internal/state/id/id.go
+++ b/internal/state/id/id.go
@@ -151,6 +151,19 @@
 	return hash64(key, node)
 }
 
+// RendezvousRank returns how many of the other nodes have a higher score for key than self,
+// so that nodes which know the same ones agree on an order. The first place is 0.
+func RendezvousRank(key, self string, others []string) int {
+	own := RendezvousScore(key, self)
+	rank := 0
+	for _, other := range others {
+		if RendezvousScore(key, other) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // HomeEntry returns which of entries owns r, or "" if entries is empty. It is the
 // entry that r's home part refers to, if entries contains that one, and otherwise
 // the entry with the highest rendezvous score.
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -177,7 +177,7 @@
 		roster:       roster.New(cfg.PeerAddress, seedPeers(cfg.PeerAddress, cfg.SeedAddresses)),
 	}
 	e.balancer.GroupSize = e.targetsIn
-	e.balancer.ReportAge = func() time.Duration { return updateInterval(len(e.roster.Alive(deps.Clock.Now()))) }
+	e.balancer.ReportAge = func() time.Duration { return updateInterval(e.roster.CountAlive(deps.Clock.Now())) }
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.quarantine.Entries = func() int { return e.roster.LimitSharers(deps.Clock.Now()) }
 	e.limits = newTargetLimits(e)
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -255,7 +255,7 @@
 // orphanedRuns returns the runs of entries that have ended, for one that has just started.
 // Of many entries, a few tell it.
 func (x *peerExchange) orphanedRuns(now time.Time) []handover.Run {
-	peers := len(x.roster.Alive(now))
+	peers := x.roster.CountAlive(now)
 	if x.e.deps.Random()*float64(peers) >= orphanReporters {
 		return nil
 	}
@@ -407,7 +407,7 @@
 
 // applyLoads applies what a message says about its sender's loads.
 func (x *peerExchange) applyLoads(now time.Time, u *direct.PeerUpdate) {
-	validFor := max(minLoadTime, loadIntervals*updateInterval(len(x.roster.Alive(now))))
+	validFor := max(minLoadTime, loadIntervals*updateInterval(x.roster.CountAlive(now)))
 	if u.Notice {
 		x.e.balancer.ApplyPeerLoadChanges(now, u.From, u.LoadChanges, validFor)
 		return
@@ -416,18 +416,16 @@
 }
 
 func (x *peerExchange) applyLoss(now time.Time, from id.Entry, l *direct.Loss) {
-	for _, targets := range x.e.directory.View().Targets {
-		t := targets.Find(l.Target)
-		if t == nil || !l.Of(t) {
-			continue
-		}
-		if l.Replaced {
-			x.e.balancer.ApplyPeerReplaced(now, t, l.Age())
-			continue
-		}
-		x.e.quarantine.TargetLost(now.Add(-l.Age()), t.Key(), t.Zone)
-		if x.e.balancer.ApplyPeerLoss(now, t, l.Age()) {
-			x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Age())
-		}
+	t := x.e.directory.View().Find(l.Target)
+	if t == nil || !l.Of(t) {
+		return
+	}
+	if l.Replaced {
+		x.e.balancer.ApplyPeerReplaced(now, t, l.Age())
+		return
+	}
+	x.e.quarantine.TargetLost(now.Add(-l.Age()), t.Key(), t.Zone)
+	if x.e.balancer.ApplyPeerLoss(now, t, l.Age()) {
+		x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Age())
 	}
 }
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -74,12 +74,7 @@
 	if !ok {
 		return nil
 	}
-	for _, targets := range w.e.directory.View().Targets {
-		if t := targets.Find(name); t != nil {
-			return t
-		}
-	}
-	return nil
+	return w.e.directory.View().Find(name)
 }
 
 // keepNewest keeps the item of a target that is listed as t, or the known one if that is
@@ -103,7 +98,7 @@
 		return
 	}
 	if c.Deleted {
-		if t := w.knownTarget(c.Item.Key); t != nil && t.Revision > 0 && c.Item.ModRevision > 0 && c.Item.ModRevision < t.Revision {
+		if t := w.e.directory.View().Find(name); t != nil && t.Revision > 0 && c.Item.ModRevision > 0 && c.Item.ModRevision < t.Revision {
 			// Another entry has reported a later record.
 			return
 		}
