--- a/review/standin/generate.go
+++ b/review/standin/generate.go
@@ -9,20 +9,25 @@
 // pollInterval is how often a run looks whether there is room for it.
 const pollInterval = 5 * time.Millisecond
 
-// admit waits until there is room for a run.
-func (r *replica) admit(g *generation) {
+// admit waits until there is room for a run. It returns false if dropped is closed first.
+func (r *replica) admit(g *generation, dropped <-chan struct{}) bool {
 	for {
 		r.mu.Lock()
 		if r.capacity == 0 || r.inUse()+g.prompt+g.done*tokensPerEvent <= r.capacity {
 			g.tokens, g.preempted = g.prompt+g.done*tokensPerEvent, false
 			if g.preemption == 0 {
+				g.startedAt = time.Now()
 				r.runs = append(r.runs, g)
 			}
 			r.mu.Unlock()
-			return
+			return true
 		}
 		r.mu.Unlock()
-		time.Sleep(pollInterval)
+		select {
+		case <-dropped:
+			return false
+		case <-time.After(pollInterval):
+		}
 	}
 }
 
@@ -30,7 +35,8 @@
 func (r *replica) end(g *generation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	g.ended = true
+	g.endedAt = time.Now()
+	r.past = append(r.past, g)
 	for i, other := range r.runs {
 		if other == g {
 			r.runs = append(r.runs[:i:i], r.runs[i+1:]...)
@@ -63,12 +69,31 @@
 	return false
 }
 
-// readAgain waits until a preempted run has room again, and has been read in.
-func (r *replica) readAgain(g *generation) {
+// readAgain waits until a preempted run has room again, and has been read in. It returns
+// false if dropped is closed first.
+func (r *replica) readAgain(g *generation, dropped <-chan struct{}) bool {
 	began := time.Now()
-	r.admit(g)
-	time.Sleep(time.Duration(g.prompt+g.done*tokensPerEvent) * prefillPerToken)
+	if !r.admit(g, dropped) {
+		return false
+	}
+	select {
+	case <-dropped:
+		return false
+	case <-time.After(time.Duration(g.prompt+g.done*tokensPerEvent) * prefillPerToken):
+	}
 	r.w.record("replica %s: run %s was preempted after event %d and goes on after %d ms", r.id, g.attempt, g.done, time.Since(began).Milliseconds())
+	return true
+}
+
+// nextStep waits until a run's next event is made. It returns false if dropped is closed
+// first.
+func (r *replica) nextStep(g *generation, dropped <-chan struct{}) bool {
+	select {
+	case <-dropped:
+		return false
+	case <-time.After(r.step):
+	}
+	return !r.grow(g) || r.readAgain(g, dropped)
 }
 
 // generate writes the events of a run. It reports whether the channel stays open.
@@ -92,19 +117,18 @@
 	if _, err := fmt.Fprint(ch, "\r\n"); err != nil {
 		return false
 	}
+	dropped := closed
+	if r.stays {
+		dropped = nil
+	}
 	for g.done < g.events {
-		select {
-		case <-closed:
+		if !r.nextStep(g, dropped) {
 			r.w.record("replica %s: run %s was dropped after event %d, its channel was closed", r.id, g.attempt, g.done)
 			return false
-		case <-time.After(r.step):
-		}
-		if r.grow(g) {
-			r.readAgain(g)
 		}
 		g.done++
 		text := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", g.done, g.part, g.done)
-		if _, err := fmt.Fprintf(ch, "%x\r\n%s\r\n", len(text), text); err != nil {
+		if _, err := fmt.Fprintf(ch, "%x\r\n%s\r\n", len(text), text); err != nil && !r.stays {
 			r.w.record("replica %s: run %s was dropped after event %d: %v", r.id, g.attempt, g.done, err)
 			return false
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 	"copy-answer":  copyAnswer,
 	"large-bodies": largeBodies,
 	"preempted":    preempted,
+	"silent-run":   silentRun,
 	"stop-streams": stopStreams,
 }
 
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -39,6 +39,8 @@
 	capacity int
 	// work is the time of a plain request.
 	work time.Duration
+	// stays is set if the replica works on when the channel of a request closes.
+	stays bool
 	// copyAnswer, if set, returns the bytes that the replica writes for the answer to a
 	// call that copies a run.
 	copyAnswer func(ch *channel, run string, answer []byte) []byte
@@ -51,6 +53,7 @@
 	channels []*channel
 	answers  int
 	runs     []*generation
+	past     []*generation
 	// copies holds the copies of other replicas' runs by the value of Kv-From.
 	copies map[string]*generation
 	// ran counts the runs of plain requests by attempt.
@@ -79,7 +82,8 @@
 	tokens     int
 	preempted  bool
 	preemption int
-	ended      bool
+	startedAt  time.Time
+	endedAt    time.Time
 }
 
 // listen starts the replica at a free address.
@@ -349,7 +353,7 @@
 	if backup := r.w.replicaAt(req.Header.Get("X-Foxtailward-Kv-Backup")); backup != nil {
 		backup.keep(backup.address+"/"+g.attempt, g)
 	}
-	r.admit(g)
+	r.admit(g, nil)
 	r.w.record("replica %s runs %s after event %d", r.id, g.attempt, g.done)
 	defer r.end(g)
 	if held == nil {
