--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,8 +34,8 @@
 var scenarios = map[string]scenario{
 	"copy-answer":  copyAnswer,
 	"large-bodies": largeBodies,
+	"odd-entry":    oddEntry,
 	"preempted":    preempted,
-	"silent-run":   silentRun,
 	"stop-streams": stopStreams,
 }
 
