--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # first: the line of deploy/system.toml, then review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/foxtailward ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin preempted review/3/record.txt
+exec target/review-standin taken-up review/3/record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -44,8 +45,10 @@
 	// complete is set if the answer came to its end.
 	complete bool
 	err      error
-	sentAt   time.Time
-	endedAt  time.Time
+	// retryAfter is what a refusal says.
+	retryAfter time.Duration
+	sentAt     time.Time
+	endedAt    time.Time
 }
 
 // dial opens a channel to an entry.
@@ -79,6 +82,9 @@
 	}
 	defer answer.Body.Close()
 	res.status = answer.StatusCode
+	if seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil {
+		res.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	if answer.Header.Get("Content-Type") != "text/event-stream" {
 		_, res.err = io.ReadAll(answer.Body)
 		res.complete = res.err == nil
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,8 +8,8 @@
 // It runs the scenario in the repository's root, with entries as processes of
 // their own, writes to the file RECORD what was sent, answered and run, and exits
 // with 1 if the rule was broken, 0 if it held, and 2 if the scenario could not run.
-// With TROUBLE=0 in the environment, the disruption is left out. ENTRY_LOG names a file for
-// the entry's log, which is dropped otherwise.
+// With TROUBLE=0 in the environment, the disruption is left out. ENTRY_LOG is the path of the
+// entries' logs without their names; they are dropped otherwise.
 package main
 
 import (
@@ -33,9 +33,9 @@
 
 var scenarios = map[string]scenario{
 	"copy-answer":  copyAnswer,
-	"large-bodies": largeBodies,
 	"odd-entry":    oddEntry,
 	"preempted":    preempted,
+	"taken-up":     takenUp,
 	"stop-streams": stopStreams,
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -21,6 +21,34 @@
 	items    map[string]item
 	history  []item
 	changed  chan struct{}
+	// down is set while the store resets each channel on which it is called.
+	down bool
+}
+
+// setDown begins or ends an outage. Watches that wait are cut.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// isDown reports whether there is an outage.
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// guard serves calls unless there is an outage.
+func (s *store) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDown() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // item is a key and its value, or a deletion.
@@ -45,7 +73,7 @@
 	mux.HandleFunc("GET /api/kv-range", s.serveRange)
 	mux.HandleFunc("GET /api/kv-watch", s.serveWatch)
 	mux.HandleFunc("POST /api/kv-txn", s.serveTxn)
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.guard(mux)) }()
 	return s, nil
 }
 
@@ -131,8 +159,11 @@
 				events = append(events, i)
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -132,7 +132,7 @@
 region = "ch-mittelland"
 
 [limits]
-memoryMB = %d
+memoryMB = 134
 graceSeconds = 8
 addressReuseSeconds = 2
 
@@ -145,23 +145,42 @@
 // startEntry starts an entry with the command of the deploy file and waits until it is
 // ready.
 func (w *world) startEntry(name, zone string) (*entry, error) {
-	addresses := make([]string, 5)
-	for i := range addresses {
+	started, err := w.startEntries([]string{name}, []string{zone})
+	if err != nil {
+		return nil, err
+	}
+	return started[0], nil
+}
+
+// startEntries starts entries that know each other. As on the platform, their ports are the
+// same, and their addresses differ.
+func (w *world) startEntries(names, zones []string) ([]*entry, error) {
+	const ports = 5
+	port := make([]string, ports)
+	for i := range port {
 		a, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
-		addresses[i] = a
-	}
-	e := &entry{w: w, name: name, clients: addresses[0], ready: addresses[1], config: filepath.Join(w.dir, name+".toml")}
-	text := fmt.Sprintf(settingsText, name, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], addresses[2], w.store.address, name, zone, memoryMB)
-	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
-		return nil, err
+		_, port[i], _ = net.SplitHostPort(a)
+	}
+	at := func(entry, service int) string { return fmt.Sprintf("127.0.1.%d:%s", entry+1, port[service]) }
+	var started []*entry
+	for i, name := range names {
+		e := &entry{w: w, name: name, clients: at(i, 0), ready: at(i, 1), config: filepath.Join(w.dir, name+".toml")}
+		text := fmt.Sprintf(settingsText, name, at(i, 0), at(i, 1), at(i, 2), at(i, 3), at(i, 4), at(0, 2), w.store.address, name, zones[i])
+		if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+		w.mu.Lock()
+		w.entries = append(w.entries, e)
+		w.mu.Unlock()
+		if err := e.startProcess(); err != nil {
+			return nil, err
+		}
+		started = append(started, e)
 	}
-	w.mu.Lock()
-	w.entries = append(w.entries, e)
-	w.mu.Unlock()
-	return e, e.startProcess()
+	return started, nil
 }
 
 // startProcess starts the process and waits until it is ready.
@@ -171,7 +190,7 @@
 		return err
 	}
 	if path := os.Getenv("ENTRY_LOG"); path != "" {
-		if log, err = os.Create(path); err != nil {
+		if log, err = os.Create(path + "." + e.name); err != nil {
 			return err
 		}
 	}
