--- a/review/standin/copyanswer.go
+++ b/review/standin/copyanswer.go
@@ -11,10 +11,14 @@
 	wrongShare = 0.03
 	// wrongTime is how long the trouble lasts.
 	wrongTime = 5 * time.Second
-	// orderGap is how many channels lie between that of the run that gets the other's
-	// handle and that of the other one, which is newer. A process that ends has its
-	// channels closed in their order.
-	orderGap = 10
+	// settleTime is the time in which the entry has read an answer.
+	settleTime = 20 * time.Millisecond
+	// copyStep is the time between two events of a stream.
+	copyStep = 200 * time.Millisecond
+	// The run that gets the handle of another one wrote its last event by leastLead to
+	// mostLead before that one. So its silence is noticed first.
+	leastLead = 110 * time.Millisecond
+	mostLead  = 185 * time.Millisecond
 )
 
 // repeater writes some answers to calls that copy runs a second time, late, where the next
@@ -28,6 +32,8 @@
 	// repeated is set once an answer came twice. crash is closed then.
 	repeated bool
 	crash    chan struct{}
+	// owner is the run whose handle another one got.
+	owner string
 }
 
 // answer returns the bytes to write for an answer.
@@ -40,20 +46,24 @@
 	if ch.lastCopy == nil || ch.lastRun == run || p.repeated || 1 > wrongShare*float64(given+1) || time.Since(p.began) > wrongTime {
 		return answer
 	}
-	if p.r.order(run)+orderGap > p.r.order(ch.lastRun) {
+	lead := p.r.lastEvent(ch.lastRun).Sub(p.r.lastEvent(run)) % copyStep
+	if lead < 0 {
+		lead += copyStep
+	}
+	if lead < leastLead || lead > mostLead {
 		return answer
 	}
-	p.repeated = true
+	p.repeated, p.owner = true, ch.lastRun
 	p.r.w.record("replica %s writes its answer for run %s once more, before that for run %s (1 of %d answers)", p.r.id, ch.lastRun, run, given+1)
 	close(p.crash)
 	return append(append([]byte{}, ch.lastCopy...), answer...)
 }
 
 // copyRounds is how often the scenario is played, on a new deployment each time, until the
-// rule breaks: both runs with the same handle go on at once, and the first one gets it.
+// rule breaks: of the two runs with the same handle only the first that goes on gets the copy.
 const copyRounds = 3
 
-// copyAnswer plays a replica that writes an answer to a copy call twice, and then crashes.
+// copyAnswer plays a replica that writes an answer to a copy call twice, and then goes dark.
 func copyAnswer(w *world) ([]string, error) {
 	for round := range copyRounds {
 		w.record("round %d", round+1)
@@ -71,7 +81,7 @@
 func copyRound(w *world) ([]string, error) {
 	w.store.put("op/config", []byte(configText))
 	zones := []string{"za", "za", "za", "za", "za", "za", "za"}
-	replicas, err := w.engines("m", zones, 160, 88000, 150*time.Millisecond)
+	replicas, err := w.engines("m", zones, 160, 88000, copyStep)
 	if err != nil {
 		return nil, err
 	}
@@ -82,21 +92,21 @@
 	time.Sleep(3 * time.Second)
 	var rs results
 	for n := range 140 {
-		rs.stream(w, e, streamRequest("/report/r", n, 100, 110))
+		rs.stream(w, e, streamRequest("/report/r", n, 100, 85))
 		time.Sleep(15 * time.Millisecond)
 	}
-	added, err := w.engines("n", []string{"zb"}, 160, 88000, 150*time.Millisecond)
+	added, err := w.engines("n", []string{"zb"}, 160, 88000, copyStep)
 	if err != nil {
 		return nil, err
 	}
 	time.Sleep(3 * time.Second)
-	w.troubleAndCrash(replicas[0])
+	w.troubleAndSilence(replicas[0])
 	rs.wg.Wait()
 	return foreign(append(replicas, added...), rs.list), nil
 }
 
-// troubleAndCrash has a replica write an answer twice, and then crash.
-func (w *world) troubleAndCrash(r *replica) {
+// troubleAndSilence has a replica write an answer twice, and then go dark.
+func (w *world) troubleAndSilence(r *replica) {
 	p := &repeater{r: r, began: time.Now(), crash: make(chan struct{})}
 	r.mu.Lock()
 	p.before = r.answers
@@ -106,10 +116,13 @@
 	r.mu.Unlock()
 	select {
 	case <-p.crash:
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(settleTime)
+		for end := time.Now().Add(2 * copyStep); time.Now().Before(end) && time.Since(r.lastEvent(p.owner)) > settleTime/4; {
+			time.Sleep(time.Millisecond)
+		}
 	case <-time.After(wrongTime):
 	}
-	r.crash()
+	r.fallSilent()
 }
 
 // foreign returns the requests that went on from the memory of others, and the clients that
--- a/review/standin/generate.go
+++ b/review/standin/generate.go
@@ -88,6 +88,9 @@
 	select {
 	case <-dropped:
 		return false
+	case <-r.dark:
+		<-dropped
+		return false
 	case <-time.After(r.step):
 	}
 	return !r.grow(g) || r.readAgain(g, dropped)
@@ -125,6 +128,9 @@
 			r.w.record("replica %s: run %s was dropped after event %d: %v", r.id, g.attempt, g.done, err)
 			return false
 		}
+		r.mu.Lock()
+		g.lastAt = time.Now()
+		r.mu.Unlock()
 	}
 	r.w.record("replica %s: run %s is complete with event %d", r.id, g.attempt, g.done)
 	if _, err := fmt.Fprint(ch, "0\r\n\r\n"); err != nil {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -46,6 +46,9 @@
 	born     int64
 	listener net.Listener
 
+	// dark is closed when the replica falls silent.
+	dark chan struct{}
+
 	mu       sync.Mutex
 	down     bool
 	channels []*channel
@@ -79,6 +82,8 @@
 	tokens     int
 	preempted  bool
 	preemption int
+	// lastAt is when the last event was written.
+	lastAt time.Time
 }
 
 // listen starts the replica at a free address.
@@ -88,7 +93,7 @@
 		return err
 	}
 	r.listener, r.address, r.born = l, l.Addr().String(), time.Now().UnixMilli()
-	r.copies, r.ran = map[string]*generation{}, map[string]int{}
+	r.copies, r.ran, r.dark = map[string]*generation{}, map[string]int{}, make(chan struct{})
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -142,6 +147,36 @@
 	}
 }
 
+// fallSilent has the replica go dark: it sends nothing more, and its channels stay open.
+func (r *replica) fallSilent() {
+	r.w.record("replica %s falls silent", r.id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+	close(r.dark)
+}
+
+// isDark reports whether the replica has fallen silent.
+func (r *replica) isDark() bool {
+	select {
+	case <-r.dark:
+		return true
+	default:
+		return false
+	}
+}
+
+// lastEvent returns when the last event of a run was written.
+func (r *replica) lastEvent(attempt string) time.Time {
+	g := r.find(attempt)
+	if g == nil {
+		return time.Time{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return g.lastAt
+}
+
 // serve answers the requests of one channel, one at a time.
 func (r *replica) serve(ch *channel) {
 	defer ch.Close()
@@ -151,7 +186,10 @@
 			return
 		}
 		body, err := io.ReadAll(req.Body)
-		if err != nil || !r.answer(ch, req, body) {
+		if err == nil && r.isDark() {
+			_, err = io.Copy(io.Discard, ch.reader)
+		}
+		if err != nil || r.isDark() || !r.answer(ch, req, body) {
 			return
 		}
 	}
@@ -276,18 +314,6 @@
 	return nil
 }
 
-// order returns the place of a run among those that run here, the oldest first.
-func (r *replica) order(attempt string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i, g := range r.runs {
-		if g.attempt == attempt {
-			return i
-		}
-	}
-	return -1
-}
-
 // keep stores a copy of a run and reports whether there was room.
 func (r *replica) keep(name string, g *generation) bool {
 	r.mu.Lock()
