--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -148,6 +148,10 @@
 	drainStart atomic.Pointer[time.Time]
 	// closing is set once the entry refuses all new requests.
 	closing atomic.Bool
+	// stopping ends when the entry is told to stop, and working when it aborts the
+	// requests that are still running.
+	stopping, working       context.Context
+	endStopping, endWorking context.CancelFunc
 	// activeRequests counts the requests in progress, activeStreams those of them
 	// that are streams.
 	activeRequests atomic.Int64
@@ -176,6 +180,8 @@
 		configured:   make(chan struct{}),
 		roster:       roster.New(cfg.PeerAddress, seedPeers(cfg.PeerAddress, cfg.SeedAddresses)),
 	}
+	e.stopping, e.endStopping = context.WithCancel(context.Background())
+	e.working, e.endWorking = context.WithCancel(context.Background())
 	e.balancer.GroupSize = e.targetsIn
 	e.balancer.ReportAge = func() time.Duration { return updateInterval(e.roster.CountAlive(deps.Clock.Now())) }
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -118,6 +119,7 @@
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(e.working, cancel)()
 	if c.route.Kind == catalog.Streaming {
 		e.activeStreams.Add(1)
 		defer e.activeStreams.Add(-1)
@@ -156,7 +158,7 @@
 		PromptTokens: c.meta.PromptTokens, OutputTokens: c.meta.OutputTokens, Prompt: string(c.meta.OwnPart()),
 	}
 	c.setDeadline()
-	if c.e.stopsBefore(c.start.Add(c.expectedTime())) {
+	if c.stopsFirst() {
 		c.refuseDraining()
 		return false
 	}
@@ -180,15 +182,6 @@
 	return &withoutBackup
 }
 
-// expectedTime returns the time within which requests of the route usually
-// finish.
-func (c *call) expectedTime() time.Duration {
-	if c.route.Kind == catalog.Streaming {
-		return c.e.likelyStreamTime(c.service)
-	}
-	return expectedPlainTime
-}
-
 func (c *call) setDeadline() {
 	timeout := c.route.Timeout
 	if timeout == 0 {
@@ -208,12 +201,20 @@
 	if c.cfg.Limits.BodyBytes > 0 {
 		limit = c.cfg.Limits.BodyBytes
 	}
+	stopLimiting := c.limitBodyTime()
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	stopLimiting()
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		c.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLong"})
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.refuseLateBody()
+		return false
+	case c.stopsFirst():
+		c.refuseDraining()
+		return false
 	case err != nil:
 		c.refuse(refusal{status: http.StatusBadRequest, reason: "badBody"})
 		return false
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -38,7 +38,7 @@
 func (c *call) servePlain(ctx context.Context) {
 	var failed *bufferedAnswer
 	for c.sends < c.maxRuns()+extraSends && c.runs < c.maxRuns() && !c.expired() {
-		if !c.mayStart(ctx) {
+		if c.stopsFirst() || !c.mayStart(ctx) {
 			break
 		}
 		choice, ok := c.choose(ctx)
@@ -46,7 +46,7 @@
 			c.notReached()
 			break
 		}
-		if !c.allowSend() {
+		if c.stopsFirst() || !c.allowSend() {
 			c.notReached()
 			c.e.limits.giveBack(choice.Target)
 			break
@@ -78,7 +78,7 @@
 	sent := c.now()
 	run := c.e.balancer.Start(sent, choice, c.requirements, nil)
 	answer, outcome, err := c.roundTrip(ctx, choice)
-	if c.clientGone() {
+	if c.clientGone() || (outcome == balance.Lost && c.e.stopped()) {
 		outcome = balance.ClientCancelled
 	}
 	if mayHaveRun(outcome) {
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -42,6 +42,17 @@
 	c.refuse(refusal{status: statusNotRun, reason: "draining", retryAfter: max(wait, otherEntryRetryAfter)})
 }
 
+// refuseLateBody refuses a request whose body has not arrived in time. The server would wait
+// for the rest of the body before it answers, if the connection were kept.
+func (c *call) refuseLateBody() {
+	c.w.Header().Set("Connection", "close")
+	if c.e.draining.Load() {
+		c.refuseDraining()
+		return
+	}
+	c.refuse(refusal{status: http.StatusRequestTimeout, reason: "bodyTimeout"})
+}
+
 // refuse answers the request with the refusal.
 func (c *call) refuse(f refusal) {
 	h := c.w.Header()
@@ -73,6 +84,8 @@
 	switch {
 	case c.clientGone():
 		c.abandon()
+	case c.runs == 0 && c.stopsFirst():
+		c.refuseDraining()
 	case c.runs == 0 && c.quarantineLeft > 0:
 		c.refuse(refusal{status: statusNotRun, reason: "quarantine", retryAfter: c.quarantineLeft})
 	case c.runs == 0 && c.heldBack:
@@ -94,6 +107,8 @@
 		c.refuse(refusal{status: statusNotRun, reason: "timeout"})
 	case c.expired():
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
+	case c.e.stopped():
+		c.refuse(refusal{status: http.StatusBadGateway, reason: "stopped"})
 	default:
 		c.refuse(refusal{status: http.StatusBadGateway, reason: "targetLost"})
 	}
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -15,12 +15,6 @@
 )
 
 const (
-	// rerouteTime is how long clients may still be routed to an entry after it has
-	// become unready.
-	rerouteTime = 2500 * time.Millisecond
-	// graceMargin is the time before the end of the grace time at which running
-	// requests are aborted.
-	graceMargin = 400 * time.Millisecond
 	// defaultStreamTime is the time within which streams are expected to finish while few
 	// have been observed, and expectedPlainTime the same for other requests.
 	defaultStreamTime = 6 * time.Second
@@ -28,8 +22,6 @@
 	// configWait is how long a request waits for the first configuration and list
 	// of targets.
 	configWait = 400 * time.Millisecond
-	// drainPollInterval is how often a draining entry checks for running requests.
-	drainPollInterval = 50 * time.Millisecond
 	// idleCheckInterval is how often idle connections are checked for their
 	// timeout.
 	idleCheckInterval = time.Second
@@ -101,8 +93,8 @@
 	}
 	<-ctx.Done()
 	err := e.drain()
+	e.closeServer()
 	// The process is ending, so errors of closing don't matter.
-	_ = e.server.Close()
 	_ = ready.Close()
 	_ = metricsServer.Close()
 	return err
@@ -176,43 +168,6 @@
 	return nil
 }
 
-// drain waits until no stream is running and clients are no longer routed here.
-// Then it refuses new requests and waits for the running ones. It returns at the
-// latest shortly before the end of the grace time.
-func (e *Entry) drain() error {
-	start := e.deps.Clock.Now()
-	e.drainStart.Store(&start)
-	e.draining.Store(true)
-	e.deps.Log.Emit(event.DrainStarted, "active", e.activeRequests.Load(), "streams", e.activeStreams.Load())
-	end := e.drainEnd(start)
-	for now := start; now.Before(end); now = e.deps.Clock.Now() {
-		if now.Sub(start) >= rerouteTime && e.activeStreams.Load() == 0 {
-			e.closing.Store(true)
-		}
-		if e.closing.Load() && e.activeRequests.Load() == 0 {
-			break
-		}
-		e.deps.Clock.Sleep(drainPollInterval)
-	}
-	remaining := e.activeRequests.Load()
-	if remaining == 0 {
-		e.deps.Log.Emit(event.DrainEnded, "took", e.deps.Clock.Since(start))
-		return nil
-	}
-	e.deps.Log.Emit(event.WorkAborted, "active", remaining)
-	return fault.New("Entry.drain", DrainIncomplete, "grace time expired with %d requests still running", remaining)
-}
-
-func (e *Entry) drainEnd(start time.Time) time.Time {
-	return start.Add(e.cfg.Limits.Grace() - graceMargin)
-}
-
-// stopsBefore reports whether the entry stops before t.
-func (e *Entry) stopsBefore(t time.Time) bool {
-	start := e.drainStart.Load()
-	return start != nil && (e.closing.Load() || e.drainEnd(*start).Before(t))
-}
-
 // closeIdleConns closes connections that exceed their idle timeout, until ctx
 // ends.
 func (e *Entry) closeIdleConns(ctx context.Context) {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -105,7 +105,7 @@
 	defer s.endHandover()
 	s.lastNumber, _ = (&eventstream.Event{ID: string(s.lastEventID)}).Number()
 	for c.runs < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.expired() {
-		if !c.mayStart(ctx) {
+		if s.stopsFirst() || !c.mayStart(ctx) {
 			break
 		}
 		a, ok := s.nextAttempt(ctx)
@@ -113,13 +113,13 @@
 			c.notReached()
 			break
 		}
-		if !c.allowSend() {
+		if s.stopsFirst() || !c.allowSend() {
 			c.notReached()
 			c.e.limits.giveBack(a.choice.Target)
 			break
 		}
 		outcome := s.runAttempt(ctx, a)
-		if outcome == balance.ClientCancelled || c.clientGone() {
+		if c.clientGone() || (outcome == balance.ClientCancelled && !c.e.stopped()) {
 			c.abandon()
 		}
 		if outcome == balance.Succeeded {
@@ -191,7 +191,7 @@
 	}
 	outcome, err := s.relayEvents(ctx, a, run)
 	switch {
-	case c.clientGone():
+	case c.clientGone(), outcome == balance.Lost && c.e.stopped():
 		outcome = balance.ClientCancelled
 	case outcome == balance.Lost && rerouted.Load():
 		outcome = balance.Rerouted
