--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -122,12 +122,35 @@
 	return false
 }
 
+// Uncertain reports whether the version at which a stream began can't be told from the list of
+// targets, here or at other entries: several versions have served, or those that have are
+// not all known.
+func (v *Versions) Uncertain(now time.Time) bool { return !v.Covered(now) || v.Mixed(now) }
+
+// Covered reports whether all versions that served within the lifetime of a stream are known.
+func (v *Versions) Covered(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.covered(now)
+}
+
+func (v *Versions) covered(now time.Time) bool {
+	return !v.coveredSince.IsZero() && now.Sub(v.coveredSince) >= v.lifetime
+}
+
+// Covers reports whether the entry that sent a report knows all those versions.
+func (v *Versions) Covers(r *Report) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Duration(r.CoveredMS)*time.Millisecond >= v.lifetime
+}
+
 // Sole returns the only version of a service that has served within the lifetime of a
 // stream. It returns false if there are several, or if that is not known.
 func (v *Versions) Sole(now time.Time, service id.Service) (id.SoftwareVersion, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.coveredSince.IsZero() || now.Sub(v.coveredSince) < v.lifetime || v.versions(now, service) != 1 {
+	if !v.covered(now) || v.versions(now, service) != 1 {
 		return "", false
 	}
 	for key := range v.seen {
--- a/internal/standin/releases/releases.go
+++ b/internal/standin/releases/releases.go
@@ -61,6 +61,11 @@
 	CrashGap, KillGap, CutGap time.Duration
 	// KillAllAt is when all entries are killed at once; 0 for never.
 	KillAllAt time.Duration
+	// LoseAt is when entries are lost for good, from the last one on.
+	LoseAt []time.Duration
+	// OutageAt is when the key-value service stops reaching any entry for cutTime; 0 for
+	// never.
+	OutageAt time.Duration
 }
 
 // NewOptions returns the options of a seed.
--- a/internal/standin/releases/releases_test.go
+++ b/internal/standin/releases/releases_test.go
@@ -52,6 +52,20 @@
 	is.True(report.Holds())
 }
 
+// TestOutageBesideSilentEntry guards against streams that are refused with versionUnknown after
+// an outage of the key-value service that began while an entry was silent, though one version
+// alone has served.
+func TestOutageBesideSilentEntry(t *testing.T) {
+	is := is.New(t)
+	report := play(t, releases.Options{
+		Seed: 1, Entries: 4, Engines: 8, Zones: 3, Duration: 25 * time.Second, StreamsPerSecond: 40,
+		OutageAt: 7 * time.Second, LoseAt: []time.Duration{5 * time.Second, 16 * time.Second},
+	})
+	is.True(report.Resumed >= 12)
+	is.Equal(report.WentOn, report.Resumed)
+	is.Equal(report.Reasons["versionUnknown"], 0)
+}
+
 // TestRunCost measures what entries tell each other, with one version and with several, at
 // two sizes.
 func TestRunCost(t *testing.T) {
--- a/internal/standin/releases/run.go
+++ b/internal/standin/releases/run.go
@@ -187,12 +187,10 @@
 	r.repeat(playing, &work, r.opts.CrashGap, func() { r.pickEngine().crash(ctx) })
 	r.repeat(playing, &work, r.opts.KillGap, func() { r.pickEntry().kill(ctx) })
 	r.repeat(playing, &work, r.opts.CutGap, func() { r.pickEntry().cutOff(ctx) })
-	if r.opts.KillAllAt > 0 {
-		work.Go(func() {
-			if pause(playing, r.opts.KillAllAt) {
-				r.killAll(ctx)
-			}
-		})
+	r.at(playing, &work, r.opts.KillAllAt, func() { r.forAll(func(e *entry) { e.kill(ctx) }) })
+	r.at(playing, &work, r.opts.OutageAt, func() { r.forAll(func(e *entry) { e.cutOff(ctx) }) })
+	for i, at := range r.opts.LoseAt {
+		r.at(playing, &work, at, func() { r.entries[len(r.entries)-1-i].lose() })
 	}
 	for n := 0; playing.Err() == nil; n++ {
 		streams.Go(func() { r.ask(ctx, fmt.Sprintf("s%d", n)) })
@@ -202,6 +200,18 @@
 	streams.Wait()
 }
 
+// at calls f once after a time, unless that is 0.
+func (r *run) at(ctx context.Context, work *sync.WaitGroup, after time.Duration, f func()) {
+	if after == 0 {
+		return
+	}
+	work.Go(func() {
+		if pause(ctx, after) {
+			f()
+		}
+	})
+}
+
 // repeat calls f at random intervals around gap until ctx ends, unless gap is 0.
 func (r *run) repeat(ctx context.Context, work *sync.WaitGroup, gap time.Duration, f func()) {
 	if gap == 0 {
@@ -235,12 +245,13 @@
 	replaced.Wait()
 }
 
-func (r *run) killAll(ctx context.Context) {
-	var killed sync.WaitGroup
+// forAll calls f for all entries at the same time, and waits for the calls.
+func (r *run) forAll(f func(e *entry)) {
+	var calls sync.WaitGroup
 	for _, e := range r.entries {
-		killed.Go(func() { e.kill(ctx) })
+		calls.Go(func() { f(e) })
 	}
-	killed.Wait()
+	calls.Wait()
 }
 
 func (r *run) float() float64 {
@@ -351,17 +362,25 @@
 	return s
 }
 
-// kill ends the process and starts it again after restartTime.
-func (e *entry) kill(ctx context.Context) {
+// lose ends the process for good. It returns false if none ran.
+func (e *entry) lose() bool {
 	e.mu.Lock()
 	stop, ended := e.stop, e.ended
 	e.stop = nil
 	e.mu.Unlock()
 	if stop == nil {
-		return
+		return false
 	}
 	stop()
 	<-ended
+	return true
+}
+
+// kill ends the process and starts it again after restartTime.
+func (e *entry) kill(ctx context.Context) {
+	if !e.lose() {
+		return
+	}
 	pause(ctx, restartTime)
 	if err := e.start(ctx); err != nil && ctx.Err() == nil {
 		e.run.fail(err)
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -72,8 +72,9 @@
 	sendMu         sync.Mutex
 	sequence       id.Sequence
 	versionsSentAt time.Time
-	// versionsDue is set if a service has become mixed since.
-	versionsDue atomic.Bool
+	// versionsDue is set if a service has become mixed since, and versionsAsked if an entry
+	// has reported that it does not know all versions.
+	versionsDue, versionsAsked atomic.Bool
 
 	mu sync.Mutex
 	// snapshotReading is set while another entry's list of targets is read.
@@ -323,10 +324,7 @@
 func (x *peerExchange) changes(now time.Time) *direct.PeerUpdate {
 	u := x.header(now)
 	u.Leaving = x.e.withdrawn.Reports(now)
-	if x.e.versions.Mixed(now) && (x.versionsDue.Swap(false) || now.Sub(x.versionsSentAt) >= versionReportInterval) {
-		x.versionsSentAt = now
-		u.Versions = x.versionReport(now)
-	}
+	u.Versions = x.takeVersionReport(now)
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
 	for lost, age := range x.e.balancer.RecentLosses(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -55,8 +55,8 @@
 	Records   []quarantine.Record `json:"records"`
 }
 
-// streamsItem is what an entry saves about the streams that it has served, while several
-// versions of targets' software serve.
+// streamsItem is what an entry saves about the streams that it has served, unless one version
+// of targets' software alone has served.
 type streamsItem struct {
 	// SavedAtMS is the time of day of the save, in milliseconds since 1970.
 	SavedAtMS int64           `json:"savedAtMs"`
@@ -194,11 +194,10 @@
 	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, era
 }
 
-// streamsToSave returns the streams of this entry, if they began while several versions
-// served.
+// streamsToSave returns the streams of this entry, unless one version alone has served.
 func (s *stateSaver) streamsToSave(now time.Time) []origin.Stream {
 	s.e.observeVersions()
-	if !s.e.versions.Mixed(now) {
+	if !s.e.versions.Uncertain(now) {
 		return nil
 	}
 	return s.e.streams.Own(now)
--- a/internal/transport/direct/streampeers.go
+++ b/internal/transport/direct/streampeers.go
@@ -20,9 +20,9 @@
 )
 
 // tellStreams reports to the entries that keep them at which versions this entry's streams
-// began, while several versions serve. Before that, an entry can tell by itself.
+// began, unless one version alone has served. Then an entry can tell by itself.
 func (x *peerExchange) tellStreams(now time.Time) {
-	if !x.e.versions.Mixed(now) {
+	if !x.e.versions.Uncertain(now) {
 		return
 	}
 	untold := x.e.streams.Untold(now, func(attempt id.Request) []string {
@@ -64,11 +64,31 @@
 }
 
 // mergeVersions records which versions have served according to another entry. If that
-// makes a service mixed, this entry's streams are reported at once.
+// makes a service mixed, this entry's streams are reported at once. An entry that does not
+// know all versions learns them from those that do.
 func (x *peerExchange) mergeVersions(now time.Time, report *direct.VersionReport) {
-	if report != nil && x.e.versions.Merge(now, *report, 0) {
+	if report == nil {
+		return
+	}
+	if x.e.versions.Merge(now, *report, 0) {
 		x.tellVersions()
 	}
+	if !x.e.versions.Covers(report) && x.e.versions.Covered(now) {
+		x.versionsAsked.Store(true)
+	}
+}
+
+// takeVersionReport returns the versions that have served, if other entries must hear of them
+// now, or nil. The caller holds sendMu.
+func (x *peerExchange) takeVersionReport(now time.Time) *direct.VersionReport {
+	urgent := x.versionsDue.Swap(false)
+	wanted := x.versionsAsked.Load() || x.e.versions.Uncertain(now)
+	if !urgent && (!wanted || now.Sub(x.versionsSentAt) < versionReportInterval) {
+		return nil
+	}
+	x.versionsSentAt = now
+	x.versionsAsked.Store(false)
+	return x.versionReport(now)
 }
 
 // tellVersions reports to the other entries at once which versions have served.
@@ -97,7 +117,7 @@
 
 // tellStream reports to the entries that keep it where a stream of this entry began, at once.
 func (x *peerExchange) tellStream(now time.Time, keys []id.Request) {
-	if !x.e.versions.Mixed(now) {
+	if !x.e.versions.Uncertain(now) {
 		return
 	}
 	for _, key := range keys {
