--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -90,11 +90,21 @@
 	Age time.Duration
 }
 
+// MayRetry reports whether the entries have retries left.
+func (b *Budget) MayRetry(now time.Time, others Others) bool {
+	return b.left(b.Counts(now).Add(others.Counts), others) >= 1
+}
+
+// left returns the number of retries that the entries have left.
+func (b *Budget) left(all Counts, others Others) float64 {
+	return b.cfg.Ratio*float64(all.Requests) + b.cfg.MinRetries*others.Share - float64(all.Retries)
+}
+
 // TryRetry reports whether a request may be retried, and counts the retry if so.
 func (b *Budget) TryRetry(now time.Time, others Others) bool {
 	own := b.Counts(now)
 	all := own.Add(others.Counts)
-	left := b.cfg.Ratio*float64(all.Requests) + b.cfg.MinRetries*others.Share - float64(all.Retries)
+	left := b.left(all, others)
 	if left < 1 {
 		return false
 	}
--- a/internal/transport/direct/retries.go
+++ b/internal/transport/direct/retries.go
@@ -70,6 +70,18 @@
 func (r *retryBudgets) tryRetry(now time.Time, service id.Service, share float64, age time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.budget(now, service).TryRetry(now, r.others(now, service, share, age))
+}
+
+// mayRetry reports whether retries are left in the budget.
+func (r *retryBudgets) mayRetry(now time.Time, service id.Service, share float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(now, service).MayRetry(now, r.others(now, service, share, 0))
+}
+
+// others returns what is known of the other entries. The caller holds the lock.
+func (r *retryBudgets) others(now time.Time, service id.Service, share float64, age time.Duration) retry.Others {
 	others := retry.Others{Share: share, Age: age}
 	for name, p := range r.peers {
 		if now.Sub(p.at) > r.cfg.Window {
@@ -78,7 +90,7 @@
 		}
 		others.Counts = others.Counts.Add(p.counts[service])
 	}
-	return r.budget(now, service).TryRetry(now, others)
+	return others
 }
 
 // undoRetry takes back a retry that did not reach the service.
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -15,6 +15,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/eventstream"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
@@ -33,21 +34,6 @@
 	prefillPerToken = 125 * time.Microsecond
 )
 
-// stallConfig returns the silence after which an engine counts as lost. With a
-// ceiling of 450 ms, enough of the usual gap objective of 700 ms is left to
-// resume elsewhere.
-func stallConfig() detect.Config {
-	return detect.Config{
-		MinTimeout:           350 * time.Millisecond,
-		MaxTimeout:           450 * time.Millisecond,
-		Deviations:           5.5,
-		LongestGapFactor:     2,
-		LongestGapHalfLife:   time.Minute,
-		MinFirstTokenTimeout: 2 * time.Second,
-		FirstTokenFactor:     2,
-	}
-}
-
 // stream is the state of a request that is answered by an event stream.
 type stream struct {
 	c           *call
@@ -55,10 +41,12 @@
 	lastEventID direct.EventID
 	// lastNumber is the last event's id, if ids are numbers.
 	lastNumber int64
-	// headSent is set once the head of the answer has been sent, at headSentAt.
-	// events counts the forwarded events.
+	// headSent is set once the head of the answer has been sent, at headSentAt. began is set
+	// once the answer has begun and the first event has been recorded; it may be read
+	// by other goroutines. events counts the forwarded events.
 	headSent   bool
 	headSentAt time.Time
+	began      atomic.Bool
 	events     int
 	// lastEventAt is when the last event was forwarded. longestPause is the
 	// longest pause between two events.
@@ -180,10 +168,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var rerouted atomic.Bool
-	run := c.e.balancer.Start(sent, a.choice, requirements, func() {
+	reroute := func() {
 		rerouted.Store(true)
 		cancel()
-	})
+	}
+	if !c.route.Idempotent() {
+		reroute = nil
+	}
+	run := c.e.balancer.Start(sent, a.choice, requirements, reroute)
 	c.e.loadChanged(a.choice.Target, true)
 	defer c.e.loadChanged(a.choice.Target, false)
 	if c.sends > 1 {
@@ -216,23 +208,48 @@
 	if !a.resumes() {
 		expected.PrefillTokens = c.requirements.PromptTokens
 	}
-	detector := detect.New(stallConfig(), c.now(), expected)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	relay := &eventRelay{s: s, target: a.choice.Target, run: run, detector: detect.New(stallConfig(), c.now(), expected)}
+	relay.silence = newSilenceWatch(c.e.deps.Clock, s.silenceEnds(a.choice.Target), cancel)
 	s.copyTracker.runStarted(a.choice.Backup, c.meta.Attempt)
+	outcome, err := relay.forward(ctx, s.upstreamRequest(a))
+	if relay.silence.stop() && outcome == balance.Lost {
+		err = fault.Wrap("stream.relayEvents", upstream.ReadTimeout, err)
+	}
+	return outcome, err
+}
+
+// eventRelay forwards the events of one run.
+type eventRelay struct {
+	s        *stream
+	target   *catalog.Target
+	run      *balance.Attempt
+	detector *detect.Detector
+	silence  *silenceWatch
+}
+
+// forward sends the request and forwards the events of its answer.
+func (r *eventRelay) forward(ctx context.Context, request *upstream.Request) (balance.Outcome, error) {
+	s, c := r.s, r.s.c
 	sent := c.now()
-	answer, err := c.e.pool.Do(ctx, a.choice.Target.Address, s.upstreamRequest(a), s.readDeadline(detector))
+	r.silence.expect(s.readDeadline(r.detector))
+	answer, err := c.e.pool.Do(ctx, r.target.Address, request, c.deadline)
 	if err != nil {
 		return lossOutcome(err), err
 	}
 	defer answer.Close()
-	if outcome, err := s.checkHead(answer, a.choice.Target, sent); outcome != balance.Succeeded {
+	r.silence.received()
+	if outcome, err := s.checkHead(answer, r.target, sent); outcome != balance.Succeeded {
 		return outcome, err
 	}
 	goesOn := c.software != nil
 	events := eventstream.NewReader(answer.Body)
 	packetLoss := detect.NewPacketLossDetector()
 	for {
-		answer.SetReadDeadline(s.readDeadline(detector))
+		r.silence.expect(s.readDeadline(r.detector))
 		next, err := events.Next()
+		r.silence.received()
 		switch {
 		case errors.Is(err, io.EOF):
 			c.endUncertain = answer.EndsWithConnection
@@ -240,31 +257,37 @@
 		case err != nil:
 			return balance.Lost, err
 		}
-		run.MarkStarted(c.now())
-		run.RecordActivity(c.now())
-		c.recordActivity(c.now())
-		if packetLoss.Observe(c.now()) {
-			run.RecordPacketLoss(c.now())
-		}
-		detector.RecordTokens(c.now(), 1)
+		r.recordEvent(packetLoss)
 		if goesOn {
-			if outcome, err := s.confirmTarget(ctx, a.choice.Target); outcome != balance.Succeeded {
+			if outcome, err := s.confirmTarget(ctx, r.target); outcome != balance.Succeeded {
 				return outcome, err
 			}
 			goesOn = false
 		}
-		c.recordBegin(ctx, a.choice.Target)
+		c.recordBegin(ctx, r.target)
 		writeBegan := c.now()
 		if err := s.writeEvent(answer, &next); err != nil {
 			return balance.ClientCancelled, err
 		}
 		// A client that is slow to accept an event holds up the reading.
-		detector.Exclude(c.now().Sub(writeBegan))
-		s.maintainCopy(ctx, run, a.choice.Target)
+		r.detector.Exclude(c.now().Sub(writeBegan))
+		s.maintainCopy(ctx, r.run, r.target)
 		s.reportCopy()
 	}
 }
 
+// recordEvent records that an event has arrived.
+func (r *eventRelay) recordEvent(packetLoss *detect.PacketLossDetector) {
+	now := r.s.c.now()
+	r.run.MarkStarted(now)
+	r.run.RecordActivity(now)
+	r.s.c.recordActivity(now)
+	if packetLoss.Observe(now) {
+		r.run.RecordPacketLoss(now)
+	}
+	r.detector.RecordTokens(now, 1)
+}
+
 // confirmTarget returns Succeeded if the target is still the process that its record
 // describes, so that a stream may go on there, and otherwise the outcome of the attempt.
 func (s *stream) confirmTarget(ctx context.Context, t *catalog.Target) (balance.Outcome, error) {
@@ -290,14 +313,12 @@
 	return c.upstreamRequest(a.choice.Target, forward)
 }
 
-// readDeadline returns the time by which the next bytes must arrive.
+// readDeadline returns the time after which silence counts as the loss of the target.
 func (s *stream) readDeadline(d *detect.Detector) time.Time {
-	_, due := d.Verdict(s.c.now())
+	now := s.c.now()
+	_, due := d.Verdict(now)
 	if due.IsZero() {
-		due = s.c.now()
-	}
-	if due.After(s.c.deadline) {
-		return s.c.deadline
+		return now
 	}
 	return due
 }
@@ -323,7 +344,6 @@
 	case a.Status < http.StatusMultipleChoices:
 		return balance.Lost, errUnsigned
 	}
-	a.SetReadDeadline(c.deadline)
 	body, err := c.buffer(a.Body)
 	if err == nil {
 		s.targetFailure = &bufferedAnswer{status: a.Status, header: a.Header, meta: meta, body: body}
@@ -337,6 +357,7 @@
 		return nil
 	}
 	s.headSent = true
+	s.began.Store(true)
 	copyHeaders(s.c.w.Header(), a.Header)
 	s.c.w.WriteHeader(a.Status)
 	s.headSentAt = s.c.now()
