--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -116,6 +116,17 @@
 	return r.e.deps.Dialect.DecodeReport(answer.body)
 }
 
+// checkAlive returns an error if the target does not answer. One that wants a pause is not
+// asked.
+func (r *reportReader) checkAlive(ctx context.Context, t *catalog.Target) error {
+	if r.e.withdrawn.Paused(r.e.deps.Clock.Now(), t.Key()) {
+		return nil
+	}
+	// Any answer is a sign of life.
+	_, err := r.e.callEngine(ctx, t.Address, r.e.deps.Dialect.ReportCall())
+	return err
+}
+
 // read reads one report. Without one, a record that was written after the last loss of the
 // target tells.
 func (r *reportReader) read(t *catalog.Target) confirmation {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -29,6 +29,9 @@
 	// long, they may be slow to accept one.
 	writeLatencyFactor = 4
 	writeGapFactor     = 8
+	// deadlineEndMargin is how near to its deadline the end of an answer may be the target's
+	// end of work.
+	deadlineEndMargin = 50 * time.Millisecond
 	// prefillPerToken is the time that an engine takes to process one token of a
 	// prompt.
 	prefillPerToken = 125 * time.Microsecond
@@ -252,8 +255,7 @@
 		r.silence.received()
 		switch {
 		case errors.Is(err, io.EOF):
-			c.endUncertain = answer.EndsWithConnection
-			return balance.Succeeded, s.sendHead(answer)
+			return r.endOfAnswer(ctx, answer)
 		case err != nil:
 			return balance.Lost, err
 		}
@@ -276,6 +278,23 @@
 	}
 }
 
+// endOfAnswer handles the end of an answer between two events. Where the end of the connection
+// is the only sign of it, a target that has ended, or that stops work at the deadline, looks
+// the same. So the target must still answer, before the deadline.
+func (r *eventRelay) endOfAnswer(ctx context.Context, answer *upstream.Answer) (balance.Outcome, error) {
+	c := r.s.c
+	c.endUncertain = answer.EndsWithConnection
+	if answer.EndsWithConnection {
+		if c.timeLeft() <= deadlineEndMargin {
+			return balance.Lost, errEndAtDeadline
+		}
+		if err := c.e.reports.checkAlive(ctx, r.target); err != nil {
+			return balance.Lost, err
+		}
+	}
+	return balance.Succeeded, r.s.sendHead(answer)
+}
+
 // recordEvent records that an event has arrived.
 func (r *eventRelay) recordEvent(packetLoss *detect.PacketLossDetector) {
 	now := r.s.c.now()
--- a/internal/transport/direct/unframed_test.go
+++ b/internal/transport/direct/unframed_test.go
@@ -68,6 +68,55 @@
 	})
 }
 
+// TestUnframedStreamOfEndedTarget guards against a stream that ends as if it were whole because
+// its target's process ended between two events of an answer without length or chunks.
+func TestUnframedStreamOfEndedTarget(t *testing.T) {
+	for _, others := range []bool{true, false} {
+		t.Run(fmt.Sprintf("others serve: %v", others), func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.target("t1", "10.0.1.1:80", "a", unframed(func(*http.Request) string {
+					// The connection of this answer ends last.
+					env.crash("10.0.1.1:80")
+					return wholeStream(5)
+				}, nil))
+				if others {
+					env.target("t2", "10.0.2.1:80", "b", func(rw http.ResponseWriter, r *http.Request) {
+						events(rw, after(r), 20, 30*time.Millisecond)
+					})
+				}
+				env.start()
+				got := env.do("POST", "/r/x", "a1", "body")
+				env.is.Equal(got.broken, !others)
+				if others {
+					env.is.Equal(got.body, wholeStream(20))
+				}
+				time.Sleep(10 * time.Second) // the search for the target's successor ends
+			})
+		})
+	}
+}
+
+// TestUnframedStreamAtDeadline guards against a stream that ends as if it were whole because its
+// target stops work at the deadline, in an answer without length or chunks.
+func TestUnframedStreamAtDeadline(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.config.Routes[0].Timeout = time.Second
+		env.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
+			left, err := time.ParseDuration(r.Header.Get("Left"))
+			if err != nil {
+				return // a question whether the target is alive
+			}
+			unframed(func(*http.Request) string {
+				time.Sleep(left - time.Millisecond)
+				return wholeStream(5)
+			}, nil)(rw, r)
+		})
+		env.start()
+		a := env.do("POST", "/r/x", "a1", "body")
+		env.is.True(a.broken || a.status == http.StatusGatewayTimeout)
+	})
+}
+
 // TestUnframedAnswerClearsLater guards against a request that crashes its target between two
 // events of an answer without length: the end of the connection must not count as its success
 // before the target has lived on.
