--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -40,7 +40,13 @@
 // fullPlan returns the plan of a run. Each part draws from a stream of its own, so that
 // options that add a part leave the others as they are.
 func fullPlan(opts Options) plan {
-	p := newPlan(opts, rand.New(rand.NewPCG(opts.Seed, planRandomStream)))
+	var p plan
+	if !opts.Calm {
+		p = newPlan(opts, rand.New(rand.NewPCG(opts.Seed, planRandomStream)))
+	}
+	if opts.Stops {
+		p = append(p, newStops(opts, rand.New(rand.NewPCG(opts.Seed, stopRandomStream)))...)
+	}
 	if opts.StoreReturns {
 		p = append(p, newStoreReturns(opts, rand.New(rand.NewPCG(opts.Seed, returnRandomStream)))...)
 	}
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -60,6 +60,8 @@
 	cmd *exec.Cmd
 	// exited is closed when the program has exited.
 	exited chan struct{}
+	// terminatedAt is when a program was last sent SIGTERM.
+	terminatedAt time.Time
 	// exitExpected is set once the program was sent SIGTERM or SIGKILL.
 	exitExpected bool
 }
@@ -147,10 +149,23 @@
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.exitExpected = true
 	}
+	if s == syscall.SIGTERM {
+		p.terminatedAt = time.Now()
+	}
 	// An error means that the program has exited meanwhile.
 	_ = p.cmd.Process.Signal(s)
 }
 
+// hangUp sends SIGHUP.
+func (p *process) hangUp() { p.signal(syscall.SIGHUP) }
+
+// lastTerminated returns when a program was last sent SIGTERM; zero for never.
+func (p *process) lastTerminated() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.terminatedAt
+}
+
 // kill sends SIGKILL and waits up to exitSlack until the program has exited.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -69,6 +69,11 @@
 	Releases bool
 	// Rests adds targets that request rests, and records that lapse meanwhile.
 	Rests bool
+	// Stops adds stops of whole entries in series, beside signals and configuration changes,
+	// and clients that keep using their connections.
+	Stops bool
+	// Calm leaves out the faults and the planned work that the other options do not add.
+	Calm bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
 	// instance that requests are served and configuration changes are applied in time
 	// while no fault is active.
@@ -139,6 +144,9 @@
 		c := newClient(w, i)
 		clients.Go(func() { c.run(clientCtx) })
 	}
+	for _, c := range w.residents() {
+		clients.Go(func() { c.run(clientCtx) })
+	}
 	clients.Go(func() { w.runCrashingRequests(ctx) })
 	w.runPlan(ctx, fullPlan(w.opts))
 	stop()
@@ -161,5 +169,7 @@
 	releaseRandomStream  = 6
 	restRandomStream     = 7
 	plainRandomStream    = 8
+	stopRandomStream     = 9
+	residentRandomStream = 5000
 	clientRandomStream   = 1000
 )
--- a/internal/standin/soak/windows.go
+++ b/internal/standin/soak/windows.go
@@ -44,6 +44,35 @@
 	})
 }
 
+// outages records the times at which no entry serves because all are being stopped. It is
+// safe for concurrent use.
+type outages struct {
+	entries int
+	windows faultWindows
+
+	mu      sync.Mutex
+	stopped int
+	end     func()
+}
+
+// stop records that an entry is being stopped. The returned function records that it serves
+// again.
+func (o *outages) stop() (serves func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.stopped++; o.stopped == o.entries {
+		o.end = o.windows.begin()
+	}
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.stopped--; o.end != nil {
+			o.end()
+			o.end = nil
+		}
+	}
+}
+
 // counter counts events by name. It is safe for concurrent use.
 type counter struct {
 	mu     sync.Mutex
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -50,6 +50,8 @@
 	faultWindows *faultWindows
 	// disturbances holds the times at which each entry was disturbed, by its name.
 	disturbances map[string]*faultWindows
+	// outages holds the times at which all entries are being stopped.
+	outages *outages
 	// crashing holds the requests that crash targets, and restarts the crashed targets
 	// that are not started again yet.
 	crashing []*crashingRequest
@@ -79,7 +81,7 @@
 	w := &world{
 		opts: opts, dialect: platform.Dialect(), history: newHistory(time.Now()),
 		probes:       &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		faultWindows: &faultWindows{settle: settleTime}, disturbances: map[string]*faultWindows{}, actionCounts: newCounter(), service: kv.New(kv.Options{}), config: initialConfig(),
+		faultWindows: &faultWindows{settle: settleTime}, disturbances: map[string]*faultWindows{}, outages: &outages{entries: opts.Entries}, actionCounts: newCounter(), service: kv.New(kv.Options{}), config: initialConfig(),
 	}
 	w.store = w.service.Direct()
 	if opts.Crashing {
@@ -134,7 +136,7 @@
 		return catalog.Route{
 			Name: path, Host: routeHost, PathPrefix: path, Kind: kind, MaxAttempts: attempts, Timeout: timeout,
 			Services:         []catalog.WeightedService{{Service: serviceOf(path), Weight: 1}},
-			LatencyObjective: 500 * time.Millisecond, GapObjective: 700 * time.Millisecond, Resumable: kind == catalog.Streaming,
+			LatencyObjective: 500 * time.Millisecond, GapObjective: 700 * time.Millisecond, Resumable: kind == catalog.Streaming && path != oncePath,
 		}
 	}
 	return catalog.Config{
@@ -142,6 +144,7 @@
 		Routes: []catalog.Route{
 			route(unsafePath, catalog.Unsafe, 1, plainTimeout), route(safePath, catalog.Safe, 3, plainTimeout),
 			route(streamPath, catalog.Streaming, 6, streamTimeout),
+			route(oncePath, catalog.Streaming, 1, streamTimeout), route(slowPath, catalog.Unsafe, 1, slowTimeout),
 		},
 		Services: map[id.Service]catalog.Service{
 			modelService: {Name: modelService, HealthPath: healthPath, Engine: &catalog.Engine{MemoryTokens: 88000, SupportsBackup: true}},
