--- a/internal/protocol/eventstream/eventstream.go
+++ b/internal/protocol/eventstream/eventstream.go
@@ -25,8 +25,12 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// TooLong means that an event is longer than maxEventBytes.
-const TooLong Kind = "tooLong"
+const (
+	// TooLong means that an event is longer than maxEventBytes.
+	TooLong Kind = "tooLong"
+	// NoRoom means that there is no memory for an event.
+	NoRoom Kind = "noRoom"
+)
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
@@ -35,6 +39,9 @@
 	readBufferBytes = 2 << 10
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
+	// takeBytes is the part in which the memory of large events is taken. Smaller events
+	// need no room.
+	takeBytes = 64 << 10
 )
 
 // Event is one event.
@@ -54,8 +61,13 @@
 
 // Reader reads the events of a stream.
 type Reader struct {
-	r   *bufio.Reader
-	raw []byte
+	// Take takes memory for a large event and returns false if there is none; a negative
+	// number gives it back. It may be nil.
+	Take func(n int) bool
+
+	r     *bufio.Reader
+	raw   []byte
+	taken int
 }
 
 // NewReader returns a Reader that reads from r.
@@ -64,6 +76,7 @@
 // Next returns the next complete event. At the end of the stream it returns
 // io.EOF, or io.ErrUnexpectedEOF if the stream ends within an event.
 func (r *Reader) Next() (Event, error) {
+	r.Close()
 	r.raw = r.raw[:0]
 	e := Event{}
 	for {
@@ -90,12 +103,36 @@
 		if len(r.raw) > maxEventBytes {
 			return fault.New("Reader.readLine", TooLong, "event exceeds %d bytes", maxEventBytes)
 		}
+		if !r.takeRoom() {
+			return fault.New("Reader.readLine", NoRoom, "no memory for an event of over %d bytes", r.taken)
+		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
 	}
 }
 
+// takeRoom takes the memory that the current event has grown by. It returns false if there is
+// none.
+func (r *Reader) takeRoom() bool {
+	for r.Take != nil && len(r.raw) > r.taken+takeBytes {
+		if !r.Take(takeBytes) {
+			return false
+		}
+		r.taken += takeBytes
+	}
+	return true
+}
+
+// Close gives back the memory of the last event, which must not be used any more.
+func (r *Reader) Close() {
+	if r.taken == 0 {
+		return
+	}
+	r.Take(-r.taken)
+	r.raw, r.taken = nil, 0
+}
+
 func (r *Reader) endError(err error) error {
 	if errors.Is(err, io.EOF) && len(r.raw) > 0 {
 		return io.ErrUnexpectedEOF
--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -227,7 +227,7 @@
 		return bufferedAnswer{}, err
 	}
 	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, smallAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, smallBodyBytes))
 	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, err
 }
 
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -121,8 +121,9 @@
 	retryBudgets *retryBudgets
 	limits       *targetLimits
 	withdrawn    *withdrawal.Tracker
-	buffers      *answerBuffers
-	quarantine   *quarantine.Shared
+	// buffers holds the answers of targets, and bodies the bodies of requests.
+	buffers, bodies *bodyBuffers
+	quarantine      *quarantine.Shared
 	// pauses detects when the process or its host was paused.
 	pauses    pauseDetector
 	startedAt time.Time
@@ -187,7 +188,8 @@
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.quarantine.Entries = func() int { return e.roster.LimitSharers(deps.Clock.Now()) }
 	e.limits = newTargetLimits(e)
-	e.withdrawn, e.buffers = withdrawal.New(), newAnswerBuffers(cfg.Limits.MemoryMB)
+	e.withdrawn = withdrawal.New()
+	e.buffers, e.bodies = newBodyBuffers(cfg.Limits.MemoryMB), newBodyBuffers(cfg.Limits.MemoryMB)
 	e.reports = newReportReader(e)
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -191,6 +191,8 @@
 
 	// sinceBoot is the time since the host booted; nil for the monotonic time.
 	sinceBoot func() time.Duration
+	// memoryMB is the entry's memory limit; 0 for none.
+	memoryMB float64
 	// watch replaces the watch of targets unless it is nil.
 	watch func(ctx context.Context) error
 	// changeStore changes the key-value service's calls unless it is nil.
@@ -311,7 +313,7 @@
 	s := settings.Direct{
 		Name: "e", ClientAddress: clientAddress, ReadinessAddress: readinessAddress, MetricsAddress: metricsAddress,
 		Place:   settings.Place{Host: "e", Zone: "a", Region: "x"},
-		Limits:  settings.ProcessLimits{AddressReuseSeconds: reuseSeconds},
+		Limits:  settings.ProcessLimits{AddressReuseSeconds: reuseSeconds, MemoryMB: env.memoryMB},
 		Retries: settings.Retries{Ratio: 1, MinRetries: 300, WindowSeconds: 10},
 	}
 	s.SetDefaults()
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -93,7 +93,7 @@
 	// software is the version at which the request's stream goes on; nil before it has
 	// begun.
 	software *requiredSoftware
-	// releaseBuffers give back the memory of the buffered answers.
+	// releaseBuffers give back the memory of the request's body and of the buffered answers.
 	releaseBuffers []func()
 	// heldBack is set if the request may not start yet because requests with this
 	// fingerprint are suspected of crashing targets.
@@ -109,12 +109,12 @@
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer c.release()
 	if !c.admit() || !c.readBody() {
 		return
 	}
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "left", c.timeLeft())
-	defer c.release()
 	defer c.endTrial()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -202,13 +202,17 @@
 		limit = c.cfg.Limits.BodyBytes
 	}
 	stopLimiting := c.limitBodyTime()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, release, err := c.e.bodies.read(http.MaxBytesReader(c.w, c.r.Body, limit), int(limit))
 	stopLimiting()
+	c.releaseBuffers = append(c.releaseBuffers, release)
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		c.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLong"})
 		return false
+	case errors.Is(err, errBuffersFull):
+		c.refuseUnread(refusal{status: statusNotRun, reason: "bodiesFull", retryAfter: busyRetryAfter})
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.refuseLateBody()
 		return false
@@ -309,7 +313,7 @@
 
 // buffer reads the body of an answer that is kept until the request ends.
 func (c *call) buffer(body io.Reader) ([]byte, error) {
-	data, release, err := c.e.buffers.read(body)
+	data, release, err := c.e.buffers.read(body, maxAnswerBytes)
 	if err != nil {
 		release()
 		return nil, err
@@ -318,7 +322,7 @@
 	return data, nil
 }
 
-// release gives back the memory of the buffered answers.
+// release gives back the memory of the request's body and of the buffered answers.
 func (c *call) release() {
 	for _, release := range c.releaseBuffers {
 		release()
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -42,15 +42,21 @@
 	c.refuse(refusal{status: statusNotRun, reason: "draining", retryAfter: max(wait, otherEntryRetryAfter)})
 }
 
-// refuseLateBody refuses a request whose body has not arrived in time. The server would wait
-// for the rest of the body before it answers, if the connection were kept.
+// refuseLateBody refuses a request whose body has not arrived in time.
 func (c *call) refuseLateBody() {
-	c.w.Header().Set("Connection", "close")
 	if c.e.draining.Load() {
+		c.w.Header().Set("Connection", "close")
 		c.refuseDraining()
 		return
 	}
-	c.refuse(refusal{status: http.StatusRequestTimeout, reason: "bodyTimeout"})
+	c.refuseUnread(refusal{status: http.StatusRequestTimeout, reason: "bodyTimeout"})
+}
+
+// refuseUnread refuses a request whose body is not read to its end. The server would wait for
+// the rest before it answers, if the connection were kept.
+func (c *call) refuseUnread(f refusal) {
+	c.w.Header().Set("Connection", "close")
+	c.refuse(f)
 }
 
 // refuse answers the request with the refusal.
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -248,6 +248,8 @@
 	}
 	goesOn := c.software != nil
 	events := eventstream.NewReader(answer.Body)
+	events.Take = c.e.buffers.take
+	defer events.Close()
 	packetLoss := detect.NewPacketLossDetector()
 	for {
 		r.silence.expect(s.readDeadline(r.detector))
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -36,11 +36,11 @@
 
 // send writes a request. A long request is written while its answer is read,
 // because a target may answer before it has read the whole request.
-func (c *conn) send(request []byte, deadline time.Time) error {
+func (c *conn) send(request net.Buffers, deadline time.Time) error {
 	// If the connection is closed already, the write reports it.
 	_ = c.SetWriteDeadline(deadline)
 	c.writeDone = make(chan struct{})
-	if len(request) > maxInlineWriteBytes {
+	if len(request) > 1 || len(request[0]) > maxInlineWriteBytes {
 		go c.write(request)
 		return nil
 	}
@@ -55,9 +55,9 @@
 	return fault.Wrap("conn.send", kind, c.writeErr)
 }
 
-func (c *conn) write(request []byte) int {
+func (c *conn) write(request net.Buffers) int64 {
 	defer close(c.writeDone)
-	n, err := c.Write(request)
+	n, err := request.WriteTo(c.Conn)
 	c.writeErr = err
 	return n
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -62,11 +62,10 @@
 	Fresh bool
 }
 
-// encode returns the request's bytes. The framing headers are set here and not
-// taken from the client.
-func (r *Request) encode() []byte {
+// encode returns the request's bytes, in two parts if the body is long, so that it is not
+// copied. The framing headers are set here and not taken from the client.
+func (r *Request) encode() net.Buffers {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writing to a buffer can't fail.
 	_ = r.Header.Write(&b)
@@ -74,8 +73,11 @@
 		_ = http.Header{"Content-Length": {itoa(len(r.Body))}}.Write(&b)
 	}
 	b.WriteString("\r\n")
+	if len(r.Body) > maxInlineWriteBytes {
+		return net.Buffers{b.Bytes(), r.Body}
+	}
 	b.Write(r.Body)
-	return b.Bytes()
+	return net.Buffers{b.Bytes()}
 }
 
 // Answer is an answer whose head has been read and whose body has not.
