--- a/internal/standin/soak/config_change.go
+++ b/internal/standin/soak/config_change.go
@@ -27,10 +27,14 @@
 	if !sleep(ctx, maxApplyTime) || w.opts.SafetyOnly {
 		return
 	}
+	if !w.newestConfig(path) {
+		// A later change has removed the route.
+		return
+	}
 	for _, e := range w.entries {
 		added := w.probe(ctx, e, path, key)
 		revoked := w.probe(ctx, e, unsafePath+"revoked", old)
-		if w.faultWindows.overlap(confirmed, time.Now()) {
+		if w.faultWindows.overlap(confirmed, time.Now()) || !w.newestConfig(path) {
 			return
 		}
 		if added == http.StatusNotFound || added == http.StatusUnauthorized {
@@ -68,6 +72,13 @@
 	return path, old, key
 }
 
+// newestConfig reports whether the version that added a path is the newest one.
+func (w *world) newestConfig(path string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return path == fmt.Sprintf("%s%d/", extraPath, w.config.Version)
+}
+
 // bulkRouteCount is the number of routes that a large configuration has more.
 const bulkRouteCount = 3000
 
