--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -178,19 +178,26 @@
 }
 
 // requestCopy requests that a running engine copies a run, and returns the handle of the
-// copy.
+// copy. On a kept connection, the answer to an earlier call may arrive once more in place of
+// this call's, so an answer that does not name the run counts only on a new connection.
 func (e *Entry) requestCopy(ctx context.Context, source, holder *catalog.Target, run direct.AttemptID) (string, error) {
 	call, err := e.deps.Dialect.CopyCall(run, holder.Address)
 	if err != nil {
 		return "", err
 	}
 	e.limits.charge(e.deps.Clock.Now(), source)
-	answer, err := e.callEngine(ctx, source.Address, call)
+	request := engineRequest(source.Address, call)
+	request.Fresh = e.copiesUnnamed.Load()
+	answer, err := e.sendToEngine(ctx, request)
 	if err != nil {
 		return "", err
 	}
 	meta := e.deps.Dialect.DecodeResponse(answer.status, answer.header)
-	if meta.Attempt != "" && meta.Attempt != run {
+	switch {
+	case meta.Attempt == "" && !request.Fresh:
+		e.copiesUnnamed.Store(true)
+		return "", errUnnamed
+	case meta.Attempt != "" && meta.Attempt != run:
 		return "", errWrongAttempt
 	}
 	e.observeNotice(source, meta.Notice)
@@ -219,10 +226,18 @@
 
 // callEngine calls an engine and returns its answer.
 func (e *Entry) callEngine(ctx context.Context, address string, call direct.Call) (bufferedAnswer, error) {
+	return e.sendToEngine(ctx, engineRequest(address, call))
+}
+
+// engineRequest returns a call as it is sent to the engine at an address.
+func engineRequest(address string, call direct.Call) *upstream.Request {
+	return &upstream.Request{Method: call.Method, URI: call.Path, Host: address, Header: call.Header, Body: call.Body}
+}
+
+// sendToEngine sends a request to the engine that it names as its host.
+func (e *Entry) sendToEngine(ctx context.Context, request *upstream.Request) (bufferedAnswer, error) {
 	deadline := e.deps.Clock.Now().Add(copyCallTimeout)
-	answer, err := e.pool.Do(ctx, address, &upstream.Request{
-		Method: call.Method, URI: call.Path, Host: address, Header: call.Header, Body: call.Body,
-	}, deadline)
+	answer, err := e.pool.Do(ctx, request.Host, request, deadline)
 	if err != nil {
 		return bufferedAnswer{}, err
 	}
