--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -170,7 +170,8 @@
 
 // classify returns the outcome that a complete answer stands for. A status that
 // promises that the request was not executed counts only if the target's own
-// header confirms it. A success without the target's signature counts as lost.
+// header confirms it. A success, a redirection or a refusal of the request without the
+// target's signature counts as lost.
 func (c *call) classify(a *bufferedAnswer) balance.Outcome {
 	switch {
 	case a.status == http.StatusMisdirectedRequest:
@@ -179,7 +180,8 @@
 		return balance.Refused
 	case a.status >= http.StatusInternalServerError, promisesNotRun(a.status):
 		return balance.Failed
-	case a.status < http.StatusMultipleChoices && !a.meta.Signed:
+	case !a.meta.Signed:
+		// It is not the target's answer.
 		return balance.Lost
 	}
 	return balance.Succeeded
--- a/internal/transport/direct/plain_test.go
+++ b/internal/transport/direct/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -161,3 +162,32 @@
 		env.ended <- nil
 	})
 }
+
+// TestForeignRefusal guards against an answer of something that is no target, such as another
+// entry: without a target's signature, its 4xx must not go to the client.
+func TestForeignRefusal(t *testing.T) {
+	tests := []struct {
+		path string
+		want int
+	}{
+		{"/s/x", http.StatusOK},
+		{"/u/x", http.StatusBadGateway}, // it may have run
+		{"/r/x", http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.path, func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.target("t1", "10.0.1.1:80", "a", respondWith(http.StatusUnauthorized, "unknownKey"))
+				env.start()
+				if tt.want == http.StatusOK {
+					env.startUnlisted("t2", "10.0.2.1:80", respondWith(http.StatusOK, wholeStream(1), "Signed", "yes"))
+					env.listTarget("t2", "10.0.2.1:80", "b")
+				}
+				for i := range 4 {
+					env.is.Equal(env.do("POST", tt.path, fmt.Sprint("a", i), "").status, tt.want)
+					time.Sleep(10 * time.Second) // the entry tries the first one again
+				}
+			})
+		})
+	}
+}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -362,7 +362,7 @@
 		return balance.Refused, nil
 	case a.Status < http.StatusMultipleChoices && meta.Signed:
 		return balance.Succeeded, nil
-	case a.Status < http.StatusMultipleChoices:
+	case a.Status < http.StatusInternalServerError && !promisesNotRun(a.Status) && !meta.Signed:
 		return balance.Lost, errUnsigned
 	}
 	body, err := c.buffer(a.Body)
