--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -41,9 +41,14 @@
 			occupied[choice.Target.ID] = true
 			continue
 		}
+		if ok && !c.reservePlace(choice.Target) {
+			c.endTrial()
+			continue
+		}
 		if !ok || c.e.limits.take(now, choice.Target, 0) {
 			return choice, ok
 		}
+		c.endReservation()
 		c.endTrial()
 	}
 	return balance.Choice{}, false
@@ -156,7 +161,7 @@
 	}
 	now := c.now()
 	return slices.DeleteFunc(slices.Clone(targets), func(t *catalog.Target) bool {
-		full := t.Slots > 0 && c.e.balancer.Running(now, t) >= t.Slots+t.Slots/queueDivisor
+		full := c.e.places.full(now, t)
 		c.targetBusy = c.targetBusy || full
 		return full
 	})
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -120,6 +120,7 @@
 
 	retryBudgets *retryBudgets
 	limits       *targetLimits
+	places       *targetPlaces
 	withdrawn    *withdrawal.Tracker
 	// buffers holds the answers of targets, and bodies the bodies of requests.
 	buffers, bodies *bodyBuffers
@@ -190,6 +191,7 @@
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.quarantine.Entries = func() int { return e.roster.LimitSharers(deps.Clock.Now()) }
 	e.limits = newTargetLimits(e)
+	e.places = &targetPlaces{running: e.balancer.Running, reserved: map[id.Target]int{}}
 	e.withdrawn = withdrawal.New()
 	e.buffers, e.bodies = newBodyBuffers(cfg.Limits.MemoryMB), newBodyBuffers(cfg.Limits.MemoryMB)
 	e.reports = newReportReader(e)
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -71,6 +71,8 @@
 	targetsTried bool
 	// trial is the target that the request tries after its pause; nil for none.
 	trial *catalog.Target
+	// reservedPlace is the target at which the call has reserved a place; empty for none.
+	reservedPlace id.Target
 	// budgetExhausted is set if the retry budget did not allow another attempt.
 	budgetExhausted bool
 	// requestFingerprint identifies the content of the request. quarantineLeft is
@@ -116,6 +118,7 @@
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "left", c.timeLeft())
 	defer c.endTrial()
+	defer c.endReservation()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -179,6 +179,7 @@
 		reroute = nil
 	}
 	run := c.e.balancer.Start(sent, a.choice, requirements, reroute)
+	c.endReservation()
 	c.e.loadChanged(a.choice.Target, true)
 	defer c.e.loadChanged(a.choice.Target, false)
 	if c.sends > 1 {
