--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -178,8 +178,8 @@
 }
 
 // requestCopy requests that a running engine copies a run, and returns the handle of the
-// copy. On a kept connection, the answer to an earlier call may arrive once more in place of
-// this call's, so an answer that does not name the run counts only on a new connection.
+// copy. The answer does not name the run, so the calls for a run have a connection of their
+// own: on a shared one, the answer to an earlier call may arrive once more in place of this call's.
 func (e *Entry) requestCopy(ctx context.Context, source, holder *catalog.Target, run direct.AttemptID) (string, error) {
 	call, err := e.deps.Dialect.CopyCall(run, holder.Address)
 	if err != nil {
@@ -187,17 +187,13 @@
 	}
 	e.limits.charge(e.deps.Clock.Now(), source)
 	request := engineRequest(source.Address, call)
-	request.Fresh = e.copiesUnnamed.Load()
+	request.Run = string(run)
 	answer, err := e.sendToEngine(ctx, request)
 	if err != nil {
 		return "", err
 	}
 	meta := e.deps.Dialect.DecodeResponse(answer.status, answer.header)
-	switch {
-	case meta.Attempt == "" && !request.Fresh:
-		e.copiesUnnamed.Store(true)
-		return "", errUnnamed
-	case meta.Attempt != "" && meta.Attempt != run:
+	if meta.Attempt != "" && meta.Attempt != run {
 		return "", errWrongAttempt
 	}
 	e.observeNotice(source, meta.Notice)
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -148,8 +148,6 @@
 	draining        atomic.Bool
 	// drainStart is when the entry was told to stop, or nil before that.
 	drainStart atomic.Pointer[time.Time]
-	// copiesUnnamed is set once an answer to a copy call did not name its run.
-	copiesUnnamed atomic.Bool
 	// closing is set once the entry refuses all new requests.
 	closing atomic.Bool
 	// stopping ends when the entry is told to stop, and working when it aborts the
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -149,7 +149,6 @@
 var (
 	errWrongAttempt  = errors.New("answer belongs to another attempt")
 	errUnsigned      = errors.New("answer is not signed")
-	errUnnamed       = errors.New("answer does not name its attempt")
 	errEndAtDeadline = errors.New("the connection ended at the deadline")
 	// errReplaced and errUnconfirmed end attempts to go on with a stream.
 	errReplaced    = errors.New("another process runs under the target's id")
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -17,7 +17,7 @@
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
-	address string
+	key     poolKey
 	limiter *headLimiter
 	reader  *bufio.Reader
 	// writeDone is closed when the request has been written. writeErr is the error
@@ -29,9 +29,9 @@
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn, address string) *conn {
+func newConn(c net.Conn, key poolKey) *conn {
 	limiter := &headLimiter{r: c, left: -1}
-	return &conn{Conn: c, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	return &conn{Conn: c, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // send writes a request. A long request is written while its answer is read,
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -51,9 +51,13 @@
 	opts Options
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[poolKey][]*conn
 }
 
+// poolKey says which requests a connection may carry: those to an address for the same run,
+// which is empty for those of no particular run.
+type poolKey struct{ address, run string }
+
 // NewPool returns an empty Pool.
 func NewPool(o Options) *Pool {
 	if o.DialTimeout == 0 {
@@ -71,7 +75,7 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	return &Pool{opts: o, idle: map[string][]*conn{}}
+	return &Pool{opts: o, idle: map[poolKey][]*conn{}}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -82,10 +86,10 @@
 }
 
 // get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, key poolKey, fresh bool) (*conn, error) {
 	now := p.opts.Clock.Now()
 	for !fresh {
-		c := p.takeIdle(address)
+		c := p.takeIdle(key)
 		if c == nil {
 			break
 		}
@@ -96,26 +100,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
-	c, err := p.opts.Dial(ctx, address)
+	c, err := p.opts.Dial(ctx, key.address)
 	if err != nil {
 		return nil, err
 	}
 	if p.opts.OnConnect != nil {
 		p.opts.OnConnect()
 	}
-	return newConn(c, address), nil
+	return newConn(c, key), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle(address string) *conn {
+func (p *Pool) takeIdle(key poolKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[address]
+	idle := p.idle[key]
 	if len(idle) == 0 {
 		return nil
 	}
 	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+	p.idle[key] = idle[:len(idle)-1]
 	return c
 }
 
@@ -125,10 +129,10 @@
 	}
 	c.idleSince, c.idleTimeout = p.opts.Clock.Now(), idleTimeout
 	p.mu.Lock()
-	idle := p.idle[c.address]
+	idle := p.idle[c.key]
 	full := len(idle) >= p.opts.MaxIdlePerTarget
 	if !full {
-		p.idle[c.address] = append(idle, c)
+		p.idle[c.key] = append(idle, c)
 	}
 	p.mu.Unlock()
 	if full {
@@ -142,7 +146,7 @@
 	now := p.opts.Clock.Now()
 	var expired []*conn
 	p.mu.Lock()
-	for address, idle := range p.idle {
+	for key, idle := range p.idle {
 		remaining := idle[:0]
 		for _, c := range idle {
 			if now.Sub(c.idleSince) > c.idleTimeout {
@@ -151,9 +155,9 @@
 			}
 			remaining = append(remaining, c)
 		}
-		p.idle[address] = remaining
+		p.idle[key] = remaining
 		if len(remaining) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, key)
 		}
 	}
 	p.mu.Unlock()
@@ -164,11 +168,16 @@
 
 // CloseIdle closes the idle connections to an address whose target is gone.
 func (p *Pool) CloseIdle(address string) {
+	var closed []*conn
 	p.mu.Lock()
-	idle := p.idle[address]
-	delete(p.idle, address)
+	for key, idle := range p.idle {
+		if key.address == address {
+			closed = append(closed, idle...)
+			delete(p.idle, key)
+		}
+	}
 	p.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range closed {
 		c.abort()
 	}
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -60,6 +60,10 @@
 	// again needs that: on a kept connection, the answer to the first sending may arrive
 	// once more, and nothing tells it from the answer to the second one.
 	Fresh bool
+	// Run restricts the connection to requests with the same value. An answer that does not
+	// name its request needs that: an earlier answer may arrive once more in its place, and is
+	// then about the same run.
+	Run string
 }
 
 // encode returns the request's bytes, in two parts if the body is long, so that it is not
@@ -102,7 +106,7 @@
 // ctx ends, Do closes the connection, which cancels the request at the target.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, deadline time.Time) (*Answer, error) {
 	const op = "Pool.Do"
-	c, err := p.get(ctx, address, r.Fresh)
+	c, err := p.get(ctx, poolKey{address, r.Run}, r.Fresh)
 	if err != nil {
 		return nil, fault.Wrap(op, NotSent, err)
 	}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -263,3 +263,23 @@
 		})
 	}
 }
+
+// TestConnectionOfRun checks that only requests for the same run share a connection.
+func TestConnectionOfRun(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(c net.Conn, _ int64) bool { return write(c, completeAnswer) })
+	pool := upstream.NewPool(upstream.Options{})
+	for i, want := range []struct {
+		run         string
+		connections int64
+	}{{"", 1}, {"a", 2}, {"b", 3}, {"a", 3}, {"", 3}} {
+		answer, err := pool.Do(t.Context(), s.address, &upstream.Request{Method: "POST", URI: "/", Host: "h", Run: want.run}, farFuture())
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		is.NoErr(err)
+		answer.Close()
+		if got := s.connections.Load(); got != want.connections {
+			t.Errorf("request %d: %d connections, want %d", i, got, want.connections)
+		}
+	}
+}
