--- a/internal/standin/soak/stops.go
+++ b/internal/standin/soak/stops.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -74,21 +75,13 @@
 
 // stopHalf stops every other entry, beginning with the one that the step selects.
 func stopHalf(ctx context.Context, w *world, s *step) {
-	done := make(chan struct{}, len(w.entries))
-	n := 0
-	for i := range w.entries {
-		if i%2 != int(s.selector%2) {
-			continue
+	var stops sync.WaitGroup
+	for i, e := range w.entries {
+		if i%2 == int(s.selector%2) {
+			stops.Go(func() { e.stopAndRestart(ctx) })
 		}
-		n++
-		go func() {
-			w.entries[i].stopAndRestart(ctx)
-			done <- struct{}{}
-		}()
-	}
-	for range n {
-		<-done
 	}
+	stops.Wait()
 }
 
 // seriesLength is the number of signals or changes in a series, and seriesPause the time
