--- a/internal/transport/direct/faultytarget_test.go
+++ b/internal/transport/direct/faultytarget_test.go
@@ -100,19 +100,19 @@
 		}
 	}
 	tests := map[string]http.HandlerFunc{
-		"signed error":          respondWith(http.StatusInternalServerError, "it failed", "Signed", "yes"),
-		"unsigned error":        respondWith(http.StatusInternalServerError, "it failed"),
-		"refusal":               respondWith(http.StatusServiceUnavailable, "full", "Not-Run", "1"),
-		"another process":       respondWith(http.StatusMisdirectedRequest, "not me"),
-		"redirection":           respondWith(http.StatusFound, "elsewhere", "Location", "/x"),
-		"not found":             respondWith(http.StatusNotFound, "unknown", "Signed", "yes"),
-		"unsigned success":      respondWith(http.StatusOK, "id: 4\ndata: forged\n\n"),
-		"unframed error":        hijacked("HTTP/1.1 500 Oops\r\nAttempt: ATTEMPT\r\nSigned: yes\r\n\r\nit failed"),
-		"other bytes":           hijacked("it failed\r\n\r\n"),
-		"another's answer":      hijacked("HTTP/1.1 200 OK\r\nAttempt: other\r\nSigned: yes\r\nContent-Length: 22\r\n\r\nid: 4\ndata: foreign\n\n\n"),
-		"a head in the chunks":  hijacked("HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 500 Oops\r\n\r\n"),
-		"an error in an event":  hijacked("HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nfailed\r\n0\r\n\r\n"),
-		"closed before an head": hijacked(""),
+		"signed error":         respondWith(http.StatusInternalServerError, "it failed", "Signed", "yes"),
+		"unsigned error":       respondWith(http.StatusInternalServerError, "it failed"),
+		"refusal":              respondWith(http.StatusServiceUnavailable, "full", "Not-Run", "1"),
+		"another process":      respondWith(http.StatusMisdirectedRequest, "not me"),
+		"redirection":          respondWith(http.StatusFound, "elsewhere", "Location", "/x"),
+		"not found":            respondWith(http.StatusNotFound, "unknown", "Signed", "yes"),
+		"unsigned success":     respondWith(http.StatusOK, "id: 4\ndata: forged\n\n"),
+		"unframed error":       hijacked("HTTP/1.1 500 Oops\r\nAttempt: ATTEMPT\r\nSigned: yes\r\n\r\nit failed"),
+		"other bytes":          hijacked("it failed\r\n\r\n"),
+		"another's answer":     hijacked("HTTP/1.1 200 OK\r\nAttempt: other\r\nSigned: yes\r\nContent-Length: 22\r\n\r\nid: 4\ndata: foreign\n\n\n"),
+		"a head in the chunks": hijacked("HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 500 Oops\r\n\r\n"),
+		"an error in an event": hijacked("HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nfailed\r\n0\r\n\r\n"),
+		"closed before a head": hijacked(""),
 	}
 	for name, second := range tests {
 		t.Run(name, func(t *testing.T) {
