--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -90,6 +90,8 @@
 	// endUncertain is set if the end of the connection ended a complete answer, which the
 	// target may not have meant.
 	endUncertain bool
+	// answer describes the answer of the current attempt for the log.
+	answer answerRecord
 	// contentKey is what handoverKey returns; empty before that.
 	contentKey handover.Key
 	// software is the version at which the request's stream goes on; nil before it has
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// answerEnded counts an answer of a target by its framing, by what showed that it was complete,
+// and by the outcome of the attempt.
+func (m *entryMetrics) answerEnded(route *catalog.Route, a *answerRecord, o balance.Outcome) {
+	if a.framing == "" {
+		return
+	}
+	m.set.Count("answerEnds", meter.Label{Key: "kind", Value: string(route.Kind)}, meter.Label{Key: "framing", Value: string(a.framing)},
+		meter.Label{Key: "evidence", Value: string(a.evidence)}, meter.Label{Key: "outcome", Value: string(o)})
+}
+
 // targetEndSeen counts an attempt during which its target may have ended.
 func (m *entryMetrics) targetEndSeen(o balance.Outcome, reason string) {
 	m.set.Count("targetEndsSeen", meter.Label{Key: "outcome", Value: string(o)}, meter.Label{Key: "reason", Value: reason})
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -26,12 +27,11 @@
 
 // bufferedAnswer is a complete answer of a target.
 type bufferedAnswer struct {
-	status int
-	header http.Header
-	meta   direct.ResponseMetadata
-	body   []byte
-	// endsWithConnection says that the end of the connection ended the body.
-	endsWithConnection bool
+	status  int
+	header  http.Header
+	meta    direct.ResponseMetadata
+	body    []byte
+	framing completion.Framing
 }
 
 // servePlain forwards a request whose answer is not a stream.
@@ -76,6 +76,7 @@
 func (c *call) sendOnce(ctx context.Context, choice balance.Choice) (*bufferedAnswer, balance.Outcome) {
 	c.tried[choice.Target.ID] = true
 	sent := c.now()
+	c.answer = answerRecord{}
 	run := c.e.balancer.Start(sent, choice, c.requirements, nil)
 	answer, outcome, err := c.roundTrip(ctx, choice)
 	if c.clientGone() || (outcome == balance.Lost && c.e.stopped()) {
@@ -85,7 +86,7 @@
 		c.runs++
 	}
 	c.succeeded = outcome == balance.Succeeded && answer.status < http.StatusMultipleChoices
-	c.endUncertain = c.succeeded && answer.endsWithConnection
+	c.endUncertain = c.succeeded && answer.framing == completion.Connection
 	c.recordSend(run, choice, outcome, sent, err)
 	return answer, outcome
 }
@@ -113,7 +114,9 @@
 		c.e.updatePeers()
 	}
 	c.e.metrics.sendEnded(choice.Target, outcome, now.Sub(sent))
+	c.e.metrics.answerEnded(c.route, &c.answer, outcome)
 	fields := []any{"target", choice.Target.ID, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
+	fields = append(fields, c.answer.fields()...)
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
@@ -138,11 +141,13 @@
 	if answer.Status != http.StatusMisdirectedRequest {
 		c.observeAnswer(sent, choice.Target, meta)
 	}
+	c.answer.begin(answer)
 	body, err := c.buffer(answer.Body)
 	if err != nil {
 		return nil, balance.Lost, err
 	}
-	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, meta: meta, body: body, endsWithConnection: answer.EndsWithConnection}
+	c.answer.endByFraming()
+	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, meta: meta, body: body, framing: answer.Framing}
 	return buffered, c.classify(buffered), nil
 }
 
@@ -212,7 +217,7 @@
 		c.abandon()
 	}
 	c.e.metrics.requestEnded(c.route, outcomeAnswered, c.now().Sub(c.start))
-	c.log(event.RequestFinished, "status", a.status, "sends", c.sends, "after", c.now().Sub(c.start))
+	c.log(event.RequestFinished, "status", a.status, "sends", c.sends, "framing", c.answer.framing, "evidence", c.answer.evidence, "after", c.now().Sub(c.start))
 }
 
 // mayHaveRun reports whether a target may have executed a request with this
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/coordination/detect"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -162,7 +163,7 @@
 func (s *stream) runAttempt(ctx context.Context, a attempt) balance.Outcome {
 	c := s.c
 	c.tried[a.choice.Target.ID] = true
-	c.attemptBegan, c.attemptProven, c.endUncertain = time.Time{}, false, false
+	c.attemptBegan, c.attemptProven, c.endUncertain, c.answer = time.Time{}, false, false, answerRecord{}
 	requirements := c.requirements
 	if a.resumes() {
 		requirements.PromptTokens, requirements.OutputTokens = 0, c.requirements.PromptTokens+c.requirements.OutputTokens
@@ -247,6 +248,7 @@
 	if outcome, err := s.checkHead(answer, r.target, sent); outcome != balance.Succeeded {
 		return outcome, err
 	}
+	c.answer.begin(answer)
 	goesOn := c.software != nil
 	events := eventstream.NewReader(answer.Body)
 	events.Take = c.e.buffers.take
@@ -286,14 +288,16 @@
 // the same. So the target must still answer, before the deadline.
 func (r *eventRelay) endOfAnswer(ctx context.Context, answer *upstream.Answer) (balance.Outcome, error) {
 	c := r.s.c
-	c.endUncertain = answer.EndsWithConnection
-	if answer.EndsWithConnection {
+	c.answer.endByFraming()
+	c.endUncertain = answer.Framing == completion.Connection
+	if c.endUncertain {
 		if c.timeLeft() <= deadlineEndMargin {
 			return balance.Lost, errEndAtDeadline
 		}
 		if err := c.e.reports.checkAlive(ctx, r.target); err != nil {
 			return balance.Lost, err
 		}
+		c.answer.evidence = completion.ByReport
 	}
 	return balance.Succeeded, r.s.sendHead(answer)
 }
@@ -404,6 +408,7 @@
 		return err
 	}
 	s.recordPause()
+	s.c.answer.addEvent(direct.EventID(next.ID))
 	if next.ID != "" {
 		s.lastEventID = direct.EventID(next.ID)
 	}
@@ -444,7 +449,7 @@
 	}
 	c.e.metrics.requestEnded(c.route, outcomeAnswered, c.now().Sub(c.start))
 	c.e.metrics.longestPause(c.route, s.longestPause)
-	c.log(event.RequestFinished, "sends", c.sends, "lastEvent", s.lastEventID, "firstEvent", s.headSentAt.Sub(c.start),
+	c.log(event.RequestFinished, "sends", c.sends, "framing", c.answer.framing, "evidence", c.answer.evidence, "events", s.events, "lastEvent", s.lastEventID, "firstEvent", s.headSentAt.Sub(c.start),
 		"longestPause", s.longestPause, "after", c.now().Sub(c.start))
 }
 
--- a/internal/transport/upstream/unframed_test.go
+++ b/internal/transport/upstream/unframed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
@@ -42,7 +43,7 @@
 			a, err := upstream.NewPool(upstream.Options{}).Do(t.Context(), l.Addr().String(), &upstream.Request{Method: "GET", URI: "/", Host: "h"}, time.Now().Add(time.Minute))
 			is.NoErr(err)
 			defer a.Close()
-			is.True(a.EndsWithConnection)
+			is.Equal(a.Framing, completion.Connection)
 			first := make([]byte, 4)
 			_, err = io.ReadFull(a.Body, first)
 			is.NoErr(err)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/state/fault"
 )
 
@@ -90,9 +91,9 @@
 	Header http.Header
 	// Body returns io.EOF only after a complete body.
 	Body io.Reader
-	// EndsWithConnection says that the answer has neither a length nor chunks. Its end
-	// does not show whether the target meant it.
-	EndsWithConnection bool
+	// Framing says what marks the end of the body. The end of the connection does not show
+	// whether the target meant it.
+	Framing completion.Framing
 
 	conn     *conn
 	pool     *Pool
@@ -131,8 +132,7 @@
 	if err != nil {
 		return nil, fault.Wrap(op, errorKind(err), err)
 	}
-	a := &Answer{Status: res.StatusCode, Header: res.Header, conn: c, pool: p, res: res}
-	a.EndsWithConnection = res.ContentLength < 0 && len(res.TransferEncoding) == 0
+	a := &Answer{Status: res.StatusCode, Header: res.Header, Framing: completion.FramingOf(res), conn: c, pool: p, res: res}
 	a.Body = &bodyReader{a: a}
 	return a, nil
 }
