--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -61,6 +61,8 @@
 	// HoldsBackup means that the target holds the backup copy of the generation
 	// that is resumed.
 	HoldsBackup Reason = "holdsCopy"
+	// ConfirmsEnd means that the stream's connection ended at the target between two events.
+	ConfirmsEnd Reason = "confirmsEnd"
 	// AtLimit means that the other targets are at the limits that they have named, or
 	// suspected, and that the request waited for this one.
 	AtLimit Reason = "atLimit"
--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -1,12 +1,19 @@
-// Package completion names what shows that the answer of a target is complete.
+// Package completion decides whether an answer of a target is complete.
 //
 // An answer with a length or chunks shows its own end. One without ends with its connection,
-// which also ends when the target's process does.
+// which also ends when the target's process does, or when the target breaks the answer off. So
+// the end of a connection needs further evidence: the process that sent the answer still
+// serves, and, where the stream may be resumed, a resumption after the last event brings
+// nothing more.
 //
 // # Usage
 //
-//	framing := completion.FramingOf(res)
-//	if framing == completion.Connection { … look for other evidence … }
+//	end := completion.End{Framing: answer.Framing, Process: completion.Serving, …}
+//	switch verdict := end.Judge(); verdict.Result {
+//	case completion.Complete:
+//	case completion.Unconfirmed: // resume after the last event
+//	case completion.BrokenOff: // resume elsewhere, or break the answer off
+//	}
 package completion
 
 import "net/http"
@@ -35,7 +42,7 @@
 	return Connection
 }
 
-// Evidence is what showed that an answer is complete.
+// Evidence is what showed that an answer is complete, or the strongest that was found.
 type Evidence string
 
 // Kinds of evidence.
@@ -44,6 +51,79 @@
 	NoEvidence Evidence = "none"
 	// ByFraming means that the answer itself marked its end.
 	ByFraming Evidence = "framing"
-	// ByReport means that the target answered a question after the end.
-	ByReport Evidence = "report"
+	// ByProcess means that the process that sent the answer served after its end.
+	ByProcess Evidence = "process"
+	// ByResumption means that a resumption after the last event brought nothing more.
+	ByResumption Evidence = "resumption"
 )
+
+// Process is what a target says about itself after the end of its answer.
+type Process string
+
+// States of a target's process.
+const (
+	// Serving means that the process that sent the answer still serves.
+	Serving Process = "serving"
+	// Leaving means that it is about to end, and may already end its streams.
+	Leaving Process = "leaving"
+	// Replaced means that another process answers at the target's address.
+	Replaced Process = "replaced"
+	// Unknown means that the target did not say, or could not be asked.
+	Unknown Process = "unknown"
+)
+
+// Result says what follows from the end of an answer.
+type Result string
+
+// Results.
+const (
+	Complete Result = "complete"
+	// Unconfirmed means that the target seems to have meant the end. A resumption after the last
+	// event would show it.
+	Unconfirmed Result = "unconfirmed"
+	// BrokenOff means that the answer must not count as complete.
+	BrokenOff Result = "brokenOff"
+)
+
+// End describes a stream whose answer has ended between two events.
+type End struct {
+	Framing Framing
+	// Begun says that the client has events of the stream.
+	Begun bool
+	// AtDeadline says that the target had to stop work when the answer ended.
+	AtDeadline bool
+	// Resumable says that the stream may be resumed after its last event.
+	Resumable bool
+	// Repeated says that this answer brought no event, and that an earlier one also ended
+	// after the same event while its process served.
+	Repeated bool
+	// Process is needed only if NeedsProcess returns true.
+	Process Process
+}
+
+// NeedsProcess reports whether the verdict depends on the target's process.
+func (e *End) NeedsProcess() bool {
+	return e.Framing == Connection && !e.AtDeadline && e.Begun
+}
+
+// Verdict is the result with the evidence that it rests on.
+type Verdict struct {
+	Result   Result
+	Evidence Evidence
+}
+
+// Judge returns what follows from the end. A run begins with its first event, so a stream
+// without any is broken off unless the target framed it so.
+func (e *End) Judge() Verdict {
+	switch {
+	case e.Framing != Connection:
+		return Verdict{Complete, ByFraming}
+	case !e.NeedsProcess() || e.Process != Serving:
+		return Verdict{BrokenOff, NoEvidence}
+	case !e.Resumable:
+		return Verdict{Complete, ByProcess}
+	case e.Repeated:
+		return Verdict{Complete, ByResumption}
+	}
+	return Verdict{Unconfirmed, ByProcess}
+}
--- /dev/null
+++ b/internal/coordination/completion/completion_test.go
@@ -0,0 +1,47 @@
+package completion_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"foxtailward.example/foxtailward/internal/coordination/completion"
+)
+
+func TestFramingOf(t *testing.T) {
+	is := is.New(t)
+	is.Equal(completion.FramingOf(&http.Response{ContentLength: 0}), completion.Length)
+	is.Equal(completion.FramingOf(&http.Response{ContentLength: -1, TransferEncoding: []string{"chunked"}}), completion.Chunks)
+	is.Equal(completion.FramingOf(&http.Response{ContentLength: -1}), completion.Connection)
+}
+
+func TestEndJudge(t *testing.T) {
+	confirmed := completion.End{Framing: completion.Connection, Begun: true, Resumable: true, Repeated: true, Process: completion.Serving}
+	complete := completion.Verdict{Result: completion.Complete, Evidence: completion.ByResumption}
+	brokenOff := completion.Verdict{Result: completion.BrokenOff, Evidence: completion.NoEvidence}
+	tests := []struct {
+		name   string
+		change func(e *completion.End)
+		want   completion.Verdict
+	}{
+		{"two ends after the same event", func(*completion.End) {}, complete},
+		{"the first end", func(e *completion.End) { e.Repeated = false }, completion.Verdict{Result: completion.Unconfirmed, Evidence: completion.ByProcess}},
+		{"runs once", func(e *completion.End) { e.Resumable, e.Repeated = false, false }, completion.Verdict{Result: completion.Complete, Evidence: completion.ByProcess}},
+		{"a head alone", func(e *completion.End) { e.Begun = false }, brokenOff},
+		{"at the deadline", func(e *completion.End) { e.AtDeadline = true }, brokenOff},
+		{"replaced", func(e *completion.End) { e.Process = completion.Replaced }, brokenOff},
+		{"leaving", func(e *completion.End) { e.Process = completion.Leaving }, brokenOff},
+		{"unknown", func(e *completion.End) { e.Process = completion.Unknown }, brokenOff},
+		{"replaced, runs once", func(e *completion.End) { e.Process, e.Resumable = completion.Replaced, false }, brokenOff},
+		{"a length", func(e *completion.End) { *e = completion.End{Framing: completion.Length} }, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
+		{"chunks", func(e *completion.End) { *e = completion.End{Framing: completion.Chunks, AtDeadline: true} }, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := confirmed
+			tt.change(&e)
+			is.New(t).Equal(e.Judge(), tt.want)
+		})
+	}
+}
--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -131,6 +131,13 @@
 	Body   []byte
 }
 
+// TargetReport is what a target reports about its process.
+type TargetReport struct {
+	Incarnation id.Incarnation
+	// Leaving says that the process is about to end.
+	Leaving bool
+}
+
 // Identity is what a target reports about itself.
 type Identity struct {
 	Target id.Target
@@ -152,10 +159,10 @@
 	// answer does not identify the target.
 	DecodeIdentity func(status int, h http.Header) (Identity, bool)
 	// ReportCall returns the call that requests a report from a target about itself, and
-	// DecodeReport reads when its process started from the answer. It returns false if the
-	// report does not tell.
+	// DecodeReport reads the answer. It returns false if that does not tell when the target's
+	// process started.
 	ReportCall   func() Call
-	DecodeReport func(body []byte) (id.Incarnation, bool)
+	DecodeReport func(body []byte) (TargetReport, bool)
 	// FreeCopyCall returns the call that frees a copy. It is sent to the engine
 	// that made the copy.
 	FreeCopyCall func(handle string) Call
--- a/internal/transport/direct/dialect_test.go
+++ b/internal/transport/direct/dialect_test.go
@@ -58,9 +58,10 @@
 			return protocol.Identity{Target: id.Target(h.Get("Name")), Slots: slots}, status == http.StatusOK && err == nil
 		},
 		ReportCall: func() protocol.Call { return protocol.Call{Method: "GET", Path: reportPath} },
-		DecodeReport: func(body []byte) (id.Incarnation, bool) {
-			born, err := strconv.Atoi(string(body))
-			return id.Incarnation(born), err == nil
+		DecodeReport: func(body []byte) (protocol.TargetReport, bool) {
+			text, leaving := strings.CutSuffix(string(body), " leaving")
+			born, err := strconv.Atoi(text)
+			return protocol.TargetReport{Incarnation: id.Incarnation(born), Leaving: leaving}, err == nil
 		},
 		FreeCopyCall: func(handle string) protocol.Call {
 			return protocol.Call{Method: "DELETE", Path: "/free/" + handle}
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -152,9 +152,8 @@
 }
 
 var (
-	errWrongAttempt  = errors.New("answer belongs to another attempt")
-	errUnsigned      = errors.New("answer is not signed")
-	errEndAtDeadline = errors.New("the connection ended at the deadline")
+	errWrongAttempt = errors.New("answer belongs to another attempt")
+	errUnsigned     = errors.New("answer is not signed")
 	// errReplaced and errUnconfirmed end attempts to go on with a stream.
 	errReplaced    = errors.New("another process runs under the target's id")
 	errUnconfirmed = errors.New("the target's record is not confirmed")
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -113,18 +114,36 @@
 	if err != nil || answer.status != http.StatusOK {
 		return 0, false
 	}
-	return r.e.deps.Dialect.DecodeReport(answer.body)
+	report, ok := r.e.deps.Dialect.DecodeReport(answer.body)
+	return report.Incarnation, ok
 }
 
-// checkAlive returns an error if the target does not answer. One that wants a pause is not
-// asked.
-func (r *reportReader) checkAlive(ctx context.Context, t *catalog.Target) error {
+// processOf asks a target after the end of its answer which process serves there. The error is
+// that of the call. A target that wants a pause is not asked.
+func (r *reportReader) processOf(ctx context.Context, t *catalog.Target) (completion.Process, error) {
 	if r.e.withdrawn.Paused(r.e.deps.Clock.Now(), t.Key()) {
-		return nil
+		return completion.Unknown, nil
 	}
-	// Any answer is a sign of life.
-	_, err := r.e.callEngine(ctx, t.Address, r.e.deps.Dialect.ReportCall())
-	return err
+	answer, err := r.e.callEngine(ctx, t.Address, r.e.deps.Dialect.ReportCall())
+	if err != nil {
+		return completion.Unknown, err
+	}
+	notice := r.e.deps.Dialect.DecodeResponse(answer.status, answer.header).Notice
+	r.e.observeNotice(t, notice)
+	report, ok := r.e.deps.Dialect.DecodeReport(answer.body)
+	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
+	switch {
+	case notice.Leaving || report.Leaving || current == nil || current.State != catalog.Ready:
+		return completion.Leaving, nil
+	case t.Incarnation == 0:
+		// The target has a new id after each start, so another process has another record.
+		return completion.Serving, nil
+	case !ok || answer.status != http.StatusOK:
+		return completion.Unknown, nil
+	case report.Incarnation != t.Incarnation:
+		return completion.Replaced, nil
+	}
+	return completion.Serving, nil
 }
 
 // read reads one report. Without one, a record that was written after the last loss of the
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -171,12 +171,27 @@
 	ctx = context.WithoutCancel(ctx)
 	go func() {
 		if c.e.reports.confirm(ctx, t) == confirmed {
-			c.software.set(t.Software)
-			c.recordOrigin()
+			c.recordSoftware(t)
 		}
 	}()
 }
 
+// recordSoftware records the version of the target that began the stream, once the target is known
+// to be the process that its record describes.
+func (c *call) recordSoftware(t *catalog.Target) {
+	c.software.set(t.Software)
+	c.recordOrigin()
+}
+
+// softwareUnknown reports whether the stream has begun at a version that is not known yet.
+func (c *call) softwareUnknown() bool {
+	if c.software == nil {
+		return false
+	}
+	_, known := c.software.resolve(c.allTargets())
+	return !known
+}
+
 // recordOrigin records where the request's stream began, and reports it to the entries that keep it.
 func (c *call) recordOrigin() {
 	now := c.now()
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
-	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/coordination/detect"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -68,6 +67,7 @@
 	// targetFailure is an error answer of a target. It is sent to the client if no
 	// other target accepts the request.
 	targetFailure *bufferedAnswer
+	endChecks     endChecks
 }
 
 // attempt is one run of a stream at one target.
@@ -76,6 +76,8 @@
 	// resumeFrom is the copy at the target from which the run is resumed; zero for
 	// none.
 	resumeFrom direct.CopyRef
+	// confirmsEnd says that the run is to confirm the end of the one before it at the same target.
+	confirmsEnd bool
 }
 
 // resumes reports whether the run is resumed from a copy.
@@ -96,7 +98,7 @@
 	}
 	defer s.endHandover()
 	s.lastNumber, _ = (&eventstream.Event{ID: string(s.lastEventID)}).Number()
-	for c.runs < c.maxRuns() && c.sends < c.maxRuns()+extraStreamSends && !c.expired() {
+	for s.mayRunAgain() {
 		if s.stopsFirst() || !c.mayStart(ctx) {
 			break
 		}
@@ -127,6 +129,12 @@
 // beginning.
 func (s *stream) nextAttempt(ctx context.Context) (attempt, bool) {
 	c := s.c
+	if a, ok := s.confirmEnd(ctx); ok {
+		return a, true
+	}
+	if c.runs >= c.maxRuns() {
+		return attempt{}, false
+	}
 	now := c.now()
 	targets := c.targets()
 	if c.sends == 0 && s.lastEventID != "" && c.route.Resumable {
@@ -193,7 +201,7 @@
 	case outcome == balance.Lost && rerouted.Load():
 		outcome = balance.Rerouted
 	}
-	if mayHaveRun(outcome) {
+	if mayHaveRun(outcome) && !a.confirmsEnd {
 		c.runs++
 	}
 	if !run.HasStarted() {
@@ -260,7 +268,11 @@
 		r.silence.received()
 		switch {
 		case errors.Is(err, io.EOF):
-			return r.endOfAnswer(ctx, answer)
+			outcome, err := r.endOfAnswer(ctx, answer.Framing)
+			if outcome != balance.Succeeded {
+				return outcome, err
+			}
+			return outcome, s.sendHead(answer)
 		case err != nil:
 			return balance.Lost, err
 		}
@@ -283,25 +295,6 @@
 	}
 }
 
-// endOfAnswer handles the end of an answer between two events. Where the end of the connection
-// is the only sign of it, a target that has ended, or that stops work at the deadline, looks
-// the same. So the target must still answer, before the deadline.
-func (r *eventRelay) endOfAnswer(ctx context.Context, answer *upstream.Answer) (balance.Outcome, error) {
-	c := r.s.c
-	c.answer.endByFraming()
-	c.endUncertain = answer.Framing == completion.Connection
-	if c.endUncertain {
-		if c.timeLeft() <= deadlineEndMargin {
-			return balance.Lost, errEndAtDeadline
-		}
-		if err := c.e.reports.checkAlive(ctx, r.target); err != nil {
-			return balance.Lost, err
-		}
-		c.answer.evidence = completion.ByReport
-	}
-	return balance.Succeeded, r.s.sendHead(answer)
-}
-
 // recordEvent records that an event has arrived.
 func (r *eventRelay) recordEvent(packetLoss *detect.PacketLossDetector) {
 	now := r.s.c.now()
@@ -455,8 +448,11 @@
 
 // brokenReason says why an answer that has begun can't be completed.
 func (s *stream) brokenReason() string {
-	if !s.c.expired() && s.c.versionGone() {
+	switch {
+	case !s.c.expired() && s.c.versionGone():
 		return "versionGone"
+	case s.endChecks.pending:
+		return "endUnconfirmed"
 	}
 	return outcomeBroken
 }
--- /dev/null
+++ b/internal/transport/direct/streamend.go
@@ -0,0 +1,113 @@
+package direct
+
+import (
+	"context"
+	"errors"
+
+	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/completion"
+	"foxtailward.example/foxtailward/internal/protocol/direct"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/transport/upstream"
+)
+
+// maxEndChecks limits how often a stream is resumed at a target to confirm its end there.
+const maxEndChecks = 3
+
+var (
+	errEndAtDeadline = errors.New("the connection ended at the deadline")
+	errNoEvents      = errors.New("the connection ended before the first event")
+	// errEndUnconfirmed ends attempts whose connection ended between two events.
+	errEndUnconfirmed = errors.New("nothing confirms that the end of the connection ended the stream")
+)
+
+// endChecks tracks whether the end of a stream's connection has been confirmed.
+type endChecks struct {
+	// at is the target at which the stream is resumed next to confirm its end; nil for none.
+	at *catalog.Target
+	// count is the number of such resumptions.
+	count int
+	// ended is set once an answer has ended after the event endedAfter while its process served.
+	ended      bool
+	endedAfter direct.EventID
+	// pending is set while the last end is not confirmed.
+	pending bool
+}
+
+// take returns the target at which the end is to be confirmed, and clears it.
+func (e *endChecks) take() *catalog.Target {
+	t := e.at
+	e.at = nil
+	if t != nil {
+		e.count++
+	}
+	return t
+}
+
+// endOfAnswer handles the end of an answer between two events.
+func (r *eventRelay) endOfAnswer(ctx context.Context, framing completion.Framing) (balance.Outcome, error) {
+	s, c := r.s, r.s.c
+	c.endUncertain = framing == completion.Connection
+	end := completion.End{
+		Framing: framing, Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: c.route.Resumable,
+		Repeated: c.answer.events == 0 && s.endChecks.ended && s.endChecks.endedAfter == s.lastEventID,
+	}
+	var err error
+	if end.NeedsProcess() {
+		end.Process, err = c.e.reports.processOf(ctx, r.target)
+		if end.Process == completion.Serving && r.target.Incarnation != 0 && !r.target.SoftwareUnknown && c.softwareUnknown() {
+			c.recordSoftware(r.target)
+		}
+	}
+	verdict := end.Judge()
+	c.answer.evidence = verdict.Evidence
+	s.endChecks.pending = verdict.Result != completion.Complete
+	switch verdict.Result {
+	case completion.Complete:
+		return balance.Succeeded, nil
+	case completion.Unconfirmed:
+		s.endChecks.ended, s.endChecks.endedAfter = true, s.lastEventID
+		if s.endChecks.count < maxEndChecks {
+			s.endChecks.at = r.target
+		}
+		return balance.Rerouted, errEndUnconfirmed
+	case completion.BrokenOff:
+	}
+	return brokenOff(&end, err)
+}
+
+// brokenOff returns the outcome of an attempt whose stream was broken off. err is the error of
+// asking its target.
+func brokenOff(end *completion.End, err error) (balance.Outcome, error) {
+	const op = "eventRelay.endOfAnswer"
+	switch {
+	case end.AtDeadline:
+		return balance.Lost, errEndAtDeadline
+	case err != nil:
+		return balance.Lost, err
+	case !end.Begun:
+		return balance.Lost, fault.Wrap(op, upstream.ConnectionLost, errNoEvents)
+	case end.Process == completion.Replaced:
+		// The process ended while it ran the request.
+		return balance.Lost, fault.Wrap(op, upstream.ConnectionLost, errReplaced)
+	}
+	return balance.Rerouted, errEndUnconfirmed
+}
+
+// confirmEnd returns an attempt that resumes the stream at the target at which its connection
+// ended, to confirm that end. It returns false if there is none, or it can't be made now.
+func (s *stream) confirmEnd(ctx context.Context) (attempt, bool) {
+	t := s.endChecks.take()
+	if t == nil || !s.c.isReady(t) || !s.c.takePlace(ctx, t, resumeLimitWait) {
+		return attempt{}, false
+	}
+	return attempt{choice: balance.Choice{Target: t, Reason: balance.ConfirmsEnd}, confirmsEnd: true}, true
+}
+
+// mayRunAgain reports whether the stream may be sent once more. A resumption that confirms an end
+// reaches no other target.
+func (s *stream) mayRunAgain() bool {
+	c := s.c
+	return !c.expired() && c.sends < c.maxRuns()+extraStreamSends && (s.endChecks.at != nil || c.runs < c.maxRuns())
+}
--- a/internal/transport/direct/streamend_test.go
+++ b/internal/transport/direct/streamend_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package direct_test
 
 import (
@@ -25,13 +23,17 @@
 			events(rw, after(r), 20, 30*time.Millisecond)
 		default:
 			ended = true
-			unframed(func(*http.Request) string {
-				end()
-				if empty {
-					return ""
-				}
-				return wholeStream(5)
-			}, nil)(rw, r)
+			conn, _, err := http.NewResponseController(rw).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSigned: yes\r\n\r\n", r.Header.Get("Attempt"))
+			if !empty {
+				fmt.Fprint(conn, wholeStream(5))
+			}
+			time.Sleep(200 * time.Millisecond)
+			end()
 		}
 	}
 }
@@ -115,3 +117,75 @@
 		t.Errorf("got broken=%v %q", got.broken, got.body)
 	}
 }
+
+// TestStreamOfLeavingProcess guards against a stream that counts as whole because its target still
+// answers, though it is about to end, and against a resumption there.
+func TestStreamOfLeavingProcess(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == reportPath {
+				fmt.Fprint(rw, "100 leaving")
+				return
+			}
+			unframed(func(*http.Request) string {
+				time.Sleep(200 * time.Millisecond)
+				env.list(softwareItem("t2", "10.0.2.1:80", "b", "v1", 0))
+				return wholeStream(5)
+			}, nil)(rw, r)
+		})
+		env.startUnlisted("t2", "10.0.2.1:80", func(rw http.ResponseWriter, r *http.Request) { events(rw, after(r), 20, 30*time.Millisecond) })
+		env.start()
+		got := env.do("POST", "/r/x", "a1", "body")
+		env.is.True(got.broken || got.body == wholeStream(20))
+		env.is.Equal(env.log.count("reason=confirmsEnd"), 0)
+	})
+}
+
+// TestHeadWithoutEventsInResumption guards against a stream that counts as whole because the target
+// at which it was resumed sent a head and nothing else.
+func TestHeadWithoutEventsInResumption(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, _ *http.Request) {
+			events(rw, 1, 5, 30*time.Millisecond)
+			panic(http.ErrAbortHandler)
+		})
+		resumed := 0
+		env.target("t2", "10.0.2.1:80", "b", func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/r/x" {
+				resumed++
+			}
+			if resumed == 1 && after(r) == 6 {
+				unframed(text(""), nil)(rw, r)
+				return
+			}
+			events(rw, after(r), 20, 30*time.Millisecond)
+		})
+		env.start()
+		env.is.Equal(env.do("POST", "/r/x", "a1", "body").body, wholeStream(20))
+		env.is.Equal(env.log.count("reason=confirmsEnd"), 2) // recoveryChosen and sendEnded
+	})
+}
+
+// TestUnframedStreamsEnd checks that streams of targets that always answer without a length or
+// chunks are whole, after one resumption each that confirms the end.
+func TestUnframedStreamsEnd(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == reportPath {
+				fmt.Fprint(rw, 100)
+				return
+			}
+			unframed(func(*http.Request) string {
+				time.Sleep(200 * time.Millisecond)
+				return strings.TrimPrefix(wholeStream(20), wholeStream(after(r)-1))
+			}, nil)(rw, r)
+		})
+		env.start()
+		for i := range 10 {
+			got := env.do("POST", "/r/x", fmt.Sprint("a", i), "body")
+			env.is.True(!got.broken)
+			env.is.Equal(got.body, wholeStream(20))
+		}
+		env.is.Equal(env.log.count("evidence=resumption"), 20) // sendEnded and requestFinished
+	})
+}
