--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -4,7 +4,7 @@
 // which also ends when the target's process does, or when the target breaks the answer off. So
 // the end of a connection needs further evidence: the process that sent the answer still
 // serves, and, where the stream may be resumed, a resumption after the last event brings
-// nothing more.
+// nothing more. docs/design/stream-ends.md weighs the evidence.
 //
 // # Usage
 //
