--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/continuity"
 	"foxtailward.example/foxtailward/internal/coordination/detect"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -42,8 +43,8 @@
 	c           *call
 	out         *http.ResponseController
 	lastEventID direct.EventID
-	// lastNumber is the last event's id, if ids are numbers.
-	lastNumber int64
+	// order tells whether the events of a run follow those that the client has.
+	order *continuity.Stream
 	// headSent is set once the head of the answer has been sent, at headSentAt. began is set
 	// once the answer has begun and the first event has been recorded; it may be read
 	// by other goroutines. events counts the forwarded events.
@@ -86,7 +87,7 @@
 // serveStream forwards a request that is answered by a stream, and resumes it at
 // another target if one is lost.
 func (c *call) serveStream(ctx context.Context) {
-	s := &stream{c: c, out: http.NewResponseController(c.w), lastEventID: c.meta.LastEventID}
+	s := &stream{c: c, out: http.NewResponseController(c.w), lastEventID: c.meta.LastEventID, order: continuity.New(string(c.meta.LastEventID))}
 	s.key = c.handoverKey()
 	if c.resumesStream() && !c.findOrigin(ctx) {
 		c.refuseUnknownOrigin()
@@ -97,7 +98,6 @@
 		c.recordOrigin()
 	}
 	defer s.endHandover()
-	s.lastNumber, _ = (&eventstream.Event{ID: string(s.lastEventID)}).Number()
 	for s.mayRunAgain() {
 		if s.stopsFirst() || !c.mayStart(ctx) {
 			break
@@ -258,6 +258,7 @@
 	}
 	c.answer.begin(answer)
 	goesOn := c.software != nil
+	s.order.BeginRun()
 	events := eventstream.NewReader(answer.Body)
 	events.Take = c.e.buffers.take
 	defer events.Close()
@@ -267,6 +268,8 @@
 		next, err := events.Next()
 		r.silence.received()
 		switch {
+		case errors.Is(err, io.EOF) && !s.order.EndFits():
+			return balance.Rerouted, errEndsEarly
 		case errors.Is(err, io.EOF):
 			outcome, err := r.endOfAnswer(ctx, answer.Framing)
 			if outcome != balance.Succeeded {
@@ -285,8 +288,8 @@
 		}
 		c.recordBegin(ctx, r.target)
 		writeBegan := c.now()
-		if err := s.writeEvent(answer, &next); err != nil {
-			return balance.ClientCancelled, err
+		if outcome, err := s.passOn(answer, &next); outcome != balance.Succeeded {
+			return outcome, err
 		}
 		// A client that is slow to accept an event holds up the reading.
 		r.detector.Exclude(c.now().Sub(writeBegan))
@@ -384,13 +387,8 @@
 	return s.out.Flush()
 }
 
-// writeEvent writes one event to the client, unless the client already has it.
+// writeEvent writes one event to the client.
 func (s *stream) writeEvent(a *upstream.Answer, next *eventstream.Event) error {
-	number, numbered := next.Number()
-	if numbered && number <= s.lastNumber {
-		s.c.log(event.FrameDropped, "eventID", next.ID)
-		return nil
-	}
 	if err := s.sendHead(a); err != nil {
 		return err
 	}
@@ -405,9 +403,7 @@
 	if next.ID != "" {
 		s.lastEventID = direct.EventID(next.ID)
 	}
-	if numbered {
-		s.lastNumber = number
-	}
+	s.order.Forwarded(next.ID)
 	return s.out.Flush()
 }
 
