--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -447,6 +447,8 @@
 	switch {
 	case !s.c.expired() && s.c.versionGone():
 		return "versionGone"
+	case !s.order.Resumable():
+		return "lastEventWithoutID"
 	case s.endChecks.pending:
 		return "endUnconfirmed"
 	}
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -50,7 +50,7 @@
 	s, c := r.s, r.s.c
 	c.endUncertain = framing == completion.Connection
 	end := completion.End{
-		Framing: framing, Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: c.route.Resumable,
+		Framing: framing, Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: s.resumable(),
 		Repeated: c.answer.events == 0 && s.endChecks.ended && s.endChecks.endedAfter == s.lastEventID,
 	}
 	var err error
@@ -105,9 +105,9 @@
 	return attempt{choice: balance.Choice{Target: t, Reason: balance.ConfirmsEnd}, confirmsEnd: true}, true
 }
 
-// mayRunAgain reports whether the stream may be sent once more. A resumption that confirms an end
-// reaches no other target.
+// mayRunAgain reports whether the stream may be sent once more. After an event without an id, nothing
+// tells where it would go on. A resumption that confirms an end reaches no other target.
 func (s *stream) mayRunAgain() bool {
 	c := s.c
-	return !c.expired() && c.sends < c.maxRuns()+extraStreamSends && (s.endChecks.at != nil || c.runs < c.maxRuns())
+	return s.order.Resumable() && !c.expired() && c.sends < c.maxRuns()+extraStreamSends && (s.endChecks.at != nil || c.runs < c.maxRuns())
 }
--- a/internal/transport/direct/streamjoin.go
+++ b/internal/transport/direct/streamjoin.go
@@ -17,6 +17,9 @@
 	errEndsEarly = errors.New("the resumption ends before the client's last event")
 )
 
+// resumable reports whether a run may go on after the client's last event.
+func (s *stream) resumable() bool { return s.c.route.Resumable && s.order.Resumable() }
+
 // passOn forwards an event if it follows the client's last one. Otherwise it returns the outcome of
 // the attempt.
 func (s *stream) passOn(a *upstream.Answer, next *eventstream.Event) (balance.Outcome, error) {
--- a/internal/transport/direct/streamjoin_test.go
+++ b/internal/transport/direct/streamjoin_test.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// TestStreamWithoutIDsIsNotResumed guards against a stream that is resumed after an event without an
+// id, so that the client gets events twice.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	for _, first := range []string{"- - -", "1 2 -"} {
+		t.Run(first, func(t *testing.T) {
+			got, held, reached := playJoin(t, first, first+" 4 5", first+" 4 5")
+			if !got.broken || held != first || reached != 1 {
+				t.Errorf("got broken=%v %s from %d targets", got.broken, held, reached)
+			}
+		})
+	}
+}
+
 // TestFirstEventIsZero guards against a stream that loses its first event because its id is 0.
 func TestFirstEventIsZero(t *testing.T) {
 	if got, held, _ := playJoin(t, "0 1 2", "3 4", "3 4"); got.broken || held != "0 1 2 3 4" {
