--- a/internal/transport/direct/pause.go
+++ b/internal/transport/direct/pause.go
@@ -15,6 +15,8 @@
 	// clockCheckTolerance is how late a check may come, and how far the clocks may
 	// drift apart between two checks, without being taken for a pause.
 	clockCheckTolerance = 200 * time.Millisecond
+	// pauseSettleTime is how long after a pause what arrived meanwhile may not have been read.
+	pauseSettleTime = 500 * time.Millisecond
 )
 
 // pauseDetector detects that this process or its host was paused. Data received
@@ -68,6 +70,13 @@
 	}
 }
 
+// pausedWithin reports whether this process or its host was paused within the time before now, also
+// if the pause has just ended.
+func (e *Entry) pausedWithin(d time.Duration) bool {
+	e.checkClocks()
+	return e.pauses.endedWithin(e.deps.Clock.Now(), d)
+}
+
 // sinceBoot returns the time since the host booted, or the monotonic time since
 // the entry's start if the former is not available.
 func (e *Entry) sinceBoot(now time.Time) time.Duration {
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -129,6 +129,10 @@
 		_, known := c.software.resolve(c.allTargets())
 		return known
 	}
+	if c.e.pausedWithin(pauseSettleTime) {
+		// The list of targets may be older than the stream.
+		return false
+	}
 	c.e.observeVersions()
 	version, ok := c.e.versions.Sole(now, c.service)
 	if ok {
