--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/handover"
@@ -10,6 +11,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/timing"
 )
 
@@ -42,6 +44,9 @@
 	// streamsLoaded once those that were saved have been read.
 	savedStreams  bool
 	streamsLoaded bool
+	// savedVersions are the versions that the key-value service holds from this process, without
+	// ages.
+	savedVersions []origin.SeenVersion
 	// savedEra is the newest era that was known when the state was saved last. What
 	// was saved in an earlier era may be gone.
 	savedEra store.Era
@@ -55,9 +60,11 @@
 	Records   []quarantine.Record `json:"records"`
 }
 
-// streamsItem is what an entry saves about the streams that it has served, unless one version
-// of targets' software alone has served.
+// streamsItem is what an entry saves about the versions of targets' software, whenever they
+// change, and about the streams that it has served, unless one version alone has served.
 type streamsItem struct {
+	// Entry is the entry that saved the item; empty in older items.
+	Entry id.Entry `json:"entry,omitempty"`
 	// SavedAtMS is the time of day of the save, in milliseconds since 1970.
 	SavedAtMS int64           `json:"savedAtMs"`
 	Streams   []origin.Stream `json:"streams"`
@@ -115,8 +122,9 @@
 	})
 }
 
-// loadStreams reads the streams that entries saved before they ended. The versions that
-// served since the last save are listed, unless they came and went within that time.
+// loadStreams reads the streams that entries saved before they ended. What this entry saved last is
+// what served until it ended, however long ago that is. The versions that served since are
+// listed, unless they came and went within that time.
 func (s *stateSaver) loadStreams(ctx context.Context) {
 	s.streamsLoaded = s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
 		var saved streamsItem
@@ -129,6 +137,9 @@
 			saved.Streams[i].AgeMS += age.Milliseconds()
 		}
 		s.e.streams.Merge(now, saved.Streams)
+		if saved.Entry == s.e.cfg.Name {
+			age = 0
+		}
 		s.e.versions.Merge(now, saved.Versions, age)
 		return nil
 	})
@@ -157,7 +168,7 @@
 }
 
 // save writes the current state in one call. It writes nothing if there are no
-// runs now, none were written last time, the suspects are the same, and the
+// runs now, none were written last time, the suspects and the versions are the same, and the
 // key-value service has not returned from an older copy of its state.
 func (s *stateSaver) save(ctx context.Context) {
 	now := s.e.deps.Clock.Now()
@@ -174,8 +185,10 @@
 		puts = append(puts, store.Put{Key: store.SuspectsPrefix + string(s.e.cfg.Name), Value: value})
 	}
 	streams := s.streamsToSave(now)
-	if len(streams) > 0 || s.savedStreams {
-		value := encodeState(streamsItem{SavedAtMS: now.UnixMilli(), Streams: streams, Versions: s.e.versions.Report(now)})
+	report := s.e.versions.Report(now)
+	versions := withoutAges(report.Seen)
+	if len(streams) > 0 || s.savedStreams || returned || !slices.Equal(versions, s.savedVersions) {
+		value := encodeState(streamsItem{Entry: s.e.cfg.Name, SavedAtMS: now.UnixMilli(), Streams: streams, Versions: report})
 		puts = append(puts, store.Put{Key: store.StreamsPrefix + string(s.e.cfg.Name), Value: value})
 	}
 	if len(puts) == 0 {
@@ -190,10 +203,19 @@
 		return
 	}
 	s.e.storeWatcher.observeEra(result.Era)
-	s.savedStreams = len(streams) > 0
+	s.savedStreams, s.savedVersions = len(streams) > 0, versions
 	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, era
 }
 
+// withoutAges returns the versions, to compare them.
+func withoutAges(seen []origin.SeenVersion) []origin.SeenVersion {
+	versions := slices.Clone(seen)
+	for i := range versions {
+		versions[i].AgeMS = 0
+	}
+	return versions
+}
+
 // streamsToSave returns the streams of this entry, unless one version alone has served.
 func (s *stateSaver) streamsToSave(now time.Time) []origin.Stream {
 	s.e.observeVersions()
