--- a/internal/transport/direct/quarantine.go
+++ b/internal/transport/direct/quarantine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -70,7 +71,8 @@
 func (c *call) updateQuarantine(now, sent time.Time, t *catalog.Target, outcome balance.Outcome, err error) {
 	switch {
 	case outcome == balance.Succeeded && c.succeeded && c.endUncertain:
-		c.e.deps.Clock.AfterFunc(livedOnTime, func() { c.judgeEnd(now, sent, t) })
+		proven := c.answer.evidence != completion.NoEvidence
+		c.e.deps.Clock.AfterFunc(livedOnTime, func() { c.judgeEnd(now, sent, t, proven) })
 	case outcome == balance.Succeeded && c.succeeded:
 		c.clear(now)
 	case c.mayHaveEnded(now, t, outcome, err):
@@ -107,11 +109,15 @@
 }
 
 // judgeEnd decides, some time after the end of the connection ended an answer, what that
-// says about the request: if the target is lost, the request may have crashed it.
-func (c *call) judgeEnd(end, sent time.Time, t *catalog.Target) {
+// says about the request: if the target is lost, the request may have crashed it. proven says that
+// the target served after the end. Without that, and if nothing was heard from it since, the end
+// says nothing.
+func (c *call) judgeEnd(end, sent time.Time, t *catalog.Target, proven bool) {
 	now := c.now()
 	if !c.e.balancer.Suspected(now, t) {
-		c.clear(now)
+		if proven || c.e.balancer.HeardFrom(t.Key()).After(end) {
+			c.clear(now)
+		}
 		return
 	}
 	c.e.quarantine.TargetLost(end, t.Key(), t.Zone, c.lostRun(sent, false))
--- a/internal/transport/direct/unframed_test.go
+++ b/internal/transport/direct/unframed_test.go
@@ -164,3 +164,28 @@
 		env.is.Equal(env.log.count("name=targetEndSeen")-env.log.count("ends=0"), 0)
 	})
 }
+
+// TestUnheardTargetClearsNothing guards against a request that is cleared of its targets' ends by an
+// answer without a length in which it crashed another one.
+func TestUnheardTargetClearsNothing(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.config.Routes[2].MaxAttempts = 5
+		runs := 0
+		for i := range 4 {
+			address := fmt.Sprintf("10.0.%d.1:80", i+1)
+			env.target(fmt.Sprint("t", i), address, string(rune('a'+i)), func(rw http.ResponseWriter, r *http.Request) {
+				if runs++; runs <= 2 {
+					panic(http.ErrAbortHandler)
+				}
+				unframed(func(*http.Request) string {
+					env.crash(address)
+					return "half of"
+				}, nil)(rw, r)
+			})
+		}
+		env.start()
+		_ = env.do("POST", "/s/x", "a", "body")
+		time.Sleep(2 * time.Second)
+		env.is.Equal(env.log.count("name=requestCleared"), 0)
+	})
+}
