--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -94,9 +94,13 @@
 	AtDeadline bool
 	// Resumable says that the stream may be resumed after its last event.
 	Resumable bool
-	// Repeated says that this answer brought no event, and that an earlier one also ended
-	// after the same event while its process served.
+	// Repeated says that this answer brought no event, and that an earlier one of the same process
+	// also ended after the same event while it served.
 	Repeated bool
+	// Confirmable says that a resumption after the last event may be made now.
+	Confirmable bool
+	// ResumedByClient says that the client itself resumed the stream, and has got no event since.
+	ResumedByClient bool
 	// Process is needed only if NeedsProcess returns true.
 	Process Process
 }
@@ -124,6 +128,10 @@
 		return Verdict{Complete, ByProcess}
 	case e.Repeated:
 		return Verdict{Complete, ByResumption}
+	case e.Confirmable:
+		return Verdict{Unconfirmed, ByProcess}
+	case e.ResumedByClient:
+		return Verdict{Complete, ByResumption}
 	}
-	return Verdict{Unconfirmed, ByProcess}
+	return Verdict{BrokenOff, ByProcess}
 }
--- a/internal/coordination/completion/completion_test.go
+++ b/internal/coordination/completion/completion_test.go
@@ -17,7 +17,7 @@
 }
 
 func TestEndJudge(t *testing.T) {
-	confirmed := completion.End{Framing: completion.Connection, Begun: true, Resumable: true, Repeated: true, Process: completion.Serving}
+	confirmed := completion.End{Framing: completion.Connection, Begun: true, Resumable: true, Repeated: true, Confirmable: true, Process: completion.Serving}
 	complete := completion.Verdict{Result: completion.Complete, Evidence: completion.ByResumption}
 	brokenOff := completion.Verdict{Result: completion.BrokenOff, Evidence: completion.NoEvidence}
 	tests := []struct {
@@ -28,6 +28,9 @@
 		{"two ends after the same event", func(*completion.End) {}, complete},
 		{"the first end", func(e *completion.End) { e.Repeated = false }, completion.Verdict{Result: completion.Unconfirmed, Evidence: completion.ByProcess}},
 		{"runs once", func(e *completion.End) { e.Resumable, e.Repeated = false, false }, completion.Verdict{Result: completion.Complete, Evidence: completion.ByProcess}},
+		{"the first end, which can't be confirmed", func(e *completion.End) { e.Repeated, e.Confirmable = false, false }, completion.Verdict{Result: completion.BrokenOff, Evidence: completion.ByProcess}},
+		{"the same, in a client's resumption", func(e *completion.End) { e.Repeated, e.Confirmable, e.ResumedByClient = false, false, true }, complete},
+		{"a client's resumption that can be confirmed", func(e *completion.End) { e.Repeated, e.ResumedByClient = false, true }, completion.Verdict{Result: completion.Unconfirmed, Evidence: completion.ByProcess}},
 		{"a head alone", func(e *completion.End) { e.Begun = false }, brokenOff},
 		{"at the deadline", func(e *completion.End) { e.AtDeadline = true }, brokenOff},
 		{"replaced", func(e *completion.End) { e.Process = completion.Replaced }, brokenOff},
--- a/internal/coordination/continuity/continuity.go
+++ b/internal/coordination/continuity/continuity.go
@@ -74,6 +74,9 @@
 	s.joins, s.repeats, s.repeatsLast, s.forwarded = s.begun, false, false, false
 }
 
+// Joins reports whether the run has yet to show that it goes on after the client's last event.
+func (s *Stream) Joins() bool { return s.joins }
+
 // Resumable reports whether a run after the last event can be told from a repetition.
 func (s *Stream) Resumable() bool { return !s.unmarked }
 
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -95,6 +95,16 @@
 	return b.left(b.Counts(now).Add(others.Counts), others) >= 1
 }
 
+// spareShare is the part of the budget that is kept for requests that were lost.
+const spareShare = 0.5
+
+// HasSpare reports whether more retries are left than are kept for requests that were lost.
+func (b *Budget) HasSpare(now time.Time, others Others) bool {
+	all := b.Counts(now).Add(others.Counts)
+	budget := b.left(Counts{Requests: all.Requests}, others)
+	return b.left(all, others) >= 1+spareShare*budget
+}
+
 // left returns the number of retries that the entries have left.
 func (b *Budget) left(all Counts, others Others) float64 {
 	return b.cfg.Ratio*float64(all.Requests) + b.cfg.MinRetries*others.Share - float64(all.Retries)
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -146,3 +146,18 @@
 	}
 	return n
 }
+
+// TestHasSpare checks that half of the budget is kept for requests that were lost.
+func TestHasSpare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := retry.New(retry.Config{Ratio: 1, MinRetries: 10, Window: 10 * time.Second, Random: func() float64 { return 0 }}, now)
+	others := retry.Others{Share: 1}
+	spare := 0
+	for b.HasSpare(now, others) {
+		is.True(b.TryRetry(now, others))
+		spare++
+	}
+	is.Equal(spare, 5)
+	is.True(b.MayRetry(now, others))
+}
--- a/internal/coordination/withdrawal/withdrawal.go
+++ b/internal/coordination/withdrawal/withdrawal.go
@@ -209,6 +209,14 @@
 	})
 }
 
+// Leaving reports whether the target has said that it is leaving.
+func (t *Tracker) Leaving(key id.TargetIncarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(key)
+	return s != nil && s.leaving
+}
+
 // Paused reports whether a target has requested a pause that lasts.
 func (t *Tracker) Paused(now time.Time, key id.TargetIncarnation) bool {
 	t.mu.Lock()
--- a/internal/protocol/eventstream/eventstream.go
+++ b/internal/protocol/eventstream/eventstream.go
@@ -48,6 +48,9 @@
 type Event struct {
 	// ID is the value of the id field, or empty.
 	ID string
+	// Empty says that the event has no id, name or data: a comment, for instance, which keeps the
+	// connection alive.
+	Empty bool
 	// Raw holds the event's bytes including the blank line that ends it. It is
 	// valid until the next call of Reader.Next.
 	Raw []byte
@@ -78,7 +81,7 @@
 func (r *Reader) Next() (Event, error) {
 	r.Close()
 	r.raw = r.raw[:0]
-	e := Event{}
+	e := Event{Empty: true}
 	for {
 		start := len(r.raw)
 		if err := r.readLine(); err != nil {
@@ -89,8 +92,11 @@
 			e.Raw = r.raw
 			return e, nil
 		}
-		if name, value, _ := bytes.Cut(line, []byte(":")); string(name) == "id" {
-			e.ID = string(bytes.TrimPrefix(value, []byte(" ")))
+		switch name, value, _ := bytes.Cut(line, []byte(":")); string(name) {
+		case "id":
+			e.ID, e.Empty = string(bytes.TrimPrefix(value, []byte(" "))), false
+		case "data", "event":
+			e.Empty = false
 		}
 	}
 }
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -193,6 +193,8 @@
 	sinceBoot func() time.Duration
 	// memoryMB is the entry's memory limit; 0 for none.
 	memoryMB float64
+	// retries replaces the retry budget unless it is nil.
+	retries *settings.Retries
 	// watch replaces the watch of targets unless it is nil.
 	watch func(ctx context.Context) error
 	// changeStore changes the key-value service's calls unless it is nil.
@@ -316,6 +318,9 @@
 		Limits:  settings.ProcessLimits{AddressReuseSeconds: reuseSeconds, MemoryMB: env.memoryMB},
 		Retries: settings.Retries{Ratio: 1, MinRetries: 300, WindowSeconds: 10},
 	}
+	if env.retries != nil {
+		s.Retries = *env.retries
+	}
 	s.SetDefaults()
 	return s
 }
@@ -400,8 +405,8 @@
 	return direct.Codec{
 		ConfigPrefix: "config/", ConfigKey: "config/it", TargetPrefix: "targets/",
 		DecodeConfig: func([]byte) (*catalog.Config, error) { return env.config, nil },
-		DecodeTarget: func(i store.Item, _ time.Time) (*catalog.Target, error) {
-			t := &catalog.Target{ID: id.Target(i.Key), Service: service, Slots: targetSlots}
+		DecodeTarget: func(i store.Item, now time.Time) (*catalog.Target, error) {
+			t := &catalog.Target{ID: id.Target(i.Key), Service: service, Slots: targetSlots, RecordedAt: now}
 			fields := []any{&t.State, &t.Address, &t.Zone, &t.Software, &t.Incarnation}
 			n := max(3, min(len(strings.Fields(string(i.Value))), len(fields)))
 			_, err := fmt.Sscan(string(i.Value), fields[:n]...)
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -8,7 +8,9 @@
 
 	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
 // confirmation says whether a target is still the process that its record describes.
@@ -131,15 +133,16 @@
 	notice := r.e.deps.Dialect.DecodeResponse(answer.status, answer.header).Notice
 	r.e.observeNotice(t, notice)
 	report, ok := r.e.deps.Dialect.DecodeReport(answer.body)
+	ok = ok && answer.status == http.StatusOK
 	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
 	switch {
-	case notice.Leaving || report.Leaving || current == nil || current.State != catalog.Ready:
+	case report.Leaving || r.e.withdrawn.Leaving(t.Key()) || current == nil || current.State != catalog.Ready:
 		return completion.Leaving, nil
 	case t.Incarnation == 0:
 		// The target has a new id after each start, so another process has another record.
 		return completion.Serving, nil
-	case !ok || answer.status != http.StatusOK:
-		return completion.Unknown, nil
+	case !ok:
+		return completion.Unknown, fault.Wrap("reportReader.processOf", upstream.ConnectionLost, errNoReport)
 	case report.Incarnation != t.Incarnation:
 		return completion.Replaced, nil
 	}
--- a/internal/transport/direct/retries.go
+++ b/internal/transport/direct/retries.go
@@ -80,6 +80,13 @@
 	return r.budget(now, service).MayRetry(now, r.others(now, service, share, 0))
 }
 
+// hasSpare reports whether more retries are left than are kept for requests that were lost.
+func (r *retryBudgets) hasSpare(now time.Time, service id.Service, share float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(now, service).HasSpare(now, r.others(now, service, share, 0))
+}
+
 // others returns what is known of the other entries. The caller holds the lock.
 func (r *retryBudgets) others(now time.Time, service id.Service, share float64, age time.Duration) retry.Others {
 	others := retry.Others{Share: share, Age: age}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -204,7 +204,7 @@
 	if mayHaveRun(outcome) && !a.confirmsEnd {
 		c.runs++
 	}
-	if !run.HasStarted() {
+	if !run.HasStarted() && !a.confirmsEnd {
 		// A copy can be used only after the prompt has been processed.
 		s.copyTracker.take()
 	}
@@ -225,7 +225,9 @@
 	defer cancel()
 	relay := &eventRelay{s: s, target: a.choice.Target, run: run, detector: detect.New(stallConfig(), c.now(), expected)}
 	relay.silence = newSilenceWatch(c.e.deps.Clock, s.silenceEnds(a.choice.Target), cancel)
-	s.copyTracker.runStarted(a.choice.Backup, c.meta.Attempt)
+	if !a.confirmsEnd {
+		s.copyTracker.runStarted(a.choice.Backup, c.meta.Attempt)
+	}
 	outcome, err := relay.forward(ctx, s.upstreamRequest(a))
 	if relay.silence.stop() && outcome == balance.Lost {
 		err = fault.Wrap("stream.relayEvents", upstream.ReadTimeout, err)
@@ -387,15 +389,9 @@
 	return s.out.Flush()
 }
 
-// writeEvent writes one event to the client.
+// writeEvent writes one event to the client and records it.
 func (s *stream) writeEvent(a *upstream.Answer, next *eventstream.Event) error {
-	if err := s.sendHead(a); err != nil {
-		return err
-	}
-	if err := s.out.SetWriteDeadline(s.writeDeadline()); err != nil {
-		return err
-	}
-	if _, err := s.c.w.Write(next.Raw); err != nil {
+	if err := s.write(a, next); err != nil {
 		return err
 	}
 	s.recordPause()
@@ -407,6 +403,18 @@
 	return s.out.Flush()
 }
 
+// write writes the bytes of an event to the client, after the head of the answer.
+func (s *stream) write(a *upstream.Answer, next *eventstream.Event) error {
+	if err := s.sendHead(a); err != nil {
+		return err
+	}
+	if err := s.out.SetWriteDeadline(s.writeDeadline()); err != nil {
+		return err
+	}
+	_, err := s.c.w.Write(next.Raw)
+	return err
+}
+
 // writeDeadline returns the time by which the client must have accepted the next event.
 func (s *stream) writeDeadline() time.Time {
 	c := s.c
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -9,6 +9,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
@@ -18,6 +19,7 @@
 var (
 	errEndAtDeadline = errors.New("the connection ended at the deadline")
 	errNoEvents      = errors.New("the connection ended before the first event")
+	errNoReport      = errors.New("the target's report does not name its start")
 	// errEndUnconfirmed ends attempts whose connection ended between two events.
 	errEndUnconfirmed = errors.New("nothing confirms that the end of the connection ended the stream")
 )
@@ -28,11 +30,12 @@
 	at *catalog.Target
 	// count is the number of such resumptions.
 	count int
-	// ended is set once an answer has ended after the event endedAfter while its process served.
-	ended      bool
+	// endedAt is the target whose answer has ended after the event endedAfter while its process
+	// served; zero for none.
+	endedAt    id.TargetIncarnation
 	endedAfter direct.EventID
-	// pending is set while the last end is not confirmed.
-	pending bool
+	// pending is set while the last end is not confirmed, and givenUp once it can't be.
+	pending, givenUp bool
 }
 
 // take returns the target at which the end is to be confirmed, and clears it.
@@ -49,10 +52,7 @@
 func (r *eventRelay) endOfAnswer(ctx context.Context, framing completion.Framing) (balance.Outcome, error) {
 	s, c := r.s, r.s.c
 	c.endUncertain = framing == completion.Connection
-	end := completion.End{
-		Framing: framing, Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: s.resumable(),
-		Repeated: c.answer.events == 0 && s.endChecks.ended && s.endChecks.endedAfter == s.lastEventID,
-	}
+	end := s.endOf(framing, r.target)
 	var err error
 	if end.NeedsProcess() {
 		end.Process, err = c.e.reports.processOf(ctx, r.target)
@@ -67,16 +67,27 @@
 	case completion.Complete:
 		return balance.Succeeded, nil
 	case completion.Unconfirmed:
-		s.endChecks.ended, s.endChecks.endedAfter = true, s.lastEventID
-		if s.endChecks.count < maxEndChecks {
-			s.endChecks.at = r.target
-		}
+		s.endChecks.at, s.endChecks.endedAt, s.endChecks.endedAfter = r.target, r.target.Key(), s.lastEventID
 		return balance.Rerouted, errEndUnconfirmed
 	case completion.BrokenOff:
+		s.endChecks.givenUp = end.Process == completion.Serving
 	}
 	return brokenOff(&end, err)
 }
 
+// endOf describes the end of the stream's current answer, of which the target's process is not known
+// yet.
+func (s *stream) endOf(framing completion.Framing, t *catalog.Target) completion.End {
+	c, now := s.c, s.c.now()
+	none := c.answer.events == 0
+	return completion.End{
+		Framing: framing, Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: s.resumable(),
+		Repeated:        none && s.endChecks.endedAt == t.Key() && s.endChecks.endedAfter == s.lastEventID,
+		Confirmable:     s.endChecks.count < maxEndChecks && c.e.retryBudgets.hasSpare(now, c.service, c.e.roster.LimitShare(now)),
+		ResumedByClient: s.events == 0 && c.meta.LastEventID != "",
+	}
+}
+
 // brokenOff returns the outcome of an attempt whose stream was broken off. err is the error of
 // asking its target.
 func brokenOff(end *completion.End, err error) (balance.Outcome, error) {
@@ -84,6 +95,9 @@
 	switch {
 	case end.AtDeadline:
 		return balance.Lost, errEndAtDeadline
+	case fault.Is(err, upstream.NotSent):
+		// The target ended its connection and accepts no other.
+		return balance.Lost, fault.Wrap(op, upstream.ConnectionLost, err)
 	case err != nil:
 		return balance.Lost, err
 	case !end.Begun:
@@ -109,5 +123,5 @@
 // tells where it would go on. A resumption that confirms an end reaches no other target.
 func (s *stream) mayRunAgain() bool {
 	c := s.c
-	return s.order.Resumable() && !c.expired() && c.sends < c.maxRuns()+extraStreamSends && (s.endChecks.at != nil || c.runs < c.maxRuns())
+	return s.order.Resumable() && !s.endChecks.givenUp && !c.expired() && c.sends < c.maxRuns()+extraStreamSends && (s.endChecks.at != nil || c.runs < c.maxRuns())
 }
--- a/internal/transport/direct/streamend_test.go
+++ b/internal/transport/direct/streamend_test.go
@@ -43,9 +43,7 @@
 func playStreamEnd(t *testing.T, path string, empty bool, end func(env *testEnv, born *int)) answer {
 	var got answer
 	withEnv(t, func(env *testEnv) {
-		once := env.config.Routes[0]
-		once.Name, once.PathPrefix, once.Resumable = "o", "/o/", false
-		env.config.Routes = append(env.config.Routes, once)
+		env.addOnceRoute()
 		born := 100
 		atEnd := func() {
 			if end != nil {
--- a/internal/transport/direct/streamjoin.go
+++ b/internal/transport/direct/streamjoin.go
@@ -23,6 +23,9 @@
 // passOn forwards an event if it follows the client's last one. Otherwise it returns the outcome of
 // the attempt.
 func (s *stream) passOn(a *upstream.Answer, next *eventstream.Event) (balance.Outcome, error) {
+	if next.Empty {
+		return s.passOnEmpty(a, next)
+	}
 	switch s.order.Judge(next.ID) {
 	case continuity.Skips:
 		return balance.Rerouted, errSkips
@@ -36,3 +39,18 @@
 	}
 	return balance.Succeeded, nil
 }
+
+// passOnEmpty forwards an event that is no part of the answer. At the beginning of a resumption it may
+// repeat one that the client has, so it is dropped.
+func (s *stream) passOnEmpty(a *upstream.Answer, next *eventstream.Event) (balance.Outcome, error) {
+	if s.order.Joins() {
+		return balance.Succeeded, nil
+	}
+	if err := s.write(a, next); err != nil {
+		return balance.ClientCancelled, err
+	}
+	if err := s.out.Flush(); err != nil {
+		return balance.ClientCancelled, err
+	}
+	return balance.Succeeded, nil
+}
