--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -161,12 +161,13 @@
 		return replaced
 	}
 	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
+	lostAt := r.e.balancer.LostAt(t.Key())
 	switch {
-	case current == nil:
+	case current == nil, lostAt.IsZero():
 		return unconfirmed
 	case current.Incarnation != t.Incarnation:
 		return replaced
-	case current.RecordedAt.Sub(r.e.balancer.LostAt(t.Key())) > recordDelay:
+	case current.RecordedAt.Sub(lostAt) > recordDelay:
 		return confirmed
 	}
 	return unconfirmed
--- a/internal/transport/direct/software_test.go
+++ b/internal/transport/direct/software_test.go
@@ -405,3 +405,30 @@
 		env.is.True(strings.Contains(saved, `"b0"`))
 	})
 }
+
+// TestGoesOnAtConfirmedProcess guards against a stream that goes on at a process that nothing
+// confirms, because no loss of the target has been seen.
+func TestGoesOnAtConfirmedProcess(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == reportPath {
+				fmt.Fprint(rw, 100)
+				return
+			}
+			events(rw, 1, 5, 30*time.Millisecond)
+			panic(http.ErrAbortHandler)
+		})
+		env.softwareTarget("t2", "10.0.2.1:80", "b", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == reportPath {
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			events(rw, after(r), 20, 30*time.Millisecond)
+		})
+		env.start()
+		time.Sleep(5 * time.Second)
+		got := env.do("POST", "/r/x", "a1", "body")
+		env.is.True(got.broken)
+		env.is.Equal(got.body, wholeStream(5))
+	})
+}
