--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -202,6 +202,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         e.idle.stateChanged,
+		ConnContext:       withClientConn,
 	}
 	return e
 }
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -68,6 +68,8 @@
 	// other target accepts the request.
 	targetFailure *bufferedAnswer
 	endChecks     endChecks
+	// unframed guards the answer if the client's connection marks its end.
+	unframed unframedAnswer
 }
 
 // attempt is one run of a stream at one target.
@@ -378,6 +380,7 @@
 	s.headSent = true
 	s.began.Store(true)
 	copyHeaders(s.c.w.Header(), a.Header)
+	s.unframed = s.c.guardUnframed()
 	s.c.w.WriteHeader(a.Status)
 	s.headSentAt = s.c.now()
 	s.c.e.metrics.firstEvent(s.c.route, s.headSentAt.Sub(s.c.start))
@@ -435,6 +438,7 @@
 func (s *stream) finish() {
 	c := s.c
 	s.complete = true
+	s.unframed.end()
 	// The connection is reused, so the write deadline of the stream must not stay.
 	_ = s.out.SetWriteDeadline(time.Time{})
 	if c.meta.LastEventID == "" {
