--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -158,6 +158,9 @@
 	// DecodeIdentity reads the answer to a health check. It returns false if the
 	// answer does not identify the target.
 	DecodeIdentity func(status int, h http.Header) (Identity, bool)
+	// DecodeName reads only the target's name from such an answer, because some targets don't
+	// report their slots.
+	DecodeName func(status int, h http.Header) (id.Target, bool)
 	// ReportCall returns the call that requests a report from a target about itself, and
 	// DecodeReport reads the answer. It returns false if that does not tell when the target's
 	// process started.
--- a/internal/transport/direct/dialect_test.go
+++ b/internal/transport/direct/dialect_test.go
@@ -57,6 +57,9 @@
 			slots, err := strconv.Atoi(h.Get("Slots"))
 			return protocol.Identity{Target: id.Target(h.Get("Name")), Slots: slots}, status == http.StatusOK && err == nil
 		},
+		DecodeName: func(status int, h http.Header) (id.Target, bool) {
+			return id.Target(h.Get("Name")), status == http.StatusOK && h.Get("Name") != ""
+		},
 		ReportCall: func() protocol.Call { return protocol.Call{Method: "GET", Path: reportPath} },
 		DecodeReport: func(body []byte) (protocol.TargetReport, bool) {
 			text, leaving := strings.CutSuffix(string(body), " leaving")
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -148,7 +148,11 @@
 	}
 	c.answer.endByFraming()
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, meta: meta, body: body, framing: answer.Framing}
-	return buffered, c.classify(buffered), nil
+	outcome := c.classify(buffered)
+	if outcome == balance.Succeeded && c.needsEvidence(buffered) {
+		outcome, err = c.confirmAnswer(ctx, choice.Target)
+	}
+	return buffered, outcome, err
 }
 
 var (
--- /dev/null
+++ b/internal/transport/direct/plainend.go
@@ -0,0 +1,93 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/completion"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/transport/upstream"
+)
+
+// endCheckTimeout limits how long a plain answer waits for evidence that it is complete.
+const endCheckTimeout = 500 * time.Millisecond
+
+// needsEvidence reports whether a plain answer may be a part of one that its target has not
+// completed, and its target can be asked. Failures and redirections do not claim that the
+// request was done, so they need no evidence.
+func (c *call) needsEvidence(a *bufferedAnswer) bool {
+	return a.framing == completion.Connection && a.status < http.StatusMultipleChoices && c.r.Method != http.MethodHead && c.canAsk()
+}
+
+// canAsk reports whether targets of the service say which process serves.
+func (c *call) canAsk() bool {
+	s := c.cfg.Services[c.service]
+	return s.Engine != nil || s.HealthPath != ""
+}
+
+// confirmAnswer returns Succeeded if a plain answer that ended with its connection is complete,
+// otherwise the outcome of its attempt.
+func (c *call) confirmAnswer(ctx context.Context, t *catalog.Target) (balance.Outcome, error) {
+	end := completion.End{Framing: completion.Connection, Begun: true, AtDeadline: c.timeLeft() <= deadlineEndMargin}
+	var err error
+	if end.NeedsProcess() {
+		end.Process, err = c.processAfterAnswer(ctx, t)
+	}
+	verdict := end.Judge()
+	c.answer.evidence = verdict.Evidence
+	if verdict.Result == completion.Complete {
+		return balance.Succeeded, nil
+	}
+	return brokenOff(&end, err)
+}
+
+// processAfterAnswer asks the target which process serves there: an engine by its report, other
+// targets by a health check. It returns an error if none does.
+func (c *call) processAfterAnswer(ctx context.Context, t *catalog.Target) (completion.Process, error) {
+	deadline := c.now().Add(endCheckTimeout)
+	if latest := c.attemptDeadline(); latest.Before(deadline) {
+		deadline = latest
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	var process completion.Process
+	var err error
+	s := c.cfg.Services[c.service]
+	if s.Engine != nil {
+		process, err = c.e.reports.processOf(ctx, t)
+	} else {
+		process, err = c.e.reports.processByHealth(ctx, t, s.HealthPath, deadline)
+	}
+	if fault.Is(err, upstream.NotSent) {
+		return completion.Unknown, fault.Wrap("call.processAfterAnswer", upstream.ConnectionLost, err)
+	}
+	// A target that is too busy to answer is not lost.
+	return process, nil
+}
+
+// processByHealth does what processOf does by a health check at a path.
+func (r *reportReader) processByHealth(ctx context.Context, t *catalog.Target, path string, deadline time.Time) (completion.Process, error) {
+	if r.e.withdrawn.Paused(r.e.deps.Clock.Now(), t.Key()) {
+		return completion.Unknown, nil
+	}
+	request := &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{}}
+	answer, err := r.e.pool.Do(ctx, t.Address, request, deadline)
+	if err != nil {
+		return completion.Unknown, err
+	}
+	defer answer.Close()
+	name, ok := r.e.deps.Dialect.DecodeName(answer.Status, answer.Header)
+	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
+	switch {
+	case !ok:
+		return completion.Unknown, nil
+	case name != t.ID, current != nil && current.Incarnation != t.Incarnation:
+		return completion.Replaced, nil
+	case current == nil, current.State != catalog.Ready:
+		return completion.Leaving, nil
+	}
+	return completion.Serving, nil
+}
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -19,7 +19,7 @@
 	errEndAtDeadline = errors.New("the connection ended at the deadline")
 	errNoEvents      = errors.New("the connection ended before the first event")
 	// errEndUnconfirmed ends attempts whose connection ended between two events.
-	errEndUnconfirmed = errors.New("nothing confirms that the end of the connection ended the stream")
+	errEndUnconfirmed = errors.New("nothing confirms that the end of the connection ended the answer")
 )
 
 // endChecks tracks whether the end of a stream's connection has been confirmed.
