--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -21,7 +21,7 @@
 	errNoEvents      = errors.New("the connection ended before the first event")
 	errNoReport      = errors.New("the target's report does not name its start")
 	// errEndUnconfirmed ends attempts whose connection ended between two events.
-	errEndUnconfirmed = errors.New("nothing confirms that the end of the connection ended the stream")
+	errEndUnconfirmed = errors.New("nothing confirms that the end of the connection ended the answer")
 )
 
 // endChecks tracks whether the end of a stream's connection has been confirmed.
