--- a/internal/transport/engine/client_test.go
+++ b/internal/transport/engine/client_test.go
@@ -78,6 +78,8 @@
 		{"no reason", firstEvent + secondEvent + endMarker, 3, engine.Malformed},
 		{"no usage", firstEvent + strings.Split(lastEvent, `,"usage"`)[0] + "}\n\n" + endMarker, 1, engine.Malformed},
 		{"not JSON", firstEvent + "data: {\n\n" + endMarker, 1, engine.Malformed},
+		{"an empty event", "data:\n\n" + endMarker, 0, engine.Malformed},
+		{"an empty event in place of the end", firstEvent + secondEvent + lastEvent + "data: \n\n", 3, engine.Malformed},
 		{"two values", firstEvent + "data: {} {}\n\n" + endMarker, 1, engine.Malformed},
 		{"ids without texts", `data: {"choices":[{"token_ids":[8,9],"token_texts":["b"]}]}` + "\n\n" + endMarker, 0, engine.Malformed},
 		{"an endless event", "data: " + strings.Repeat("x", 2<<20), 0, engine.Malformed},
@@ -90,6 +92,7 @@
 			is.Equal(append([]generation.Token{}, tokens...), want[:tt.tokens])
 			if tt.kind != "" {
 				is.True(fault.Is(err, tt.kind))
+				is.True(!errors.Is(err, io.EOF)) // io.EOF alone means complete
 				return
 			}
 			is.True(errors.Is(err, io.EOF))
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -159,6 +159,10 @@
 	s.tokens = s.tokens[:0]
 	s.chunk.reset()
 	s.data.Reset(data)
+	if len(data) == 0 {
+		// The decoder would return io.EOF, which means that the answer is complete.
+		return fault.New(op, Malformed, "an event holds no value")
+	}
 	if err := s.decoder.Decode(&s.chunk); err != nil {
 		return fault.Wrap(op, Malformed, err)
 	}
--- a/internal/transport/target/harness_test.go
+++ b/internal/transport/target/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -31,7 +32,9 @@
 	// steps lets one token through for each value; nil lets all through.
 	steps chan struct{}
 	// cutAt is the token before which streams are cut; 0 cuts none.
-	cutAt     atomic.Int64
+	cutAt atomic.Int64
+	// stream replaces the streams of the engine unless it is empty.
+	stream    string
 	starts    atomic.Int64
 	cancelled atomic.Int64
 	orders    chan engine.Order
@@ -85,6 +88,10 @@
 		return
 	}
 	w.WriteHeader(http.StatusOK)
+	if e.stream != "" {
+		_, _ = io.WriteString(w, e.stream)
+		return
+	}
 	flush := w.(http.Flusher).Flush
 	flush()
 	for i := len(c.PrefixTokenIDs); i < c.MaxTokens; i++ {
