--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -12,6 +12,8 @@
 // A request is sent at most once. The client follows no redirects, and a
 // request that is not repeatable gets a connection of its own, because
 // net/http retries a request that fails on a reused connection.
+//
+// A reply counts only if it marks its own end, by a length or by chunks.
 package service
 
 import (
@@ -28,6 +30,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -163,9 +166,20 @@
 				resp.StatusCode, MaxReplyBytes),
 		}, nil
 	}
+	if !delimited(resp) {
+		return nil, fault.New("Client.Do", ResponseLost,
+			"the service answered with status %d and neither a length nor chunks, so the end of its answer is not known",
+			resp.StatusCode)
+	}
 	return &answer.Reply{Request: request, Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
 }
 
+// delimited reports whether a response marks its own end. The end of the
+// connection alone may also be the end of the service's process.
+func delimited(resp *http.Response) bool {
+	return resp.Request.Method == http.MethodHead || completion.FramingOf(resp) != completion.Connection
+}
+
 // hopByHop lists the headers that belong to a single connection (RFC 9110,
 // section 7.6.1) and those that net/http sets itself.
 var hopByHop = []string{
--- a/internal/transport/target/truncation_test.go
+++ b/internal/transport/target/truncation_test.go
@@ -1,6 +1,8 @@
 package target_test
 
 import (
+	"io"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -44,3 +46,19 @@
 		})
 	}
 }
+
+// TestCallWithoutProofOfEnd guards against a call counted as done though nothing shows the end of its answer.
+func TestCallWithoutProofOfEnd(t *testing.T) {
+	is := is.New(t)
+	s := newFakeService(t, nil)
+	s.answer = func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		is.NoErr(err)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nha")
+		_ = conn.Close()
+	}
+	h := newHarness(t, serviceSettings(s.URL), target.Deps{})
+	is.Equal(h.call(t.Context(), nil), "unknown")
+	is.Equal(h.call(t.Context(), nil), "unknown")
+	is.Equal(s.runs.Load(), int64(1)) // the call still runs at most once
+}
