--- a/internal/transport/caller/complete.go
+++ b/internal/transport/caller/complete.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
@@ -98,7 +99,22 @@
 func (a *api) writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store")
+	body, err := json.Marshal(v)
+	if err != nil {
+		a.sendRefusal(w, refusalOf(err), "")
+		return
+	}
+	a.writeBody(w, http.StatusOK, append(body, '\n'))
+}
+
+// writeBody writes a status and a body with its length, so that also a caller
+// without chunks notices when the body is truncated.
+func (a *api) writeBody(w http.ResponseWriter, status int, body []byte) {
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	a.setWriteDeadline(w)
+	w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(v)
+	_, _ = w.Write(body)
 }
--- a/internal/transport/caller/handlers_test.go
+++ b/internal/transport/caller/handlers_test.go
@@ -23,7 +23,9 @@
 
 // fakeHandlers answers each request with the same tokens.
 type fakeHandlers struct {
-	tokens []generation.Token
+	// replyTail is appended to the bodies of replies to calls.
+	replyTail string
+	tokens    []generation.Token
 	// failAfter ends each answer with failure after that many tokens. A negative
 	// value means never.
 	failAfter int
@@ -119,7 +121,7 @@
 		Request: id.NewRequest("entry-1"),
 		Status:  http.StatusAccepted,
 		Header:  http.Header{"X-Part": {"7"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
-		Body:    []byte("done"),
+		Body:    []byte("done" + f.replyTail),
 	}, nil
 }
 
--- a/internal/transport/caller/services.go
+++ b/internal/transport/caller/services.go
@@ -120,8 +120,5 @@
 		h[name] = values
 	}
 	h.Set(headerRequest, string(reply.Request))
-	a.setWriteDeadline(w)
-	w.WriteHeader(reply.Status)
-	// A write error means that the caller has disconnected.
-	_, _ = w.Write(reply.Body)
+	a.writeBody(w, reply.Status, reply.Body)
 }
