--- a/internal/transport/direct/restartorigin_test.go
+++ b/internal/transport/direct/restartorigin_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -29,3 +30,21 @@
 		env.is.True(strings.Contains(a.body, "version"))
 	})
 }
+
+// TestResumptionAfterRestartAtSameVersion guards against resumptions that are refused after a restart,
+// though no other version has served but long ago at an entry that is no longer in use.
+func TestResumptionAfterRestartAtSameVersion(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, softwareEngine("v1", 0))
+		env.saved[store.StreamsPrefix+"old"] = store.Item{Key: store.StreamsPrefix + "old", ModRevision: 1, Value: fmt.Appendf(nil,
+			`{"entry":"old","savedAtMs":%d,"streams":null,"versions":{"seen":[{"service":"m","software":"v0"}]}}`, time.Now().Add(-time.Hour).UnixMilli())}
+		env.start()
+		time.Sleep(time.Minute)
+		_, body, last := env.holdPart("a0")
+		env.stop()
+		<-env.ended
+		env.restart()
+		a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
+		env.is.Equal(versions(body + a.body)["v1"], softwareEvents)
+	})
+}
