--- a/internal/transport/direct/endevidence_test.go
+++ b/internal/transport/direct/endevidence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,16 +150,16 @@
 // stream was confirmed.
 func TestCopyFreedAfterConfirmedEnd(t *testing.T) {
 	withEnv(t, func(env *testEnv) {
-		copied, freed := 0, 0
+		var copied, freed atomic.Int64
 		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
 			switch {
 			case r.URL.Path == reportPath:
 				fmt.Fprint(rw, 100)
 			case r.URL.Path == "/copy":
-				copied++
+				copied.Add(1)
 				fmt.Fprint(rw, "h1")
 			case strings.HasPrefix(r.URL.Path, "/free/"):
-				freed++
+				freed.Add(1)
 			default:
 				conn, _, err := http.NewResponseController(rw).Hijack()
 				if err != nil {
@@ -180,8 +181,8 @@
 		}()
 		env.is.Equal(env.do("POST", "/r/x", "a1", "body").body, wholeStream(20))
 		time.Sleep(2 * time.Second)
-		env.is.True(copied > 0)
-		env.is.True(freed > 0)
+		env.is.True(copied.Load() > 0)
+		env.is.True(freed.Load() > 0)
 	})
 }
 
--- a/internal/transport/direct/streamend_test.go
+++ b/internal/transport/direct/streamend_test.go
@@ -4,19 +4,20 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
 
-// endingTarget returns a handler of a target of a process that started at *born. Its first answer
+// endingTarget returns a handler of a target of a process that started at born. Its first answer
 // to a stream has neither a length nor chunks and ends after five events, or right after its
 // head if empty is set; before that, end is called. Later answers are complete.
-func endingTarget(born *int, empty bool, end func()) http.HandlerFunc {
+func endingTarget(born *atomic.Int64, empty bool, end func()) http.HandlerFunc {
 	ended := false
 	return func(rw http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.URL.Path == reportPath:
-			fmt.Fprint(rw, *born)
+			fmt.Fprint(rw, born.Load())
 		case strings.HasPrefix(r.URL.Path, "/s/"):
 			respondWith(http.StatusServiceUnavailable, "", "Not-Run", "yes", "Pause", "5s")(rw, r)
 		case ended:
@@ -40,18 +41,19 @@
 
 // playStreamEnd sends a stream to an ending target beside a sound one, and checks that the client
 // gets all events.
-func playStreamEnd(t *testing.T, path string, empty bool, end func(env *testEnv, born *int)) answer {
+func playStreamEnd(t *testing.T, path string, empty bool, end func(env *testEnv, born *atomic.Int64)) answer {
 	var got answer
 	withEnv(t, func(env *testEnv) {
 		env.addOnceRoute()
-		born := 100
+		var born atomic.Int64
+		born.Store(100)
 		atEnd := func() {
 			if end != nil {
 				end(env, &born)
 			}
 			env.list(softwareItem("t2", "10.0.2.1:80", "b", "v1", 200))
 		}
-		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", born, endingTarget(&born, empty, atEnd))
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, endingTarget(&born, empty, atEnd))
 		env.startUnlisted("t2", "10.0.2.1:80", func(rw http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == reportPath {
 				fmt.Fprint(rw, 200)
@@ -69,7 +71,7 @@
 // TestStreamOfReplacedProcess guards against a stream that counts as whole because another
 // process answers at the address of the one that ended.
 func TestStreamOfReplacedProcess(t *testing.T) {
-	got := playStreamEnd(t, "/r/x", false, func(_ *testEnv, born *int) { *born = 101 })
+	got := playStreamEnd(t, "/r/x", false, func(_ *testEnv, born *atomic.Int64) { born.Store(101) })
 	if got.broken || got.body != wholeStream(20) {
 		t.Errorf("got broken=%v %q", got.broken, got.body)
 	}
@@ -77,7 +79,7 @@
 
 // TestOnceStreamOfReplacedProcess guards against the same for a stream that may run once.
 func TestOnceStreamOfReplacedProcess(t *testing.T) {
-	got := playStreamEnd(t, "/o/x", false, func(_ *testEnv, born *int) { *born = 101 })
+	got := playStreamEnd(t, "/o/x", false, func(_ *testEnv, born *atomic.Int64) { born.Store(101) })
 	if !got.broken {
 		t.Errorf("got %q as a whole stream", got.body)
 	}
@@ -108,7 +110,7 @@
 // TestStreamOfPausedTarget guards against a stream that counts as whole because its target has
 // asked for a pause and is not asked whether it lives.
 func TestStreamOfPausedTarget(t *testing.T) {
-	got := playStreamEnd(t, "/r/x", false, func(env *testEnv, _ *int) {
+	got := playStreamEnd(t, "/r/x", false, func(env *testEnv, _ *atomic.Int64) {
 		env.is.Equal(env.do("GET", "/s/x", "a2", "").status, http.StatusServiceUnavailable)
 	})
 	if got.broken || got.body != wholeStream(20) {
