--- a/internal/transport/direct/endevidence_test.go
+++ b/internal/transport/direct/endevidence_test.go
@@ -243,3 +243,33 @@
 		env.is.True(env.do("POST", "/o/x", "a1", "body").broken)
 	})
 }
+
+// TestOnceStreamOfOtherTarget guards against a stream that counts as whole because another target
+// answers at the address of one whose record names no start.
+func TestOnceStreamOfOtherTarget(t *testing.T) {
+	for _, replaced := range []bool{true, false} {
+		t.Run(fmt.Sprint("replaced=", replaced), func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.addOnceRoute()
+				var name atomic.Value
+				name.Store("t1")
+				env.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == healthPath {
+						withIdentity(name.Load().(string), targetSlots)(rw, r)
+						return
+					}
+					unframed(func(*http.Request) string {
+						if replaced {
+							name.Store("t9")
+						}
+						return wholeStream(5)
+					}, nil)(rw, r)
+				})
+				env.start()
+				got := env.do("POST", "/o/x", "a1", "body")
+				env.is.Equal(got.body, wholeStream(5))
+				env.is.Equal(got.broken, replaced)
+			})
+		})
+	}
+}
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -55,7 +55,7 @@
 	end := s.endOf(framing, r.target)
 	var err error
 	if end.NeedsProcess() {
-		end.Process, err = c.e.reports.processOf(ctx, r.target)
+		end.Process, err = r.processAfterEnd(ctx, end.Resumable)
 		if end.Process == completion.Serving && r.target.Incarnation != 0 && !r.target.SoftwareUnknown && c.softwareUnknown() {
 			c.recordSoftware(r.target)
 		}
@@ -75,6 +75,18 @@
 	return brokenOff(&end, err)
 }
 
+// processAfterEnd asks the target which process serves there. A report of a target whose record names
+// no start can't tell, but its health check names the target. Where the stream may be resumed, the
+// resumption does that.
+func (r *eventRelay) processAfterEnd(ctx context.Context, resumable bool) (completion.Process, error) {
+	c := r.s.c
+	path := c.cfg.Services[c.service].HealthPath
+	if r.target.Incarnation == 0 && !resumable && path != "" {
+		return c.e.reports.processByHealth(ctx, r.target, path, c.now().Add(endCheckTimeout))
+	}
+	return c.e.reports.processOf(ctx, r.target)
+}
+
 // endOf describes the end of the stream's current answer, of which the target's process is not known
 // yet.
 func (s *stream) endOf(framing completion.Framing, t *catalog.Target) completion.End {
