--- a/internal/transport/direct/plainend_test.go
+++ b/internal/transport/direct/plainend_test.go
@@ -15,6 +15,8 @@
 	health       http.HandlerFunc
 	noHealthPath bool
 	engine       *catalog.Engine
+	// empty says that the answer ended right after its head.
+	empty bool
 	// complete says that the answer counts as complete.
 	complete bool
 	checks   int
@@ -30,6 +32,8 @@
 		{name: "the process is leaving", health: respondWith(http.StatusServiceUnavailable, ""), checks: 1},
 		{name: "no answer", health: hang, checks: 1},
 		{name: "no health path", noHealthPath: true, complete: true},
+		{name: "the process serves, no body", health: respondWith(http.StatusOK, "", "Name", "t1"), empty: true, complete: true, checks: 1},
+		{name: "the process is gone, no body", empty: true},
 		{name: "the engine is gone", engine: &catalog.Engine{MemoryTokens: 88000}},
 	}
 	for _, tt := range tests {
@@ -45,6 +49,10 @@
 		s.HealthPath = ""
 	}
 	env.config.Services[service] = s
+	body := "fi"
+	if tt.empty {
+		body = ""
+	}
 	env.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == healthPath {
 			tt.health(rw, r)
@@ -54,7 +62,7 @@
 			if tt.health == nil {
 				env.crash("10.0.1.1:80")
 			}
-			return "fi"
+			return body
 		}, nil)(rw, r)
 	})
 	env.start()
@@ -69,7 +77,7 @@
 	}
 	if tt.complete {
 		env.is.Equal(unsafe.status, http.StatusOK)
-		env.is.Equal(unsafe.body, "fi")
+		env.is.Equal(unsafe.body, body)
 	} else {
 		env.is.Equal(unsafe.status, http.StatusBadGateway)
 	}
