--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -54,6 +54,8 @@
 	random       *rand.Rand
 	conn         *clientConn
 	requestCount int
+	// brokeOff is the entry that broke off the last stream; nil for none.
+	brokeOff *process
 }
 
 type clientConn struct {
@@ -243,7 +245,7 @@
 	if c.conn != nil {
 		return nil
 	}
-	entries := c.w.inRotation()
+	entries := c.otherEntries(c.w.inRotation())
 	entry := entries[c.random.IntN(len(entries))]
 	conn, err := net.DialTimeout("tcp", entry.clients.address(), connectTimeout)
 	if err != nil {
@@ -312,6 +314,9 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.w.checkLost(attempt, q, c.conn.entry, err)
 	}
+	if q.lastEvent > 0 {
+		c.brokeOff = c.conn.entry
+	}
 	c.closeConn()
 	if !q.disconnectAt.IsZero() && !time.Now().Before(q.disconnectAt) {
 		c.w.history.recordDisconnect(attempt)
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -47,6 +47,9 @@
 	if opts.Stops {
 		p = append(p, newStops(opts, rand.New(rand.NewPCG(opts.Seed, stopRandomStream)))...)
 	}
+	if opts.AnswerEnds {
+		p = append(p, newAnswerEnds(opts, rand.New(rand.NewPCG(opts.Seed, endRandomStream)))...)
+	}
 	if opts.StoreReturns {
 		p = append(p, newStoreReturns(opts, rand.New(rand.NewPCG(opts.Seed, returnRandomStream)))...)
 	}
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/protocol/direct"
@@ -45,6 +46,9 @@
 	server *server.Server
 	link   *proxy
 
+	// leaving is set while the target is about to end.
+	leaving atomic.Bool
+
 	// limits are the limits that the target names.
 	limits targetLimits
 	// rests are the rests that the target requests.
@@ -127,7 +131,7 @@
 	}
 	if r.URL.Path == platform.ReportPath {
 		// An error means that the entry has disconnected and needs no response.
-		_, _ = w.Write(platform.EncodeReport(&identity))
+		_, _ = w.Write(p.report(&identity))
 		return
 	}
 	forwarded := platform.DecodeForwardedRequest(r.Header)
@@ -138,16 +142,7 @@
 	if forwarded.Key != "" {
 		p.w.history.recordViolation(MatchesRequest, forwarded.Attempt, "a target received the client's key")
 	}
-	if forwarded.Target != identity.ID {
-		platform.EncodeResponseMetadata(w.Header(), forwarded.Attempt, "", true)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if limit := p.limits.answer(identity.ID, forwarded.Attempt); limit > 0 {
-		platform.EncodeLimit(w.Header(), limit)
-	}
-	p.checkNotDrained(forwarded.Attempt)
-	if p.serveRest(w, identity.ID, forwarded.Attempt) {
+	if p.turnAway(w, identity.ID, &forwarded) {
 		return
 	}
 	if serviceOf(r.URL.Path) != identity.Service {
@@ -177,7 +172,7 @@
 	}
 	form := shapeOf(r.URL.Query())
 	if routeKindOf(r.URL.Path) == catalog.Streaming {
-		p.serveStream(ctx, w, &forwarded, streamOf(form, string(body), identity.Software))
+		p.serveStream(ctx, w, &forwarded, streamOf(form, r.URL.Path, string(body), identity.Software))
 		return
 	}
 	if form != nil && strings.HasPrefix(r.URL.Path, slowPath) && !sleep(ctx, form.work) {
@@ -186,23 +181,38 @@
 	p.servePlain(ctx, w, &forwarded, string(body))
 }
 
+// turnAway answers a request that the replica does not run, because it is for another target or
+// comes at a bad time. It reports whether it did.
+func (p *replica) turnAway(w http.ResponseWriter, self id.Target, forwarded *platform.ForwardedRequest) bool {
+	if forwarded.Target != self {
+		platform.EncodeResponseMetadata(w.Header(), forwarded.Attempt, "", true)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return true
+	}
+	if limit := p.limits.answer(self, forwarded.Attempt); limit > 0 {
+		platform.EncodeLimit(w.Header(), limit)
+	}
+	p.checkNotDrained(forwarded.Attempt)
+	return p.refuseLeaving(w, forwarded.Attempt) || p.serveRest(w, self, forwarded.Attempt)
+}
+
 // stream is what a target answers a streaming request with.
 type stream struct {
-	body     string
-	software id.SoftwareVersion
-	events   int
-	gap      time.Duration
+	path, body string
+	software   id.SoftwareVersion
+	events     int
+	gap        time.Duration
 	// pause is how long the stream stops after half of its events.
 	pause    time.Duration
 	unframed bool
 }
 
 // streamOf returns the stream of a request's shape, which may be nil.
-func streamOf(form *shape, body string, software id.SoftwareVersion) *stream {
+func streamOf(form *shape, path, body string, software id.SoftwareVersion) *stream {
 	if form == nil {
-		return &stream{body: body, software: software, events: streamEvents, gap: eventGap}
+		return &stream{path: path, body: body, software: software, events: streamEvents, gap: eventGap}
 	}
-	return &stream{body: body, software: software, events: form.events, gap: longEventGap, pause: form.pause, unframed: form.unframed}
+	return &stream{path: path, body: body, software: software, events: form.events, gap: longEventGap, pause: form.pause, unframed: form.unframed}
 }
 
 func (p *replica) checkNotDrained(attempt direct.AttemptID) {
@@ -306,6 +316,11 @@
 	}
 	// An empty last event ID gives 0, so that the stream starts at event 1.
 	last, _ := strconv.Atoi(string(forwarded.LastEventID))
+	planned := p.drawBreak(forwarded.Attempt, s, last)
+	if planned.place == inHead {
+		p.breakInHead(w, forwarded.Attempt)
+		return
+	}
 	platform.EncodeResponseMetadata(w.Header(), forwarded.Attempt, signature(forwarded.Attempt), false)
 	w.Header().Set("Content-Type", "text/event-stream")
 	if s.unframed {
@@ -313,6 +328,11 @@
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
 	out := http.NewResponseController(w)
+	if planned.place == afterHead {
+		// The connection is closed in any case.
+		_ = out.Flush()
+		return
+	}
 	for i := last + 1; i <= s.events; i++ {
 		wait := s.gap
 		if i == s.events/2 && last == 0 {
@@ -321,7 +341,7 @@
 		if !sleep(ctx, wait) {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(w, streamEvent(s.body, i, s.software)); err != nil || out.Flush() != nil {
+		if _, err := io.WriteString(w, streamEvent(s.body, i, s.software)); err != nil || out.Flush() != nil || p.endsHere(planned, s, i) {
 			return
 		}
 	}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -72,6 +72,10 @@
 	// Stops adds stops of whole entries in series, beside signals and configuration changes,
 	// and clients that keep using their connections.
 	Stops bool
+	// AnswerEnds adds answers that end early, with a connection that is closed as at the end of
+	// a whole one: engines that are replaced in place, and living ones that break answers off.
+	// Clients take broken streams up at other entries, of which some are paused.
+	AnswerEnds bool
 	// Calm leaves out the faults and the planned work that the other options do not add.
 	Calm bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
@@ -170,6 +174,8 @@
 	restRandomStream     = 7
 	plainRandomStream    = 8
 	stopRandomStream     = 9
+	endRandomStream      = 10
+	breakRandomStream    = 11
 	residentRandomStream = 5000
 	clientRandomStream   = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,7 +41,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(200) {
-		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0, Rests: seed%7 == 0, Stops: seed%2 == 1}
+		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0, Rests: seed%7 == 0, Stops: seed%2 == 1, AnswerEnds: seed%4 == 1}
 		is.Equal(soak.PlanText(o), soak.PlanText(o))
 		is.True(soak.PlanFitsDuration(o))
 		is.True(len(soak.PlanText(o)) > 0)
@@ -271,3 +271,12 @@
 func TestRunStops(t *testing.T) {
 	playSeeds(t, stopSeeds, soak.Options{Stops: true, Calm: true}, "targetKilled")
 }
+
+// answerEndSeeds are run by each TestRunAnswerEnds, with the cause of an earlier failure.
+var answerEndSeeds = []seedCase{{1, 18 * time.Second, "no earlier failure"}}
+
+// TestRunAnswerEnds runs real entries whose targets end answers early, beside stops of whole
+// entries, while clients take broken streams up at other entries.
+func TestRunAnswerEnds(t *testing.T) {
+	playSeeds(t, answerEndSeeds, soak.Options{Stops: true, AnswerEnds: true, Calm: true}, "targetReplaced")
+}
--- a/internal/standin/soak/stops.go
+++ b/internal/standin/soak/stops.go
@@ -109,7 +109,7 @@
 // killTarget ends an engine as the kernel ends a killed process: its connections are closed, not
 // reset.
 func killTarget(ctx context.Context, w *world, s *step) {
-	p := w.replicas[shopReplicas+int(s.selector%uint64(len(w.replicas)-shopReplicas))]
+	p := w.engine(s)
 	if !p.restartMu.TryLock() {
 		return
 	}
@@ -218,7 +218,7 @@
 
 // residents returns the residents of all entries.
 func (w *world) residents() []*resident {
-	if !w.opts.Stops {
+	if !w.opts.Stops && !w.opts.AnswerEnds {
 		return nil
 	}
 	var all []*resident
@@ -236,7 +236,8 @@
 
 // checkLost records a violation if an attempt that a target has run lost its connection before
 // its deadline, though nothing but planned work was going on. Excused is what was sent soon
-// after a SIGTERM of its entry, or before, and still ran in the last part of the grace time.
+// after a SIGTERM of its entry, or before, and still ran in the last part of the grace time, and
+// a request that may run once and that its target broke off.
 func (w *world) checkLost(attempt direct.AttemptID, q *request, entry *process, err error) {
 	now, sentAt := time.Now(), q.sentAt
 	if !w.opts.Stops || w.history.runCount(attempt) == 0 || w.faultWindows.overlap(sentAt.Add(-contactTime), now) {
@@ -245,6 +246,9 @@
 	if now.Sub(sentAt) >= requestTimeout(q.path)-deadlineMargin {
 		return
 	}
+	if runsOnce(q.path) && w.breaks.broke(attempt) {
+		return
+	}
 	var stopped string
 	if at := entry.lastTerminated(); !at.IsZero() && now.Sub(at) <= stopWindow {
 		if sentAt.Sub(at) <= excusedTime && now.Sub(at) >= lastGracePart && w.history.running(attempt) {
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -59,6 +59,9 @@
 	// actionCounts counts the faults and planned work by kind.
 	actionCounts *counter
 
+	// breaks draws the answers that living targets break off.
+	breaks *answerBreaks
+
 	service   *kv.Service
 	store     store.Store
 	storeHTTP *server.Server
@@ -82,6 +85,7 @@
 		opts: opts, dialect: platform.Dialect(), history: newHistory(time.Now()),
 		probes:       &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		faultWindows: &faultWindows{settle: settleTime}, disturbances: map[string]*faultWindows{}, outages: &outages{entries: opts.Entries}, actionCounts: newCounter(), service: kv.New(kv.Options{}), config: initialConfig(),
+		breaks: newAnswerBreaks(opts.Seed),
 	}
 	w.store = w.service.Direct()
 	if opts.Crashing {
