--- a/internal/standin/soak/export_test.go
+++ b/internal/standin/soak/export_test.go
@@ -94,3 +94,16 @@
 
 // Close closes the listener and all connections.
 func (p *Proxy) Close() { p.p.close() }
+
+// AnswerBreaks gives tests access to answerBreaks.
+type AnswerBreaks struct{ b *answerBreaks }
+
+// NewAnswerBreaks returns the breaks of a seed.
+func NewAnswerBreaks(seed uint64) *AnswerBreaks { return &AnswerBreaks{newAnswerBreaks(seed)} }
+
+// Draw returns at which place a run that begins after event last is broken off, and after which
+// event.
+func (b *AnswerBreaks) Draw(path, body string, events, last int, unframed bool) (place string, after int) {
+	drawn := b.b.draw("a", path, &stream{body: body, events: events, unframed: unframed}, last)
+	return string(drawn.place), drawn.after
+}
