--- a/cmd/foxtailward-lab/soak.go
+++ b/cmd/foxtailward-lab/soak.go
@@ -61,6 +61,7 @@
 	f.BoolVar(&flags.opts.Rests, "rests", true, "let targets ask entries for rests, and their records lapse meanwhile")
 	f.BoolVar(&flags.opts.Stops, "stops", true, "stop whole entries in series, beside signals and configuration changes, while clients keep using their connections")
 	f.BoolVar(&flags.opts.AnswerEnds, "answer-ends", true, "end answers early as if they were whole: engines replaced in place, living ones that break answers off")
+	f.BoolVar(&flags.opts.HTTP10, "http10", false, "send some attempts at streams over HTTP/1.0")
 	f.BoolVar(&flags.opts.Calm, "calm", false, "leave out the faults and the planned work that the other options do not add")
 	f.BoolVar(&flags.opts.SafetyOnly, "safety-only", false, "skip the checks that depend on the machine's speed")
 	f.BoolVar(&flags.json, "json", false, "print JSON")
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -268,6 +268,9 @@
 		metadata.LastEventID, metadata.Resumes = direct.EventID(strconv.Itoa(q.lastEvent)), q.began
 	}
 	platform.EncodeRequestMetadata(req.Header, &metadata)
+	if c.usesHTTP10(q) {
+		return c.exchangeHTTP10(req)
+	}
 	if q.shape != nil && q.shape.bodyDelay > 0 {
 		defer c.writeLate(req, q.shape)()
 	} else if err := req.Write(c.conn); err != nil {
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -76,6 +76,9 @@
 	// a whole one: engines that are replaced in place, and living ones that break answers off.
 	// Clients take broken streams up at other entries, of which some are paused.
 	AnswerEnds bool
+	// HTTP10 sends some of the attempts at streams over HTTP/1.0, where a plain close ends an
+	// answer.
+	HTTP10 bool
 	// Calm leaves out the faults and the planned work that the other options do not add.
 	Calm bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
