--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -274,7 +274,7 @@
 
 // answerEndSeeds are run by each TestRunAnswerEnds, with the cause of an earlier failure.
 var answerEndSeeds = []seedCase{
-	{1, 18 * time.Second, "streams without length ended as if they were whole when their targets were replaced or sent a head alone"},
+	{1, 18 * time.Second, "streams without length ended as if they were whole when their targets were about to end or sent a head alone"},
 }
 
 // TestRunAnswerEnds runs real entries whose targets end answers early, beside stops of whole
