--- a/internal/transport/peer/calls.go
+++ b/internal/transport/peer/calls.go
@@ -129,6 +129,9 @@
 	if refused := reply.GetRefused(); refused != nil {
 		return nil, toRefusal(refused)
 	}
+	if reply.GetOutcome() != peer.OutcomeDone {
+		return nil, fault.New("EntryClient.Call", request.Lost, "the entry's reply has outcome %q, want done", reply.GetOutcome())
+	}
 	return peer.ToCallReply(id.Request(reply.GetRequest()), reply), nil
 }
 
