--- a/internal/standin/soak/answerends.go
+++ b/internal/standin/soak/answerends.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -25,12 +24,6 @@
 	leaveTime = 500 * time.Millisecond
 )
 
-// What an engine that is about to end says.
-const (
-	headerLeaving      = "Server-Leaving"
-	leavingReportState = `"state":"draining",`
-)
-
 // answerEnds are the steps of a run with answers that end early. An engine that is replaced ends
 // its unframed answers as a whole one ends: its connections are closed, not reset.
 var answerEnds = []action{
@@ -95,11 +88,11 @@
 
 // report returns the replica's report about itself.
 func (p *replica) report(identity *catalog.Target) []byte {
-	data := platform.EncodeReport(identity)
+	said := *identity
 	if p.leaving.Load() {
-		data = bytes.Replace(data, []byte("{"), []byte("{"+leavingReportState), 1)
+		said.State = catalog.Draining
 	}
-	return data
+	return platform.EncodeReport(&said)
 }
 
 // refuseLeaving turns a request away if the replica is about to end. It reports whether it did.
@@ -107,7 +100,7 @@
 	if !p.leaving.Load() {
 		return false
 	}
-	w.Header().Set(headerLeaving, "1")
+	platform.EncodeLeaving(w.Header())
 	platform.EncodeResponseMetadata(w.Header(), attempt, "", true)
 	w.WriteHeader(http.StatusServiceUnavailable)
 	return true
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -281,5 +281,5 @@
 // entries, while clients take broken streams up at other entries. With fewer engines, more
 // streams meet three ends within seconds, and are refused as if they crashed them (issue 18).
 func TestRunAnswerEnds(t *testing.T) {
-	playSeeds(t, answerEndSeeds, soak.Options{Engines: 24, Stops: true, AnswerEnds: true, Calm: true}, "targetReplaced")
+	playSeeds(t, answerEndSeeds, soak.Options{Engines: 24, Stops: true, AnswerEnds: true, HTTP10: true, Calm: true}, "targetReplaced")
 }
