--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -118,7 +118,7 @@
 		return
 	}
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
-		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "left", c.timeLeft())
+		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "protocol", c.r.Proto, "left", c.timeLeft())
 	defer c.endTrial()
 	defer c.endReservation()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
