--- a/internal/transport/peer/entry_client.go
+++ b/internal/transport/peer/entry_client.go
@@ -64,7 +64,7 @@
 		cancel()
 		return nil, err
 	}
-	reader := &relayReader{stream: stream, parts: make(chan relayPart, relayQueueSize), lineage: id.Lineage(accepted.GetLineage())}
+	reader := &relayReader{stream: stream, closed: ctx.Done(), parts: make(chan relayPart, relayQueueSize), lineage: id.Lineage(accepted.GetLineage())}
 	go reader.receive()
 	return &answer.Reader{Request: relay.Request, Lineage: reader.lineage, Spec: relayedSpec(&relay, accepted), Next: reader.next, Close: cancel}, nil
 }
@@ -114,7 +114,10 @@
 
 // relayReader reads an answer from another entry.
 type relayReader struct {
-	stream  peerpb.Entry_RelayClient
+	stream peerpb.Entry_RelayClient
+	// closed is closed by Close. The stream's own context also ends with the
+	// stream, when its error must still be delivered.
+	closed  <-chan struct{}
 	parts   chan relayPart
 	lineage id.Lineage
 }
@@ -130,7 +133,7 @@
 		part, err := r.read()
 		select {
 		case r.parts <- relayPart{part, err}:
-		case <-r.stream.Context().Done():
+		case <-r.closed:
 			return
 		}
 		if err != nil || part.Finish != nil {
