TestRunSlowReader waits for each tenth of its tokens

What it checks is that a reader that stops costs no memory, not a speed. Now each tenth of the tokens must come within as many polls; the checks are the same.

--- a/internal/transport/target/run_test.go
+++ b/internal/transport/target/run_test.go
@@ -215,6 +215,10 @@
 	registry := metrics.NewRegistry()
 	h := newHarness(t, engineSettings(e.URL), target.Deps{Metrics: registry})
 	stream := h.run(t.Context(), start(1, 1, testSpec(tokens)))
+	const parts = 10
+	for part := range int64(parts) {
+		h.eventually(func() bool { return counterValue(registry, "target.tokens.generated") >= (part+1)*tokens/parts })
+	}
 	h.eventually(func() bool { return counterValue(registry, "target.attempts.finished") == 1 })
 	// The windows of the sender and the reader hold 64 KiB each, and a token
 	// takes at least 10 bytes. The remaining tokens are only in the log.
