--- a/internal/transport/engine/truncation_test.go
+++ b/internal/transport/engine/truncation_test.go
@@ -1,69 +1,29 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"foxtailward.example/foxtailward/internal/standin/server"
 	"foxtailward.example/foxtailward/internal/transport/engine"
 )
 
-// rawServer answers each request with the next bytes of wires and ends the connection.
-type rawServer struct {
-	listener net.Listener
-	wires    chan string
-	reset    bool
-}
-
-func newRawServer(t testing.TB, reset bool) (*rawServer, *engine.Client) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &rawServer{listener: listener, wires: make(chan string, 1), reset: reset}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.serve()
-	}()
-	client := engine.NewClient("http://" + listener.Addr().String())
+// newRawServer starts a server of raw answers and a client of it.
+func newRawServer(t *testing.T, reset bool) (*server.Raw, *engine.Client) {
+	raw, err := server.NewRaw(reset)
+	is.New(t).NoErr(err)
+	client := engine.NewClient("http://" + raw.Address())
 	t.Cleanup(func() {
 		client.Close()
-		_ = listener.Close()
-		<-done
+		raw.Close()
 	})
-	return s, client
-}
-
-func (s *rawServer) serve() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		s.answer(conn.(*net.TCPConn))
-	}
-}
-
-func (s *rawServer) answer(conn *net.TCPConn) {
-	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	_, _ = io.WriteString(conn, <-s.wires)
-	if s.reset {
-		_ = conn.SetLinger(0)
-	}
+	return raw, client
 }
 
 // framings returns the bytes of one whole answer in each framing.
@@ -97,9 +57,9 @@
 	is := is.New(t)
 	endLine := strings.TrimSuffix(endMarker, "\n")
 	whole := strings.Index(wire, endLine) + len(endLine)
-	server, client := newRawServer(t, reset)
+	raw, client := newRawServer(t, reset)
 	for cut := range len(wire) + 1 {
-		server.wires <- wire[:cut]
+		raw.AnswerNext(wire[:cut])
 		ctx, cancel := context.WithCancel(t.Context())
 		tokens, stream, err := readStream(ctx, client)
 		cancel()
--- a/internal/transport/service/truncation_test.go
+++ b/internal/transport/service/truncation_test.go
@@ -1,74 +1,39 @@
 package service_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"foxtailward.example/foxtailward/internal/coordination/answer"
+	"foxtailward.example/foxtailward/internal/standin/server"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/transport/service"
 )
 
-// rawService answers each request with the next of wires and ends the connection.
+// rawService is a service of raw answers with a client of it.
 type rawService struct {
-	listener net.Listener
-	wires    chan string
-	reset    bool
+	*server.Raw
+	client *service.Client
 }
 
-func newRawService(t *testing.T, reset bool) (*rawService, *service.Client) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &rawService{listener: listener, wires: make(chan string, 1), reset: reset}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.serve()
-	}()
-	client := service.NewClient("http://" + listener.Addr().String())
+func newRawService(t *testing.T, reset bool) *rawService {
+	raw, err := server.NewRaw(reset)
+	is.New(t).NoErr(err)
+	client := service.NewClient("http://" + raw.Address())
 	t.Cleanup(func() {
 		client.Close()
-		_ = listener.Close()
-		<-done
+		raw.Close()
 	})
-	return s, client
-}
-
-func (s *rawService) serve() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		s.answer(conn.(*net.TCPConn))
-	}
-}
-
-func (s *rawService) answer(conn *net.TCPConn) {
-	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	_, _ = io.WriteString(conn, <-s.wires)
-	if s.reset {
-		_ = conn.SetLinger(0)
-	}
+	return &rawService{raw, client}
 }
 
 // do sends a request that the service answers with wire.
-func (s *rawService) do(t *testing.T, client *service.Client, method, wire string) (*answer.Reply, error) {
-	s.wires <- wire
-	return client.Do(t.Context(), service.Request{ID: "ans-00000000-aa", Method: method, Path: "/"})
+func (s *rawService) do(t *testing.T, method, wire string) (*answer.Reply, error) {
+	s.AnswerNext(wire)
+	return s.client.Do(t.Context(), service.Request{ID: "ans-00000000-aa", Method: method, Path: "/"})
 }
 
 const (
@@ -98,9 +63,9 @@
 // the whole reply shows its end.
 func checkTruncations(t *testing.T, wire string, reset, delimited bool) {
 	is := is.New(t)
-	s, client := newRawService(t, reset)
+	s := newRawService(t, reset)
 	for cut := range len(wire) + 1 {
-		reply, err := s.do(t, client, http.MethodPost, wire[:cut])
+		reply, err := s.do(t, http.MethodPost, wire[:cut])
 		switch {
 		case err == nil && (!delimited || string(reply.Body) != replyBody):
 			t.Fatalf("complete with %d of %d bytes: %q", cut, len(wire), reply.Body)
@@ -122,8 +87,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			s, client := newRawService(t, false)
-			reply, err := s.do(t, client, tt.method, tt.wire)
+			s := newRawService(t, false)
+			reply, err := s.do(t, tt.method, tt.wire)
 			is.NoErr(err)
 			is.Equal(len(reply.Body), 0)
 		})
