--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -67,6 +67,25 @@
 	AgeMS int64 `json:"agoMs,omitempty"`
 }
 
+// Source is from what an entry knows at which version a stream began.
+type Source string
+
+// Sources.
+const (
+	// ByReport means that the process that sent the first event named its start.
+	ByReport Source = "report"
+	// ByRecord means that the record of the target that began the stream tells.
+	ByRecord Source = "record"
+	// ByOwn means that this entry has served the stream before.
+	ByOwn Source = "own"
+	// ByPeer means that another entry told it, or had saved it.
+	ByPeer Source = "peer"
+	// BySole means that nobody remembers the stream, and one version alone has served.
+	BySole Source = "sole"
+	// NoSource means that it is not known.
+	NoSource Source = "none"
+)
+
 // contentPrefix begins the keys of streams by what their requests ask for.
 const contentPrefix = "content:"
 
@@ -207,6 +226,19 @@
 	return t.withAge(now), true
 }
 
+// Source returns from what a stream is known that Find returns.
+func (r *Registry) Source(attempt id.Request) Source {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch t := r.streams[attempt]; {
+	case t == nil:
+		return NoSource
+	case t.own:
+		return ByOwn
+	}
+	return ByPeer
+}
+
 func (t *tracked) withAge(now time.Time) Stream {
 	s := t.Stream
 	s.AgeMS = max(0, now.Sub(t.activeAt).Milliseconds())
--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -138,6 +138,16 @@
 	return !v.coveredSince.IsZero() && now.Sub(v.coveredSince) >= v.lifetime
 }
 
+// CoveredFor returns for how long all versions that served have been known.
+func (v *Versions) CoveredFor(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.coveredSince.IsZero() {
+		return 0
+	}
+	return now.Sub(v.coveredSince)
+}
+
 // Covers reports whether the entry that sent a report knows all those versions.
 func (v *Versions) Covers(r *Report) bool {
 	v.mu.Lock()
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -48,6 +48,7 @@
 	RequestCleared     = Event{317, "requestCleared", Info, "An answer cleared this fingerprint of the target failures recorded so far.", "none"}
 	TargetLimitChanged = Event{318, "targetLimitChanged", Info, "A target named a limit of the requests that it takes from all entries together, changed it, or no longer names one.", "check the target if it stays limited"}
 	TargetPaused       = Event{319, "targetPaused", Info, "A target answered 503 and said for how long it wants no requests from this entry.", "check the target if it repeats"}
+	StreamOrigin       = Event{320, "streamOrigin", Info, "An entry found out at which software version a stream began, from the process that sent its first event or for a client that resumes it.", "none; source says from what it is known, and start which process reported"}
 	BudgetExhausted    = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is exhausted.", "find the losses that use it up"}
 )
 
@@ -103,7 +104,7 @@
 	return []Event{
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
-		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused,
+		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/meter"
 )
@@ -89,6 +90,11 @@
 		meter.Label{Key: "evidence", Value: string(a.evidence)}, meter.Label{Key: "outcome", Value: string(o)})
 }
 
+// originFound counts a stream by from what its version is known.
+func (m *entryMetrics) originFound(source origin.Source, resumed bool) {
+	m.set.Count("streamOrigins", meter.Label{Key: "source", Value: string(source)}, meter.Label{Key: "resumed", Value: strconv.FormatBool(resumed)})
+}
+
 // targetEndSeen counts an attempt during which its target may have ended.
 func (m *entryMetrics) targetEndSeen(o balance.Outcome, reason string) {
 	m.set.Count("targetEndsSeen", meter.Label{Key: "outcome", Value: string(o)}, meter.Label{Key: "reason", Value: reason})
--- a/internal/transport/direct/operations_test.go
+++ b/internal/transport/direct/operations_test.go
@@ -23,8 +23,8 @@
 	}{
 		{
 			name: "a stream that broke off", path: "/r/x", target: breakAfter(7),
-			events: []string{"requestAccepted", "targetEndSeen", "sendEnded", "requestFailed"},
-			cause:  []string{"outcome=lost", "reason=streamBroken", "lastEvent=7", "fingerprint=", "ends=1"},
+			events: []string{"requestAccepted", "streamOrigin", "targetEndSeen", "sendEnded", "requestFailed"},
+			cause:  []string{"source=record", "outcome=lost", "reason=streamBroken", "lastEvent=7", "fingerprint=", "ends=1"},
 		},
 		{
 			name: "a refusal", path: "/u/x", target: hang, crash: true,
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -115,7 +115,7 @@
 	}
 	c.e.metrics.sendEnded(choice.Target, outcome, now.Sub(sent))
 	c.e.metrics.answerEnded(c.route, &c.answer, outcome)
-	fields := []any{"target", choice.Target.ID, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
+	fields := []any{"target", choice.Target.ID, "process", choice.Target.Incarnation, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	fields = append(fields, c.answer.fields()...)
 	if err != nil {
 		fields = append(fields, "error", err)
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -52,7 +52,14 @@
 
 type reportResult struct {
 	done   chan struct{}
+	report processReport
+}
+
+// processReport says which process runs under a target's id.
+type processReport struct {
 	result confirmation
+	// start is the start that the process itself named; 0 if it did not.
+	start id.Incarnation
 }
 
 func newReportReader(e *Entry) *reportReader {
@@ -61,9 +68,9 @@
 
 // confirm reports whether the target is still the process that its record describes, by
 // a report that is asked for from now on.
-func (r *reportReader) confirm(ctx context.Context, t *catalog.Target) confirmation {
+func (r *reportReader) confirm(ctx context.Context, t *catalog.Target) processReport {
 	if t.Incarnation == 0 {
-		return confirmed
+		return processReport{result: confirmed}
 	}
 	r.mu.Lock()
 	read := r.reads[t.Key()]
@@ -82,9 +89,9 @@
 	r.mu.Unlock()
 	select {
 	case <-next.done:
-		return next.result
+		return next.report
 	case <-ctx.Done():
-		return unconfirmed
+		return processReport{result: unconfirmed}
 	}
 }
 
@@ -101,7 +108,7 @@
 			return
 		}
 		r.mu.Unlock()
-		current.result = r.read(t)
+		current.report = r.read(t)
 		close(current.done)
 	}
 }
@@ -149,17 +156,22 @@
 	return completion.Serving, nil
 }
 
-// read reads one report. Without one, a record that was written after the last loss of the
-// target tells.
-func (r *reportReader) read(t *catalog.Target) confirmation {
+// read reads one report. Without one, the record tells.
+func (r *reportReader) read(t *catalog.Target) processReport {
 	ctx, cancel := context.WithTimeout(context.Background(), copyCallTimeout)
 	defer cancel()
-	if born, ok := r.ask(ctx, t); ok {
-		if born == t.Incarnation {
-			return confirmed
+	if start, ok := r.ask(ctx, t); ok {
+		if start == t.Incarnation {
+			return processReport{confirmed, start}
 		}
-		return replaced
+		return processReport{replaced, start}
 	}
+	return processReport{result: r.byRecord(t)}
+}
+
+// byRecord tells by a record that was written after the last loss of the target whether the process is
+// the same.
+func (r *reportReader) byRecord(t *catalog.Target) confirmation {
 	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
 	lostAt := r.e.balancer.LostAt(t.Key())
 	switch {
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -34,6 +34,8 @@
 	// target is the target that began the stream, if its record may still tell the
 	// version; otherwise empty.
 	target id.Target
+	// source is from what the version is known.
+	source origin.Source
 }
 
 // resolve returns the required version, if it is known, also from the record of the target
@@ -42,7 +44,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := listed.Find(r.target); !r.known && r.target != "" && t != nil && t.Incarnation == 0 && !t.SoftwareUnknown {
-		r.version, r.known = t.Software, true
+		r.version, r.known, r.source = t.Software, true, origin.ByRecord
 	}
 	return r.version, r.known
 }
@@ -60,7 +62,34 @@
 func (r *requiredSoftware) set(v id.SoftwareVersion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version, r.known = v, true
+	r.version, r.known, r.source = v, true, origin.ByReport
+}
+
+// text returns the version and its source for logs.
+func (r *requiredSoftware) text() (software string, source origin.Source) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.known {
+		return "unknown", origin.NoSource
+	}
+	return string(r.version), r.source
+}
+
+// originSource returns from what the version of the request's stream is known.
+func (c *call) originSource() origin.Source {
+	if c.software == nil {
+		return origin.NoSource
+	}
+	_, source := c.software.text()
+	return source
+}
+
+// logOrigin logs at which version the request's stream began, and from what that is known. age is how
+// long ago that was last confirmed.
+func (c *call) logOrigin(age time.Duration, fields ...any) {
+	software, source := c.software.text()
+	c.e.metrics.originFound(source, c.resumesStream())
+	c.log(event.StreamOrigin, append([]any{"software", software, "source", source, "age", age, "resumes", c.meta.Resumes}, fields...)...)
 }
 
 // eligibleTargets returns the currently known targets of the request's service at which
@@ -125,8 +154,11 @@
 func (c *call) knowsOrigin(key id.Request) bool {
 	now := c.now()
 	if s, ok := c.e.streams.Find(now, key); ok {
-		c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target}
+		c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, source: c.e.streams.Source(key)}
 		_, known := c.software.resolve(c.allTargets())
+		if known {
+			c.logOrigin(time.Duration(s.AgeMS) * time.Millisecond)
+		}
 		return known
 	}
 	if c.e.pausedWithin(pauseSettleTime) {
@@ -136,7 +168,8 @@
 	c.e.observeVersions()
 	version, ok := c.e.versions.Sole(now, c.service)
 	if ok {
-		c.software = &requiredSoftware{known: true, version: version}
+		c.software = &requiredSoftware{known: true, version: version, source: origin.BySole}
+		c.logOrigin(0, "covered", c.e.versions.CoveredFor(now))
 	}
 	return ok
 }
@@ -167,16 +200,19 @@
 	}
 	c.software = &requiredSoftware{}
 	if t.Incarnation == 0 {
-		c.software.known, c.software.version, c.software.target = !t.SoftwareUnknown, t.Software, t.ID
+		c.software.known, c.software.version, c.software.target, c.software.source = !t.SoftwareUnknown, t.Software, t.ID, origin.ByRecord
 		c.recordOrigin()
+		c.logOrigin(0, "target", t.ID)
 		return
 	}
 	c.recordOrigin()
 	ctx = context.WithoutCancel(ctx)
 	go func() {
-		if c.e.reports.confirm(ctx, t) == confirmed {
+		report := c.e.reports.confirm(ctx, t)
+		if report.result == confirmed {
 			c.recordSoftware(t)
 		}
+		c.logOrigin(0, "target", t.ID, "process", t.Incarnation, "start", report.start, "result", report.result)
 	}()
 }
 
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -317,7 +317,7 @@
 // confirmTarget returns Succeeded if the target is still the process that its record
 // describes, so that a stream may go on there, and otherwise the outcome of the attempt.
 func (s *stream) confirmTarget(ctx context.Context, t *catalog.Target) (balance.Outcome, error) {
-	switch s.c.e.reports.confirm(ctx, t) {
+	switch s.c.e.reports.confirm(ctx, t).result {
 	case replaced:
 		// The other process has run the request, though nothing of it is used.
 		s.c.runs++
@@ -450,7 +450,7 @@
 	}
 	c.e.metrics.requestEnded(c.route, outcomeAnswered, c.now().Sub(c.start))
 	c.e.metrics.longestPause(c.route, s.longestPause)
-	c.log(event.RequestFinished, "sends", c.sends, "framing", c.answer.framing, "evidence", c.answer.evidence, "events", s.events, "lastEvent", s.lastEventID, "firstEvent", s.headSentAt.Sub(c.start),
+	c.log(event.RequestFinished, "sends", c.sends, "framing", c.answer.framing, "evidence", c.answer.evidence, "source", c.originSource(), "events", s.events, "lastEvent", s.lastEventID, "firstEvent", s.headSentAt.Sub(c.start),
 		"longestPause", s.longestPause, "after", c.now().Sub(c.start))
 }
 
@@ -473,7 +473,7 @@
 	switch {
 	case s.headSent:
 		c.e.metrics.requestEnded(c.route, outcomeBroken, 0)
-		c.log(event.RequestFailed, "reason", s.brokenReason(), "sends", c.sends, "lastEvent", s.lastEventID, "after", c.now().Sub(c.start))
+		c.log(event.RequestFailed, "reason", s.brokenReason(), "source", c.originSource(), "sends", c.sends, "lastEvent", s.lastEventID, "after", c.now().Sub(c.start))
 		c.abort()
 	case s.targetFailure != nil && !c.clientGone():
 		c.relay(s.targetFailure)
