--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -3,9 +3,9 @@
 // it has ended.
 //
 // A Registry holds the streams that this entry serves, and those that other entries have
-// told it about. Versions holds which versions have served recently. While one version
-// alone has served for longer than a stream lasts, a stream that nobody remembers began
-// there, so entries report streams to each other only while several versions serve.
+// told it about. Versions holds which versions have served recently, and which processes serve that
+// no record describes. Where one version alone has served for longer than a stream lasts, a stream
+// that nobody remembers began there, as far as the records tell.
 //
 // # Usage
 //
@@ -58,9 +58,10 @@
 	// Software is the version that began the stream.
 	Software id.SoftwareVersion `json:"software,omitempty"`
 	// Unknown is set if the version is not known. Target is then the target that began the
-	// stream, if its record can still tell the version.
-	Unknown bool      `json:"unknown,omitempty"`
-	Target  id.Target `json:"target,omitempty"`
+	// stream, and Start the start that its process named, if a record can still tell the version.
+	Unknown bool           `json:"unknown,omitempty"`
+	Target  id.Target      `json:"target,omitempty"`
+	Start   id.Incarnation `json:"start,omitempty"`
 	// Ambiguous is set if streams of equal requests began at different versions.
 	Ambiguous bool `json:"ambiguous,omitempty"`
 	// AgeMS is the time since the stream was last known to run, in milliseconds.
@@ -104,7 +105,7 @@
 	switch {
 	case s.Ambiguous, other.Ambiguous, byContent && !s.Unknown && !other.Unknown && s.Software != other.Software:
 		return Stream{Attempt: s.Attempt, Ambiguous: true}
-	case s.Unknown && !other.Unknown:
+	case s.Unknown && !other.Unknown, s.Unknown && s.Target == "":
 		return other
 	}
 	return *s
--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -11,13 +11,16 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// SeenVersion says when a version of a service's targets was last listed.
+// SeenVersion says when a version of a service's targets was last listed, or when a process
+// served that no record describes.
 type SeenVersion struct {
 	Service  id.Service         `json:"service"`
 	Software id.SoftwareVersion `json:"software,omitempty"`
 	// Unknown is a target whose version was not known; empty if Software is the version.
 	Unknown id.Target `json:"unknown,omitempty"`
-	AgeMS   int64     `json:"agoMs,omitempty"`
+	// Start is the start that the process of that target named; 0 if it named none.
+	Start id.Incarnation `json:"start,omitempty"`
+	AgeMS int64          `json:"agoMs,omitempty"`
 }
 
 // Report says which versions have served recently, for another entry.
@@ -33,12 +36,13 @@
 	service  id.Service
 	software id.SoftwareVersion
 	unknown  id.Target
+	start    id.Incarnation
 }
 
 // keyOf returns the key of a target's version.
 func keyOf(t *catalog.Target) seenKey {
 	if t.SoftwareUnknown {
-		return seenKey{service: t.Service, unknown: t.ID}
+		return seenKey{service: t.Service, unknown: t.ID, start: t.Incarnation}
 	}
 	return seenKey{service: t.Service, software: t.Software}
 }
@@ -82,6 +86,7 @@
 			v.seen[keyOf(t)] = now
 			if !t.SoftwareUnknown {
 				// Its record has arrived.
+				delete(v.seen, seenKey{service: service, unknown: t.ID, start: t.Incarnation})
 				delete(v.seen, seenKey{service: service, unknown: t.ID})
 			}
 		}
@@ -91,6 +96,16 @@
 	return newlyMixed
 }
 
+// ObserveProcess records that a process serves at a target whose record describes another one. Until a
+// record names its start, its version is not known. It reports whether a service has become mixed.
+func (v *Versions) ObserveProcess(now time.Time, service id.Service, target id.Target, start id.Incarnation) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before := v.versions(now, service)
+	v.seen[seenKey{service: service, unknown: target, start: start}] = now
+	return before < 2 && v.versions(now, service) > 1
+}
+
 // versions counts the versions of a service within the lifetime. Each target of unknown
 // version counts as one more.
 func (v *Versions) versions(now time.Time, service id.Service) int {
@@ -181,11 +196,11 @@
 	}
 	for key, at := range v.seen {
 		if now.Sub(at) <= v.lifetime {
-			r.Seen = append(r.Seen, SeenVersion{Service: key.service, Software: key.software, Unknown: key.unknown, AgeMS: now.Sub(at).Milliseconds()})
+			r.Seen = append(r.Seen, SeenVersion{Service: key.service, Software: key.software, Unknown: key.unknown, Start: key.start, AgeMS: now.Sub(at).Milliseconds()})
 		}
 	}
 	slices.SortFunc(r.Seen, func(a, b SeenVersion) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Software, b.Software), cmp.Compare(a.Unknown, b.Unknown))
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Software, b.Software), cmp.Compare(a.Unknown, b.Unknown), cmp.Compare(a.Start, b.Start))
 	})
 	return r
 }
@@ -198,7 +213,7 @@
 	newlyMixed := false
 	for _, s := range r.Seen {
 		before := v.versions(now, s.Service)
-		key := seenKey{s.Service, s.Software, s.Unknown}
+		key := seenKey{s.Service, s.Software, s.Unknown, s.Start}
 		at := now.Add(-age - time.Duration(s.AgeMS)*time.Millisecond)
 		if now.Sub(at) <= v.lifetime {
 			v.seen[key] = latest(v.seen[key], at)
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -89,6 +89,9 @@
 	// attempts for which the entry requests that. Both hold whatever the order of messages.
 	Streams []origin.Stream `json:"streams,omitempty"`
 	Asks    []id.Request    `json:"asks,omitempty"`
+	// Unheard are the attempts that the receiver has asked for and of which the sender does not know
+	// where they began.
+	Unheard []id.Request `json:"unheard,omitempty"`
 	// TargetChanges are changes of targets' items in the key-value service, in an era of
 	// it. They hold whatever the order of messages.
 	TargetChanges []TargetChange `json:"targetChanges,omitempty"`
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -75,6 +75,8 @@
 	// versionsDue is set if a service has become mixed since, and versionsAsked if an entry
 	// has reported that it does not know all versions.
 	versionsDue, versionsAsked atomic.Bool
+	// questions are those of where streams began.
+	questions *originQuestions
 
 	mu sync.Mutex
 	// snapshotReading is set while another entry's list of targets is read.
@@ -104,7 +106,7 @@
 		e: e, roster: e.roster, storeWatcher: w, conn: conn, listener: listener,
 		incarnation: id.Incarnation(e.deps.Clock.Now().UnixMilli()),
 		client:      &http.Client{Transport: peerTransport(e.deps.Dial)},
-		urgent:      make(chan struct{}, 1), changedLoads: map[id.Target]struct{}{},
+		urgent:      make(chan struct{}, 1), changedLoads: map[id.Target]struct{}{}, questions: newOriginQuestions(),
 	}
 	x.configs = newConfigReader(e, x)
 	return x, nil
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -41,6 +41,9 @@
 
 	mu    sync.Mutex
 	reads map[id.TargetIncarnation]*reportRead
+	// confirmedAt is when processes last named the starts of their records. It holds those of the
+	// last surveyValidity.
+	confirmedAt map[id.TargetIncarnation]time.Time
 }
 
 // reportRead is the reading of one target's reports. next is closed with the end of the
@@ -63,7 +66,7 @@
 }
 
 func newReportReader(e *Entry) *reportReader {
-	return &reportReader{e: e, reads: map[id.TargetIncarnation]*reportRead{}}
+	return &reportReader{e: e, reads: map[id.TargetIncarnation]*reportRead{}, confirmedAt: map[id.TargetIncarnation]time.Time{}}
 }
 
 // confirm reports whether the target is still the process that its record describes, by
@@ -151,6 +154,7 @@
 	case !ok:
 		return completion.Unknown, fault.Wrap("reportReader.processOf", upstream.ConnectionLost, errNoReport)
 	case report.Incarnation != t.Incarnation:
+		r.e.observeProcess(t, report.Incarnation)
 		return completion.Replaced, nil
 	}
 	return completion.Serving, nil
@@ -160,10 +164,13 @@
 func (r *reportReader) read(t *catalog.Target) processReport {
 	ctx, cancel := context.WithTimeout(context.Background(), copyCallTimeout)
 	defer cancel()
+	asked := r.e.deps.Clock.Now()
 	if start, ok := r.ask(ctx, t); ok {
 		if start == t.Incarnation {
+			r.recordConfirmed(asked, t)
 			return processReport{confirmed, start}
 		}
+		r.e.observeProcess(t, start)
 		return processReport{replaced, start}
 	}
 	return processReport{result: r.byRecord(t)}
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -17,6 +17,9 @@
 	// askTimeout how long a request waits for the answer.
 	askInterval = 80 * time.Millisecond
 	askTimeout  = 250 * time.Millisecond
+	// beginReportTimeout is how long the first event of a stream waits for the report of the
+	// process that sent it.
+	beginReportTimeout = 250 * time.Millisecond
 	// versionUnknownRetryAfter is used while it is not known where a stream began: entries
 	// that have started, and the key-value service, may tell soon.
 	versionUnknownRetryAfter = 500 * time.Millisecond
@@ -31,9 +34,10 @@
 	mu      sync.Mutex
 	known   bool
 	version id.SoftwareVersion
-	// target is the target that began the stream, if its record may still tell the
-	// version; otherwise empty.
+	// target is the target that began the stream, and start the start that its process named, if
+	// a record may still tell the version; otherwise empty.
 	target id.Target
+	start  id.Incarnation
 	// source is from what the version is known.
 	source origin.Source
 }
@@ -43,7 +47,7 @@
 func (r *requiredSoftware) resolve(listed catalog.Targets) (id.SoftwareVersion, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := listed.Find(r.target); !r.known && r.target != "" && t != nil && t.Incarnation == 0 && !t.SoftwareUnknown {
+	if t := listed.Find(r.target); !r.known && r.target != "" && t != nil && t.Incarnation == r.start && !t.SoftwareUnknown {
 		r.version, r.known, r.source = t.Software, true, origin.ByRecord
 	}
 	return r.version, r.known
@@ -56,7 +60,7 @@
 	if r.known {
 		return origin.Stream{Software: r.version}
 	}
-	return origin.Stream{Unknown: true, Target: r.target}
+	return origin.Stream{Unknown: true, Target: r.target, Start: r.start}
 }
 
 func (r *requiredSoftware) set(v id.SoftwareVersion) {
@@ -65,6 +69,13 @@
 	r.version, r.known, r.source = v, true, origin.ByReport
 }
 
+// setProcess sets the process that began the stream, of which no record tells the version yet.
+func (r *requiredSoftware) setProcess(target id.Target, start id.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target, r.start = target, start
+}
+
 // text returns the version and its source for logs.
 func (r *requiredSoftware) text() (software string, source origin.Source) {
 	r.mu.Lock()
@@ -129,51 +140,99 @@
 func (c *call) findOrigin(ctx context.Context) bool {
 	clock := c.e.deps.Clock
 	key := c.originKeys()[0]
+	if found, known := c.remembersOrigin(key); found && known {
+		return true
+	}
+	question := c.e.askOrigin(key)
+	defer c.e.endQuestion(question)
+	all := question.all
 	timeout, ask := clock.After(askTimeout), clock.After(0)
 	for {
 		changed := c.e.streams.Changed()
-		if c.knowsOrigin(key) {
+		found, known := c.remembersOrigin(key)
+		if known {
 			return true
 		}
 		select {
 		case <-changed:
+		case <-all:
+			if !found {
+				return c.beganAtSoleVersion(ctx)
+			}
+			// Those that remember the stream may learn its version yet.
+			all = nil
 		case <-ask:
 			ask = clock.After(askInterval)
-			if c.e.peerExchange != nil {
-				c.e.peerExchange.ask(c.now(), key)
-			}
+			c.e.sendQuestion(question)
 		case <-timeout:
-			return c.knowsOrigin(key)
+			return !found && c.beganAtSoleVersion(ctx)
 		case <-ctx.Done():
 			return false
 		}
 	}
 }
 
-// knowsOrigin sets the required version, if this entry knows it now.
-func (c *call) knowsOrigin(key id.Request) bool {
-	now := c.now()
-	if s, ok := c.e.streams.Find(now, key); ok {
-		c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, source: c.e.streams.Source(key)}
-		_, known := c.software.resolve(c.allTargets())
-		if known {
-			c.logOrigin(time.Duration(s.AgeMS) * time.Millisecond)
-		}
-		return known
+// askOrigin begins a question of where a stream began.
+func (e *Entry) askOrigin(key id.Request) *originQuestion {
+	if e.peerExchange == nil {
+		return newOriginQuestions().ask(key, nil)
 	}
+	return e.peerExchange.ask(e.deps.Clock.Now(), key)
+}
+
+func (e *Entry) sendQuestion(q *originQuestion) {
+	if e.peerExchange != nil {
+		e.peerExchange.sendQuestion(q)
+	}
+}
+
+func (e *Entry) endQuestion(q *originQuestion) {
+	if e.peerExchange != nil {
+		e.peerExchange.questions.end(q)
+	}
+}
+
+// remembersOrigin reports whether the stream is remembered, and whether its version is known. It sets
+// the required version.
+func (c *call) remembersOrigin(key id.Request) (found, known bool) {
+	s, ok := c.e.streams.Find(c.now(), key)
+	if !ok {
+		return false, false
+	}
+	c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, start: s.Start, source: c.e.streams.Source(key)}
+	if _, known = c.software.resolve(c.allTargets()); known {
+		c.logOrigin(time.Duration(s.AgeMS) * time.Millisecond)
+	}
+	return true, known
+}
+
+// beganAtSoleVersion sets the required version of a stream that nobody remembers, if one version
+// alone has served. A list that names no other one does not show that: a process may serve before its
+// record is written. So the processes of all records are asked for their starts.
+func (c *call) beganAtSoleVersion(ctx context.Context) bool {
 	if c.e.pausedWithin(pauseSettleTime) {
 		// The list of targets may be older than the stream.
 		return false
 	}
-	c.e.observeVersions()
-	version, ok := c.e.versions.Sole(now, c.service)
+	if _, ok := c.soleVersion(); !ok || !c.e.reports.confirmAll(ctx, c.allTargets()) {
+		return false
+	}
+	// The reports may have shown another process.
+	version, ok := c.soleVersion()
 	if ok {
 		c.software = &requiredSoftware{known: true, version: version, source: origin.BySole}
-		c.logOrigin(0, "covered", c.e.versions.CoveredFor(now))
+		c.logOrigin(0, "covered", c.e.versions.CoveredFor(c.now()))
 	}
 	return ok
 }
 
+// soleVersion returns the only version of the request's service that has served, as far as the
+// records tell.
+func (c *call) soleVersion() (id.SoftwareVersion, bool) {
+	c.e.observeVersions()
+	return c.e.versions.Sole(c.now(), c.service)
+}
+
 // refuseUnknownOrigin refuses to go on with a stream of which nobody knows where it began.
 func (c *call) refuseUnknownOrigin() {
 	if c.clientGone() {
@@ -205,15 +264,35 @@
 		c.logOrigin(0, "target", t.ID)
 		return
 	}
+	c.identifyBegin(ctx, t)
+}
+
+// identifyBegin finds out which process has sent the first event of the request's stream, and records
+// it before the client gets that event. If the report is late, the version counts as unknown until it
+// arrives.
+func (c *call) identifyBegin(ctx context.Context, t *catalog.Target) {
+	reported := make(chan processReport, 1)
+	go func() { reported <- c.e.reports.confirm(context.WithoutCancel(ctx), t) }()
+	select {
+	case report := <-reported:
+		c.recordProcess(t, report)
+	case <-c.e.deps.Clock.After(beginReportTimeout):
+		c.recordOrigin()
+		go func() { c.recordProcess(t, <-reported) }()
+	}
+}
+
+// recordProcess records the process that began the request's stream at a target.
+func (c *call) recordProcess(t *catalog.Target, report processReport) {
+	switch report.result {
+	case confirmed:
+		c.software.set(t.Software)
+	case replaced:
+		c.software.setProcess(t.ID, report.start)
+	case unconfirmed:
+	}
 	c.recordOrigin()
-	ctx = context.WithoutCancel(ctx)
-	go func() {
-		report := c.e.reports.confirm(ctx, t)
-		if report.result == confirmed {
-			c.recordSoftware(t)
-		}
-		c.logOrigin(0, "target", t.ID, "process", t.Incarnation, "start", report.start, "result", report.result)
-	}()
+	c.logOrigin(0, "target", t.ID, "process", t.Incarnation, "start", report.start, "result", report.result)
 }
 
 // recordSoftware records the version of the target that began the stream, once the target is known
@@ -262,6 +341,18 @@
 	}
 }
 
+// observeProcess records that a process with another start than the record's serves at a target, and
+// reports it to the other entries at once.
+func (e *Entry) observeProcess(t *catalog.Target, start id.Incarnation) {
+	if current := e.directory.View().Targets[t.Service].Find(t.ID); current != nil && current.Incarnation == start {
+		// Its record has arrived meanwhile.
+		return
+	}
+	if e.versions.ObserveProcess(e.deps.Clock.Now(), t.Service, t.ID, start) && e.peerExchange != nil {
+		e.peerExchange.tellVersions()
+	}
+}
+
 // hearsAll reports whether every other entry is heard from. One of them may have a newer list
 // of targets, which this one reads then.
 func (e *Entry) hearsAll(now time.Time) bool {
--- a/internal/transport/direct/streampeers.go
+++ b/internal/transport/direct/streampeers.go
@@ -20,11 +20,8 @@
 )
 
 // tellStreams reports to the entries that keep them at which versions this entry's streams
-// began, unless one version alone has served. Then an entry can tell by itself.
+// began.
 func (x *peerExchange) tellStreams(now time.Time) {
-	if !x.e.versions.Uncertain(now) {
-		return
-	}
 	untold := x.e.streams.Untold(now, func(attempt id.Request) []string {
 		return x.roster.Closest(now, string(attempt), streamKeepers)
 	})
@@ -104,22 +101,33 @@
 	if u.Announcement {
 		x.mergeVersions(now, u.Versions)
 	}
+	for i := range u.Streams {
+		x.questions.answered(u.Address, u.Streams[i].Attempt)
+	}
+	for _, attempt := range u.Unheard {
+		x.questions.answered(u.Address, attempt)
+	}
+	if len(u.Asks) > 0 {
+		x.answerAsks(now, u)
+	}
+}
+
+// answerAsks answers where streams began, or that this entry does not know it.
+func (x *peerExchange) answerAsks(now time.Time, u *direct.PeerUpdate) {
 	var known []origin.Stream
+	var unheard []id.Request
 	for _, attempt := range u.Asks {
 		if s, ok := x.e.streams.Find(now, attempt); ok {
 			known = append(known, s)
+		} else {
+			unheard = append(unheard, attempt)
 		}
 	}
-	if len(known) > 0 {
-		x.sendStreams(u.Address, known)
-	}
+	x.sendPartial([]string{u.Address}, func(answer *direct.PeerUpdate) { answer.Streams, answer.Unheard = known, unheard })
 }
 
 // tellStream reports to the entries that keep it where a stream of this entry began, at once.
 func (x *peerExchange) tellStream(now time.Time, keys []id.Request) {
-	if !x.e.versions.Uncertain(now) {
-		return
-	}
 	for _, key := range keys {
 		s, addresses := x.e.streams.Tell(now, key, x.roster.Closest(now, string(key), streamKeepers))
 		if len(addresses) > 0 {
@@ -129,6 +137,13 @@
 }
 
 // ask requests from the entries that may keep it where a stream began.
-func (x *peerExchange) ask(now time.Time, attempt id.Request) {
-	x.sendPartial(x.roster.Closest(now, string(attempt), streamAsked), func(u *direct.PeerUpdate) { u.Asks = []id.Request{attempt} })
+func (x *peerExchange) ask(now time.Time, attempt id.Request) *originQuestion {
+	return x.questions.ask(attempt, x.roster.Closest(now, string(attempt), streamAsked))
+}
+
+// sendQuestion sends a question to the entries that have not answered it.
+func (x *peerExchange) sendQuestion(q *originQuestion) {
+	if addresses := x.questions.unanswered(q); len(addresses) > 0 {
+		x.sendPartial(addresses, func(u *direct.PeerUpdate) { u.Asks = []id.Request{q.attempt} })
+	}
 }
--- a/internal/transport/direct/unrecorded_test.go
+++ b/internal/transport/direct/unrecorded_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package direct_test
 
 import (
