--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -2,9 +2,10 @@
 //
 // An answer with a length or chunks shows its own end. One without ends with its connection,
 // which also ends when the target's process does, or when the target breaks the answer off. So
-// the end of a connection needs further evidence: the process that sent the answer still
-// serves, and, where the stream may be resumed, a resumption after the last event brings
-// nothing more. docs/design/stream-ends.md weighs the evidence.
+// the end of a connection needs further evidence: where the stream may be resumed, a resumption
+// after the last event brings nothing more, and the process that sent the answer serves for
+// SettleTime after its end. A process that was told to stop may answer for a while before it ends.
+// docs/design/stream-ends.md weighs the evidence.
 //
 // # Usage
 //
@@ -12,11 +13,19 @@
 //	switch verdict := end.Judge(); verdict.Result {
 //	case completion.Complete:
 //	case completion.Unconfirmed: // resume after the last event
+//	case completion.Unsettled: // ask for the process again after SettleTime, and set Settled
 //	case completion.BrokenOff: // resume elsewhere, or break the answer off
 //	}
 package completion
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
+
+// SettleTime is how long after the end of an answer its process must serve, because one that was
+// told to stop closes its answers before it ends.
+const SettleTime = 2 * time.Second
 
 // Framing is what marks the end of an answer.
 type Framing string
@@ -81,6 +90,8 @@
 	// Unconfirmed means that the target seems to have meant the end. A resumption after the last
 	// event would show it.
 	Unconfirmed Result = "unconfirmed"
+	// Unsettled means that the answer is complete if its process serves for SettleTime after its end.
+	Unsettled Result = "unsettled"
 	// BrokenOff means that the answer must not count as complete.
 	BrokenOff Result = "brokenOff"
 )
@@ -103,6 +114,8 @@
 	ResumedByClient bool
 	// Process is needed only if NeedsProcess returns true.
 	Process Process
+	// Settled says that Process holds as long after the end as the caller can wait, at most SettleTime.
+	Settled bool
 }
 
 // NeedsProcess reports whether the verdict depends on the target's process.
@@ -124,14 +137,17 @@
 		return Verdict{Complete, ByFraming}
 	case !e.NeedsProcess() || e.Process != Serving:
 		return Verdict{BrokenOff, NoEvidence}
-	case !e.Resumable:
-		return Verdict{Complete, ByProcess}
-	case e.Repeated:
-		return Verdict{Complete, ByResumption}
-	case e.Confirmable:
+	case e.Resumable && !e.Repeated && e.Confirmable:
 		return Verdict{Unconfirmed, ByProcess}
-	case e.ResumedByClient:
-		return Verdict{Complete, ByResumption}
+	case e.Resumable && !e.Repeated && !e.ResumedByClient:
+		return Verdict{BrokenOff, ByProcess}
+	}
+	result := Unsettled
+	if e.Settled {
+		result = Complete
+	}
+	if e.Resumable {
+		return Verdict{result, ByResumption}
 	}
-	return Verdict{BrokenOff, ByProcess}
+	return Verdict{result, ByProcess}
 }
--- a/internal/transport/direct/plainend.go
+++ b/internal/transport/direct/plainend.go
@@ -9,12 +9,20 @@
 	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/timing"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
 // endCheckTimeout limits how long a plain answer waits for evidence that it is complete.
 const endCheckTimeout = 500 * time.Millisecond
 
+// A plain answer waits until settleNumerator parts in settleDenominator of its route's latency objective
+// have passed, before its process is asked whether it still serves.
+const (
+	settleNumerator   = 2
+	settleDenominator = 3
+)
+
 // needsEvidence reports whether a plain answer may be a part of one that its target has not
 // completed, and its target can be asked. Failures and redirections do not claim that the
 // request was done, so they need no evidence.
@@ -31,9 +39,11 @@
 // confirmAnswer returns Succeeded if a plain answer that ended with its connection is complete,
 // otherwise the outcome of its attempt.
 func (c *call) confirmAnswer(ctx context.Context, t *catalog.Target) (balance.Outcome, error) {
-	end := completion.End{Framing: completion.Connection, Begun: true, AtDeadline: c.timeLeft() <= deadlineEndMargin}
+	end := completion.End{Framing: completion.Connection, Begun: true, AtDeadline: c.timeLeft() <= deadlineEndMargin, Settled: true}
 	var err error
 	if end.NeedsProcess() {
+		// An error means that the client has left or the entry stops; then the call fails too.
+		_ = timing.Sleep(ctx, c.e.deps.Clock, c.settleTime())
 		end.Process, err = c.processAfterAnswer(ctx, t)
 	}
 	verdict := end.Judge()
@@ -44,6 +54,13 @@
 	return brokenOff(&end, err)
 }
 
+// settleTime returns how long a plain answer may wait for evidence that its process does not end, so that
+// it is still on time.
+func (c *call) settleTime() time.Duration {
+	onTime := c.start.Add(c.route.LatencyObjective * settleNumerator / settleDenominator)
+	return max(0, min(onTime.Sub(c.now()), completion.SettleTime, c.timeLeft()-deadlineEndMargin))
+}
+
 // processAfterAnswer asks the target which process serves there: an engine by its report, other
 // targets by a health check. It returns an error if none does.
 func (c *call) processAfterAnswer(ctx context.Context, t *catalog.Target) (completion.Process, error) {
@@ -80,14 +97,5 @@
 	}
 	defer answer.Close()
 	name, ok := r.e.deps.Dialect.DecodeName(answer.Status, answer.Header)
-	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
-	switch {
-	case !ok:
-		return completion.Unknown, nil
-	case name != t.ID, current != nil && current.Incarnation != t.Incarnation:
-		return completion.Replaced, nil
-	case current == nil, current.State != catalog.Ready:
-		return completion.Leaving, nil
-	}
-	return completion.Serving, nil
+	return r.judge(t, selfDescription{named: ok, same: name == t.ID}), nil
 }
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -140,24 +140,46 @@
 	if err != nil {
 		return completion.Unknown, err
 	}
-	notice := r.e.deps.Dialect.DecodeResponse(answer.status, answer.header).Notice
-	r.e.observeNotice(t, notice)
+	r.e.observeNotice(t, r.e.deps.Dialect.DecodeResponse(answer.status, answer.header).Notice)
 	report, ok := r.e.deps.Dialect.DecodeReport(answer.body)
-	ok = ok && answer.status == http.StatusOK
+	said := selfDescription{leaving: report.Leaving, named: true, same: true}
+	if t.Incarnation != 0 {
+		// Otherwise it has a new id after each start, so another process has another record.
+		said.named, said.same = ok && answer.status == http.StatusOK, report.Incarnation == t.Incarnation
+	}
+	process := r.judge(t, said)
+	if process == completion.Unknown {
+		return process, fault.Wrap("reportReader.processOf", upstream.ConnectionLost, errNoReport)
+	}
+	if process == completion.Replaced && ok {
+		r.e.observeProcess(t, report.Incarnation)
+	}
+	return process, nil
+}
+
+// selfDescription is what a process says about itself.
+type selfDescription struct {
+	leaving bool
+	// named says that it named itself, and same that this is the name of the target's record.
+	named, same bool
+}
+
+// judge returns which process serves at a target, by what it says and by the target's record. A target
+// that was known to leave has not ended while it ran a request.
+func (r *reportReader) judge(t *catalog.Target, said selfDescription) completion.Process {
 	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
+	recorded := current != nil && current.Incarnation == t.Incarnation
 	switch {
-	case report.Leaving || r.e.withdrawn.Leaving(t.Key()) || current == nil || current.State != catalog.Ready:
-		return completion.Leaving, nil
-	case t.Incarnation == 0:
-		// The target has a new id after each start, so another process has another record.
-		return completion.Serving, nil
-	case !ok:
-		return completion.Unknown, fault.Wrap("reportReader.processOf", upstream.ConnectionLost, errNoReport)
-	case report.Incarnation != t.Incarnation:
-		r.e.observeProcess(t, report.Incarnation)
-		return completion.Replaced, nil
+	case said.leaving, r.e.withdrawn.Leaving(t.Key()), recorded && current.State != catalog.Ready:
+		return completion.Leaving
+	case said.named && !said.same, current != nil && !recorded:
+		return completion.Replaced
+	case current == nil:
+		return completion.Leaving
+	case !said.named:
+		return completion.Unknown
 	}
-	return completion.Serving, nil
+	return completion.Serving
 }
 
 // read reads one report. Without one, the record tells.
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -10,11 +10,17 @@
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/timing"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
-// maxEndChecks limits how often a stream is resumed at a target to confirm its end there.
-const maxEndChecks = 3
+const (
+	// maxEndChecks limits how often a stream is resumed at a target to confirm its end there.
+	maxEndChecks = 3
+	// firstSettleCheck is how long after the end of an answer its process is asked first whether it
+	// still serves. Each further check comes after twice the time.
+	firstSettleCheck = completion.SettleTime / 8
+)
 
 var (
 	errEndAtDeadline = errors.New("the connection ended at the deadline")
@@ -61,6 +67,11 @@
 		}
 	}
 	verdict := end.Judge()
+	if verdict.Result == completion.Unsettled {
+		end.Process, err = r.processAfterSettling(ctx, end.Resumable)
+		end.Settled = true
+		verdict = end.Judge()
+	}
 	c.answer.evidence = verdict.Evidence
 	s.endChecks.pending = verdict.Result != completion.Complete
 	switch verdict.Result {
@@ -87,6 +98,25 @@
 	return c.e.reports.processOf(ctx, r.target)
 }
 
+// processAfterSettling asks the target again until it has served for the settle time, or until its
+// process does not serve any more. It returns Unknown if the request's deadline is sooner.
+func (r *eventRelay) processAfterSettling(ctx context.Context, resumable bool) (completion.Process, error) {
+	c := r.s.c
+	ended := c.now()
+	if c.timeLeft() <= completion.SettleTime+deadlineEndMargin {
+		return completion.Unknown, nil
+	}
+	for after := firstSettleCheck; ; after = min(2*after, completion.SettleTime) {
+		if !timing.Sleep(ctx, c.e.deps.Clock, after-c.now().Sub(ended)) {
+			return completion.Unknown, nil
+		}
+		process, err := r.processAfterEnd(ctx, resumable)
+		if process != completion.Serving || after == completion.SettleTime {
+			return process, err
+		}
+	}
+}
+
 // endOf describes the end of the stream's current answer, of which the target's process is not known
 // yet.
 func (s *stream) endOf(framing completion.Framing, t *catalog.Target) completion.End {
