--- a/internal/transport/direct/unframedclient_test.go
+++ b/internal/transport/direct/unframedclient_test.go
@@ -141,8 +141,11 @@
 // TestUnframedClientStreamWhole guards against a whole stream that is reset.
 func TestUnframedClientStreamWhole(t *testing.T) {
 	e := newTCPEnv(t)
-	for range 20 {
-		_, rest := e.request(t, "1.0", "/r/whole")
+	var answers [20]io.Reader
+	for i := range answers {
+		_, answers[i] = e.request(t, "1.0", "/r/whole")
+	}
+	for _, rest := range answers {
 		body, err := io.ReadAll(rest)
 		e.is.NoErr(err)
 		e.is.Equal(string(body), wholeStream(20))
