--- a/cmd/foxtailward/daemon.go
+++ b/cmd/foxtailward/daemon.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
+	"reflect"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -14,9 +12,14 @@
 	"foxtailward.example/foxtailward/internal/state/event"
 )
 
-// newDaemon returns a subcommand that calls run with the path of a settings file
-// and a log.
-func newDaemon(name, short, long string, run func(ctx context.Context, path string, log *event.Log) error) *cobra.Command {
+// daemon is a process that serves until a signal stops it.
+type daemon struct {
+	log     *event.Log
+	signals *daemonSignals
+}
+
+// newDaemon returns a subcommand that reads a settings file and calls run with the settings.
+func newDaemon[S any](name, short, long string, load func(path string) (*S, error), run func(ctx context.Context, d *daemon, s *S) error) *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
 		Use:   name + " --config FILE",
@@ -24,9 +27,16 @@
 		Long:  long,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			d := &daemon{signals: catchSignals()}
 			log, closeLog := openLog(cmd.OutOrStdout())
 			defer closeLog()
-			return run(cmd.Context(), path, log)
+			d.log = log
+			s, err := load(path)
+			if err != nil {
+				return err
+			}
+			go d.signals.onHangup(func() { reload(path, s, load, log) })
+			return run(cmd.Context(), d, s)
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "path of the settings file")
@@ -35,6 +45,18 @@
 	return cmd
 }
 
+// reload reads the settings again, and logs either an error or whether they differ
+// from the running ones. They are not applied, because the settings of a running
+// process never change.
+func reload[S any](path string, running *S, load func(path string) (*S, error), log *event.Log) {
+	s, err := load(path)
+	if err != nil {
+		log.Emit(event.SettingsRead, "error", err)
+		return
+	}
+	log.Emit(event.SettingsRead, "changed", !reflect.DeepEqual(s, running))
+}
+
 // logCloseTimeout bounds the time that an ending process waits for its queued log
 // lines to be written.
 const logCloseTimeout = 200 * time.Millisecond
@@ -53,51 +75,3 @@
 		}
 	}
 }
-
-// runUntilSignal runs a process. The first SIGTERM or interrupt makes it drain; a
-// second one calls abort.
-func runUntilSignal(ctx context.Context, run func(context.Context) error, abort func()) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ctx, drain := context.WithCancel(ctx)
-	defer drain()
-	go handleSignals(serving, signals, drain, abort)
-	return run(ctx)
-}
-
-// handleSignals calls drain at the first signal and abort at the second, until ctx
-// ends.
-func handleSignals(ctx context.Context, signals <-chan os.Signal, drain, abort func()) {
-	for _, handle := range []func(){drain, abort} {
-		select {
-		case <-signals:
-			handle()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// onHangup calls reload for each SIGHUP until the returned function is called.
-func onHangup(reload func()) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-signals:
-				reload()
-			case <-done:
-				return
-			}
-		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(done)
-	}
-}
--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"reflect"
 	"runtime/debug"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sys/unix"
 
-	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/settings"
 	"foxtailward.example/foxtailward/internal/transport/direct"
 	"foxtailward.example/foxtailward/platform"
@@ -58,17 +56,11 @@
 const memoryShare = 0.7
 
 func newDirect() *cobra.Command {
-	return newDaemon("direct", "Run an entry that reaches its targets directly", usageDirect, func(ctx context.Context, path string, log *event.Log) error {
-		s, err := settings.LoadDirect(path)
-		if err != nil {
-			return err
-		}
-		return runDirect(ctx, path, s, log)
-	})
+	return newDaemon("direct", "Run an entry that reaches its targets directly", usageDirect, settings.LoadDirect, runDirect)
 }
 
 // runDirect runs an entry until it has drained or its grace time is over.
-func runDirect(ctx context.Context, path string, s *settings.Direct, log *event.Log) error {
+func runDirect(ctx context.Context, d *daemon, s *settings.Direct) error {
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
 	}
@@ -80,7 +72,7 @@
 		Large:      func(prefix string) func(context.Context) error { return e.LargeAnswer(prefix) },
 	})
 	e = direct.New(*s, direct.Deps{
-		Clock: clockwork.NewRealClock(), Log: log, Metrics: metrics.NewRegistry(),
+		Clock: clockwork.NewRealClock(), Log: d.log, Metrics: metrics.NewRegistry(),
 		Store:   kv.Store(),
 		Codec:   platformCodec(),
 		Dialect: platform.Dialect(),
@@ -91,9 +83,7 @@
 	if err := e.Listen(); err != nil {
 		return err
 	}
-	stop := onHangup(func() { reload(path, s, log) })
-	defer stop()
-	return runUntilSignal(ctx, e.Run, func() {})
+	return d.signals.runUntilStop(ctx, e.Run, func() {})
 }
 
 // sinceBoot returns the time since the host booted. The system call can't fail
@@ -110,15 +100,3 @@
 		DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, ParseTargetID: platform.TargetID,
 	}
 }
-
-// reload reads the settings again, and logs either an error or whether they differ
-// from the running ones. They are not applied, because the settings of a running
-// process never change.
-func reload(path string, running *settings.Direct, log *event.Log) {
-	s, err := settings.LoadDirect(path)
-	if err != nil {
-		log.Emit(event.SettingsRead, "error", err)
-		return
-	}
-	log.Emit(event.SettingsRead, "changed", !reflect.DeepEqual(s, running))
-}
--- a/cmd/foxtailward/target.go
+++ b/cmd/foxtailward/target.go
@@ -26,6 +26,8 @@
 accepts no new work and exits once its running work is complete, however long
 that takes; its status page lists the work that it waits for. A second signal
 ends it at once: the log names the work that was aborted, and the exit code is 1.
+On SIGHUP it reads the settings again and logs whether they have changed; changes
+take effect at the next start.
 
 The file contains name, peers and operators, and the tables place, platform, and
 either engine or service:
@@ -52,24 +54,18 @@
 const targetLinger = 3 * time.Second
 
 func newTarget() *cobra.Command {
-	return newDaemon("target", "Run the process beside a target", usageTarget, func(ctx context.Context, path string, log *event.Log) error {
-		s, err := settings.LoadTarget(path)
-		if err != nil {
-			return err
-		}
-		return runTarget(ctx, s, log)
-	})
+	return newDaemon("target", "Run the process beside a target", usageTarget, settings.LoadTarget, runTarget)
 }
 
 // runTarget runs a target process until it has drained or is aborted.
-func runTarget(ctx context.Context, s *settings.Target, log *event.Log) error {
+func runTarget(ctx context.Context, d *daemon, s *settings.Target) error {
 	registry := metrics.NewRegistry()
-	services, err := openPlatform(&s.Platform, log, registry)
+	services, err := openPlatform(&s.Platform, d.log, registry)
 	if err != nil {
 		return err
 	}
 	defer services.close()
-	p := target.New(*s, targetDeps(services, log, registry))
+	p := target.New(*s, targetDeps(services, d.log, registry))
 	if err := p.Listen(); err != nil {
 		return err
 	}
@@ -84,7 +80,7 @@
 	go services.readSeeds(serving)
 	served := make(chan error, 1)
 	go func() { served <- operators.Run(serving, s.OperatorAddress) }()
-	err = runUntilSignal(ctx, p.Run, func() { p.Abort() })
+	err = d.signals.runUntilStop(ctx, p.Run, func() { p.Abort() })
 	stop()
 	return errors.Join(err, <-served)
 }
