--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
 )
 
 const (
@@ -13,11 +15,14 @@
 	maxHeadBytes = 64 << 10
 	// protocolPrefix begins every answer.
 	protocolPrefix = "HTTP/1."
+	// protocolWithoutChunks begins the answers of the version that has no chunks.
+	protocolWithoutChunks = "HTTP/1.0"
 )
 
 var (
 	errSwitched    = errors.New("unexpected 101 Switching Protocols answer")
 	errNoAnswer    = errors.New("bytes that begin no answer")
+	errOldChunks   = errors.New("chunks in an answer of HTTP/1.0")
 	errHeadTooLong = errors.New("head of an answer exceeds its size limit")
 )
 
@@ -27,6 +32,8 @@
 	r io.Reader
 	// left is the number of bytes that may still be read; negative for no limit.
 	left int
+	// copied gets what is read, unless it is nil.
+	copied *bytes.Buffer
 }
 
 // Read implements io.Reader.
@@ -41,6 +48,10 @@
 	if l.left > 0 {
 		l.left -= n
 	}
+	if l.copied != nil {
+		// Writing to a buffer can't fail.
+		_, _ = l.copied.Write(p[:n])
+	}
 	return n, err
 }
 
@@ -53,7 +64,7 @@
 		if err := checkPrefix(c.reader); err != nil {
 			return nil, err
 		}
-		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		res, err := c.readResponse(&http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
@@ -66,6 +77,44 @@
 	}
 }
 
+// readResponse reads one head. An answer of HTTP/1.0 has no chunks, but http.ReadResponse drops the
+// header that announces them and returns their marks as part of the body.
+func (c *conn) readResponse(r *http.Request) (*http.Response, error) {
+	begin, err := c.reader.Peek(len(protocolWithoutChunks))
+	if err != nil {
+		return nil, err
+	}
+	if string(begin) != protocolWithoutChunks {
+		return http.ReadResponse(c.reader, r)
+	}
+	// Peek returns what is buffered, so it can't fail.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.limiter.copied = bytes.NewBuffer(bytes.Clone(buffered))
+	defer func() { c.limiter.copied = nil }()
+	res, err := http.ReadResponse(c.reader, r)
+	if err != nil {
+		return nil, err
+	}
+	read := c.limiter.copied.Bytes()
+	return res, checkOldHead(read[:len(read)-c.reader.Buffered()])
+}
+
+// checkOldHead returns an error if a head of HTTP/1.0 announces chunks.
+func checkOldHead(head []byte) error {
+	lines := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	if _, err := lines.ReadLine(); err != nil {
+		return err
+	}
+	header, err := lines.ReadMIMEHeader()
+	if err != nil {
+		return err
+	}
+	if _, announced := header["Transfer-Encoding"]; announced {
+		return errOldChunks
+	}
+	return nil
+}
+
 // checkPrefix waits for the bytes with which an answer begins.
 func checkPrefix(r *bufio.Reader) error {
 	for n := 1; n <= len(protocolPrefix); n++ {
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -131,6 +131,9 @@
 		{"bytes after the answer", completeAnswer + "HTTP/1.1 200 OK\r\n", "ok", false, false},
 		{"truncated chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok", "", true, false},
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", "", true, false},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok", "ok", false, true},
+		{"HTTP/1.0 with chunks", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "", true, false},
+		{"HTTP/1.0 with chunks after an informational answer", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n", "", true, false},
 		{"not HTTP", "\x00\x01garbage\r\n\r\n", "", true, false},
 	}
 	for _, tt := range tests {
