--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -17,6 +17,8 @@
 	waitEnded bool
 	started   bool
 	ended     bool
+	// released says that what Start counted is no longer counted.
+	released bool
 	// cancel is called if the target's group is lost before the target has begun
 	// to answer.
 	cancel func()
@@ -76,6 +78,14 @@
 	a.balancer.reduceBacklog(now, a.target.ID, dropped, a.balancer.total(rec, a.target))
 }
 
+// Finish records that the target has finished with the attempt, though its outcome is not known yet.
+func (a *Attempt) Finish(now time.Time) {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	a.endWait(now)
+	a.release(now)
+}
+
 // End records the outcome; further calls do nothing. It reports whether the
 // target's group now counts as lost because of it.
 func (a *Attempt) End(now time.Time, o Outcome) bool {
@@ -90,10 +100,14 @@
 	return a.balancer.recordOutcome(now, a.target, o)
 }
 
-// release subtracts what Start counted. If the target has started again since,
+// release subtracts what Start counted, once. If the target has started again since,
 // the record of the new incarnation does not contain it, hence the lower limit
 // of 0.
 func (a *Attempt) release(now time.Time) {
+	if a.released {
+		return
+	}
+	a.released = true
 	rec := a.balancer.record(now, a.target)
 	rec.Running = max(0, rec.Running-1)
 	rec.MemoryTokens = max(0, rec.MemoryTokens-a.request.memory())
@@ -101,11 +115,11 @@
 }
 
 // MoveBackup counts the attempt's backup copy at another engine, from when the copy is
-// ordered; nil for none. After the attempt has ended it does nothing.
+// ordered; nil for none. After the attempt has finished it does nothing.
 func (a *Attempt) MoveBackup(now time.Time, to *catalog.Target) {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	if !a.ended {
+	if !a.released {
 		a.setBackup(now, to)
 	}
 }
@@ -115,7 +129,7 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	a.balancer.record(now, by).noBackupsUntil = now.Add(backupRefusedTime)
-	if !a.ended && a.backup != nil && a.backup.ID == by.ID {
+	if !a.released && a.backup != nil && a.backup.ID == by.ID {
 		a.setBackup(now, nil)
 	}
 }
--- a/internal/transport/direct/plainend.go
+++ b/internal/transport/direct/plainend.go
@@ -17,10 +17,12 @@
 const endCheckTimeout = 500 * time.Millisecond
 
 // A plain answer waits until settleNumerator parts in settleDenominator of its route's latency objective
-// have passed, before its process is asked whether it still serves.
+// have passed, before its process is asked whether it still serves, and no longer than a settleLeftDivisor
+// of the time that the request has left.
 const (
 	settleNumerator   = 2
 	settleDenominator = 3
+	settleLeftDivisor = 2
 )
 
 // needsEvidence reports whether a plain answer may be a part of one that its target has not
@@ -57,8 +59,9 @@
 // settleTime returns how long a plain answer may wait for evidence that its process does not end, so that
 // it is still on time.
 func (c *call) settleTime() time.Duration {
+	now := c.now()
 	onTime := c.start.Add(c.route.LatencyObjective * settleNumerator / settleDenominator)
-	return max(0, min(onTime.Sub(c.now()), completion.SettleTime, c.timeLeft()-deadlineEndMargin))
+	return max(0, min(onTime.Sub(now), c.settleEnd(now).Sub(now), c.timeLeft()/settleLeftDivisor))
 }
 
 // processAfterAnswer asks the target which process serves there: an engine by its report, other
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/completion"
@@ -20,6 +21,8 @@
 	// firstSettleCheck is how long after the end of an answer its process is asked first whether it
 	// still serves. Each further check comes after twice the time.
 	firstSettleCheck = completion.SettleTime / 8
+	// settleStopMargin is how long before the end of the grace time the last check is made.
+	settleStopMargin = 200 * time.Millisecond
 )
 
 var (
@@ -68,7 +71,7 @@
 	}
 	verdict := end.Judge()
 	if verdict.Result == completion.Unsettled {
-		end.Process, err = r.processAfterSettling(ctx, end.Resumable)
+		end.Process, err = r.settle(ctx, end.Resumable)
 		end.Settled = true
 		verdict = end.Judge()
 	}
@@ -80,8 +83,8 @@
 	case completion.Unconfirmed:
 		s.endChecks.at, s.endChecks.endedAt, s.endChecks.endedAfter = r.target, r.target.Key(), s.lastEventID
 		return balance.Rerouted, errEndUnconfirmed
-	case completion.BrokenOff:
-		s.endChecks.givenUp = end.Process == completion.Serving
+	case completion.BrokenOff, completion.Unsettled:
+		s.endChecks.givenUp = s.endChecks.givenUp || end.Process == completion.Serving
 	}
 	return brokenOff(&end, err)
 }
@@ -98,25 +101,45 @@
 	return c.e.reports.processOf(ctx, r.target)
 }
 
-// processAfterSettling asks the target again until it has served for the settle time, or until its
-// process does not serve any more. It returns Unknown if the request's deadline is sooner.
-func (r *eventRelay) processAfterSettling(ctx context.Context, resumable bool) (completion.Process, error) {
+// settle asks the target again until it has served for the settle time, or until its process does not
+// serve any more. It gives the stream up if the request's deadline is sooner.
+func (r *eventRelay) settle(ctx context.Context, resumable bool) (completion.Process, error) {
 	c := r.s.c
 	ended := c.now()
 	if c.timeLeft() <= completion.SettleTime+deadlineEndMargin {
+		r.s.endChecks.givenUp = true
 		return completion.Unknown, nil
 	}
-	for after := firstSettleCheck; ; after = min(2*after, completion.SettleTime) {
-		if !timing.Sleep(ctx, c.e.deps.Clock, after-c.now().Sub(ended)) {
+	r.run.Finish(ended)
+	c.e.loadChanged(r.target, true)
+	for after := firstSettleCheck; ; after *= 2 {
+		end := c.settleEnd(ended)
+		next := ended.Add(after)
+		if next.After(end) {
+			next = end
+		}
+		if !timing.Sleep(ctx, c.e.deps.Clock, next.Sub(c.now())) {
 			return completion.Unknown, nil
 		}
 		process, err := r.processAfterEnd(ctx, resumable)
-		if process != completion.Serving || after == completion.SettleTime {
+		if process != completion.Serving || !next.Before(end) {
 			return process, err
 		}
 	}
 }
 
+// settleEnd returns until when an answer that ended at the given time waits at most for evidence that its
+// process serves on: for the settle time, but no longer than this entry can send it.
+func (c *call) settleEnd(ended time.Time) time.Time {
+	end := ended.Add(completion.SettleTime)
+	if start := c.e.drainStart.Load(); start != nil {
+		if stop := c.e.drainEnd(*start).Add(-settleStopMargin); stop.Before(end) {
+			return stop
+		}
+	}
+	return end
+}
+
 // endOf describes the end of the stream's current answer, of which the target's process is not known
 // yet.
 func (s *stream) endOf(framing completion.Framing, t *catalog.Target) completion.End {
