--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -30,6 +30,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -209,6 +210,21 @@
 	}
 }
 
+// Resolve records the versions of streams that began at processes whose records have arrived. find
+// returns a target's record, or nil.
+func (r *Registry) Resolve(find func(id.Target) *catalog.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.streams {
+		if !t.Unknown || t.Target == "" {
+			continue
+		}
+		if record := find(t.Target); record != nil && record.Incarnation == t.Start && !record.SoftwareUnknown {
+			t.update(Stream{Attempt: t.Attempt, Software: record.Software})
+		}
+	}
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -115,8 +115,10 @@
 	streams  *origin.Registry
 	versions *origin.Versions
 	reports  *reportReader
-	pool     *upstream.Pool
-	metrics  *entryMetrics
+	// startsNamed is set once a record of a target has named its start.
+	startsNamed atomic.Bool
+	pool        *upstream.Pool
+	metrics     *entryMetrics
 
 	retryBudgets *retryBudgets
 	limits       *targetLimits
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -18,14 +18,13 @@
 
 const (
 	confirmed confirmation = "confirmed"
-	// replaced means that another process runs under the target's id.
+	// replaced means that the process that runs under the target's id is not that of its record.
 	replaced confirmation = "replaced"
 	// unconfirmed means that neither the target nor its record tells.
 	unconfirmed confirmation = "unconfirmed"
 )
 
-// recordDelay is how late a target's record may arrive. A record that arrived later than
-// this after a loss was written by the process that runs since.
+// recordDelay is how late a target's record may arrive after it was written.
 const recordDelay = time.Second
 
 // reportReader requests from targets the time of their start. Targets start again under their
@@ -41,9 +40,8 @@
 
 	mu    sync.Mutex
 	reads map[id.TargetIncarnation]*reportRead
-	// confirmedAt is when processes last named the starts of their records. It holds those of the
-	// last surveyValidity.
-	confirmedAt map[id.TargetIncarnation]time.Time
+	// surveys holds the questions to all targets of a service.
+	surveys map[id.Service]*survey
 }
 
 // reportRead is the reading of one target's reports. next is closed with the end of the
@@ -66,7 +64,7 @@
 }
 
 func newReportReader(e *Entry) *reportReader {
-	return &reportReader{e: e, reads: map[id.TargetIncarnation]*reportRead{}, confirmedAt: map[id.TargetIncarnation]time.Time{}}
+	return &reportReader{e: e, reads: map[id.TargetIncarnation]*reportRead{}, surveys: map[id.Service]*survey{}}
 }
 
 // confirm reports whether the target is still the process that its record describes, by
@@ -98,6 +96,20 @@
 	}
 }
 
+// identify does the same for a target of which no record may be known yet: it is not confirmed then, but
+// names its start.
+func (r *reportReader) identify(ctx context.Context, t *catalog.Target) processReport {
+	if t.Incarnation != 0 {
+		return r.confirm(ctx, t)
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyCallTimeout)
+	defer cancel()
+	if start, ok := r.ask(ctx, t); ok {
+		return processReport{replaced, start}
+	}
+	return processReport{result: unconfirmed}
+}
+
 // readAll reads reports as long as requests wait for one.
 func (r *reportReader) readAll(t *catalog.Target, read *reportRead) {
 	for {
@@ -182,34 +194,19 @@
 	return completion.Serving
 }
 
-// read reads one report. Without one, the record tells.
+// read reads one report. Without one, a record of another process tells.
 func (r *reportReader) read(t *catalog.Target) processReport {
 	ctx, cancel := context.WithTimeout(context.Background(), copyCallTimeout)
 	defer cancel()
-	asked := r.e.deps.Clock.Now()
 	if start, ok := r.ask(ctx, t); ok {
 		if start == t.Incarnation {
-			r.recordConfirmed(asked, t)
 			return processReport{confirmed, start}
 		}
 		r.e.observeProcess(t, start)
 		return processReport{replaced, start}
 	}
-	return processReport{result: r.byRecord(t)}
-}
-
-// byRecord tells by a record that was written after the last loss of the target whether the process is
-// the same.
-func (r *reportReader) byRecord(t *catalog.Target) confirmation {
-	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
-	lostAt := r.e.balancer.LostAt(t.Key())
-	switch {
-	case current == nil, lostAt.IsZero():
-		return unconfirmed
-	case current.Incarnation != t.Incarnation:
-		return replaced
-	case current.RecordedAt.Sub(lostAt) > recordDelay:
-		return confirmed
-	}
-	return unconfirmed
+	if current := r.e.directory.View().Targets[t.Service].Find(t.ID); current != nil && current.Incarnation != t.Incarnation {
+		return processReport{result: replaced}
+	}
+	return processReport{result: unconfirmed}
 }
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -10,6 +10,7 @@
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/state/timing"
 )
 
 const (
@@ -20,6 +21,10 @@
 	// beginReportTimeout is how long the first event of a stream waits for the report of the
 	// process that sent it.
 	beginReportTimeout = 250 * time.Millisecond
+	// A process that does not report its start is asked maxBeginReports times, at intervals of
+	// beginReportInterval.
+	maxBeginReports     = 6
+	beginReportInterval = 500 * time.Millisecond
 	// versionUnknownRetryAfter is used while it is not known where a stream began: entries
 	// that have started, and the key-value service, may tell soon.
 	versionUnknownRetryAfter = 500 * time.Millisecond
@@ -34,10 +39,11 @@
 	mu      sync.Mutex
 	known   bool
 	version id.SoftwareVersion
-	// target is the target that began the stream, and start the start that its process named, if
-	// a record may still tell the version; otherwise empty.
+	// target is the target that may have begun the stream, and start the start that its process named
+	// afterwards. proven says that this process began it, so that its record tells the version.
 	target id.Target
 	start  id.Incarnation
+	proven bool
 	// source is from what the version is known.
 	source origin.Source
 }
@@ -47,7 +53,7 @@
 func (r *requiredSoftware) resolve(listed catalog.Targets) (id.SoftwareVersion, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := listed.Find(r.target); !r.known && r.target != "" && t != nil && t.Incarnation == r.start && !t.SoftwareUnknown {
+	if t := listed.Find(r.target); !r.known && r.proven && t != nil && t.Incarnation == r.start && !t.SoftwareUnknown {
 		r.version, r.known, r.source = t.Software, true, origin.ByRecord
 	}
 	return r.version, r.known
@@ -60,6 +66,9 @@
 	if r.known {
 		return origin.Stream{Software: r.version}
 	}
+	if !r.proven {
+		return origin.Stream{Unknown: true}
+	}
 	return origin.Stream{Unknown: true, Target: r.target, Start: r.start}
 }
 
@@ -69,13 +78,31 @@
 	r.version, r.known, r.source = v, true, origin.ByReport
 }
 
-// setProcess sets the process that began the stream, of which no record tells the version yet.
+// setRecorded sets the version by the record of the target that began the stream.
+func (r *requiredSoftware) setRecorded(v id.SoftwareVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.known, r.source = v, true, origin.ByRecord
+}
+
+// setProcess sets the process that may have begun the stream, of which no record tells the version yet.
 func (r *requiredSoftware) setProcess(target id.Target, start id.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.target, r.start = target, start
 }
 
+// prove records that the process that was set began the stream. It reports whether that is new.
+func (r *requiredSoftware) prove() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known || r.proven || r.target == "" {
+		return false
+	}
+	r.proven = true
+	return true
+}
+
 // text returns the version and its source for logs.
 func (r *requiredSoftware) text() (software string, source origin.Source) {
 	r.mu.Lock()
@@ -199,7 +226,7 @@
 	if !ok {
 		return false, false
 	}
-	c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, start: s.Start, source: c.e.streams.Source(key)}
+	c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, start: s.Start, proven: s.Target != "", source: c.e.streams.Source(key)}
 	if _, known = c.software.resolve(c.allTargets()); known {
 		c.logOrigin(time.Duration(s.AgeMS) * time.Millisecond)
 	}
@@ -214,7 +241,7 @@
 		// The list of targets may be older than the stream.
 		return false
 	}
-	if _, ok := c.soleVersion(); !ok || !c.e.reports.confirmAll(ctx, c.allTargets()) {
+	if _, ok := c.soleVersion(); !ok || !c.e.reports.confirmAll(ctx, c.service) {
 		return false
 	}
 	// The reports may have shown another process.
@@ -258,43 +285,78 @@
 		t = current
 	}
 	c.software = &requiredSoftware{}
-	if t.Incarnation == 0 {
-		c.software.known, c.software.version, c.software.target, c.software.source = !t.SoftwareUnknown, t.Software, t.ID, origin.ByRecord
-		c.recordOrigin()
-		c.logOrigin(0, "target", t.ID)
+	switch {
+	case t.Incarnation == 0 && !t.SoftwareUnknown:
+		c.software.setRecorded(t.Software)
+	case t.Incarnation == 0 && !c.e.startsNamed.Load():
+		// Each start has a new id, so the process is that of its record, once it arrives.
+		c.software.setProcess(t.ID, 0)
+		c.software.prove()
+	default:
+		c.identifyBegin(ctx, t)
 		return
 	}
-	c.identifyBegin(ctx, t)
+	c.recordOrigin()
+	c.logOrigin(0, "target", t.ID)
 }
 
 // identifyBegin finds out which process has sent the first event of the request's stream, and records
 // it before the client gets that event. If the report is late, the version counts as unknown until it
 // arrives.
 func (c *call) identifyBegin(ctx context.Context, t *catalog.Target) {
-	reported := make(chan processReport, 1)
-	go func() { reported <- c.e.reports.confirm(context.WithoutCancel(ctx), t) }()
+	began := c.now()
+	first := make(chan struct{})
+	go c.identifyProcess(context.WithoutCancel(ctx), t, began, sync.OnceFunc(func() { close(first) }))
 	select {
-	case report := <-reported:
-		c.recordProcess(t, report)
+	case <-first:
 	case <-c.e.deps.Clock.After(beginReportTimeout):
 		c.recordOrigin()
-		go func() { c.recordProcess(t, <-reported) }()
 	}
 }
 
+// identifyProcess asks the target that began the request's stream until it or its record tells which
+// process that was. It calls tried after each attempt.
+func (c *call) identifyProcess(ctx context.Context, t *catalog.Target, began time.Time, tried func()) {
+	for range maxBeginReports {
+		report := c.e.reports.identify(ctx, t)
+		if report.result == unconfirmed && c.wroteRecordSince(t, began) {
+			report.result = confirmed
+		}
+		c.recordProcess(t, report)
+		tried()
+		if report.result != unconfirmed || !timing.Sleep(ctx, c.e.deps.Clock, beginReportInterval) {
+			return
+		}
+	}
+}
+
+// wroteRecordSince reports whether the process of a target's record has written it after a time. Only one
+// process runs under an id at a time, so it was the same before.
+func (c *call) wroteRecordSince(t *catalog.Target, since time.Time) bool {
+	current := c.allTargets().Find(t.ID)
+	return current != nil && t.Incarnation != 0 && current.Incarnation == t.Incarnation && current.RecordedAt.Sub(since) > recordDelay
+}
+
 // recordProcess records the process that began the request's stream at a target.
 func (c *call) recordProcess(t *catalog.Target, report processReport) {
-	switch report.result {
-	case confirmed:
+	switch {
+	case report.result == confirmed:
 		c.software.set(t.Software)
-	case replaced:
+	case report.result == replaced && report.start != 0:
 		c.software.setProcess(t.ID, report.start)
-	case unconfirmed:
 	}
 	c.recordOrigin()
 	c.logOrigin(0, "target", t.ID, "process", t.Incarnation, "start", report.start, "result", report.result)
 }
 
+// proveBegin records that the run which began the stream has sent another event. The process that has
+// named its start since is then the one that sent the first event.
+func (c *call) proveBegin() {
+	if c.software != nil && c.software.prove() {
+		c.recordOrigin()
+	}
+}
+
 // recordSoftware records the version of the target that began the stream, once the target is known
 // to be the process that its record describes.
 func (c *call) recordSoftware(t *catalog.Target) {
@@ -336,7 +398,9 @@
 		return
 	}
 	now := e.deps.Clock.Now()
-	if e.versions.Observe(now, e.directory.View().Targets, storeAnswers || e.hearsAll(now)) && e.peerExchange != nil {
+	view := e.directory.View()
+	e.streams.Resolve(view.Find)
+	if e.versions.Observe(now, view.Targets, storeAnswers || e.hearsAll(now)) && e.peerExchange != nil {
 		e.peerExchange.tellVersions()
 	}
 }
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -140,6 +140,9 @@
 func (w *storeWatcher) recordListed(listed ...*catalog.Target) {
 	now := w.e.deps.Clock.Now()
 	for _, t := range listed {
+		if t.Incarnation != 0 {
+			w.e.startsNamed.Store(true)
+		}
 		delete(w.gone, t.Key())
 		w.e.withdrawn.Listed(now, t.Key())
 		w.e.limits.listed(t.Key())
