--- a/internal/coordination/handover/handover.go
+++ b/internal/coordination/handover/handover.go
@@ -9,10 +9,10 @@
 // # Usage
 //
 //	r := handover.New()
-//	r.SetLocal(handover.Run{Key: key, …})
-//	r.EndLocal(now, key, complete)
+//	r.SetLocal(handover.Run{Key: key, Began: attempt, …})
+//	r.EndLocal(now, handover.Stream{Key: key, Began: attempt}, complete)
 //	r.UpdateFromPeer(now, owner, runs)
-//	run, ok := r.Take(now, key)
+//	run, ok := r.Take(now, handover.Stream{Key: key, Began: attempt})
 //
 // A Registry is safe for concurrent use.
 package handover
@@ -48,9 +48,19 @@
 	return Key(strconv.FormatUint(d.Sum64(), 16))
 }
 
+// Stream identifies a stream. Equal requests share their key, but a stream must not go on from the
+// run of another one.
+type Stream struct {
+	Key Key
+	// Began is the attempt of the client that began the stream; empty if it is not known.
+	Began id.Request
+}
+
 // Run is the generation of a stream whose state is copied to another engine.
 type Run struct {
 	Key Key `json:"key"`
+	// Began is the attempt of the client that began the stream; empty if it is not known.
+	Began id.Request `json:"began,omitempty"`
 	// Holder is the engine that holds the copy.
 	Holder id.Target `json:"holder"`
 	// Address and Handle identify the copy to the engines.
@@ -61,6 +71,9 @@
 	AgoMS int64 `json:"agoMs,omitempty"`
 }
 
+// Stream returns the stream that the run belongs to.
+func (r *Run) Stream() Stream { return Stream{Key: r.Key, Began: r.Began} }
+
 // trackedRun is a run that this entry does not serve, or no longer serves.
 type trackedRun struct {
 	run Run
@@ -83,37 +96,37 @@
 // Registry holds the runs of this entry and those that other entries reported.
 type Registry struct {
 	mu    sync.Mutex
-	local map[Key]Run
+	local map[Stream]Run
 	// ended holds the local runs that ended before their streams were complete.
-	ended map[Key]trackedRun
-	peers map[Key]trackedRun
+	ended map[Stream]trackedRun
+	peers map[Stream]trackedRun
 }
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{local: map[Key]Run{}, ended: map[Key]trackedRun{}, peers: map[Key]trackedRun{}}
+	return &Registry{local: map[Stream]Run{}, ended: map[Stream]trackedRun{}, peers: map[Stream]trackedRun{}}
 }
 
 // SetLocal records a run that this entry serves.
 func (r *Registry) SetLocal(run Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.local[run.Key] = run
+	r.local[run.Stream()] = run
 }
 
-// EndLocal records that this entry no longer serves a request. If the stream is
+// EndLocal records that this entry no longer serves a stream. If it is
 // complete, its run is removed.
-func (r *Registry) EndLocal(now time.Time, key Key, complete bool) {
+func (r *Registry) EndLocal(now time.Time, stream Stream, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	run, known := r.local[key]
-	delete(r.local, key)
+	run, known := r.local[stream]
+	delete(r.local, stream)
 	if known && !complete {
-		r.ended[key] = trackedRun{run: run, lastActive: now}
+		r.ended[stream] = trackedRun{run: run, lastActive: now}
 	}
 	if complete {
-		delete(r.peers, key)
-		delete(r.ended, key)
+		delete(r.peers, stream)
+		delete(r.ended, stream)
 	}
 }
 
@@ -167,8 +180,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, run := range runs {
-		if _, known := r.peers[run.Key]; !known {
-			r.peers[run.Key] = trackedRun{run: run, lastActive: now}
+		if _, known := r.peers[run.Stream()]; !known {
+			r.peers[run.Stream()] = trackedRun{run: run, lastActive: now}
 		}
 	}
 }
@@ -191,8 +204,8 @@
 			t.lastActive, t.owner = now.Add(-time.Duration(run.AgoMS)*time.Millisecond), Owner{}
 			t.run.AgoMS = 0
 		}
-		if old, known := r.peers[run.Key]; !known || !old.lastActive.After(t.lastActive) {
-			r.peers[run.Key] = t
+		if old, known := r.peers[run.Stream()]; !known || !old.lastActive.After(t.lastActive) {
+			r.peers[run.Stream()] = t
 		}
 	}
 }
@@ -201,31 +214,39 @@
 // reports. Their streams are complete, so the runs are removed, unless the entry
 // has restarted; then they are marked as orphaned.
 func (r *Registry) dropUnreported(from Owner, runs []Run) {
-	reported := make(map[Key]bool, len(runs))
+	reported := make(map[Stream]bool, len(runs))
 	for _, run := range runs {
-		reported[run.Key] = true
+		reported[run.Stream()] = true
 	}
-	for key, t := range r.peers {
+	for stream, t := range r.peers {
 		switch {
-		case t.owner.Name != from.Name || reported[key]:
+		case t.owner.Name != from.Name || reported[stream]:
 		case t.owner.Incarnation == from.Incarnation:
-			delete(r.peers, key)
+			delete(r.peers, stream)
 		default:
 			t.orphaned = true
-			r.peers[key] = t
+			r.peers[stream] = t
 		}
 	}
 }
 
-// Take returns and removes the run of an interrupted request that another entry,
+// Take returns and removes the run of an interrupted stream that another entry,
 // or this one, served until recently. It is removed because a copy can be used
-// only once.
-func (r *Registry) Take(now time.Time, key Key) (Run, bool) {
+// only once. If it is not known which attempt began the stream, the run is returned
+// if no other stream has the key.
+func (r *Registry) Take(now time.Time, stream Stream) (Run, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, runs := range []map[Key]trackedRun{r.ended, r.peers} {
-		t, known := runs[key]
-		delete(runs, key)
+	if stream.Began == "" {
+		only, ok := r.only(now, stream.Key)
+		if !ok {
+			return Run{}, false
+		}
+		stream = only
+	}
+	for _, runs := range []map[Stream]trackedRun{r.ended, r.peers} {
+		t, known := runs[stream]
+		delete(runs, stream)
 		if known && now.Sub(t.lastActive) <= copyTTL {
 			return t.run, true
 		}
@@ -233,10 +254,31 @@
 	return Run{}, false
 }
 
-func expire(now time.Time, runs map[Key]trackedRun) {
-	for key, t := range runs {
+// only returns the only stream with the key.
+func (r *Registry) only(now time.Time, key Key) (Stream, bool) {
+	found := map[Stream]bool{}
+	for stream := range r.local {
+		if stream.Key == key {
+			found[stream] = true
+		}
+	}
+	for _, runs := range []map[Stream]trackedRun{r.ended, r.peers} {
+		for stream, t := range runs {
+			if stream.Key == key && now.Sub(t.lastActive) <= copyTTL {
+				found[stream] = true
+			}
+		}
+	}
+	for stream := range found {
+		return stream, len(found) == 1
+	}
+	return Stream{}, false
+}
+
+func expire(now time.Time, runs map[Stream]trackedRun) {
+	for stream, t := range runs {
 		if now.Sub(t.lastActive) > copyTTL {
-			delete(runs, key)
+			delete(runs, stream)
 		}
 	}
 }
--- a/internal/protocol/direct/peerupdate_test.go
+++ b/internal/protocol/direct/peerupdate_test.go
@@ -22,7 +22,7 @@
 	return &direct.PeerUpdate{
 		From: "e1", Incarnation: 5, Sequence: 7, Address: "10.0.0.1:7200", Version: 3, StoreReachable: true,
 		Loads:      map[id.Target]balance.Load{"t1": {Running: 2, PrefillTokens: 8000, MemoryTokens: 18000}},
-		Runs:       []handover.Run{{Key: "k", Holder: "t2", Address: "10.0.0.9:80", Handle: "a1"}},
+		Runs:       []handover.Run{{Key: "k", Began: "a0", Holder: "t2", Address: "10.0.0.9:80", Handle: "a1"}},
 		Losses:     []direct.Loss{{Target: "t3", AgeMS: 40}, {Target: "t4", Replaced: true}},
 		Successors: []direct.Successor{{Target: "t9", Predecessor: "t3"}},
 		Failures:   []quarantine.Record{{Fingerprint: 1<<63 + 5, Observations: []quarantine.Observation{{Target: "t3", Incarnation: 9, Zone: "a", AgeMs: 40}}}},
--- a/internal/transport/direct/copy.go
+++ b/internal/transport/direct/copy.go
@@ -12,6 +12,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
@@ -135,7 +136,7 @@
 func (s *stream) reportCopy() {
 	holder, ref, changed := s.copyTracker.unreported()
 	if changed {
-		s.c.e.handover.SetLocal(handover.Run{Key: s.key, Holder: holder.ID, Address: ref.Address, Handle: ref.Handle})
+		s.c.e.handover.SetLocal(handover.Run{Key: s.id.Key, Began: s.id.Began, Holder: holder.ID, Address: ref.Address, Handle: ref.Handle})
 	}
 }
 
@@ -251,13 +252,24 @@
 	return c.contentKey
 }
 
+// handoverStream identifies the request's stream at all entries. A client that resumes one may not
+// name the attempt that began it.
+func (c *call) handoverStream() handover.Stream {
+	began := c.meta.Attempt
+	if c.resumesStream() {
+		began = c.meta.Resumes
+	}
+	return handover.Stream{Key: c.handoverKey(), Began: id.Request(began)}
+}
+
 // inheritCopy takes over the copy of the run that served an earlier connection
 // of the client, at this entry or another one.
 func (s *stream) inheritCopy(now time.Time, targets catalog.Targets) {
-	run, ok := s.c.e.handover.Take(now, s.key)
+	run, ok := s.c.e.handover.Take(now, s.id)
 	if !ok {
 		return
 	}
+	s.id = run.Stream()
 	holder := targets.Find(run.Holder)
 	s.c.log(event.RequestAdopted, "holder", run.Holder, "listed", holder != nil, "handle", run.Handle, "lastEvent", s.lastEventID)
 	if holder != nil {
@@ -271,7 +283,7 @@
 	for _, key := range s.c.originKeys() {
 		s.c.e.streams.Touch(s.c.now(), key)
 	}
-	s.c.e.handover.EndLocal(s.c.now(), s.key, s.complete)
+	s.c.e.handover.EndLocal(s.c.now(), s.id, s.complete)
 	if s.complete {
 		s.freeCopy()
 	}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -56,9 +56,9 @@
 	// longest pause between two events.
 	lastEventAt  time.Time
 	longestPause time.Duration
-	// key identifies the request at all entries. complete is set once the whole
+	// id identifies the stream at all entries. complete is set once the whole
 	// answer has been forwarded.
-	key      handover.Key
+	id       handover.Stream
 	complete bool
 	// copyTracker tracks where the run's memory is copied to.
 	copyTracker copyTracker
@@ -90,7 +90,7 @@
 // another target if one is lost.
 func (c *call) serveStream(ctx context.Context) {
 	s := &stream{c: c, out: http.NewResponseController(c.w), lastEventID: c.meta.LastEventID, order: continuity.New(string(c.meta.LastEventID))}
-	s.key = c.handoverKey()
+	s.id = c.handoverStream()
 	if c.resumesStream() && !c.findOrigin(ctx) {
 		c.refuseUnknownOrigin()
 		return
--- a/internal/transport/direct/stream_test.go
+++ b/internal/transport/direct/stream_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -300,3 +301,47 @@
 		env.is.Equal(a.body, wholeStream(20))
 	})
 }
+
+// TestResumptionGetsOwnCopy guards against a stream that goes on from the copy of another client's run.
+func TestResumptionGetsOwnCopy(t *testing.T) {
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		if after(r) == 1 {
+			stallAfter(40)(rw, r)
+			return
+		}
+		engineHandler(rw, r)
+	}
+	for _, restart := range []bool{false, true} {
+		for _, resumed := range []string{"a1", "b1"} {
+			t.Run(fmt.Sprintf("%s, restart=%v", resumed, restart), func(t *testing.T) {
+				withEnv(t, func(env *testEnv) {
+					env.target("t1", "10.0.1.1:80", "a", handler)
+					env.target("t2", "10.0.2.1:80", "b", handler)
+					env.start()
+					clients := map[string]*client{}
+					for _, attempt := range []string{"a1", "b1"} {
+						c := env.client()
+						clients[attempt] = c
+						c.send("POST", "/r/x", attempt, "prompt")
+						go func() { _, _ = c.r.WriteTo(discard{}) }()
+						time.Sleep(100 * time.Millisecond)
+					}
+					time.Sleep(time.Second)
+					if restart {
+						env.restart()
+					}
+					_ = clients[resumed].conn.Close()
+					time.Sleep(10 * time.Millisecond)
+					a := env.do("POST", "/r/x", "c1", "prompt", "Last", "12", "Resumes", resumed)
+					env.is.Equal(a.body, wholeStream(20)[len(wholeStream(12)):])
+					got := env.requests()
+					env.is.Equal(len(got), 3)
+					env.is.Equal(got[2].header.Get("Copy-Handle"), resumed)
+					for _, c := range clients {
+						_ = c.conn.Close()
+					}
+				})
+			})
+		}
+	}
+}
