--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -30,6 +30,7 @@
 	"strconv"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/protocol/engine"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/generation"
@@ -208,15 +209,22 @@
 
 // get returns the body of a GET request, up to maxDocumentBytes.
 func (c *Client) get(ctx context.Context, path string) ([]byte, error) {
+	body, _, err := c.getFramed(ctx, path)
+	return body, err
+}
+
+// getFramed returns the body of a GET request, up to maxDocumentBytes, and what marks its end.
+func (c *Client) getFramed(ctx context.Context, path string) ([]byte, completion.Framing, error) {
+	const op = "Client.getFramed"
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return nil, fault.Wrap("Client.get", Unreachable, err)
+		return nil, "", fault.Wrap(op, Unreachable, err)
 	}
 	resp, err := c.do(req)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxDocumentBytes))
-	return body, fault.Wrap("Client.get", Failed, err)
+	return body, completion.FramingOf(resp), fault.Wrap(op, Failed, err)
 }
--- a/internal/transport/engine/client_test.go
+++ b/internal/transport/engine/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -159,6 +160,28 @@
 	})
 }
 
+// TestMetricsOfCutPage guards against load figures of which the last digits are missing.
+func TestMetricsOfCutPage(t *testing.T) {
+	const page = "vllm:num_requests_running 12\nvllm:num_requests_waiting 345\n"
+	for _, framed := range []bool{false, true} {
+		for n := range len(page) + 1 {
+			t.Run(fmt.Sprintf("framed=%v, %d bytes", framed, n), func(t *testing.T) {
+				client := newClient(t, func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Content-Length", strconv.Itoa(len(page)))
+					if !framed {
+						w.Header().Del("Content-Length")
+						w.Header().Set("Transfer-Encoding", "identity")
+					}
+					_, _ = io.WriteString(w, page[:n])
+				})
+				_, err := client.Metrics(t.Context())
+				lineComplete := n > 0 && page[n-1] == '\n'
+				is.New(t).Equal(err == nil, n == len(page) || (!framed && lineComplete))
+			})
+		}
+	}
+}
+
 func TestCacheEvents(t *testing.T) {
 	is := is.New(t)
 	var query string
--- a/internal/transport/engine/poll.go
+++ b/internal/transport/engine/poll.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/protocol/engine"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -33,12 +34,15 @@
 	PrefillPerToken time.Duration
 }
 
-// Metrics reads the engine's load figures.
+// Metrics reads the engine's load figures. A page whose end nothing marks must end with a whole line.
 func (c *Client) Metrics(ctx context.Context) (Metrics, error) {
-	body, err := c.get(ctx, "/metrics")
+	body, framing, err := c.getFramed(ctx, "/metrics")
 	if err != nil {
 		return Metrics{}, err
 	}
+	if framing == completion.Connection && !bytes.HasSuffix(body, []byte("\n")) {
+		return Metrics{}, fault.New("Client.Metrics", Malformed, "the page of %d bytes ends within a line", len(body))
+	}
 	return ParseMetrics(body), nil
 }
 
