--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -120,8 +120,13 @@
 	// by the address of the entry that keeps it.
 	own  bool
 	told map[string]tells
+	// toldAll is the set of entries of which those that keep the stream know it; 0 for none.
+	toldAll EntrySet
 }
 
+// EntrySet identifies the entries that are alive. It changes with them, and is not 0.
+type EntrySet uint64
+
 // tells counts the reports of a stream to one entry.
 type tells struct {
 	n  int
@@ -206,7 +211,7 @@
 	merged := t.merged(s)
 	if merged != t.Stream {
 		t.Stream = merged
-		t.told = map[string]tells{}
+		t.told, t.toldAll = map[string]tells{}, 0
 	}
 }
 
@@ -294,21 +299,26 @@
 }
 
 // Untold returns the streams of this entry to report to other entries now, by address,
-// and counts them as reported. keepers returns the addresses of the entries that keep a stream.
-func (r *Registry) Untold(now time.Time, keepers func(attempt id.Request) []string) map[string][]Stream {
+// and counts them as reported. keepers returns the addresses of the entries that keep a stream, of those
+// that are alive.
+func (r *Registry) Untold(now time.Time, alive EntrySet, keepers func(attempt id.Request) []string) map[string][]Stream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
 	untold := map[string][]Stream{}
 	for attempt, t := range r.streams {
-		if !t.own {
+		if !t.own || t.toldAll == alive {
 			continue
 		}
-		for _, address := range keepers(attempt) {
+		addresses := keepers(attempt)
+		for _, address := range addresses {
 			if t.tell(now, address) {
 				untold[address] = append(untold[address], t.withAge(now))
 			}
 		}
+		if !slices.ContainsFunc(addresses, func(address string) bool { return t.told[address].n < maxTells }) {
+			t.toldAll = alive
+		}
 	}
 	return untold
 }
@@ -348,5 +358,6 @@
 	defer r.mu.Unlock()
 	for _, t := range r.streams {
 		delete(t.told, address)
+		t.toldAll = 0
 	}
 }
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -70,12 +70,16 @@
 	r.Record(start, origin.Stream{Attempt: "a", Software: "v1"})
 	_, addresses := r.Tell(start, "a", []string{"x"})
 	is.Equal(addresses, []string{"x"})
-	is.Equal(len(r.Untold(start, keepers)), 1)
-	is.Equal(len(r.Untold(start, keepers)), 0)
-	is.Equal(len(r.Untold(start.Add(time.Second), keepers)), 2)
-	is.Equal(len(r.Untold(start.Add(2*time.Second), keepers)), 0)
+	is.Equal(len(r.Untold(start, 1, keepers)), 1)
+	is.Equal(len(r.Untold(start, 1, keepers)), 0)
+	is.Equal(len(r.Untold(start.Add(time.Second), 1, keepers)), 2)
+	is.Equal(len(r.Untold(start.Add(2*time.Second), 1, keepers)), 0)
 	r.Forgotten("y")
-	is.Equal(len(r.Untold(start.Add(2*time.Second), keepers)["y"]), 1)
+	is.Equal(len(r.Untold(start.Add(2*time.Second), 1, keepers)["y"]), 1)
+	r.Untold(start.Add(3*time.Second), 1, keepers)
+	other := func(id.Request) []string { return []string{"z"} }
+	is.Equal(len(r.Untold(start.Add(4*time.Second), 1, other)), 0) // the same entries are alive
+	is.Equal(len(r.Untold(start.Add(4*time.Second), 2, other)["z"]), 1)
 }
 
 // listed returns the targets of a service by their versions.
--- a/internal/transport/direct/streampeers.go
+++ b/internal/transport/direct/streampeers.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -22,7 +25,7 @@
 // tellStreams reports to the entries that keep them at which versions this entry's streams
 // began.
 func (x *peerExchange) tellStreams(now time.Time) {
-	untold := x.e.streams.Untold(now, func(attempt id.Request) []string {
+	untold := x.e.streams.Untold(now, entrySet(x.roster.Alive(now)), func(attempt id.Request) []string {
 		return x.roster.Closest(now, string(attempt), streamKeepers)
 	})
 	for address, streams := range untold {
@@ -30,6 +33,13 @@
 	}
 }
 
+// entrySet identifies a set of entries by their addresses.
+func entrySet(addresses []string) origin.EntrySet {
+	slices.Sort(addresses)
+	// The highest bit keeps the empty set apart from none.
+	return origin.EntrySet(xxhash.Sum64String(strings.Join(addresses, " ")) | 1<<63)
+}
+
 // sendStreams reports streams to another entry.
 func (x *peerExchange) sendStreams(address string, streams []origin.Stream) {
 	for part := range slices.Chunk(streams, maxStreamsPerMessage) {
