--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -167,7 +167,8 @@
 func (c *call) findOrigin(ctx context.Context) bool {
 	clock := c.e.deps.Clock
 	key := c.originKeys()[0]
-	if found, known := c.remembersOrigin(key); found && known {
+	found, known := c.remembersOrigin(key)
+	if known {
 		return true
 	}
 	question := c.e.askOrigin(key)
@@ -176,14 +177,13 @@
 	timeout, ask := clock.After(askTimeout), clock.After(0)
 	for {
 		changed := c.e.streams.Changed()
-		found, known := c.remembersOrigin(key)
-		if known {
+		if _, known = c.remembersOrigin(key); known {
 			return true
 		}
 		select {
 		case <-changed:
 		case <-all:
-			if !found {
+			if found, _ = c.remembersOrigin(key); !found {
 				return c.beganAtSoleVersion(ctx)
 			}
 			// Those that remember the stream may learn its version yet.
@@ -192,7 +192,10 @@
 			ask = clock.After(askInterval)
 			c.e.sendQuestion(question)
 		case <-timeout:
-			return !found && c.beganAtSoleVersion(ctx)
+			if found, known = c.remembersOrigin(key); found {
+				return known
+			}
+			return c.beganAtSoleVersion(ctx)
 		case <-ctx.Done():
 			return false
 		}
