--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -73,8 +73,10 @@
 const (
 	// Serving means that the process that sent the answer still serves.
 	Serving Process = "serving"
-	// Leaving means that it is about to end, and may already end its streams.
+	// Leaving means that it still answers but is about to end, and may already end its streams.
 	Leaving Process = "leaving"
+	// Gone means that it was known to leave and does not answer any more, or is not listed any more.
+	Gone Process = "gone"
 	// Replaced means that another process answers at the target's address.
 	Replaced Process = "replaced"
 	// Unknown means that the target did not say, or could not be asked.
@@ -123,6 +125,10 @@
 	return e.Framing == Connection && !e.AtDeadline && e.Begun
 }
 
+// ServesOn reports whether a process that served at the end of its answer still answers later. One that
+// announces meanwhile that it is leaving does not end at once.
+func (p Process) ServesOn() bool { return p == Serving || p == Leaving }
+
 // Verdict is the result with the evidence that it rests on.
 type Verdict struct {
 	Result   Result
--- a/internal/transport/direct/plainend.go
+++ b/internal/transport/direct/plainend.go
@@ -61,7 +61,7 @@
 func (c *call) settleTime() time.Duration {
 	now := c.now()
 	onTime := c.start.Add(c.route.LatencyObjective * settleNumerator / settleDenominator)
-	return max(0, min(onTime.Sub(now), c.settleEnd(now).Sub(now), c.timeLeft()/settleLeftDivisor))
+	return max(0, min(onTime.Sub(now), completion.SettleTime, c.latestSettle(now).Sub(now), c.timeLeft()/settleLeftDivisor))
 }
 
 // processAfterAnswer asks the target which process serves there: an engine by its report, other
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -176,18 +176,21 @@
 	named, same bool
 }
 
-// judge returns which process serves at a target, by what it says and by the target's record. A target
-// that was known to leave has not ended while it ran a request.
+// judge returns which process serves at a target, by what it says and by the target's record. The end of a
+// target that was known to leave does not count as a loss.
 func (r *reportReader) judge(t *catalog.Target, said selfDescription) completion.Process {
 	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
 	recorded := current != nil && current.Incarnation == t.Incarnation
+	leaving := said.leaving || r.e.withdrawn.Leaving(t.Key()) || (recorded && current.State != catalog.Ready)
 	switch {
-	case said.leaving, r.e.withdrawn.Leaving(t.Key()), recorded && current.State != catalog.Ready:
+	case leaving && said.named && said.same && recorded:
 		return completion.Leaving
+	case leaving:
+		return completion.Gone
 	case said.named && !said.same, current != nil && !recorded:
 		return completion.Replaced
 	case current == nil:
-		return completion.Leaving
+		return completion.Gone
 	case !said.named:
 		return completion.Unknown
 	}
--- a/internal/transport/direct/settling_test.go
+++ b/internal/transport/direct/settling_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/settings"
 )
 
@@ -131,3 +132,67 @@
 		env.is.True(time.Now().Before(end))
 	})
 }
+
+// TestSettlingReportFailsOnce guards against a sound target that counts as lost, and a finished request as one that
+// may have crashed it, because one of the reports after the end was turned away.
+func TestSettlingReportFailsOnce(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		reports := 0
+		engine := unframedEngine(func(r *http.Request) string { return eventsAfter(r, 5) })
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == reportPath {
+				if reports++; reports == 5 {
+					rw.WriteHeader(http.StatusTooManyRequests)
+					return
+				}
+			}
+			engine(rw, r)
+		})
+		env.start()
+		a := env.do("POST", "/r/x", "a1", "prompt")
+		env.is.True(!a.broken)
+		env.is.Equal(env.log.count("targetEndSeen"), 0)
+	})
+}
+
+// TestSettlingDuringPause guards against a finished stream that is broken off because its target wants a pause from
+// other requests soon after its end.
+func TestSettlingDuringPause(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.addOnceRoute()
+		requests := 0
+		engine := unframedEngine(text(wholeStream(5)))
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != reportPath {
+				if requests++; requests > 1 {
+					respondWith(http.StatusServiceUnavailable, "", "Not-Run", "yes", "Pause", "1s")(rw, r)
+					return
+				}
+			}
+			engine(rw, r)
+		})
+		env.start()
+		time.AfterFunc(600*time.Millisecond, func() { env.doAside("/o/x", "a2", "prompt 2") })
+		a := env.do("POST", "/o/x", "a1", "prompt")
+		env.is.Equal(a.body, wholeStream(5))
+		env.is.True(!a.broken)
+	})
+}
+
+// TestSettlingBesideRelease guards against a finished stream that is broken off because its target begins to drain
+// within the two seconds after its end, though it serves all the while.
+func TestSettlingBesideRelease(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.addOnceRoute()
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, unframedEngine(text(wholeStream(5))))
+		env.start()
+		time.AfterFunc(time.Second, func() {
+			item := softwareItem("t1", "10.0.1.1:80", "a", "v1", 100)
+			item.Value, item.ModRevision = []byte("draining 10.0.1.1:80 a v1 100"), 2
+			env.changes <- store.Change{Item: item}
+		})
+		a := env.do("POST", "/o/x", "a1", "prompt")
+		env.is.Equal(a.body, wholeStream(5))
+		env.is.True(!a.broken)
+	})
+}
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -19,8 +19,11 @@
 	// maxEndChecks limits how often a stream is resumed at a target to confirm its end there.
 	maxEndChecks = 3
 	// firstSettleCheck is how long after the end of an answer its process is asked first whether it
-	// still serves. Each further check comes after twice the time.
-	firstSettleCheck = completion.SettleTime / 8
+	// still serves. Further checks come after twice the time, and at most settleGap later.
+	firstSettleCheck = 250 * time.Millisecond
+	settleGap        = 500 * time.Millisecond
+	// maxSettleTime is how long the answer waits if the process answers no check.
+	maxSettleTime = 2 * completion.SettleTime
 	// settleStopMargin is how long before the end of the grace time the last check is made.
 	settleStopMargin = 200 * time.Millisecond
 )
@@ -71,8 +74,7 @@
 	}
 	verdict := end.Judge()
 	if verdict.Result == completion.Unsettled {
-		end.Process, err = r.settle(ctx, end.Resumable)
-		end.Settled = true
+		end.Process, end.Settled = r.settle(ctx, end.Resumable), true
 		verdict = end.Judge()
 	}
 	c.answer.evidence = verdict.Evidence
@@ -101,43 +103,54 @@
 	return c.e.reports.processOf(ctx, r.target)
 }
 
-// settle asks the target again until it has served for the settle time, or until its process does not
-// serve any more. It gives the stream up if the request's deadline is sooner.
-func (r *eventRelay) settle(ctx context.Context, resumable bool) (completion.Process, error) {
+// settle asks the target again until the settle time is over, and returns Serving if its process has
+// answered at the end of that. What happens to the process meanwhile is no loss of the run, which has ended
+// before. It gives the stream up if the request's deadline is sooner.
+func (r *eventRelay) settle(ctx context.Context, resumable bool) completion.Process {
 	c := r.s.c
 	ended := c.now()
 	if c.timeLeft() <= completion.SettleTime+deadlineEndMargin {
 		r.s.endChecks.givenUp = true
-		return completion.Unknown, nil
+		return completion.Unknown
 	}
 	r.run.Finish(ended)
 	c.e.loadChanged(r.target, true)
-	for after := firstSettleCheck; ; after *= 2 {
-		end := c.settleEnd(ended)
+	for after := firstSettleCheck; ; after = min(2*after, after+settleGap) {
+		latest := c.latestSettle(ended)
 		next := ended.Add(after)
-		if next.After(end) {
-			next = end
+		if next.After(latest) {
+			next = latest
 		}
 		if !timing.Sleep(ctx, c.e.deps.Clock, next.Sub(c.now())) {
-			return completion.Unknown, nil
+			return completion.Unknown
 		}
 		process, err := r.processAfterEnd(ctx, resumable)
-		if process != completion.Serving || !next.Before(end) {
-			return process, err
+		isLast := !next.Before(latest)
+		switch {
+		case process.ServesOn() && (isLast || next.Sub(ended) >= completion.SettleTime):
+			return completion.Serving
+		case process.ServesOn():
+		case process != completion.Unknown, fault.Is(err, upstream.NotSent):
+			return completion.Gone
+		case isLast:
+			return completion.Unknown
 		}
 	}
 }
 
-// settleEnd returns until when an answer that ended at the given time waits at most for evidence that its
-// process serves on: for the settle time, but no longer than this entry can send it.
-func (c *call) settleEnd(ended time.Time) time.Time {
-	end := ended.Add(completion.SettleTime)
+// latestSettle returns until when an answer that ended at the given time may wait for evidence that its process
+// serves on: for maxSettleTime, but no longer than this entry can send it and the client waits for it.
+func (c *call) latestSettle(ended time.Time) time.Time {
+	latest := ended.Add(maxSettleTime)
+	if end := c.deadline.Add(-deadlineEndMargin); end.Before(latest) {
+		latest = end
+	}
 	if start := c.e.drainStart.Load(); start != nil {
-		if stop := c.e.drainEnd(*start).Add(-settleStopMargin); stop.Before(end) {
-			return stop
+		if stop := c.e.drainEnd(*start).Add(-settleStopMargin); stop.Before(latest) {
+			latest = stop
 		}
 	}
-	return end
+	return latest
 }
 
 // endOf describes the end of the stream's current answer, of which the target's process is not known
