--- a/internal/transport/direct/plainend.go
+++ b/internal/transport/direct/plainend.go
@@ -56,12 +56,16 @@
 	return brokenOff(&end, err)
 }
 
-// settleTime returns how long a plain answer may wait for evidence that its process does not end, so that
-// it is still on time.
+// settleTime returns how long a plain answer may wait for evidence that its process does not end: as long as
+// it is still on time, or, if it is late, as long as its client waits.
 func (c *call) settleTime() time.Duration {
 	now := c.now()
-	onTime := c.start.Add(c.route.LatencyObjective * settleNumerator / settleDenominator)
-	return max(0, min(onTime.Sub(now), completion.SettleTime, c.latestSettle(now).Sub(now), c.timeLeft()/settleLeftDivisor))
+	wait := c.route.LatencyObjective*settleNumerator/settleDenominator - now.Sub(c.start)
+	if now.Sub(c.start) > c.route.LatencyObjective {
+		// It is late in any case.
+		wait = completion.SettleTime
+	}
+	return max(0, min(wait, completion.SettleTime, c.latestSettle(now).Sub(now), c.timeLeft()/settleLeftDivisor))
 }
 
 // processAfterAnswer asks the target which process serves there: an engine by its report, other
--- a/internal/transport/direct/processend_test.go
+++ b/internal/transport/direct/processend_test.go
@@ -79,3 +79,21 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestLatePlainAnswerOfEndingProcess guards against a plain answer that counts as whole because it was late, so that
+// nothing was waited for.
+func TestLatePlainAnswerOfEndingProcess(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		ending := env.endingEngine("10.0.1.1:80", 200*time.Millisecond)
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 100, func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != reportPath {
+				time.Sleep(300 * time.Millisecond)
+			}
+			ending(rw, r)
+		})
+		env.start()
+		got := env.do("POST", "/s/x", "a1", "body")
+		env.is.True(got.broken || got.status == http.StatusBadGateway)
+		time.Sleep(10 * time.Second)
+	})
+}
