--- a/cmd/foxtailward/signals_test.go
+++ b/cmd/foxtailward/signals_test.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// Guards against a daemon that a hangup ends before it has read its settings.
-func TestHangupBeforeSettings(t *testing.T) {
+// Guards against a daemon that a signal ends before it has read its settings.
+func TestSignalsBeforeSettings(t *testing.T) {
 	c := newCluster(t)
 	const exitInvalid = 3
 	for _, kind := range []string{"entry", "target", "direct"} {
@@ -93,8 +93,10 @@
 			p := c.start(c.mainPath, kind, "--config", path)
 			settings, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the daemon reads
 			is.NoErr(err)
-			is.NoErr(p.cmd.Process.Signal(syscall.SIGHUP))
-			time.Sleep(20 * time.Millisecond)
+			for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+				is.NoErr(p.cmd.Process.Signal(s))
+				time.Sleep(20 * time.Millisecond)
+			}
 			_, err = settings.WriteString("unknown = 1\n")
 			is.NoErr(err)
 			is.NoErr(settings.Close())
