--- a/internal/standin/soak/answerends.go
+++ b/internal/standin/soak/answerends.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/platform"
 )
 
@@ -30,7 +32,7 @@
 	{name: "targetReplaced", run: replaceTarget},
 	{name: "targetReplaced", run: replaceTarget},
 	{name: "targetTerminated", run: terminateTarget},
-	{name: "entryPaused", disturbs: oneEntry, run: pauseEntry},
+	entryPaused,
 }
 
 // newAnswerEnds returns a random plan of engines that are replaced in place, with and without
@@ -56,7 +58,7 @@
 		return
 	}
 	defer p.restartMu.Unlock()
-	p.replaceLocked(ctx)
+	p.replaceLocked(ctx, replacement{recordDelay: lateRecord})
 }
 
 // terminateTarget lets an engine say that it is leaving and end its unframed streams, and then
@@ -69,19 +71,32 @@
 	defer p.restartMu.Unlock()
 	p.leaving.Store(true)
 	sleep(ctx, leaveTime)
-	p.replaceLocked(ctx)
+	p.replaceLocked(ctx, replacement{recordDelay: lateRecord})
+}
+
+// replacement says how a process is replaced in place.
+type replacement struct {
+	// software is the version of the new process; empty for that of the old one.
+	software id.SoftwareVersion
+	// downtime is how long no process serves.
+	downtime time.Duration
+	// recordDelay is how long after its start the new process has no record.
+	recordDelay time.Duration
 }
 
 // replaceLocked replaces the process in place. The record of the new one is late.
-func (p *replica) replaceLocked(ctx context.Context) {
+func (p *replica) replaceLocked(ctx context.Context, r replacement) {
 	old := p.currentTarget()
 	p.server.Stop()
 	p.leaving.Store(false)
+	p.ends.forget()
+	sleep(ctx, r.downtime)
+	p.setSoftware(cmp.Or(r.software, old.Software))
 	if err := p.restart(old.ID, old.Service); err != nil {
 		p.w.history.recordViolation(ProcessLifecycle, "", "starting stand-in target %s failed: %v", old.ID, err)
 		return
 	}
-	sleep(ctx, lateRecord)
+	sleep(ctx, r.recordDelay)
 	p.w.mustCommit(ctx, func() error { return p.w.writeTarget(ctx, p) })
 	p.recordListed()
 }
@@ -222,7 +237,7 @@
 // otherEntries returns the entries without the one that broke the client's stream off, unless
 // there is no other.
 func (c *client) otherEntries(entries []*process) []*process {
-	if !c.w.opts.AnswerEnds || c.brokeOff == nil {
+	if !c.w.opts.resumesElsewhere() || c.brokeOff == nil {
 		return entries
 	}
 	others := slices.DeleteFunc(slices.Clone(entries), func(p *process) bool { return p == c.brokeOff })
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -24,8 +24,10 @@
 
 // Behaviour of clients.
 const (
-	plainTimeout  = 1500 * time.Millisecond
-	streamTimeout = 12 * time.Second
+	plainTimeout = 1500 * time.Millisecond
+	// plainObjective is the latency objective of the routes.
+	plainObjective = 500 * time.Millisecond
+	streamTimeout  = 12 * time.Second
 	// responseSlack is how long a client waits for a response beyond the request's
 	// timeout.
 	responseSlack  = time.Second
@@ -74,13 +76,16 @@
 func (c *client) run(ctx context.Context) {
 	defer c.closeConn()
 	for ctx.Err() == nil {
-		c.send(c.choosePath())
+		c.sendShaped(c.choosePath(), c.chooseShape())
 		time.Sleep(time.Duration(c.random.Float64() * 2 * float64(thinkTime)))
 	}
 }
 
 // choosePath returns a random route's path prefix for the next request.
 func (c *client) choosePath() string {
+	if c.w.opts.Unrecorded && c.random.Float64() < streamShare {
+		return streamPath
+	}
 	switch share := c.random.Float64(); {
 	case share < unsafeShare:
 		return unsafePath
@@ -90,6 +95,14 @@
 	return streamPath
 }
 
+// chooseShape returns the shape of the next request; nil for the usual one.
+func (c *client) chooseShape() *shape {
+	if c.w.opts.ProcessEnds && c.random.Float64() < shapedShare {
+		return c.newShape()
+	}
+	return nil
+}
+
 func (c *client) closeConn() {
 	if c.conn != nil {
 		_ = c.conn.Close()
@@ -111,6 +124,8 @@
 	sentAt time.Time
 	// lastEvent is the number of the last event that the client has received.
 	lastEvent int
+	// gotAll is set once the client has received the last event.
+	gotAll bool
 	// began is the attempt that brought the first event, and software its version.
 	began    direct.AttemptID
 	software id.SoftwareVersion
@@ -135,7 +150,7 @@
 	if form == nil && c.random.IntN(requestsPerDisconnect) == 0 {
 		q.disconnectAt = q.startedAt.Add(time.Duration(c.random.Float64() * float64(time.Second)))
 	}
-	for range maxAttempts {
+	for range c.attempts() {
 		result := c.attempt(q)
 		switch result.outcome {
 		case answered:
@@ -154,6 +169,14 @@
 	return false
 }
 
+// attempts returns how often the client sends a request that gets no answer.
+func (c *client) attempts() int {
+	if c.w.opts.Unrecorded {
+		return unrecordedAttempts
+	}
+	return maxAttempts
+}
+
 // recordUnserved counts a request that got no answer. If no fault was active, this
 // is a violation. Requests of a shape may be late by themselves, and none is served while
 // all entries are being stopped.
@@ -193,6 +216,7 @@
 		return attemptResult{retry, thinkTime}
 	}
 	before := q.lastEvent
+	c.w.trackUnrecorded(q, c.conn.entry.name)
 	ended := c.w.trackStream(q, c.conn.entry.name)
 	result := c.attemptConnected(q)
 	ended(q.lastEvent > before)
@@ -317,8 +341,12 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.w.checkLost(attempt, q, c.conn.entry, err)
 	}
+	pause := thinkTime
 	if q.lastEvent > 0 {
 		c.brokeOff = c.conn.entry
+		if c.w.opts.Unrecorded {
+			pause = 0
+		}
 	}
 	c.closeConn()
 	if !q.disconnectAt.IsZero() && !time.Now().Before(q.disconnectAt) {
@@ -329,7 +357,7 @@
 	// it has not read the request, so even an unsafe one may be sent again.
 	unread := used && c.w.history.runCount(attempt) == 0
 	if !runsOnce(q.path) || unread {
-		return attemptResult{retry, thinkTime}
+		return attemptResult{retry, pause}
 	}
 	return attemptResult{outcome: failed}
 }
@@ -404,6 +432,7 @@
 			c.w.history.recordViolation(EventsInOrder, attempt, "stream ended without an error after event %d of %d", q.lastEvent, q.eventCount())
 			return attemptResult{outcome: answered}
 		case err == io.EOF:
+			c.countUnframed(q, true)
 			if res.Close {
 				c.closeConn()
 			}
@@ -416,6 +445,8 @@
 		if want := streamEvent(q.body, q.lastEvent+1, software); string(next.Raw) != want {
 			c.w.history.recordViolation(EventsInOrder, attempt, "received event %q, want %q", next.Raw, want)
 		}
-		q.lastEvent++
+		if q.lastEvent++; q.lastEvent == q.eventCount() {
+			c.countUnframed(q, false)
+		}
 	}
 }
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -32,12 +32,19 @@
 	w.entry(s).killAndRestart(ctx, s.duration)
 }}
 
+var (
+	entryPaused       = action{name: "entryPaused", disturbs: oneEntry, run: pauseEntry}
+	entryPausedAndCut = action{name: "entryPausedAndCut", disturbs: oneEntry, run: pauseAndCut}
+	clientLinkReset   = action{name: "clientLinkReset", disturbs: oneEntry, run: func(_ context.Context, w *world, s *step) { w.entry(s).clients.resetConns() }}
+	storeDown         = action{name: "storeDown", disturbs: allEntries, run: stopStore}
+)
+
 // faults are the unplanned failures that a run may inject.
 var faults = []action{
 	entryKilled,
 	{name: "allEntriesKilled", disturbs: allEntries, run: killAllEntries},
-	{name: "entryPaused", disturbs: oneEntry, run: pauseEntry},
-	{name: "clientLinkReset", disturbs: oneEntry, run: func(_ context.Context, w *world, s *step) { w.entry(s).clients.resetConns() }},
+	entryPaused,
+	clientLinkReset,
 	{name: "clientLinkDelayed", disturbs: oneEntry, run: withLinkFault(clientLink, func(p *proxy) { p.setFault(blockNone, linkLatency, false) })},
 	{name: "clientLinkSilent", disturbs: oneEntry, run: withLinkFault(clientLink, func(p *proxy) { p.setFault(blockBoth, 0, false) })},
 	{name: "clientLinkOneWay", disturbs: oneEntry, run: withLinkFault(clientLink, func(p *proxy) { p.setFault(blockFromTarget, 0, false) })},
@@ -50,7 +57,7 @@
 	{name: "targetLinkNoWay", run: withLinkFault(targetLink, func(p *proxy) { p.setFault(blockToTarget, 0, false) })},
 	{name: "targetLinkNoWayBack", run: withLinkFault(targetLink, func(p *proxy) { p.setFault(blockFromTarget, 0, false) })},
 	{name: "targetLinkRefuses", run: withLinkFault(targetLink, func(p *proxy) { p.setFault(blockNone, 0, true); p.resetConns() })},
-	{name: "storeDown", disturbs: allEntries, run: stopStore},
+	storeDown,
 	{name: "storeHangs", disturbs: allEntries, run: hangStore},
 	{name: "storeSlow", disturbs: allEntries, run: slowStore},
 	{name: "storeLosesAnswers", disturbs: allEntries, run: func(_ context.Context, w *world, _ *step) { w.service.DropResponses(lostStoreResponses) }},
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -57,6 +57,10 @@
 	StreamsGoOn Guarantee = "streamsGoOn"
 	// AnsweredAtStops means that planned work cuts no request that a target has run.
 	AnsweredAtStops Guarantee = "answeredAtStops"
+	// SoundEnds means that unframed streams whose last event has arrived end as whole.
+	SoundEnds Guarantee = "soundEnds"
+	// PlanMet means that a run met the case that its plan is for.
+	PlanMet Guarantee = "planMet"
 	// ProcessLifecycle: processes exit only when they are told to, and in time.
 	ProcessLifecycle Guarantee = "running"
 )
@@ -140,6 +144,13 @@
 	}
 }
 
+// countOf returns a count of the report.
+func (h *history) countOf(name string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.counts[name]
+}
+
 // recordSent records that a client is about to send an attempt.
 func (h *history) recordSent(attempt direct.AttemptID, s sentAttempt) {
 	h.mu.Lock()
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -50,6 +50,12 @@
 	if opts.AnswerEnds {
 		p = append(p, newAnswerEnds(opts, rand.New(rand.NewPCG(opts.Seed, endRandomStream)))...)
 	}
+	if opts.Unrecorded {
+		p = append(p, newUnrecorded(opts, rand.New(rand.NewPCG(opts.Seed, unrecordedRandomStream)))...)
+	}
+	if opts.ProcessEnds {
+		p = append(p, newProcessEnds(opts, rand.New(rand.NewPCG(opts.Seed, processEndRandomStream)))...)
+	}
 	if opts.StoreReturns {
 		p = append(p, newStoreReturns(opts, rand.New(rand.NewPCG(opts.Seed, returnRandomStream)))...)
 	}
@@ -84,7 +90,12 @@
 		p = append(p, newStep(at, plannedWork, r))
 		at += minCalmTime + randomDuration(calmTimeSpread, r)
 	}
-	return slices.DeleteFunc(p, func(s step) bool { return s.at >= opts.Duration })
+	return beginningBefore(opts.Duration, p)
+}
+
+// beginningBefore returns the steps that begin before the end of a run.
+func beginningBefore(end time.Duration, p plan) plan {
+	return slices.DeleteFunc(p, func(s step) bool { return s.at >= end })
 }
 
 func newStep(at time.Duration, actions []action, r *rand.Rand) step {
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -48,6 +48,8 @@
 
 	// leaving is set while the target is about to end.
 	leaving atomic.Bool
+	// ends says whether the target was told to stop without notice.
+	ends *processEnd
 
 	// limits are the limits that the target names.
 	limits targetLimits
@@ -70,7 +72,7 @@
 }
 
 func newReplica(w *world, service id.Service, zone int) (*replica, error) {
-	p := &replica{w: w, zone: zone}
+	p := &replica{w: w, zone: zone, ends: newProcessEnd()}
 	var err error
 	if p.server, err = server.New(w.host(0, 1)+":0", p); err != nil {
 		return nil, err
@@ -175,6 +177,10 @@
 		p.serveStream(ctx, w, &forwarded, streamOf(form, r.URL.Path, string(body), identity.Software))
 		return
 	}
+	if p.unframesPlain(form) {
+		p.servePlainUnframed(ctx, w, forwarded.Attempt, r.URL.Path, string(body), form.workOf(r.URL.Path))
+		return
+	}
 	if form != nil && strings.HasPrefix(r.URL.Path, slowPath) && !sleep(ctx, form.work) {
 		return
 	}
@@ -298,7 +304,7 @@
 	p.plainRequests++
 	fails := p.plainRequests%requestsPerFailure == 0
 	p.mu.Unlock()
-	platform.EncodeResponseMetadata(w.Header(), forwarded.Attempt, signature(forwarded.Attempt), false)
+	encodeSuccess(w, forwarded.Attempt)
 	if fails {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -306,12 +312,17 @@
 	_, _ = io.WriteString(w, plainAnswer(forwarded.Attempt, body))
 }
 
+// encodeSuccess writes the head of a successful response.
+func encodeSuccess(w http.ResponseWriter, attempt direct.AttemptID) {
+	platform.EncodeResponseMetadata(w.Header(), attempt, signature(attempt), false)
+}
+
 // serveStream sends the events after the client's last one.
 func (p *replica) serveStream(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, s *stream) {
 	if to := p.w.replicaAt(forwarded.BackupAddress); to != nil {
 		to.addBackup(string(forwarded.Attempt))
 	}
-	if forwarded.ResumeFrom == (direct.CopyRef{}) && !sleep(ctx, prefillLatency) {
+	if forwarded.ResumeFrom == (direct.CopyRef{}) && !p.waitInStream(ctx, s, prefillLatency) {
 		return
 	}
 	// An empty last event ID gives 0, so that the stream starts at event 1.
@@ -321,14 +332,16 @@
 		p.breakInHead(w, forwarded.Attempt)
 		return
 	}
-	platform.EncodeResponseMetadata(w.Header(), forwarded.Attempt, signature(forwarded.Attempt), false)
+	encodeSuccess(w, forwarded.Attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
 	if s.unframed {
 		// The server ends such an answer with its connection.
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
 	out := http.NewResponseController(w)
-	if planned.place == afterHead {
+	// A process that was told to stop sends one event of some streams that it begins.
+	oneMore := p.ends.begun() && rand.IntN(2) == 0
+	if planned.place == afterHead || !oneMore && p.closesStream(s) {
 		// The connection is closed in any case.
 		_ = out.Flush()
 		return
@@ -338,12 +351,18 @@
 		if i == s.events/2 && last == 0 {
 			wait += s.pause
 		}
-		if !sleep(ctx, wait) {
+		if !p.waitInStream(ctx, s, wait) {
 			panic(http.ErrAbortHandler)
 		}
+		if (!oneMore || i > last+1) && p.closesStream(s) {
+			return
+		}
 		if _, err := io.WriteString(w, streamEvent(s.body, i, s.software)); err != nil || out.Flush() != nil || p.endsHere(planned, s, i) {
 			return
 		}
+		if i == 1 {
+			p.firstEventSent(forwarded.Attempt)
+		}
 	}
 }
 
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -76,6 +76,16 @@
 	// a whole one: engines that are replaced in place, and living ones that break answers off.
 	// Clients take broken streams up at other entries, of which some are paused.
 	AnswerEnds bool
+	// Unrecorded adds releases in place after a time in which one version alone serves. The
+	// records of the new processes are late, and entries that began streams there are killed,
+	// cut off or paused.
+	Unrecorded bool
+	// ProcessEnds adds targets that are told to stop: they end their unframed answers early, still
+	// serve for a while without saying that they are leaving, and end.
+	ProcessEnds bool
+	// LatePlainEnds lets these targets also break off plain answers of which nothing tells entries: by
+	// processes that end later than entries wait, or that are replaced before entries ask.
+	LatePlainEnds bool
 	// HTTP10 sends some of the attempts at streams over HTTP/1.0, where a plain close ends an
 	// answer.
 	HTTP10 bool
@@ -87,6 +97,13 @@
 	SafetyOnly bool
 }
 
+// resumesElsewhere reports whether clients resume a stream at another entry than the one that broke it
+// off.
+func (o *Options) resumesElsewhere() bool { return o.AnswerEnds || o.Unrecorded || o.ProcessEnds }
+
+// hasResidents reports whether clients keep connections to all entries.
+func (o *Options) hasResidents() bool { return o.Stops || o.AnswerEnds || o.ProcessEnds }
+
 // Limits of a run.
 const (
 	maxEntries = 60
@@ -161,6 +178,8 @@
 	w.restarts.Wait()
 	w.checkCrashingRequests()
 	w.checkTargetLimits()
+	w.checkUnrecorded()
+	w.checkProcessEnds()
 	w.checkShares()
 	w.checkRecovery(ctx)
 }
@@ -168,17 +187,20 @@
 // Streams of the random number generator, which make independent sequences from one
 // seed. Client i uses stream clientRandomStream+i.
 const (
-	planRandomStream     = 1
-	crashingRandomStream = 2
-	returnRandomStream   = 3
-	limitRandomStream    = 4
-	partRandomStream     = 5
-	releaseRandomStream  = 6
-	restRandomStream     = 7
-	plainRandomStream    = 8
-	stopRandomStream     = 9
-	endRandomStream      = 10
-	breakRandomStream    = 11
-	residentRandomStream = 5000
-	clientRandomStream   = 1000
+	planRandomStream       = 1
+	crashingRandomStream   = 2
+	returnRandomStream     = 3
+	limitRandomStream      = 4
+	partRandomStream       = 5
+	releaseRandomStream    = 6
+	restRandomStream       = 7
+	plainRandomStream      = 8
+	stopRandomStream       = 9
+	endRandomStream        = 10
+	breakRandomStream      = 11
+	unrecordedRandomStream = 12
+	unrecordedFaultStream  = 13
+	processEndRandomStream = 14
+	residentRandomStream   = 5000
+	clientRandomStream     = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,7 +41,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(200) {
-		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0, Rests: seed%7 == 0, Stops: seed%2 == 1, AnswerEnds: seed%4 == 1}
+		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0, Rests: seed%7 == 0, Stops: seed%2 == 1, AnswerEnds: seed%4 == 1, Unrecorded: seed%8 == 3, ProcessEnds: seed%8 == 5}
 		is.Equal(soak.PlanText(o), soak.PlanText(o))
 		is.True(soak.PlanFitsDuration(o))
 		is.True(len(soak.PlanText(o)) > 0)
@@ -283,3 +283,26 @@
 func TestRunAnswerEnds(t *testing.T) {
 	playSeeds(t, answerEndSeeds, soak.Options{Engines: 24, Stops: true, AnswerEnds: true, HTTP10: true, Calm: true}, "targetReplaced")
 }
+
+// unrecordedSeeds are run by each TestRunUnrecorded, with the cause of an earlier failure.
+var unrecordedSeeds = []seedCase{
+	{1, 46 * time.Second, "streams of a process without a record went on at the only version that was listed"},
+}
+
+// TestRunUnrecorded runs real entries whose engines are released in place, with late records, after a
+// time in which one version alone has served. Entries that began streams there are killed, cut off or
+// paused.
+func TestRunUnrecorded(t *testing.T) {
+	playSeeds(t, unrecordedSeeds, soak.Options{Engines: 24, Unrecorded: true, Calm: true}, "releasedUnrecorded")
+}
+
+// processEndSeeds are run by each TestRunProcessEnds, with the cause of an earlier failure.
+var processEndSeeds = []seedCase{
+	{1, 30 * time.Second, "answers without length ended as if they were whole when their processes ended half a second later"},
+}
+
+// TestRunProcessEnds runs real entries whose targets end unframed answers early, still serve for a
+// while, and end.
+func TestRunProcessEnds(t *testing.T) {
+	playSeeds(t, processEndSeeds, soak.Options{Engines: 24, ProcessEnds: true, Calm: true}, "processesEnded")
+}
--- a/internal/standin/soak/stops.go
+++ b/internal/standin/soak/stops.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -161,6 +162,14 @@
 	return s
 }
 
+// workOf returns how long a plain request to a path runs.
+func (s *shape) workOf(path string) time.Duration {
+	if strings.HasPrefix(path, slowPath) {
+		return s.work + plainLatency
+	}
+	return plainLatency
+}
+
 // newShape returns a random shape of a request to a path.
 func newShape(r *rand.Rand) *shape {
 	s := &shape{events: minLongEvents + r.IntN(longEventSpread), work: randomDuration(maxWorkTime, r), chunked: r.IntN(2) == 0}
@@ -174,6 +183,17 @@
 	return s
 }
 
+// newShape returns a random shape of a request of the client. With ProcessEnds, more answers are
+// unframed, and no body is late.
+func (c *client) newShape() *shape {
+	s := newShape(c.random)
+	if c.w.opts.ProcessEnds {
+		s.unframed = s.unframed || c.random.Float64() < unframedShare
+		s.bodyDelay = 0
+	}
+	return s
+}
+
 // resident is a client that keeps a connection to one entry and uses it until the entry closes
 // it or is gone.
 type resident struct {
@@ -193,7 +213,7 @@
 			sleep(ctx, readyInterval)
 			continue
 		}
-		c.sendShaped(paths[c.random.IntN(len(paths))], newShape(c.random))
+		c.sendShaped(paths[c.random.IntN(len(paths))], c.newShape())
 		sleep(ctx, randomDuration(c.think, c.random))
 	}
 }
@@ -218,7 +238,7 @@
 
 // residents returns the residents of all entries.
 func (w *world) residents() []*resident {
-	if !w.opts.Stops && !w.opts.AnswerEnds {
+	if !w.opts.hasResidents() {
 		return nil
 	}
 	var all []*resident
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -59,6 +59,8 @@
 	// actionCounts counts the faults and planned work by kind.
 	actionCounts *counter
 
+	// unrecorded holds the streams of processes that no record described.
+	unrecorded *unrecordedStreams
 	// breaks draws the answers that living targets break off.
 	breaks *answerBreaks
 
@@ -85,7 +87,7 @@
 		opts: opts, dialect: platform.Dialect(), history: newHistory(time.Now()),
 		probes:       &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		faultWindows: &faultWindows{settle: settleTime}, disturbances: map[string]*faultWindows{}, outages: &outages{entries: opts.Entries}, actionCounts: newCounter(), service: kv.New(kv.Options{}), config: initialConfig(),
-		breaks: newAnswerBreaks(opts.Seed),
+		breaks: newAnswerBreaks(opts.Seed), unrecorded: newUnrecordedStreams(opts.Seed),
 	}
 	w.store = w.service.Direct()
 	if opts.Crashing {
@@ -140,7 +142,7 @@
 		return catalog.Route{
 			Name: path, Host: routeHost, PathPrefix: path, Kind: kind, MaxAttempts: attempts, Timeout: timeout,
 			Services:         []catalog.WeightedService{{Service: serviceOf(path), Weight: 1}},
-			LatencyObjective: 500 * time.Millisecond, GapObjective: 700 * time.Millisecond, Resumable: kind == catalog.Streaming && path != oncePath,
+			LatencyObjective: plainObjective, GapObjective: 700 * time.Millisecond, Resumable: kind == catalog.Streaming && path != oncePath,
 		}
 	}
 	return catalog.Config{
