--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -205,6 +205,16 @@
 	return ""
 }
 
+// sentAt returns when an attempt was sent; zero for an unknown one.
+func (h *history) sentAt(attempt direct.AttemptID) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.sent[attempt]; s != nil {
+		return s.sentAt
+	}
+	return time.Time{}
+}
+
 // runCount returns the number of runs of an attempt so far.
 func (h *history) runCount(attempt direct.AttemptID) int {
 	h.mu.Lock()
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -51,6 +51,9 @@
 	// ends says whether the target was told to stop without notice.
 	ends *processEnd
 
+	// streamBegun gets a value when the target has sent the first event of a stream.
+	streamBegun chan struct{}
+
 	// limits are the limits that the target names.
 	limits targetLimits
 	// rests are the rests that the target requests.
@@ -72,7 +75,7 @@
 }
 
 func newReplica(w *world, service id.Service, zone int) (*replica, error) {
-	p := &replica{w: w, zone: zone, ends: newProcessEnd()}
+	p := &replica{w: w, zone: zone, ends: newProcessEnd(), streamBegun: make(chan struct{}, 1)}
 	var err error
 	if p.server, err = server.New(w.host(0, 1)+":0", p); err != nil {
 		return nil, err
--- a/internal/standin/soak/unrecorded.go
+++ b/internal/standin/soak/unrecorded.go
@@ -25,6 +25,11 @@
 	minLateRecord       = 300 * time.Millisecond
 	lateRecordSpread    = 4700 * time.Millisecond
 	unrecordedGapSpread = 800 * time.Millisecond
+	// beginningShare is the share of the engines that are replaced up to beginningDelay after the
+	// first event of a stream, if one begins there within beginningWait.
+	beginningShare = 0.5
+	beginningWait  = time.Second
+	beginningDelay = 4 * time.Millisecond
 	// roundEnd is how long after its last release all records of a round are written.
 	roundEnd = 30 * time.Second
 	// awayShare is the share of the releases during which the store is away.
@@ -88,16 +93,22 @@
 }
 
 // releaseUnrecorded replaces engines in place by ones of the next version, one after the other.
-// The record of each is late by a time of its own.
+// The record of each is late by a time of its own. Some are replaced just after a stream has begun, so
+// that the next process answers the entry that asks where.
 func releaseUnrecorded(ctx context.Context, w *world, s *step, engines []*replica) {
 	r := rand.New(rand.NewPCG(s.selector, unrecordedRandomStream))
 	software := w.nextSoftware()
 	var replaced sync.WaitGroup
 	for _, p := range engines {
 		late := minLateRecord + randomDuration(lateRecordSpread, r)
+		beginning, delay := r.Float64() < beginningShare, randomDuration(beginningDelay, r)
 		replaced.Go(func() {
 			p.restartMu.Lock()
 			defer p.restartMu.Unlock()
+			if beginning && p.awaitFirstEvent(ctx) {
+				w.history.count("replaced at a beginning")
+				sleep(ctx, delay)
+			}
 			p.replaceLocked(ctx, replacement{software: software, recordDelay: late})
 		})
 		sleep(ctx, randomDuration(unrecordedGapSpread, r))
@@ -105,6 +116,23 @@
 	replaced.Wait()
 }
 
+// awaitFirstEvent waits until the replica has sent the first event of a stream. It returns false if it
+// sends none in time.
+func (p *replica) awaitFirstEvent(ctx context.Context) bool {
+	select {
+	case <-p.streamBegun:
+		// A stream that began before the wait.
+	default:
+	}
+	select {
+	case <-p.streamBegun:
+		return true
+	case <-time.After(beginningWait):
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // unrecordedStreams holds the streams that began at processes that no record described, and
 // draws the faults beside them. It is safe for concurrent use.
 type unrecordedStreams struct {
@@ -145,6 +173,10 @@
 	if !p.w.opts.Unrecorded {
 		return
 	}
+	select {
+	case p.streamBegun <- struct{}{}:
+	default:
+	}
 	incarnation := p.currentTarget().Incarnation
 	if p.recorded(incarnation) {
 		return
