--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -124,6 +124,9 @@
 	sentAt time.Time
 	// lastEvent is the number of the last event that the client has received.
 	lastEvent int
+	// countedAfter is the event after which a resumption counts already, whose further tries count
+	// only if they go on. Otherwise each try counts.
+	countedAfter int
 	// gotAll is set once the client has received the last event.
 	gotAll bool
 	// began is the attempt that brought the first event, and software its version.
