--- a/internal/standin/soak/processends.go
+++ b/internal/standin/soak/processends.go
@@ -189,7 +189,7 @@
 // countUnframed counts an unframed stream whose last event a client has received, and whether it has
 // ended as whole.
 func (c *client) countUnframed(q *request, whole bool) {
-	if q.shape == nil || !q.shape.unframed || routeKindOf(q.path) != routeKindOf(streamPath) {
+	if q.shape == nil || !q.shape.unframed {
 		return
 	}
 	if !q.gotAll {
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/standin/soak"
 	"foxtailward.example/foxtailward/internal/state/fault"
 )
@@ -49,6 +50,18 @@
 	is.True(len(soak.PlanText(soak.Options{Seed: 1})) != len(soak.PlanText(soak.Options{Seed: 1, Duration: 10 * time.Minute})))
 }
 
+// TestUnrecordedPlan checks that one version alone serves for longer than a stream lasts before the
+// first release without a record.
+func TestUnrecordedPlan(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(50) {
+		o := soak.Options{Seed: seed, Unrecorded: true, Calm: true, Duration: origin.DefaultLifetime}
+		is.Equal(len(soak.PlanText(o)), 0)
+		o.Duration = 2 * origin.DefaultLifetime
+		is.True(len(soak.PlanText(o)) >= 3)
+	}
+}
+
 // TestHistoryCheck checks that exactly the guarantees that do not hold are reported,
 // for those that a history can check by itself.
 func TestHistoryCheck(t *testing.T) {
