--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/standin/soak"
 	"foxtailward.example/foxtailward/internal/state/fault"
 )
@@ -41,7 +42,7 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(200) {
-		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0, Rests: seed%7 == 0, Stops: seed%2 == 1, AnswerEnds: seed%4 == 1}
+		o := soak.Options{Seed: seed, StoreReturns: seed%2 == 0, TargetLimits: seed%3 == 0, Releases: seed%5 == 0, Rests: seed%7 == 0, Stops: seed%2 == 1, AnswerEnds: seed%4 == 1, Unrecorded: seed%8 == 3, ProcessEnds: seed%8 == 5}
 		is.Equal(soak.PlanText(o), soak.PlanText(o))
 		is.True(soak.PlanFitsDuration(o))
 		is.True(len(soak.PlanText(o)) > 0)
@@ -49,6 +50,18 @@
 	is.True(len(soak.PlanText(soak.Options{Seed: 1})) != len(soak.PlanText(soak.Options{Seed: 1, Duration: 10 * time.Minute})))
 }
 
+// TestUnrecordedPlan checks that one version alone serves for longer than a stream lasts before the
+// first release without a record.
+func TestUnrecordedPlan(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(50) {
+		o := soak.Options{Seed: seed, Unrecorded: true, Calm: true, Duration: origin.DefaultLifetime}
+		is.Equal(len(soak.PlanText(o)), 0)
+		o.Duration = 2 * origin.DefaultLifetime
+		is.True(len(soak.PlanText(o)) >= 3)
+	}
+}
+
 // TestHistoryCheck checks that exactly the guarantees that do not hold are reported,
 // for those that a history can check by itself.
 func TestHistoryCheck(t *testing.T) {
@@ -283,3 +296,14 @@
 func TestRunAnswerEnds(t *testing.T) {
 	playSeeds(t, answerEndSeeds, soak.Options{Engines: 24, Stops: true, AnswerEnds: true, HTTP10: true, Calm: true}, "targetReplaced")
 }
+
+// processEndSeeds are run by each TestRunProcessEnds, with the cause of an earlier failure.
+var processEndSeeds = []seedCase{
+	{1, 30 * time.Second, "answers without length ended as if they were whole when their processes ended half a second later"},
+}
+
+// TestRunProcessEnds runs real entries whose targets end unframed answers early, still serve for a
+// while, and end.
+func TestRunProcessEnds(t *testing.T) {
+	playSeeds(t, processEndSeeds, soak.Options{Engines: 24, ProcessEnds: true, Calm: true}, "processesEnded")
+}
