--- a/internal/standin/soak/unrecorded.go
+++ b/internal/standin/soak/unrecorded.go
@@ -262,7 +262,7 @@
 		paused.Go(func() { w.runStep(ctx, step{action: entryPaused, duration: f.duration, selector: other}) })
 		w.runStep(ctx, step{action: clientLinkReset, selector: own})
 		paused.Wait()
-	default:
+	case connectionsCut:
 		w.runStep(ctx, step{action: clientLinkReset, selector: own})
 	}
 }
--- /dev/null
+++ b/internal/transport/direct/requiredsoftware.go
@@ -0,0 +1,89 @@
+package direct
+
+import (
+	"sync"
+
+	"foxtailward.example/foxtailward/internal/coordination/origin"
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// requiredSoftware is the version at which a stream goes on. It is safe for concurrent
+// use.
+type requiredSoftware struct {
+	mu      sync.Mutex
+	known   bool
+	version id.SoftwareVersion
+	// target is the target that may have begun the stream, and start the start that its process named
+	// afterwards. proven says that this process began it, so that its record tells the version.
+	target id.Target
+	start  id.Incarnation
+	proven bool
+	// source is from what the version is known.
+	source origin.Source
+}
+
+// resolve returns the required version, if it is known, also from the record of the target
+// that began the stream.
+func (r *requiredSoftware) resolve(listed catalog.Targets) (id.SoftwareVersion, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := listed.Find(r.target); !r.known && r.proven && t != nil && t.Incarnation == r.start && !t.SoftwareUnknown {
+		r.version, r.known, r.source = t.Software, true, origin.ByRecord
+	}
+	return r.version, r.known
+}
+
+// stream returns the version as it is remembered.
+func (r *requiredSoftware) stream() origin.Stream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known {
+		return origin.Stream{Software: r.version}
+	}
+	if !r.proven {
+		return origin.Stream{Unknown: true}
+	}
+	return origin.Stream{Unknown: true, Target: r.target, Start: r.start}
+}
+
+func (r *requiredSoftware) set(v id.SoftwareVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.known, r.source = v, true, origin.ByReport
+}
+
+// setRecorded sets the version by the record of the target that began the stream.
+func (r *requiredSoftware) setRecorded(v id.SoftwareVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.known, r.source = v, true, origin.ByRecord
+}
+
+// setProcess sets the process that may have begun the stream, of which no record tells the version yet.
+func (r *requiredSoftware) setProcess(target id.Target, start id.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target, r.start = target, start
+}
+
+// prove records that the process that was set began the stream. It reports whether that is new.
+func (r *requiredSoftware) prove() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known || r.proven || r.target == "" {
+		return false
+	}
+	r.proven = true
+	return true
+}
+
+// text returns the version and its source for logs.
+func (r *requiredSoftware) text() (software string, source origin.Source) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.known {
+		return "unknown", origin.NoSource
+	}
+	return string(r.version), r.source
+}
--- /dev/null
+++ b/internal/transport/direct/streambegin.go
@@ -0,0 +1,109 @@
+package direct
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/timing"
+)
+
+const (
+	// beginReportTimeout is how long the first event of a stream waits for the report of the
+	// process that sent it.
+	beginReportTimeout = 250 * time.Millisecond
+	// A process that does not report its start is asked maxBeginReports times, at intervals of
+	// beginReportInterval.
+	maxBeginReports     = 6
+	beginReportInterval = 500 * time.Millisecond
+)
+
+// recordBegin records that the target has sent the first event of the request's stream.
+func (c *call) recordBegin(ctx context.Context, t *catalog.Target) {
+	if c.software != nil || !c.route.Resumable {
+		return
+	}
+	if current := c.allTargets().Find(t.ID); current != nil && current.Incarnation == t.Incarnation {
+		// The record of a target that was found as a successor may have arrived meanwhile.
+		t = current
+	}
+	c.software = &requiredSoftware{}
+	switch {
+	case t.Incarnation == 0 && !t.SoftwareUnknown:
+		c.software.setRecorded(t.Software)
+	case t.Incarnation == 0 && !c.e.startsNamed.Load():
+		// Each start has a new id, so the process is that of its record, once it arrives.
+		c.software.setProcess(t.ID, 0)
+		c.software.prove()
+	default:
+		c.identifyBegin(ctx, t)
+		return
+	}
+	c.recordOrigin()
+	c.logOrigin(0, "target", t.ID)
+}
+
+// identifyBegin finds out which process has sent the first event of the request's stream, and records
+// it before the client gets that event. If the report is late, the version counts as unknown until it
+// arrives.
+func (c *call) identifyBegin(ctx context.Context, t *catalog.Target) {
+	began := c.now()
+	first := make(chan struct{})
+	go c.identifyProcess(context.WithoutCancel(ctx), t, began, sync.OnceFunc(func() { close(first) }))
+	select {
+	case <-first:
+	case <-c.e.deps.Clock.After(beginReportTimeout):
+		c.recordOrigin()
+	}
+}
+
+// identifyProcess asks the target that began the request's stream until it or its record tells which
+// process that was. It calls tried after each attempt.
+func (c *call) identifyProcess(ctx context.Context, t *catalog.Target, began time.Time, tried func()) {
+	for range maxBeginReports {
+		report := c.e.reports.identify(ctx, t)
+		if report.result == unconfirmed && c.wroteRecordSince(t, began) {
+			report.result = confirmed
+		}
+		c.recordProcess(t, report)
+		tried()
+		if report.result != unconfirmed || !timing.Sleep(ctx, c.e.deps.Clock, beginReportInterval) {
+			return
+		}
+	}
+}
+
+// wroteRecordSince reports whether the process of a target's record has written it after a time. Only one
+// process runs under an id at a time, so it was the same before.
+func (c *call) wroteRecordSince(t *catalog.Target, since time.Time) bool {
+	current := c.allTargets().Find(t.ID)
+	return current != nil && t.Incarnation != 0 && current.Incarnation == t.Incarnation && current.RecordedAt.Sub(since) > recordDelay
+}
+
+// recordProcess records the process that began the request's stream at a target.
+func (c *call) recordProcess(t *catalog.Target, report processReport) {
+	switch {
+	case report.result == confirmed:
+		c.software.set(t.Software)
+	case report.result == replaced && report.start != 0:
+		c.software.setProcess(t.ID, report.start)
+	}
+	c.recordOrigin()
+	c.logOrigin(0, "target", t.ID, "process", t.Incarnation, "start", report.start, "result", report.result)
+}
+
+// proveBegin records that the run which began the stream has sent another event. The process that has
+// named its start since is then the one that sent the first event.
+func (c *call) proveBegin() {
+	if c.software != nil && c.software.prove() {
+		c.recordOrigin()
+	}
+}
+
+// recordSoftware records the version of the target that began the stream, once the target is known
+// to be the process that its record describes.
+func (c *call) recordSoftware(t *catalog.Target) {
+	c.software.set(t.Software)
+	c.recordOrigin()
+}
