--- a/cmd/foxtailward/direct_test.go
+++ b/cmd/foxtailward/direct_test.go
@@ -242,6 +242,7 @@
 	check("written again", address)
 
 	is.NoErr(entry.cmd.Process.Kill())
+	<-entry.done // its addresses are free
 	_, address = c.startEntry(0)
 	check("all entries lost", address)
 }
