--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -53,6 +53,8 @@
 	mu       sync.Mutex
 	lifetime time.Duration
 	seen     map[seenKey]time.Time
+	// processSince is when each process that no record described was first known.
+	processSince map[seenKey]time.Time
 	// coveredSince is the time from which on all versions that served are known; zero
 	// before the first list.
 	coveredSince time.Time
@@ -61,7 +63,7 @@
 // NewVersions returns a Versions of a process that does not know which versions served
 // before its start.
 func NewVersions() *Versions {
-	return &Versions{lifetime: DefaultLifetime, seen: map[seenKey]time.Time{}}
+	return &Versions{lifetime: DefaultLifetime, seen: map[seenKey]time.Time{}, processSince: map[seenKey]time.Time{}}
 }
 
 // SetLifetime sets how long a stream may last, if that is more than DefaultLifetime.
@@ -92,7 +94,9 @@
 		}
 		newlyMixed = newlyMixed || (before < 2 && v.versions(now, service) > 1)
 	}
-	maps.DeleteFunc(v.seen, func(_ seenKey, at time.Time) bool { return now.Sub(at) > v.lifetime })
+	old := func(_ seenKey, at time.Time) bool { return now.Sub(at) > v.lifetime }
+	maps.DeleteFunc(v.seen, old)
+	maps.DeleteFunc(v.processSince, old)
 	return newlyMixed
 }
 
@@ -102,10 +106,28 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	before := v.versions(now, service)
-	v.seen[seenKey{service: service, unknown: target, start: start}] = now
+	key := seenKey{service: service, unknown: target, start: start}
+	v.seen[key] = now
+	v.knowProcess(now, key)
 	return before < 2 && v.versions(now, service) > 1
 }
 
+// knowProcess records since when a process is known. The caller holds mu.
+func (v *Versions) knowProcess(now time.Time, key seenKey) {
+	if _, known := v.processSince[key]; !known && key.start != 0 {
+		v.processSince[key] = now
+	}
+}
+
+// ServedBefore reports whether the process of a target that named a start was known to serve before a
+// time. If it serves later too, it has served in between, because only one process runs under an id.
+func (v *Versions) ServedBefore(at time.Time, service id.Service, target id.Target, start id.Incarnation) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	since, known := v.processSince[seenKey{service: service, unknown: target, start: start}]
+	return known && since.Before(at)
+}
+
 // versions counts the versions of a service within the lifetime. Each target of unknown
 // version counts as one more.
 func (v *Versions) versions(now time.Time, service id.Service) int {
@@ -217,6 +239,9 @@
 		at := now.Add(-age - time.Duration(s.AgeMS)*time.Millisecond)
 		if now.Sub(at) <= v.lifetime {
 			v.seen[key] = latest(v.seen[key], at)
+			if key.unknown != "" {
+				v.knowProcess(now, key)
+			}
 		}
 		newlyMixed = newlyMixed || (before < 2 && v.versions(now, s.Service) > 1)
 	}
--- a/internal/transport/direct/beginprocess_test.go
+++ b/internal/transport/direct/beginprocess_test.go
@@ -165,6 +165,7 @@
 	withEnv(t, func(env *testEnv) {
 		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, processEngine(2, softwareEngine("v2", 0)))
 		env.start()
+		env.do("POST", "/r/x", "first", "prompt first") // its process is known from then on
 		c, body, last := env.holdPart("a0")
 		_ = c.conn.Close()
 		env.startUnlisted("t2", "10.0.2.1:80", processEngine(2, softwareEngine("v2", 0)))
@@ -177,3 +178,19 @@
 		env.is.Equal(versions(body + a.body)["v2"], softwareEvents)
 	})
 }
+
+// TestEventsBehindReport guards against a stream that is taken for one of the process that answers the report,
+// because events of the process before it are read only after that report.
+func TestEventsBehindReport(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, processEngine(2, softwareEngine("v1", 10)))
+		env.start()
+		body := env.do("POST", "/r/x", "a1", "prompt").body
+		env.crash("10.0.1.1:80")
+		env.startUnlisted("t1", "10.0.1.1:80", processEngine(2, softwareEngine("v2", 0)))
+		env.list(softwareItem("t1", "10.0.1.1:80", "a", "v2", 2))
+		a := env.do("POST", "/r/x", "a2", "prompt", "Last", "10", "Resumes", "a1")
+		env.is.True(len(versions(body+a.body)) < 2)
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/transport/direct/requiredsoftware.go
+++ b/internal/transport/direct/requiredsoftware.go
@@ -14,11 +14,10 @@
 	mu      sync.Mutex
 	known   bool
 	version id.SoftwareVersion
-	// target is the target that may have begun the stream, and start the start that its process named
-	// afterwards. proven says that this process began it, so that its record tells the version.
+	// target is the target that began the stream, and start the start that its process named, if a
+	// record may still tell the version; otherwise empty.
 	target id.Target
 	start  id.Incarnation
-	proven bool
 	// source is from what the version is known.
 	source origin.Source
 }
@@ -28,7 +27,7 @@
 func (r *requiredSoftware) resolve(listed catalog.Targets) (id.SoftwareVersion, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := listed.Find(r.target); !r.known && r.proven && t != nil && t.Incarnation == r.start && !t.SoftwareUnknown {
+	if t := listed.Find(r.target); !r.known && r.target != "" && t != nil && t.Incarnation == r.start && !t.SoftwareUnknown {
 		r.version, r.known, r.source = t.Software, true, origin.ByRecord
 	}
 	return r.version, r.known
@@ -41,9 +40,6 @@
 	if r.known {
 		return origin.Stream{Software: r.version}
 	}
-	if !r.proven {
-		return origin.Stream{Unknown: true}
-	}
 	return origin.Stream{Unknown: true, Target: r.target, Start: r.start}
 }
 
@@ -60,24 +56,13 @@
 	r.version, r.known, r.source = v, true, origin.ByRecord
 }
 
-// setProcess sets the process that may have begun the stream, of which no record tells the version yet.
+// setProcess sets the process that began the stream, of which no record tells the version yet.
 func (r *requiredSoftware) setProcess(target id.Target, start id.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.target, r.start = target, start
 }
 
-// prove records that the process that was set began the stream. It reports whether that is new.
-func (r *requiredSoftware) prove() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.known || r.proven || r.target == "" {
-		return false
-	}
-	r.proven = true
-	return true
-}
-
 // text returns the version and its source for logs.
 func (r *requiredSoftware) text() (software string, source origin.Source) {
 	r.mu.Lock()
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -290,8 +290,7 @@
 			}
 			goesOn = false
 		}
-		c.proveBegin()
-		c.recordBegin(ctx, r.target)
+		c.recordBegin(ctx, r.target, sent)
 		writeBegan := c.now()
 		if outcome, err := s.passOn(answer, &next); outcome != balance.Succeeded {
 			return outcome, err
--- a/internal/transport/direct/streambegin.go
+++ b/internal/transport/direct/streambegin.go
@@ -20,7 +20,7 @@
 )
 
 // recordBegin records that the target has sent the first event of the request's stream.
-func (c *call) recordBegin(ctx context.Context, t *catalog.Target) {
+func (c *call) recordBegin(ctx context.Context, t *catalog.Target, sent time.Time) {
 	if c.software != nil || !c.route.Resumable {
 		return
 	}
@@ -35,9 +35,8 @@
 	case t.Incarnation == 0 && !c.e.startsNamed.Load():
 		// Each start has a new id, so the process is that of its record, once it arrives.
 		c.software.setProcess(t.ID, 0)
-		c.software.prove()
 	default:
-		c.identifyBegin(ctx, t)
+		c.identifyBegin(ctx, t, sent)
 		return
 	}
 	c.recordOrigin()
@@ -47,10 +46,10 @@
 // identifyBegin finds out which process has sent the first event of the request's stream, and records
 // it before the client gets that event. If the report is late, the version counts as unknown until it
 // arrives.
-func (c *call) identifyBegin(ctx context.Context, t *catalog.Target) {
+func (c *call) identifyBegin(ctx context.Context, t *catalog.Target, sent time.Time) {
 	began := c.now()
 	first := make(chan struct{})
-	go c.identifyProcess(context.WithoutCancel(ctx), t, began, sync.OnceFunc(func() { close(first) }))
+	go c.identifyProcess(context.WithoutCancel(ctx), t, sent, began, sync.OnceFunc(func() { close(first) }))
 	select {
 	case <-first:
 	case <-c.e.deps.Clock.After(beginReportTimeout):
@@ -60,13 +59,13 @@
 
 // identifyProcess asks the target that began the request's stream until it or its record tells which
 // process that was. It calls tried after each attempt.
-func (c *call) identifyProcess(ctx context.Context, t *catalog.Target, began time.Time, tried func()) {
+func (c *call) identifyProcess(ctx context.Context, t *catalog.Target, sent, began time.Time, tried func()) {
 	for range maxBeginReports {
 		report := c.e.reports.identify(ctx, t)
 		if report.result == unconfirmed && c.wroteRecordSince(t, began) {
 			report.result = confirmed
 		}
-		c.recordProcess(t, report)
+		c.recordProcess(t, sent, report)
 		tried()
 		if report.result != unconfirmed || !timing.Sleep(ctx, c.e.deps.Clock, beginReportInterval) {
 			return
@@ -77,30 +76,28 @@
 // wroteRecordSince reports whether the process of a target's record has written it after a time. Only one
 // process runs under an id at a time, so it was the same before.
 func (c *call) wroteRecordSince(t *catalog.Target, since time.Time) bool {
+	if c.e.pausedWithin(c.now().Sub(since) + recordDelay) {
+		// The record may have waited to be read.
+		return false
+	}
 	current := c.allTargets().Find(t.ID)
 	return current != nil && t.Incarnation != 0 && current.Incarnation == t.Incarnation && current.RecordedAt.Sub(since) > recordDelay
 }
 
-// recordProcess records the process that began the request's stream at a target.
-func (c *call) recordProcess(t *catalog.Target, report processReport) {
+// recordProcess records the process that began the request's stream at a target, to which the request was
+// sent at the given time. Whoever answers the report has begun it if it served before that too; otherwise
+// the process before it may have begun it and ended.
+func (c *call) recordProcess(t *catalog.Target, sent time.Time, report processReport) {
 	switch {
 	case report.result == confirmed:
 		c.software.set(t.Software)
-	case report.result == replaced && report.start != 0:
+	case report.result == replaced && c.e.versions.ServedBefore(sent, t.Service, t.ID, report.start):
 		c.software.setProcess(t.ID, report.start)
 	}
 	c.recordOrigin()
 	c.logOrigin(0, "target", t.ID, "process", t.Incarnation, "start", report.start, "result", report.result)
 }
 
-// proveBegin records that the run which began the stream has sent another event. The process that has
-// named its start since is then the one that sent the first event.
-func (c *call) proveBegin() {
-	if c.software != nil && c.software.prove() {
-		c.recordOrigin()
-	}
-}
-
 // recordSoftware records the version of the target that began the stream, once the target is known
 // to be the process that its record describes.
 func (c *call) recordSoftware(t *catalog.Target) {
--- a/internal/transport/direct/streamresume.go
+++ b/internal/transport/direct/streamresume.go
@@ -103,7 +103,7 @@
 	if !ok {
 		return false, false
 	}
-	c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, start: s.Start, proven: s.Target != "", source: c.e.streams.Source(key)}
+	c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, start: s.Start, source: c.e.streams.Source(key)}
 	if _, known = c.software.resolve(c.allTargets()); known {
 		c.logOrigin(time.Duration(s.AgeMS) * time.Millisecond)
 	}
--- a/internal/transport/direct/successor.go
+++ b/internal/transport/direct/successor.go
@@ -8,6 +8,7 @@
 
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/timing"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
@@ -117,12 +118,26 @@
 			continue
 		}
 		if identity.Target != t.ID && identity.Slots == t.Slots {
+			s.observeStart(ctx, t, identity.Target)
 			s.record(direct.Successor{Target: identity.Target, Predecessor: t.ID})
 		}
 		return
 	}
 }
 
+// observeStart records the start of a found successor before requests are sent there, so that the streams
+// that it begins can be told from those of a later process under its name.
+func (s *successorFinder) observeStart(ctx context.Context, predecessor *catalog.Target, name id.Target) {
+	if !s.e.startsNamed.Load() {
+		return
+	}
+	successor := *predecessor
+	successor.ID, successor.Incarnation = name, 0
+	if report := s.e.reports.identify(ctx, &successor); report.start != 0 {
+		s.e.observeProcess(&successor, report.start)
+	}
+}
+
 // unreplaced reports whether the target is still listed and no other target is
 // listed at its address.
 func (s *successorFinder) unreplaced(t *catalog.Target) bool {
--- a/internal/transport/direct/unrecorded_test.go
+++ b/internal/transport/direct/unrecorded_test.go
@@ -62,6 +62,7 @@
 	withEnv(t, func(env *testEnv) {
 		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, processEngine(2, softwareEngine("v2", 15)))
 		env.start()
+		env.is.True(env.do("POST", "/r/x", "a0", "prompt").broken) // another process may have begun the first one
 		env.startUnlisted("t2", "10.0.2.1:80", processEngine(2, softwareEngine("v2", 0)))
 		time.AfterFunc(300*time.Millisecond, func() {
 			env.list(softwareItem("t1", "10.0.1.1:80", "a", "v2", 2))
