--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -161,7 +161,6 @@
 		rec.refusedAt = now
 		rec.recordOutcome(now, 1)
 	case Lost, Unreachable:
-		rec.lostAt = now
 		if o == Lost && b.ownHostFault(now) {
 			return false
 		}
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -292,17 +292,6 @@
 	return r.lastActivity
 }
 
-// LostAt returns when an incarnation of a target was last lost, or the zero time if that is
-// not known.
-func (b *Balancer) LostAt(key id.TargetIncarnation) time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r := b.targets[key.Target]; r != nil && r.incarnation == key.Incarnation {
-		return r.lostAt
-	}
-	return time.Time{}
-}
-
 // ZoneHeardFrom returns when any target of a zone last sent anything to this entry, or
 // the zero time if none has.
 func (b *Balancer) ZoneHeardFrom(zone id.Zone) time.Time {
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -175,9 +175,6 @@
 		return false
 	}
 	r := b.record(now, t)
-	if at.After(r.lostAt) {
-		r.lostAt = at
-	}
 	if until := at.Add(minSuspectTime); until.After(r.suspectUntil) {
 		r.suspectUntil = until
 	}
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -44,8 +44,6 @@
 	// request.
 	refusedAt time.Time
 
-	// lostAt is when the target was last lost.
-	lostAt time.Time
 	// losses counts consecutive losses.
 	losses       int
 	suspectUntil time.Time
--- a/internal/transport/direct/endevidence_test.go
+++ b/internal/transport/direct/endevidence_test.go
@@ -26,6 +26,20 @@
 	}
 }
 
+// slowUnframed writes the events after the client's last one, without a length or chunks, 100 ms apart.
+func slowUnframed(rw http.ResponseWriter, r *http.Request, last int) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSigned: yes\r\n\r\n", r.Header.Get("Attempt"))
+	for n := after(r); n <= last; n++ {
+		time.Sleep(100 * time.Millisecond)
+		fmt.Fprintf(conn, "id: %d\ndata: x%d\n\n", n, n)
+	}
+}
+
 // eventsAfter returns the events after the client's last one up to last.
 func eventsAfter(r *http.Request, last int) string {
 	return strings.TrimPrefix(wholeStream(last), wholeStream(after(r)-1))
@@ -161,16 +175,7 @@
 			case strings.HasPrefix(r.URL.Path, "/free/"):
 				freed.Add(1)
 			default:
-				conn, _, err := http.NewResponseController(rw).Hijack()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSigned: yes\r\n\r\n", r.Header.Get("Attempt"))
-				for n := after(r); n <= 20; n++ {
-					time.Sleep(100 * time.Millisecond)
-					fmt.Fprintf(conn, "id: %d\ndata: x%d\n\n", n, n)
-				}
+				slowUnframed(rw, r, 20)
 			}
 		})
 		env.startUnlisted("t2", "10.0.2.1:80", func(rw http.ResponseWriter, _ *http.Request) { fmt.Fprint(rw, 200) })
--- a/internal/transport/direct/requiredsoftware.go
+++ b/internal/transport/direct/requiredsoftware.go
@@ -43,17 +43,11 @@
 	return origin.Stream{Unknown: true, Target: r.target, Start: r.start}
 }
 
-func (r *requiredSoftware) set(v id.SoftwareVersion) {
+// set sets the version, and from what it is known.
+func (r *requiredSoftware) set(v id.SoftwareVersion, source origin.Source) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version, r.known, r.source = v, true, origin.ByReport
-}
-
-// setRecorded sets the version by the record of the target that began the stream.
-func (r *requiredSoftware) setRecorded(v id.SoftwareVersion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.version, r.known, r.source = v, true, origin.ByRecord
+	r.version, r.known, r.source = v, true, source
 }
 
 // setProcess sets the process that began the stream, of which no record tells the version yet.
--- a/internal/transport/direct/settling_test.go
+++ b/internal/transport/direct/settling_test.go
@@ -46,16 +46,7 @@
 				fmt.Fprint(rw, 100)
 				return
 			}
-			conn, _, err := http.NewResponseController(rw).Hijack()
-			if err != nil {
-				return
-			}
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSigned: yes\r\n\r\n", r.Header.Get("Attempt"))
-			for n := after(r); n <= last; n++ {
-				time.Sleep(100 * time.Millisecond)
-				fmt.Fprintf(conn, "id: %d\ndata: x%d\n\n", n, n)
-			}
-			_ = conn.Close()
+			slowUnframed(rw, r, last)
 		}
 		for i := range 4 {
 			env.softwareTarget(fmt.Sprint("t", i), fmt.Sprintf("10.0.%d.1:80", i), string(rune('a'+i)), "v1", 100, engine)
@@ -112,16 +103,7 @@
 				fmt.Fprint(rw, 100)
 				return
 			}
-			conn, _, err := http.NewResponseController(rw).Hijack()
-			if err != nil {
-				return
-			}
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nSigned: yes\r\n\r\n", r.Header.Get("Attempt"))
-			for n := after(r); n <= 59; n++ {
-				time.Sleep(100 * time.Millisecond)
-				fmt.Fprintf(conn, "id: %d\ndata: x%d\n\n", n, n)
-			}
-			_ = conn.Close()
+			slowUnframed(rw, r, 59)
 		})
 		env.start()
 		c := env.client()
--- a/internal/transport/direct/streambegin.go
+++ b/internal/transport/direct/streambegin.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/timing"
 )
@@ -31,7 +32,7 @@
 	c.software = &requiredSoftware{}
 	switch {
 	case t.Incarnation == 0 && !t.SoftwareUnknown:
-		c.software.setRecorded(t.Software)
+		c.software.set(t.Software, origin.ByRecord)
 	case t.Incarnation == 0 && !c.e.startsNamed.Load():
 		// Each start has a new id, so the process is that of its record, once it arrives.
 		c.software.setProcess(t.ID, 0)
@@ -90,7 +91,7 @@
 func (c *call) recordProcess(t *catalog.Target, sent time.Time, report processReport) {
 	switch {
 	case report.result == confirmed:
-		c.software.set(t.Software)
+		c.software.set(t.Software, origin.ByReport)
 	case report.result == replaced && c.e.versions.ServedBefore(sent, t.Service, t.ID, report.start):
 		c.software.setProcess(t.ID, report.start)
 	}
@@ -101,6 +102,6 @@
 // recordSoftware records the version of the target that began the stream, once the target is known
 // to be the process that its record describes.
 func (c *call) recordSoftware(t *catalog.Target) {
-	c.software.set(t.Software)
+	c.software.set(t.Software, origin.ByReport)
 	c.recordOrigin()
 }
--- a/internal/transport/direct/streampeers.go
+++ b/internal/transport/direct/streampeers.go
@@ -33,9 +33,8 @@
 	}
 }
 
-// entrySet identifies a set of entries by their addresses.
+// entrySet identifies a set of entries by their sorted addresses.
 func entrySet(addresses []string) origin.EntrySet {
-	slices.Sort(addresses)
 	// The highest bit keeps the empty set apart from none.
 	return origin.EntrySet(xxhash.Sum64String(strings.Join(addresses, " ")) | 1<<63)
 }
