--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -81,6 +81,7 @@
 	SuspectsNotLoaded = Event{513, "suspectsUnread", Info, "The requests suspected of crashing targets that entries had saved could not be read.", "none; it is tried again, and other entries report them too"}
 	RunsNotLoaded     = Event{512, "runsUnread", Info, "The runs that entries had saved could not be read.", "none; streams that are resumed start from the beginning"}
 	StreamsNotLoaded  = Event{515, "streamsUnread", Info, "The software versions of streams that entries had saved could not be read.", "none; it is tried again, and other entries tell them too"}
+	StreamsLoaded     = Event{516, "streamsRead", Info, "The software versions of streams that entries had saved were read.", "none; newest says how old the newest of them was, so what began later is not among them"}
 	StoreRestored     = Event{514, "storeRestored", Warn, "The key-value service returned from an older copy of its state; its keys are read, and this process's saved state is written, again.", "none; check that changes of the last seconds were made again"}
 	LeadershipLost    = Event{509, "leadershipLost", Info, "This process is no longer the leader that decides on placement.", "none"}
 )
@@ -106,7 +107,7 @@
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
-		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded,
+		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
 }
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -126,6 +126,7 @@
 // what served until it ended, however long ago that is. The versions that served since are
 // listed, unless they came and went within that time.
 func (s *stateSaver) loadStreams(ctx context.Context) {
+	var ages savedAges
 	s.streamsLoaded = s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
 		var saved streamsItem
 		if err := json.Unmarshal(value, &saved); err != nil {
@@ -136,6 +137,7 @@
 		for i := range saved.Streams {
 			saved.Streams[i].AgeMS += age.Milliseconds()
 		}
+		ages = append(ages, age)
 		s.e.streams.Merge(now, saved.Streams)
 		if saved.Entry == s.e.cfg.Name {
 			age = 0
@@ -145,9 +147,21 @@
 	})
 	if s.streamsLoaded {
 		s.e.versions.Cover(s.e.deps.Clock.Now())
+		s.e.deps.Log.Emit(event.StreamsLoaded, "items", len(ages), "newest", ages.newest())
 	}
 }
 
+// savedAges are the times since entries saved what has been read.
+type savedAges []time.Duration
+
+// newest returns the least age; 0 if there is none.
+func (a savedAges) newest() time.Duration {
+	if len(a) == 0 {
+		return 0
+	}
+	return slices.Min(a)
+}
+
 // load applies the items with a prefix. It logs those that can't be decoded, and
 // returns false if the items can't be read.
 func (s *stateSaver) load(ctx context.Context, prefix string, failed event.Event, apply func(value []byte) error) bool {
