--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -20,9 +20,35 @@
 	Unknown id.Target `json:"unknown,omitempty"`
 	// Start is the start that the process of that target named; 0 if it named none.
 	Start id.Incarnation `json:"start,omitempty"`
-	AgeMS int64          `json:"agoMs,omitempty"`
+	// Saved says that the key-value service holds the version, as far as the reporting entry knows.
+	Saved bool  `json:"saved,omitempty"`
+	AgeMS int64 `json:"agoMs,omitempty"`
 }
 
+// UnidentifiedStart is the start of a process that has begun a stream and could not be identified. No record
+// tells its version.
+const UnidentifiedStart id.Incarnation = -1
+
+// SavedMargin is how much longer than a stream lasts a version counts that another entry has saved: it may have
+// served for as long after the save.
+const SavedMargin = 20 * time.Second
+
+// SeenOf returns the version at which a target serves, as its record tells.
+func SeenOf(t *catalog.Target) SeenVersion { return keyOf(t).seenVersion() }
+
+// SeenProcess returns the version of a process that no record describes.
+func SeenProcess(service id.Service, target id.Target, start id.Incarnation) SeenVersion {
+	return SeenVersion{Service: service, Unknown: target, Start: start}
+}
+
+// Version returns what is seen without what changes from report to report.
+func (s SeenVersion) Version() SeenVersion {
+	s.AgeMS, s.Saved = 0, false
+	return s
+}
+
+func (s *SeenVersion) key() seenKey { return seenKey{s.Service, s.Software, s.Unknown, s.Start} }
+
 // Report says which versions have served recently, for another entry.
 type Report struct {
 	// CoveredMS is for how long the reporting entry has known all versions that served,
@@ -39,6 +65,10 @@
 	start    id.Incarnation
 }
 
+func (k seenKey) seenVersion() SeenVersion {
+	return SeenVersion{Service: k.service, Software: k.software, Unknown: k.unknown, Start: k.start}
+}
+
 // keyOf returns the key of a target's version.
 func keyOf(t *catalog.Target) seenKey {
 	if t.SoftwareUnknown {
@@ -53,6 +83,11 @@
 	mu       sync.Mutex
 	lifetime time.Duration
 	seen     map[seenKey]time.Time
+	// seenInItems are the versions that other entries have saved. They are neither reported nor saved again, so that
+	// none counts for longer than the entry that has seen it says.
+	seenInItems map[seenKey]time.Time
+	// saved are the versions that the key-value service holds.
+	saved map[seenKey]bool
 	// processSince is when each process that no record described was first known.
 	processSince map[seenKey]time.Time
 	// coveredSince is the time from which on all versions that served are known; zero
@@ -63,7 +98,10 @@
 // NewVersions returns a Versions of a process that does not know which versions served
 // before its start.
 func NewVersions() *Versions {
-	return &Versions{lifetime: DefaultLifetime, seen: map[seenKey]time.Time{}, processSince: map[seenKey]time.Time{}}
+	return &Versions{
+		lifetime: DefaultLifetime, seen: map[seenKey]time.Time{}, seenInItems: map[seenKey]time.Time{},
+		saved: map[seenKey]bool{}, processSince: map[seenKey]time.Time{},
+	}
 }
 
 // SetLifetime sets how long a stream may last, if that is more than DefaultLifetime.
@@ -73,6 +111,13 @@
 	v.lifetime = max(d, DefaultLifetime)
 }
 
+// Lifetime returns how long a stream may last.
+func (v *Versions) Lifetime() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lifetime
+}
+
 // Observe records the versions of the targets that are listed now. fresh says that the
 // list is up to date. It reports whether a service has become mixed.
 func (v *Versions) Observe(now time.Time, targets map[id.Service]catalog.Targets, fresh bool) bool {
@@ -88,8 +133,8 @@
 			v.seen[keyOf(t)] = now
 			if !t.SoftwareUnknown {
 				// Its record has arrived.
-				delete(v.seen, seenKey{service: service, unknown: t.ID, start: t.Incarnation})
-				delete(v.seen, seenKey{service: service, unknown: t.ID})
+				v.forget(seenKey{service: service, unknown: t.ID, start: t.Incarnation})
+				v.forget(seenKey{service: service, unknown: t.ID})
 			}
 		}
 		newlyMixed = newlyMixed || (before < 2 && v.versions(now, service) > 1)
@@ -97,9 +142,67 @@
 	old := func(_ seenKey, at time.Time) bool { return now.Sub(at) > v.lifetime }
 	maps.DeleteFunc(v.seen, old)
 	maps.DeleteFunc(v.processSince, old)
+	maps.DeleteFunc(v.seenInItems, func(_ seenKey, at time.Time) bool { return now.Sub(at) > v.lifetime+SavedMargin })
+	maps.DeleteFunc(v.saved, func(key seenKey, _ bool) bool { return !v.counts(now, key) })
 	return newlyMixed
 }
 
+// forget drops an unknown version that a record has told. The caller holds mu.
+func (v *Versions) forget(key seenKey) {
+	delete(v.seen, key)
+	delete(v.seenInItems, key)
+}
+
+// Serve records that a stream begins at a version now. It reports whether a service has become mixed.
+func (v *Versions) Serve(now time.Time, version SeenVersion) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before := v.versions(now, version.Service)
+	v.seen[version.key()] = now
+	return before < 2 && v.versions(now, version.Service) > 1
+}
+
+// MarkSaved records that the key-value service holds versions.
+func (v *Versions) MarkSaved(versions []SeenVersion) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i := range versions {
+		v.saved[versions[i].key()] = true
+	}
+}
+
+// Saved reports whether the key-value service holds a version.
+func (v *Versions) Saved(version SeenVersion) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.saved[version.key()]
+}
+
+// ForgetSaved records that what the key-value service held may be gone.
+func (v *Versions) ForgetSaved() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.saved)
+}
+
+// MergeSaved records the versions that another entry saved the given time ago.
+func (v *Versions) MergeSaved(now time.Time, r Report, age time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i := range r.Seen {
+		key := r.Seen[i].key()
+		at := now.Add(-age - time.Duration(r.Seen[i].AgeMS)*time.Millisecond)
+		if now.Sub(at) > v.lifetime+SavedMargin {
+			continue
+		}
+		v.seenInItems[key] = latest(v.seenInItems[key], at)
+		v.saved[key] = true
+		if key.unknown != "" {
+			v.knowProcess(now, key)
+		}
+	}
+}
+
 // ObserveProcess records that a process serves at a target whose record describes another one. Until a
 // record names its start, its version is not known. It reports whether a service has become mixed.
 func (v *Versions) ObserveProcess(now time.Time, service id.Service, target id.Target, start id.Incarnation) bool {
@@ -114,7 +217,7 @@
 
 // knowProcess records since when a process is known. The caller holds mu.
 func (v *Versions) knowProcess(now time.Time, key seenKey) {
-	if _, known := v.processSince[key]; !known && key.start != 0 {
+	if _, known := v.processSince[key]; !known && key.start > 0 {
 		v.processSince[key] = now
 	}
 }
@@ -132,14 +235,31 @@
 // version counts as one more.
 func (v *Versions) versions(now time.Time, service id.Service) int {
 	n := 0
-	for key, at := range v.seen {
-		if key.service == service && now.Sub(at) <= v.lifetime {
+	for key := range v.seen {
+		if key.service == service && v.countsAsSeen(now, key) {
+			n++
+		}
+	}
+	for key := range v.seenInItems {
+		if key.service == service && !v.countsAsSeen(now, key) && v.counts(now, key) {
 			n++
 		}
 	}
 	return n
 }
 
+// countsAsSeen reports whether a version was seen here, or at another entry, within the lifetime.
+func (v *Versions) countsAsSeen(now time.Time, key seenKey) bool {
+	at, ok := v.seen[key]
+	return ok && now.Sub(at) <= v.lifetime
+}
+
+// counts reports whether a version has served within the lifetime, also as far as items tell.
+func (v *Versions) counts(now time.Time, key seenKey) bool {
+	at, ok := v.seenInItems[key]
+	return v.countsAsSeen(now, key) || (ok && now.Sub(at) <= v.lifetime+SavedMargin)
+}
+
 // Cover records that all versions that served before now are known.
 func (v *Versions) Cover(now time.Time) {
 	v.mu.Lock()
@@ -151,9 +271,11 @@
 func (v *Versions) Mixed(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for key := range v.seen {
-		if v.versions(now, key.service) > 1 {
-			return true
+	for _, seen := range []map[seenKey]time.Time{v.seen, v.seenInItems} {
+		for key := range seen {
+			if v.versions(now, key.service) > 1 {
+				return true
+			}
 		}
 	}
 	return false
@@ -200,9 +322,11 @@
 	if !v.covered(now) || v.versions(now, service) != 1 {
 		return "", false
 	}
-	for key := range v.seen {
-		if key.service == service && key.unknown == "" {
-			return key.software, true
+	for _, seen := range []map[seenKey]time.Time{v.seen, v.seenInItems} {
+		for key := range seen {
+			if key.service == service && key.unknown == "" && v.counts(now, key) {
+				return key.software, true
+			}
 		}
 	}
 	return "", false
@@ -218,7 +342,9 @@
 	}
 	for key, at := range v.seen {
 		if now.Sub(at) <= v.lifetime {
-			r.Seen = append(r.Seen, SeenVersion{Service: key.service, Software: key.software, Unknown: key.unknown, Start: key.start, AgeMS: now.Sub(at).Milliseconds()})
+			seen := key.seenVersion()
+			seen.Saved, seen.AgeMS = v.saved[key], now.Sub(at).Milliseconds()
+			r.Seen = append(r.Seen, seen)
 		}
 	}
 	slices.SortFunc(r.Seen, func(a, b SeenVersion) int {
@@ -227,7 +353,7 @@
 	return r
 }
 
-// Merge records what another entry, or a saved report of age, says. It reports whether a
+// Merge records what another entry, or a report that this entry saved the given time ago, says. It reports whether a
 // service has become mixed.
 func (v *Versions) Merge(now time.Time, r Report, age time.Duration) bool {
 	v.mu.Lock()
@@ -235,7 +361,10 @@
 	newlyMixed := false
 	for _, s := range r.Seen {
 		before := v.versions(now, s.Service)
-		key := seenKey{s.Service, s.Software, s.Unknown, s.Start}
+		key := s.key()
+		if s.Saved {
+			v.saved[key] = true
+		}
 		at := now.Add(-age - time.Duration(s.AgeMS)*time.Millisecond)
 		if now.Sub(at) <= v.lifetime {
 			v.seen[key] = latest(v.seen[key], at)
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -49,6 +49,7 @@
 	TargetLimitChanged = Event{318, "targetLimitChanged", Info, "A target named a limit of the requests that it takes from all entries together, changed it, or no longer names one.", "check the target if it stays limited"}
 	TargetPaused       = Event{319, "targetPaused", Info, "A target answered 503 and said for how long it wants no requests from this entry.", "check the target if it repeats"}
 	StreamOrigin       = Event{320, "streamOrigin", Info, "An entry found out at which software version a stream began, from the process that sent its first event or for a client that resumes it.", "none; source says from what it is known, and start which process reported"}
+	VersionSaved       = Event{321, "versionSaved", Info, "The first event of a stream waited until the key-value service held the software version of the target that sent it.", "none; check the key-value service if begins=false repeats: the stream then begins elsewhere"}
 	BudgetExhausted    = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is exhausted.", "find the losses that use it up"}
 )
 
@@ -81,7 +82,7 @@
 	SuspectsNotLoaded = Event{513, "suspectsUnread", Info, "The requests suspected of crashing targets that entries had saved could not be read.", "none; it is tried again, and other entries report them too"}
 	RunsNotLoaded     = Event{512, "runsUnread", Info, "The runs that entries had saved could not be read.", "none; streams that are resumed start from the beginning"}
 	StreamsNotLoaded  = Event{515, "streamsUnread", Info, "The software versions of streams that entries had saved could not be read.", "none; it is tried again, and other entries tell them too"}
-	StreamsLoaded     = Event{516, "streamsRead", Info, "The software versions of streams that entries had saved were read.", "none; newest says how old the newest of them was, so what began later is not among them"}
+	StreamsLoaded     = Event{516, "streamsRead", Info, "The software versions of streams that entries had saved were read.", "none; complete=false says that streams which nobody remembers are refused for the lifetime of a stream, as entries that could not save for long may have begun them at unknown versions"}
 	StoreRestored     = Event{514, "storeRestored", Warn, "The key-value service returned from an older copy of its state; its keys are read, and this process's saved state is written, again.", "none; check that changes of the last seconds were made again"}
 	LeadershipLost    = Event{509, "leadershipLost", Info, "This process is no longer the leader that decides on placement.", "none"}
 )
@@ -105,7 +106,7 @@
 	return []Event{
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
-		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin,
+		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -115,6 +115,9 @@
 	streams  *origin.Registry
 	versions *origin.Versions
 	reports  *reportReader
+	// versionSaves has the versions saved at which streams begin, and saver saves them.
+	versionSaves *versionSaves
+	saver        *stateSaver
 	// startsNamed is set once a record of a target has named its start.
 	startsNamed atomic.Bool
 	pool        *upstream.Pool
@@ -195,6 +198,8 @@
 	e.withdrawn = withdrawal.New()
 	e.buffers, e.bodies = newBodyBuffers(cfg.Limits.MemoryMB), newBodyBuffers(cfg.Limits.MemoryMB)
 	e.reports = newReportReader(e)
+	e.versionSaves = newVersionSaves(e)
+	e.saver = &stateSaver{e: e}
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -95,6 +95,11 @@
 	m.set.Count("streamOrigins", meter.Label{Key: "source", Value: string(source)}, meter.Label{Key: "resumed", Value: strconv.FormatBool(resumed)})
 }
 
+// versionSaved counts a stream that waited until its version was saved.
+func (m *entryMetrics) versionSaved(begins, saved bool) {
+	m.set.Count("versionSaves", meter.Label{Key: "begins", Value: strconv.FormatBool(begins)}, meter.Label{Key: "saved", Value: strconv.FormatBool(saved)})
+}
+
 // targetEndSeen counts an attempt during which its target may have ended.
 func (m *entryMetrics) targetEndSeen(o balance.Outcome, reason string) {
 	m.set.Count("targetEndsSeen", meter.Label{Key: "outcome", Value: string(o)}, meter.Label{Key: "reason", Value: reason})
--- a/internal/transport/direct/requiredsoftware.go
+++ b/internal/transport/direct/requiredsoftware.go
@@ -43,6 +43,19 @@
 	return origin.Stream{Unknown: true, Target: r.target, Start: r.start}
 }
 
+// seen returns the version as it is saved before the stream begins at a target of a service.
+func (r *requiredSoftware) seen(t *catalog.Target) origin.SeenVersion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.known:
+		return origin.SeenVersion{Service: t.Service, Software: r.version}
+	case r.target != "":
+		return origin.SeenProcess(t.Service, r.target, r.start)
+	}
+	return origin.SeenProcess(t.Service, t.ID, origin.UnidentifiedStart)
+}
+
 // set sets the version, and from what it is known.
 func (r *requiredSoftware) set(v id.SoftwareVersion, source origin.Source) {
 	r.mu.Lock()
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -81,7 +81,7 @@
 	if e.peerExchange != nil {
 		wg.Go(func() { e.peerExchange.run(serving) })
 	}
-	wg.Go(func() { (&stateSaver{e: e}).run(serving) })
+	wg.Go(func() { e.saver.run(serving) })
 	wg.Go(func() { e.closeIdleConns(serving) })
 	wg.Go(func() { e.watchClocks(serving) })
 	if e.cfg.OperatorAddress != "" {
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -21,6 +21,11 @@
 	// at least minSaveInterval.
 	minSaveInterval      = time.Second
 	saveIntervalPerEntry = 90 * time.Millisecond
+	// maxStreamsSaveInterval is how old the saved versions of this entry may be while the key-value service
+	// answers.
+	maxStreamsSaveInterval = 5 * time.Second
+	// failedSavePause is the least time between two tries to save versions at once.
+	failedSavePause = 50 * time.Millisecond
 	// stateTimeout limits reading or writing the saved state as a whole. The client of
 	// the key-value service ends calls that make no progress earlier.
 	stateTimeout = 10 * time.Second
@@ -44,9 +49,10 @@
 	// streamsLoaded once those that were saved have been read.
 	savedStreams  bool
 	streamsLoaded bool
-	// savedVersions are the versions that the key-value service holds from this process, without
-	// ages.
-	savedVersions []origin.SeenVersion
+	// savedVersions are the versions that the key-value service holds from this process, saved at
+	// streamsSavedAt.
+	savedVersions  []origin.SeenVersion
+	streamsSavedAt time.Time
 	// savedEra is the newest era that was known when the state was saved last. What
 	// was saved in an earlier era may be gone.
 	savedEra store.Era
@@ -78,14 +84,30 @@
 	s.loadRuns(ctx)
 	s.loadSuspects(ctx)
 	s.savedEra = s.e.storeWatcher.eras.Era()
-	for timing.Sleep(ctx, s.e.deps.Clock, s.interval()) {
-		if !s.loaded {
-			s.loadSuspects(ctx)
+	next := s.e.deps.Clock.After(s.interval())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.e.versionSaves.due:
+			if !s.saveVersions(ctx) && !timing.Sleep(ctx, s.e.deps.Clock, failedSavePause) {
+				return
+			}
+		case <-next:
+			s.loadMissing(ctx)
+			s.save(ctx)
+			next = s.e.deps.Clock.After(s.interval())
 		}
-		if !s.streamsLoaded {
-			s.loadStreams(ctx)
-		}
-		s.save(ctx)
+	}
+}
+
+// loadMissing reads what could not be read before.
+func (s *stateSaver) loadMissing(ctx context.Context) {
+	if !s.loaded {
+		s.loadSuspects(ctx)
+	}
+	if !s.streamsLoaded {
+		s.loadStreams(ctx)
 	}
 }
 
@@ -128,38 +150,50 @@
 func (s *stateSaver) loadStreams(ctx context.Context) {
 	var ages savedAges
 	s.streamsLoaded = s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
-		var saved streamsItem
-		if err := json.Unmarshal(value, &saved); err != nil {
-			return err
-		}
-		now := s.e.deps.Clock.Now()
-		age := max(0, now.Sub(time.UnixMilli(saved.SavedAtMS)))
-		for i := range saved.Streams {
-			saved.Streams[i].AgeMS += age.Milliseconds()
-		}
+		age, err := s.mergeStreams(value, true)
 		ages = append(ages, age)
-		s.e.streams.Merge(now, saved.Streams)
-		if saved.Entry == s.e.cfg.Name {
-			age = 0
-		}
-		s.e.versions.Merge(now, saved.Versions, age)
-		return nil
+		return err
 	})
-	if s.streamsLoaded {
+	if !s.streamsLoaded {
+		return
+	}
+	complete := ages.complete(s.e.versions.Lifetime())
+	if complete {
 		s.e.versions.Cover(s.e.deps.Clock.Now())
-		s.e.deps.Log.Emit(event.StreamsLoaded, "items", len(ages), "newest", ages.newest())
 	}
+	s.e.deps.Log.Emit(event.StreamsLoaded, "items", len(ages), "newest", ages.newest(), "complete", complete)
 }
 
-// savedAges are the times since entries saved what has been read.
-type savedAges []time.Duration
-
-// newest returns the least age; 0 if there is none.
-func (a savedAges) newest() time.Duration {
-	if len(a) == 0 {
-		return 0
+// mergeStreams records what an entry has saved about streams, and returns the time since. atStart says that an item of this
+// entry's name is that of an earlier process.
+func (s *stateSaver) mergeStreams(value []byte, atStart bool) (time.Duration, error) {
+	var saved streamsItem
+	if err := json.Unmarshal(value, &saved); err != nil {
+		return 0, err
 	}
-	return slices.Min(a)
+	now := s.e.deps.Clock.Now()
+	age := max(0, now.Sub(time.UnixMilli(saved.SavedAtMS)))
+	for i := range saved.Streams {
+		saved.Streams[i].AgeMS += age.Milliseconds()
+	}
+	s.e.streams.Merge(now, saved.Streams)
+	switch {
+	case saved.Entry != s.e.cfg.Name:
+		s.e.versions.MergeSaved(now, saved.Versions, age)
+	case atStart:
+		// It is what served until the end of the last process of this name. What it knew says nothing about the time since.
+		saved.Versions.CoveredMS = 0
+		s.e.versions.Merge(now, saved.Versions, 0)
+	}
+	return age, nil
+}
+
+// readOthers reads what all entries have saved about streams by now. It returns false if it can't be read.
+func (s *stateSaver) readOthers(ctx context.Context) bool {
+	return s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
+		_, err := s.mergeStreams(value, false)
+		return err
+	})
 }
 
 // load applies the items with a prefix. It logs those that can't be decoded, and
@@ -198,34 +232,73 @@
 		value := encodeState(suspectsItem{SavedAtMS: now.UnixMilli(), Records: suspects})
 		puts = append(puts, store.Put{Key: store.SuspectsPrefix + string(s.e.cfg.Name), Value: value})
 	}
-	streams := s.streamsToSave(now)
-	report := s.e.versions.Report(now)
-	versions := withoutAges(report.Seen)
-	if len(streams) > 0 || s.savedStreams || returned || !slices.Equal(versions, s.savedVersions) {
-		value := encodeState(streamsItem{Entry: s.e.cfg.Name, SavedAtMS: now.UnixMilli(), Streams: streams, Versions: report})
-		puts = append(puts, store.Put{Key: store.StreamsPrefix + string(s.e.cfg.Name), Value: value})
+	streams := s.streamsItem(now)
+	saveStreams := s.streamsLoaded && (len(streams.Streams) > 0 || s.savedStreams || returned ||
+		now.Sub(s.streamsSavedAt) >= maxStreamsSaveInterval || !slices.Equal(versionsOf(streams), s.savedVersions))
+	if saveStreams {
+		puts = append(puts, s.streamsPut(streams))
 	}
-	if len(puts) == 0 {
+	if len(puts) == 0 || !s.commit(ctx, now, puts) {
 		return
 	}
+	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, era
+	if saveStreams {
+		s.streamsSaved(now, era, streams)
+	}
+}
+
+// saveVersions writes which versions have served, because a stream waits for that. It reports whether it did.
+func (s *stateSaver) saveVersions(ctx context.Context) bool {
+	s.loadMissing(ctx)
+	now, era := s.e.deps.Clock.Now(), s.e.storeWatcher.eras.Era()
+	streams := s.streamsItem(now)
+	// What the versions of this name's last process were is not known before it has been read.
+	saved := s.streamsLoaded && s.commit(ctx, now, []store.Put{s.streamsPut(streams)})
+	if saved {
+		s.streamsSaved(now, era, streams)
+	}
+	s.e.versionSaves.writeEnded()
+	return saved
+}
+
+// commit writes puts, and reports whether the key-value service has acknowledged that.
+func (s *stateSaver) commit(ctx context.Context, now time.Time, puts []store.Put) bool {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	result, err := s.e.deps.Store.Commit(ctx, store.Txn{Puts: puts})
 	s.e.metrics.storeCall("commit", err, s.e.deps.Clock.Since(now))
 	if err != nil {
-		s.e.deps.Log.Emit(event.RunsNotSaved, "runs", len(runs), "suspects", len(suspects), "error", err)
-		return
+		s.e.deps.Log.Emit(event.RunsNotSaved, "puts", len(puts), "error", err)
+		return false
 	}
 	s.e.storeWatcher.observeEra(result.Era)
-	s.savedStreams, s.savedVersions = len(streams) > 0, versions
-	s.savedRuns, s.savedSuspects, s.savedVersion, s.savedEra = len(runs) > 0, len(suspects) > 0, version, era
+	return true
+}
+
+// streamsSaved records that the key-value service holds an item of this entry, which was made in an era of the service.
+func (s *stateSaver) streamsSaved(now time.Time, era store.Era, item streamsItem) {
+	s.savedStreams, s.savedVersions, s.streamsSavedAt = len(item.Streams) > 0, versionsOf(item), now
+	if era == s.e.storeWatcher.eras.Era() {
+		s.e.versions.MarkSaved(s.savedVersions)
+	}
+	s.e.versionSaves.saved(now)
+}
+
+// streamsItem returns what this entry saves about streams now.
+func (s *stateSaver) streamsItem(now time.Time) streamsItem {
+	streams := s.streamsToSave(now)
+	return streamsItem{Entry: s.e.cfg.Name, SavedAtMS: now.UnixMilli(), Streams: streams, Versions: s.e.versions.Report(now)}
+}
+
+func (s *stateSaver) streamsPut(item streamsItem) store.Put {
+	return store.Put{Key: store.StreamsPrefix + string(s.e.cfg.Name), Value: encodeState(item)}
 }
 
-// withoutAges returns the versions, to compare them.
-func withoutAges(seen []origin.SeenVersion) []origin.SeenVersion {
-	versions := slices.Clone(seen)
-	for i := range versions {
-		versions[i].AgeMS = 0
+// versionsOf returns the versions in an item, to compare them.
+func versionsOf(item streamsItem) []origin.SeenVersion {
+	versions := make([]origin.SeenVersion, 0, len(item.Versions.Seen))
+	for _, seen := range item.Versions.Seen {
+		versions = append(versions, seen.Version())
 	}
 	return versions
 }
--- a/internal/transport/direct/storewatcher.go
+++ b/internal/transport/direct/storewatcher.go
@@ -124,6 +124,7 @@
 	case store.Ended:
 		return false
 	case store.Begun:
+		w.e.versions.ForgetSaved()
 		w.withLock(func() {
 			w.e.directory.MarkStoreRestored(w.e.deps.Clock.Now())
 			clear(w.undecodable)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -290,7 +290,9 @@
 			}
 			goesOn = false
 		}
-		c.recordBegin(ctx, r.target, sent)
+		if outcome, err := c.recordBegin(ctx, r.target, sent); outcome != balance.Succeeded {
+			return outcome, err
+		}
 		writeBegan := c.now()
 		if outcome, err := s.passOn(answer, &next); outcome != balance.Succeeded {
 			return outcome, err
--- a/internal/transport/direct/streambegin.go
+++ b/internal/transport/direct/streambegin.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/timing"
@@ -20,53 +21,106 @@
 	beginReportInterval = 500 * time.Millisecond
 )
 
-// recordBegin records that the target has sent the first event of the request's stream.
-func (c *call) recordBegin(ctx context.Context, t *catalog.Target, sent time.Time) {
+// streamBegin is the beginning of a request's stream at a target.
+type streamBegin struct {
+	c      *call
+	target *catalog.Target
+	// sent is when the request was sent to the target, and at when its first event arrived.
+	sent, at time.Time
+	software *requiredSoftware
+	// stop ends the identification.
+	stop context.CancelFunc
+
+	// mu guards published, which is set once the client may get the first event, and orders what is told after that.
+	mu        sync.Mutex
+	published bool
+	// report is the last report of the process; nil if none was needed, or none has arrived.
+	report *processReport
+}
+
+// recordBegin records that the target has sent the first event of the request's stream, unless the stream has begun before.
+// It returns the outcome of the attempt if the stream can't begin there.
+func (c *call) recordBegin(ctx context.Context, t *catalog.Target, sent time.Time) (balance.Outcome, error) {
 	if c.software != nil || !c.route.Resumable {
-		return
+		return balance.Succeeded, nil
 	}
 	if current := c.allTargets().Find(t.ID); current != nil && current.Incarnation == t.Incarnation {
 		// The record of a target that was found as a successor may have arrived meanwhile.
 		t = current
 	}
-	c.software = &requiredSoftware{}
+	b := &streamBegin{c: c, target: t, sent: sent, at: c.now(), software: &requiredSoftware{}, stop: func() {}}
+	named := true
 	switch {
 	case t.Incarnation == 0 && !t.SoftwareUnknown:
-		c.software.set(t.Software, origin.ByRecord)
+		b.software.set(t.Software, origin.ByRecord)
 	case t.Incarnation == 0 && !c.e.startsNamed.Load():
 		// Each start has a new id, so the process is that of its record, once it arrives.
-		c.software.setProcess(t.ID, 0)
+		b.software.setProcess(t.ID, 0)
 	default:
-		c.identifyBegin(ctx, t, sent)
-		return
+		named = false
+		b.identify(ctx)
 	}
-	c.recordOrigin()
-	c.logOrigin(0, "target", t.ID)
+	if !c.saveVersion(ctx, b.software.seen(t)) {
+		b.stop()
+		return balance.Rerouted, errVersionNotSaved
+	}
+	b.publish(named)
+	return balance.Succeeded, nil
 }
 
-// identifyBegin finds out which process has sent the first event of the request's stream, and records
-// it before the client gets that event. If the report is late, the version counts as unknown until it
-// arrives.
-func (c *call) identifyBegin(ctx context.Context, t *catalog.Target, sent time.Time) {
-	began := c.now()
+// publish lets the origin of the stream be recorded and told. named says that no report is needed.
+func (b *streamBegin) publish(named bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.c.software, b.published = b.software, true
+	b.c.recordOrigin()
+	switch {
+	case named:
+		b.c.logOrigin(0, "target", b.target.ID)
+	case b.report != nil:
+		b.logReport()
+	}
+}
+
+// record records what a report tells about the process that began the stream.
+func (b *streamBegin) record(report processReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.report = &report
+	b.observe(report)
+	if b.published {
+		b.c.recordOrigin()
+		b.logReport()
+	}
+}
+
+func (b *streamBegin) logReport() {
+	b.c.logOrigin(0, "target", b.target.ID, "process", b.target.Incarnation, "start", b.report.start, "result", b.report.result)
+}
+
+// identify finds out which process has sent the first event, and returns after the first report or beginReportTimeout.
+// It goes on for a while, or until stop is called, if that does not tell; the version counts as unknown until then.
+func (b *streamBegin) identify(ctx context.Context) {
+	ctx, b.stop = context.WithCancel(context.WithoutCancel(ctx))
 	first := make(chan struct{})
-	go c.identifyProcess(context.WithoutCancel(ctx), t, sent, began, sync.OnceFunc(func() { close(first) }))
+	go b.identifyProcess(ctx, sync.OnceFunc(func() { close(first) }))
 	select {
 	case <-first:
-	case <-c.e.deps.Clock.After(beginReportTimeout):
-		c.recordOrigin()
+	case <-b.c.e.deps.Clock.After(beginReportTimeout):
 	}
 }
 
 // identifyProcess asks the target that began the request's stream until it or its record tells which
 // process that was. It calls tried after each attempt.
-func (c *call) identifyProcess(ctx context.Context, t *catalog.Target, sent, began time.Time, tried func()) {
+func (b *streamBegin) identifyProcess(ctx context.Context, tried func()) {
+	c, t := b.c, b.target
+	defer b.stop()
 	for range maxBeginReports {
 		report := c.e.reports.identify(ctx, t)
-		if report.result == unconfirmed && c.wroteRecordSince(t, began) {
+		if report.result == unconfirmed && c.wroteRecordSince(t, b.at) {
 			report.result = confirmed
 		}
-		c.recordProcess(t, sent, report)
+		b.record(report)
 		tried()
 		if report.result != unconfirmed || !timing.Sleep(ctx, c.e.deps.Clock, beginReportInterval) {
 			return
@@ -74,6 +128,18 @@
 	}
 }
 
+// observe sets the process that began the stream. Whoever answers the report has begun it if it served before the
+// request was sent too; otherwise the process before it may have begun it and ended.
+func (b *streamBegin) observe(report processReport) {
+	c, t := b.c, b.target
+	switch {
+	case report.result == confirmed:
+		b.software.set(t.Software, origin.ByReport)
+	case report.result == replaced && c.e.versions.ServedBefore(b.sent, t.Service, t.ID, report.start):
+		b.software.setProcess(t.ID, report.start)
+	}
+}
+
 // wroteRecordSince reports whether the process of a target's record has written it after a time. Only one
 // process runs under an id at a time, so it was the same before.
 func (c *call) wroteRecordSince(t *catalog.Target, since time.Time) bool {
@@ -85,20 +151,6 @@
 	return current != nil && t.Incarnation != 0 && current.Incarnation == t.Incarnation && current.RecordedAt.Sub(since) > recordDelay
 }
 
-// recordProcess records the process that began the request's stream at a target, to which the request was
-// sent at the given time. Whoever answers the report has begun it if it served before that too; otherwise
-// the process before it may have begun it and ended.
-func (c *call) recordProcess(t *catalog.Target, sent time.Time, report processReport) {
-	switch {
-	case report.result == confirmed:
-		c.software.set(t.Software, origin.ByReport)
-	case report.result == replaced && c.e.versions.ServedBefore(sent, t.Service, t.ID, report.start):
-		c.software.setProcess(t.ID, report.start)
-	}
-	c.recordOrigin()
-	c.logOrigin(0, "target", t.ID, "process", t.Incarnation, "start", report.start, "result", report.result)
-}
-
 // recordSoftware records the version of the target that began the stream, once the target is known
 // to be the process that its record describes.
 func (c *call) recordSoftware(t *catalog.Target) {
--- a/internal/transport/direct/streamresume.go
+++ b/internal/transport/direct/streamresume.go
@@ -112,7 +112,8 @@
 
 // beganAtSoleVersion sets the required version of a stream that nobody remembers, if one version
 // alone has served. A list that names no other one does not show that: a process may serve before its
-// record is written. So the processes of all records are asked for their starts.
+// record is written, and may have ended since. So what entries have saved before they let streams begin is read, and the
+// processes of all records are asked for their starts.
 func (c *call) beganAtSoleVersion(ctx context.Context) bool {
 	if c.e.pausedWithin(pauseSettleTime) {
 		// The list of targets may be older than the stream.
@@ -121,7 +122,11 @@
 	if _, ok := c.soleVersion(); !ok || !c.e.reports.confirmAll(ctx, c.service) {
 		return false
 	}
-	// The reports may have shown another process.
+	if _, known := c.remembersOrigin(c.originKeys()[0]); known {
+		// An entry had saved it.
+		return true
+	}
+	// The reports or an entry's state may have shown another process.
 	version, ok := c.soleVersion()
 	if ok {
 		c.software = &requiredSoftware{known: true, version: version, source: origin.BySole}
--- a/internal/transport/direct/survey.go
+++ b/internal/transport/direct/survey.go
@@ -80,12 +80,20 @@
 		}
 		r.mu.Unlock()
 		targets := r.e.directory.View().Targets[service]
-		current.confirmed = r.survey(targets)
+		current.confirmed = r.readSaved() && r.survey(targets)
 		close(current.done)
 		timing.Sleep(context.Background(), r.e.deps.Clock, time.Duration(len(targets))*surveyPacePerTarget)
 	}
 }
 
+// readSaved reads what the other entries have saved, and reports whether this entry knows all versions that they had told
+// before: without the key-value service it does if it hears from all of them.
+func (r *reportReader) readSaved() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), surveyTimeout)
+	defer cancel()
+	return r.e.saver.readOthers(ctx) || r.e.hearsAll(r.e.deps.Clock.Now())
+}
+
 // survey asks targets once.
 func (r *reportReader) survey(targets catalog.Targets) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), surveyTimeout)
