--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -1,6 +1,7 @@
 // Package completion decides whether an answer of a target is complete.
 //
-// An answer with a length or chunks shows its own end. One without ends with its connection,
+// An answer with a length or chunks shows its own end, unless its target was leaving and its process ends within SettleTime:
+// a resumption elsewhere shows then whether more follows. One without ends with its connection,
 // which also ends when the target's process does, or when the target breaks the answer off. So
 // the end of a connection needs further evidence: where the stream may be resumed, a resumption
 // after the last event brings nothing more, and the process that sent the answer serves for
@@ -101,6 +102,9 @@
 // End describes a stream whose answer has ended between two events.
 type End struct {
 	Framing Framing
+	// TargetLeaves says that the target was known to be leaving when its answer ended. A process that is told to stop may
+	// end its streams early as if they were whole.
+	TargetLeaves bool
 	// Begun says that the client has events of the stream.
 	Begun bool
 	// AtDeadline says that the target had to stop work when the answer ended.
@@ -125,6 +129,11 @@
 	return e.Framing == Connection && !e.AtDeadline && e.Begun
 }
 
+// isDoubted reports whether the answer marks its end, but may have been ended early. Only a resumption can show that.
+func (e *End) isDoubted() bool {
+	return e.Framing != Connection && e.TargetLeaves && e.Resumable && e.Begun && !e.AtDeadline
+}
+
 // ServesOn reports whether a process that served at the end of its answer still answers later. One that
 // announces meanwhile that it is leaving does not end at once.
 func (p Process) ServesOn() bool { return p == Serving || p == Leaving }
@@ -139,6 +148,10 @@
 // without any is broken off unless the target framed it so.
 func (e *End) Judge() Verdict {
 	switch {
+	case e.isDoubted() && !e.Settled:
+		return Verdict{Unsettled, ByFraming}
+	case e.isDoubted() && !e.Process.ServesOn():
+		return Verdict{BrokenOff, ByFraming}
 	case e.Framing != Connection:
 		return Verdict{Complete, ByFraming}
 	case !e.NeedsProcess() || e.Process != Serving:
--- a/internal/coordination/completion/completion_test.go
+++ b/internal/coordination/completion/completion_test.go
@@ -44,6 +44,18 @@
 		{"replaced, runs once", func(e *completion.End) { e.Process, e.Resumable = completion.Replaced, false }, brokenOff},
 		{"a length", func(e *completion.End) { *e = completion.End{Framing: completion.Length} }, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
 		{"chunks", func(e *completion.End) { *e = completion.End{Framing: completion.Chunks, AtDeadline: true} }, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
+		{"chunks of a leaving target, not settled", func(e *completion.End) {
+			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true, Resumable: true, Begun: true}
+		}, completion.Verdict{Result: completion.Unsettled, Evidence: completion.ByFraming}},
+		{"chunks of a leaving target that serves on", func(e *completion.End) {
+			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true, Resumable: true, Begun: true, Settled: true, Process: completion.Serving}
+		}, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
+		{"chunks of a leaving target that is gone", func(e *completion.End) {
+			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true, Resumable: true, Begun: true, Settled: true, Process: completion.Gone}
+		}, completion.Verdict{Result: completion.BrokenOff, Evidence: completion.ByFraming}},
+		{"the same, runs once", func(e *completion.End) {
+			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true, Begun: true, Settled: true, Process: completion.Gone}
+		}, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -176,6 +176,12 @@
 	named, same bool
 }
 
+// leaves reports whether a target is known to be leaving, or to have left.
+func (r *reportReader) leaves(t *catalog.Target) bool {
+	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
+	return current == nil || current.State != catalog.Ready || r.e.withdrawn.Leaving(t.Key())
+}
+
 // judge returns which process serves at a target, by what it says and by the target's record. The end of a
 // target that was known to leave does not count as a loss.
 func (r *reportReader) judge(t *catalog.Target, said selfDescription) completion.Process {
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -159,13 +159,16 @@
 	c, now := s.c, s.c.now()
 	none := c.answer.events == 0
 	return completion.End{
-		Framing: framing, Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: s.resumable(),
+		Framing: framing, TargetLeaves: s.mayDoubtEnd() && c.e.reports.leaves(t), Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: s.resumable(),
 		Repeated:        none && s.endChecks.endedAt == t.Key() && s.endChecks.endedAfter == s.lastEventID,
 		Confirmable:     s.endChecks.count < maxEndChecks && c.e.retryBudgets.hasSpare(now, c.service, c.e.roster.LimitShare(now)),
 		ResumedByClient: s.events == 0 && c.meta.LastEventID != "",
 	}
 }
 
+// mayDoubtEnd reports whether there is time to find out whether a target that is leaving has ended its answer early.
+func (s *stream) mayDoubtEnd() bool { return s.c.timeLeft() > completion.SettleTime+deadlineEndMargin }
+
 // brokenOff returns the outcome of an attempt whose stream was broken off. err is the error of
 // asking its target.
 func brokenOff(end *completion.End, err error) (balance.Outcome, error) {
--- a/internal/transport/direct/withdrawal_test.go
+++ b/internal/transport/direct/withdrawal_test.go
@@ -47,7 +47,7 @@
 		for i := range 6 {
 			env.is.Equal(env.do("POST", "/r/x", fmt.Sprint("a", i), "body").body, wholeStream(10))
 		}
-		env.is.True(env.countFor("t1") <= 1)
+		env.is.True(env.countSentTo("t1") <= 1)
 	})
 }
 
