--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -63,6 +63,9 @@
 	Unknown bool           `json:"unknown,omitempty"`
 	Target  id.Target      `json:"target,omitempty"`
 	Start   id.Incarnation `json:"start,omitempty"`
+	// Startless is set if the version is that of a record that named no start of its process. It is believed as long as no
+	// record names one.
+	Startless bool `json:"startless,omitempty"`
 	// Ambiguous is set if streams of equal requests began at different versions.
 	Ambiguous bool `json:"ambiguous,omitempty"`
 	// AgeMS is the time since the stream was last known to run, in milliseconds.
--- a/internal/transport/direct/knownred_test.go
+++ b/internal/transport/direct/knownred_test.go
@@ -9,20 +9,6 @@
 	"time"
 )
 
-// TestRecordWithoutStart guards against a stream whose version is taken from a record that names no start, though
-// the process at its target names one and so may have started again under its id.
-func TestRecordWithoutStart(t *testing.T) {
-	withEnv(t, func(env *testEnv) {
-		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, processEngine(2, softwareEngine("v2", 5)))
-		env.start()
-		env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
-		time.AfterFunc(100*time.Millisecond, func() { env.list(softwareItem("t2", "10.0.2.1:80", "b", "v1", 1)) })
-		a := env.do("POST", "/r/x", "a1", "prompt")
-		env.is.True(len(versions(a.body)) < 2)
-		time.Sleep(10 * time.Second)
-	})
-}
-
 // TestWithdrawalOutlivesLateRecord guards against requests to a target that wants a pause, or is leaving, because
 // its notice came more than a second before the record of its process.
 func TestWithdrawalOutlivesLateRecord(t *testing.T) {
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -71,7 +71,7 @@
 // a report that is asked for from now on.
 func (r *reportReader) confirm(ctx context.Context, t *catalog.Target) processReport {
 	if t.Incarnation == 0 {
-		return processReport{result: confirmed}
+		return r.confirmWithoutStart(ctx, t)
 	}
 	r.mu.Lock()
 	read := r.reads[t.Key()]
@@ -96,16 +96,20 @@
 	}
 }
 
-// identify does the same for a target of which no record may be known yet: it is not confirmed then, but
-// names its start.
-func (r *reportReader) identify(ctx context.Context, t *catalog.Target) processReport {
-	if t.Incarnation != 0 {
-		return r.confirm(ctx, t)
+// confirmWithoutStart does the same for a target whose record names no start. Where no record names one, each start has a new
+// id. Otherwise the record may come from another writer, and the process is asked whether it names one.
+func (r *reportReader) confirmWithoutStart(ctx context.Context, t *catalog.Target) processReport {
+	if !r.e.startsNamed.Load() {
+		return processReport{result: confirmed}
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyCallTimeout)
 	defer cancel()
-	if start, ok := r.ask(ctx, t); ok {
+	start, answered := r.ask(ctx, t)
+	switch {
+	case start != 0:
 		return processReport{replaced, start}
+	case answered && !t.SoftwareUnknown:
+		return processReport{result: confirmed}
 	}
 	return processReport{result: unconfirmed}
 }
@@ -128,9 +132,9 @@
 	}
 }
 
-// ask requests from a target the time of its start. It returns false if the target does not report it, or
-// wants a pause.
-func (r *reportReader) ask(ctx context.Context, t *catalog.Target) (id.Incarnation, bool) {
+// ask requests from a target the time of its start, which is 0 if it does not report it. answered is false if it does not
+// answer, or wants a pause.
+func (r *reportReader) ask(ctx context.Context, t *catalog.Target) (start id.Incarnation, answered bool) {
 	if r.e.withdrawn.Paused(r.e.deps.Clock.Now(), t.Key()) {
 		return 0, false
 	}
@@ -138,8 +142,10 @@
 	if err != nil || answer.status != http.StatusOK {
 		return 0, false
 	}
-	report, ok := r.e.deps.Dialect.DecodeReport(answer.body)
-	return report.Incarnation, ok
+	if report, ok := r.e.deps.Dialect.DecodeReport(answer.body); ok {
+		return report.Incarnation, true
+	}
+	return 0, true
 }
 
 // processOf asks a target after the end of its answer which process serves there. The error is
@@ -207,7 +213,7 @@
 func (r *reportReader) read(t *catalog.Target) processReport {
 	ctx, cancel := context.WithTimeout(context.Background(), copyCallTimeout)
 	defer cancel()
-	if start, ok := r.ask(ctx, t); ok {
+	if start, _ := r.ask(ctx, t); start != 0 {
 		if start == t.Incarnation {
 			return processReport{confirmed, start}
 		}
--- a/internal/transport/direct/requiredsoftware.go
+++ b/internal/transport/direct/requiredsoftware.go
@@ -18,10 +18,16 @@
 	// record may still tell the version; otherwise empty.
 	target id.Target
 	start  id.Incarnation
+	// startless says that the version is that of a record without a start, and startsNamed whether any record names one.
+	startless   bool
+	startsNamed func() bool
 	// source is from what the version is known.
 	source origin.Source
 }
 
+// believed reports whether the version is known. The caller holds mu.
+func (r *requiredSoftware) believed() bool { return r.known && !(r.startless && r.startsNamed()) }
+
 // resolve returns the required version, if it is known, also from the record of the target
 // that began the stream.
 func (r *requiredSoftware) resolve(listed catalog.Targets) (id.SoftwareVersion, bool) {
@@ -30,7 +36,7 @@
 	if t := listed.Find(r.target); !r.known && r.target != "" && t != nil && t.Incarnation == r.start && !t.SoftwareUnknown {
 		r.version, r.known, r.source = t.Software, true, origin.ByRecord
 	}
-	return r.version, r.known
+	return r.version, r.believed()
 }
 
 // stream returns the version as it is remembered.
@@ -38,7 +44,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.known {
-		return origin.Stream{Software: r.version}
+		return origin.Stream{Software: r.version, Startless: r.startless}
 	}
 	return origin.Stream{Unknown: true, Target: r.target, Start: r.start}
 }
@@ -63,6 +69,14 @@
 	r.version, r.known, r.source = v, true, source
 }
 
+// setStartless sets the version from a record that names no start.
+func (r *requiredSoftware) setStartless(v id.SoftwareVersion) {
+	r.set(v, origin.ByRecord)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startless = true
+}
+
 // setProcess sets the process that began the stream, of which no record tells the version yet.
 func (r *requiredSoftware) setProcess(target id.Target, start id.Incarnation) {
 	r.mu.Lock()
@@ -74,7 +88,7 @@
 func (r *requiredSoftware) text() (software string, source origin.Source) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.known {
+	if !r.believed() {
 		return "unknown", origin.NoSource
 	}
 	return string(r.version), r.source
--- a/internal/transport/direct/restartorigin_test.go
+++ b/internal/transport/direct/restartorigin_test.go
@@ -48,3 +48,41 @@
 		env.is.Equal(versions(body + a.body)["v1"], softwareEvents)
 	})
 }
+
+// TestRecordWithoutStart guards against a stream whose version is taken from a record that names no start, though
+// the process at its target names one and so may have started again under its id.
+func TestRecordWithoutStart(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, processEngine(2, softwareEngine("v2", 5)))
+		env.start()
+		env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
+		time.AfterFunc(100*time.Millisecond, func() { env.list(softwareItem("t2", "10.0.2.1:80", "b", "v1", 1)) })
+		a := env.do("POST", "/r/x", "a1", "prompt")
+		env.is.True(len(versions(a.body)) < 2)
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestResumptionAfterRecordWithoutStart guards against a stream that goes on at another version in a second try, because the
+// record of the target that began it named no start.
+func TestResumptionAfterRecordWithoutStart(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(map[bool]string{false: "same entry", true: "entry restarted"}[restart], func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, processEngine(2, softwareEngine("v2", 0)))
+				env.start()
+				time.Sleep(time.Minute)
+				c, _, last := env.holdPart("a0")
+				env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
+				env.list(softwareItem("t2", "10.0.2.1:80", "b", "v1", 1))
+				if restart {
+					env.targets = append(env.targets, softwareItem("t2", "10.0.2.1:80", "b", "v1", 1))
+					env.restart()
+				}
+				_ = c.conn.Close()
+				a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
+				env.is.Equal(versions(a.body)["v1"], 0)
+			})
+		})
+	}
+}
--- a/internal/transport/direct/streambegin.go
+++ b/internal/transport/direct/streambegin.go
@@ -48,11 +48,11 @@
 		// The record of a target that was found as a successor may have arrived meanwhile.
 		t = current
 	}
-	b := &streamBegin{c: c, target: t, sent: sent, at: c.now(), software: &requiredSoftware{}, stop: func() {}}
+	b := &streamBegin{c: c, target: t, sent: sent, at: c.now(), software: &requiredSoftware{startsNamed: c.e.startsNamed.Load}, stop: func() {}}
 	named := true
 	switch {
-	case t.Incarnation == 0 && !t.SoftwareUnknown:
-		b.software.set(t.Software, origin.ByRecord)
+	case t.Incarnation == 0 && !t.SoftwareUnknown && !c.e.startsNamed.Load():
+		b.software.setStartless(t.Software)
 	case t.Incarnation == 0 && !c.e.startsNamed.Load():
 		// Each start has a new id, so the process is that of its record, once it arrives.
 		b.software.setProcess(t.ID, 0)
@@ -116,7 +116,7 @@
 	c, t := b.c, b.target
 	defer b.stop()
 	for range maxBeginReports {
-		report := c.e.reports.identify(ctx, t)
+		report := c.e.reports.confirm(ctx, t)
 		if report.result == unconfirmed && c.wroteRecordSince(t, b.at) {
 			report.result = confirmed
 		}
--- a/internal/transport/direct/streamresume.go
+++ b/internal/transport/direct/streamresume.go
@@ -103,7 +103,10 @@
 	if !ok {
 		return false, false
 	}
-	c.software = &requiredSoftware{known: s.Known(), version: s.Software, target: s.Target, start: s.Start, source: c.e.streams.Source(key)}
+	c.software = &requiredSoftware{
+		known: s.Known(), version: s.Software, startless: s.Startless, startsNamed: c.e.startsNamed.Load,
+		target: s.Target, start: s.Start, source: c.e.streams.Source(key),
+	}
 	if _, known = c.software.resolve(c.allTargets()); known {
 		c.logOrigin(time.Duration(s.AgeMS) * time.Millisecond)
 	}
@@ -129,7 +132,7 @@
 	// The reports or an entry's state may have shown another process.
 	version, ok := c.soleVersion()
 	if ok {
-		c.software = &requiredSoftware{known: true, version: version, source: origin.BySole}
+		c.software = &requiredSoftware{known: true, version: version, startsNamed: c.e.startsNamed.Load, source: origin.BySole}
 		c.logOrigin(0, "covered", c.e.versions.CoveredFor(c.now()))
 	}
 	return ok
--- a/internal/transport/direct/successor.go
+++ b/internal/transport/direct/successor.go
@@ -133,7 +133,7 @@
 	}
 	successor := *predecessor
 	successor.ID, successor.Incarnation = name, 0
-	if report := s.e.reports.identify(ctx, &successor); report.start != 0 {
+	if report := s.e.reports.confirm(ctx, &successor); report.start != 0 {
 		s.e.observeProcess(&successor, report.start)
 	}
 }
