--- a/cmd/foxtailward-lab/soak.go
+++ b/cmd/foxtailward-lab/soak.go
@@ -62,6 +62,7 @@
 	f.BoolVar(&flags.opts.Stops, "stops", true, "stop whole entries in series, beside signals and configuration changes, while clients keep using their connections")
 	f.BoolVar(&flags.opts.AnswerEnds, "answer-ends", true, "end answers early as if they were whole: engines replaced in place, living ones that break answers off")
 	f.BoolVar(&flags.opts.Unrecorded, "unrecorded", false, "release engines in place whose records are late, after a time in which one version alone serves")
+	f.BoolVar(&flags.opts.AllKilled, "all-killed", false, "kill all entries within a second after another version has begun streams, after a time in which one version alone serves")
 	f.BoolVar(&flags.opts.ProcessEnds, "process-ends", false, "tell targets to stop, which end their unframed answers early and serve for a while")
 	f.BoolVar(&flags.opts.LatePlainEnds, "late-plain-ends", false, "let --process-ends also break off plain answers of processes that end later than entries wait, or are replaced before they ask")
 	f.BoolVar(&flags.opts.HTTP10, "http10", false, "send some attempts at streams over HTTP/1.0")
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -83,7 +83,7 @@
 
 // choosePath returns a random route's path prefix for the next request.
 func (c *client) choosePath() string {
-	if c.w.opts.Unrecorded && c.random.Float64() < streamShare {
+	if c.w.opts.resumesOften() && c.random.Float64() < streamShare {
 		return streamPath
 	}
 	switch share := c.random.Float64(); {
@@ -174,7 +174,10 @@
 
 // attempts returns how often the client sends a request that gets no answer.
 func (c *client) attempts() int {
-	if c.w.opts.Unrecorded {
+	switch {
+	case c.w.opts.AllKilled:
+		return allKilledAttempts
+	case c.w.opts.Unrecorded:
 		return unrecordedAttempts
 	}
 	return maxAttempts
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -53,6 +53,9 @@
 	if opts.Unrecorded {
 		p = append(p, newUnrecorded(opts, rand.New(rand.NewPCG(opts.Seed, unrecordedRandomStream)))...)
 	}
+	if opts.AllKilled {
+		p = append(p, newAllKilled(opts, rand.New(rand.NewPCG(opts.Seed, allKilledRandomStream)))...)
+	}
 	if opts.ProcessEnds {
 		p = append(p, newProcessEnds(opts, rand.New(rand.NewPCG(opts.Seed, processEndRandomStream)))...)
 	}
--- a/internal/standin/soak/release.go
+++ b/internal/standin/soak/release.go
@@ -182,7 +182,7 @@
 // trackStream returns a function that counts an attempt at a stream by whether it brought
 // an event. Attempts that do not count are left out.
 func (w *world) trackStream(q *request, entry string) func(gotEvent bool) {
-	if routeKindOf(q.path) != catalog.Streaming || !w.opts.Releases && !w.opts.Unrecorded || !q.disconnectAt.IsZero() {
+	if routeKindOf(q.path) != catalog.Streaming || !w.opts.Releases && !w.opts.resumesOften() || !q.disconnectAt.IsZero() {
 		return func(bool) {}
 	}
 	sent, resumes, after, before := time.Now(), q.lastEvent > 0, q.lastEvent, 0
@@ -200,7 +200,7 @@
 		if resumes && min(before, w.serving(q.software)) < minServing {
 			return
 		}
-		if w.opts.Unrecorded {
+		if w.opts.resumesOften() {
 			q.countedAfter = after
 		}
 		w.shares.count(resumes, gotEvent)
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -80,6 +80,9 @@
 	// records of the new processes are late, and entries that began streams there are killed,
 	// cut off or paused.
 	Unrecorded bool
+	// AllKilled adds moments, after a time in which one version alone serves, at which another version begins streams,
+	// all entries are killed within a second, and the processes of that version end too.
+	AllKilled bool
 	// ProcessEnds adds targets that are told to stop: they end their unframed answers early, still
 	// serve for a while without saying that they are leaving, and end.
 	ProcessEnds bool
@@ -99,7 +102,10 @@
 
 // resumesElsewhere reports whether clients resume a stream at another entry than the one that broke it
 // off.
-func (o *Options) resumesElsewhere() bool { return o.AnswerEnds || o.Unrecorded || o.ProcessEnds }
+func (o *Options) resumesElsewhere() bool { return o.AnswerEnds || o.resumesOften() || o.ProcessEnds }
+
+// resumesOften reports whether most requests are streams, which clients resume many times.
+func (o *Options) resumesOften() bool { return o.Unrecorded || o.AllKilled }
 
 // hasResidents reports whether clients keep connections to all entries.
 func (o *Options) hasResidents() bool { return o.Stops || o.AnswerEnds || o.ProcessEnds }
@@ -179,6 +185,7 @@
 	w.checkCrashingRequests()
 	w.checkTargetLimits()
 	w.checkUnrecorded()
+	w.checkAllKilled()
 	w.checkProcessEnds()
 	w.checkShares()
 	w.checkRecovery(ctx)
@@ -201,6 +208,7 @@
 	unrecordedRandomStream = 12
 	unrecordedFaultStream  = 13
 	processEndRandomStream = 14
+	allKilledRandomStream  = 15
 	residentRandomStream   = 5000
 	clientRandomStream     = 1000
 )
--- a/internal/standin/soak/unrecorded.go
+++ b/internal/standin/soak/unrecorded.go
@@ -142,6 +142,8 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	began  map[direct.AttemptID]*unrecordedStream
+	// software is a version whose streams count too, also if records describe their processes.
+	software id.SoftwareVersion
 	// disturbed holds the names of the entries that meet a fault.
 	disturbed map[string]bool
 	// resumed and early count the streams that clients resumed at another entry, and those of
@@ -170,15 +172,16 @@
 // firstEventSent records that the replica has sent the first event of a stream, and may begin a
 // fault at the stream's entry.
 func (p *replica) firstEventSent(attempt direct.AttemptID) {
-	if !p.w.opts.Unrecorded {
+	if !p.w.opts.resumesOften() {
 		return
 	}
 	select {
 	case p.streamBegun <- struct{}{}:
 	default:
 	}
-	incarnation := p.currentTarget().Incarnation
-	if p.recorded(incarnation) {
+	self := p.currentTarget()
+	incarnation := self.Incarnation
+	if !p.w.unrecorded.follows(self.Software) && p.recorded(incarnation) {
 		return
 	}
 	entry := p.w.entryNamed(p.w.history.entryOf(attempt))
@@ -190,7 +193,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.began[attempt] = &unrecordedStream{process: p, incarnation: incarnation}
-	if u.random.Float64() >= disturbedShare || u.disturbed[entry.name] || len(u.disturbed) >= max(1, len(p.w.entries)/disturbedEntries) {
+	if p.w.opts.AllKilled || u.random.Float64() >= disturbedShare || u.disturbed[entry.name] || len(u.disturbed) >= max(1, len(p.w.entries)/disturbedEntries) {
 		return
 	}
 	u.disturbed[entry.name] = true
@@ -203,6 +206,13 @@
 	})
 }
 
+// follows reports whether the streams of a version count.
+func (u *unrecordedStreams) follows(software id.SoftwareVersion) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.software != "" && u.software == software
+}
+
 // entryNamed returns the entry with a name, or nil.
 func (w *world) entryNamed(name string) *process {
 	for _, e := range w.entries {
@@ -288,7 +298,8 @@
 
 // trackUnrecorded records that a client resumes a stream at an entry.
 func (w *world) trackUnrecorded(q *request, entry string) {
-	if !w.opts.Unrecorded || q.lastEvent == 0 || w.history.entryOf(q.began) == entry {
+	sameEntry := w.history.entryOf(q.began) == entry
+	if !w.opts.resumesOften() || q.lastEvent == 0 || (sameEntry && !w.opts.AllKilled) {
 		return
 	}
 	u := w.unrecorded
