--- a/internal/transport/direct/allended_test.go
+++ b/internal/transport/direct/allended_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// TestEarlierStreamGoesOnAfterAllEntriesEnded guards against streams that are refused after the end of all entries, because
+// another version had begun a stream at another entry just before.
+func TestEarlierStreamGoesOnAfterAllEntriesEnded(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, processEngine(1, softwareEngine("v1", 0)))
+		env.start()
+		time.Sleep(time.Minute)
+		c, _, last := env.holdPart("a0")
+		time.Sleep(1500 * time.Millisecond) // what runs is saved about once a second
+		env.otherEntryBegins(`{"service":"m","unknown":"t1","start":2}`)
+		env.restart()
+		_ = c.conn.Close()
+		a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
+		env.is.Equal(versions(a.body)["v1"], softwareEvents-5)
+	})
+}
+
 // TestFirstEventWaitsForSavedVersion guards against a stream that begins at a version which the key-value service does not
 // hold, though it answered not long ago.
 func TestFirstEventWaitsForSavedVersion(t *testing.T) {
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -66,8 +66,7 @@
 	Records   []quarantine.Record `json:"records"`
 }
 
-// streamsItem is what an entry saves about the versions of targets' software, whenever they
-// change, and about the streams that it has served, unless one version alone has served.
+// streamsItem is what an entry saves about the versions of targets' software and about the streams that it has served.
 type streamsItem struct {
 	// Entry is the entry that saved the item; empty in older items.
 	Entry id.Entry `json:"entry,omitempty"`
@@ -286,8 +285,8 @@
 
 // streamsItem returns what this entry saves about streams now.
 func (s *stateSaver) streamsItem(now time.Time) streamsItem {
-	streams := s.streamsToSave(now)
-	return streamsItem{Entry: s.e.cfg.Name, SavedAtMS: now.UnixMilli(), Streams: streams, Versions: s.e.versions.Report(now)}
+	s.e.observeVersions()
+	return streamsItem{Entry: s.e.cfg.Name, SavedAtMS: now.UnixMilli(), Streams: s.e.streams.Own(now), Versions: s.e.versions.Report(now)}
 }
 
 func (s *stateSaver) streamsPut(item streamsItem) store.Put {
@@ -303,15 +302,6 @@
 	return versions
 }
 
-// streamsToSave returns the streams of this entry, unless one version alone has served.
-func (s *stateSaver) streamsToSave(now time.Time) []origin.Stream {
-	s.e.observeVersions()
-	if !s.e.versions.Uncertain(now) {
-		return nil
-	}
-	return s.e.streams.Own(now)
-}
-
 // encodeState returns v as JSON. The saved types contain only strings, numbers and
 // bools, so encoding cannot fail.
 func encodeState(v any) []byte {
