--- a/cmd/foxtailward-lab/soak.go
+++ b/cmd/foxtailward-lab/soak.go
@@ -64,6 +64,7 @@
 	f.BoolVar(&flags.opts.Unrecorded, "unrecorded", false, "release engines in place whose records are late, after a time in which one version alone serves")
 	f.BoolVar(&flags.opts.AllKilled, "all-killed", false, "kill all entries within a second after another version has begun streams, after a time in which one version alone serves")
 	f.BoolVar(&flags.opts.ProcessEnds, "process-ends", false, "tell targets to stop, which end their unframed answers early and serve for a while")
+	f.BoolVar(&flags.opts.LeavingEnds, "leaving-ends", false, "let engines say that they are leaving and end their chunked streams early with their last chunks")
 	f.BoolVar(&flags.opts.LatePlainEnds, "late-plain-ends", false, "let --process-ends also break off plain answers of processes that end later than entries wait, or are replaced before they ask")
 	f.BoolVar(&flags.opts.HTTP10, "http10", false, "send some attempts at streams over HTTP/1.0")
 	f.BoolVar(&flags.opts.Calm, "calm", false, "leave out the faults and the planned work that the other options do not add")
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -97,7 +97,7 @@
 
 // chooseShape returns the shape of the next request; nil for the usual one.
 func (c *client) chooseShape() *shape {
-	if c.w.opts.ProcessEnds && c.random.Float64() < shapedShare {
+	if (c.w.opts.ProcessEnds || c.w.opts.LeavingEnds) && c.random.Float64() < shapedShare {
 		return c.newShape()
 	}
 	return nil
@@ -129,6 +129,8 @@
 	countedAfter int
 	// gotAll is set once the client has received the last event.
 	gotAll bool
+	// gotAllAtLeaving is set once it has received it from an engine that was leaving.
+	gotAllAtLeaving bool
 	// began is the attempt that brought the first event, and software its version.
 	began    direct.AttemptID
 	software id.SoftwareVersion
@@ -439,6 +441,7 @@
 			return attemptResult{outcome: answered}
 		case err == io.EOF:
 			c.countUnframed(q, true)
+			c.countAtLeaving(q, true)
 			if res.Close {
 				c.closeConn()
 			}
@@ -453,6 +456,7 @@
 		}
 		if q.lastEvent++; q.lastEvent == q.eventCount() {
 			c.countUnframed(q, false)
+			c.countAtLeaving(q, false)
 		}
 	}
 }
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -59,6 +59,9 @@
 	if opts.ProcessEnds {
 		p = append(p, newProcessEnds(opts, rand.New(rand.NewPCG(opts.Seed, processEndRandomStream)))...)
 	}
+	if opts.LeavingEnds {
+		p = append(p, newLeavingEnds(opts, rand.New(rand.NewPCG(opts.Seed, leavingEndRandomStream)))...)
+	}
 	if opts.StoreReturns {
 		p = append(p, newStoreReturns(opts, rand.New(rand.NewPCG(opts.Seed, returnRandomStream)))...)
 	}
--- a/internal/standin/soak/processends.go
+++ b/internal/standin/soak/processends.go
@@ -127,16 +127,22 @@
 }
 
 // waitInStream waits for d before the next event of a stream. It returns false if ctx ends first.
-// The wait for an unframed stream ends when the process is told to stop.
+// The wait ends when the process is told to stop and ends such streams early.
 func (p *replica) waitInStream(ctx context.Context, s *stream, d time.Duration) bool {
 	if s.unframed {
 		return p.ends.wait(ctx, d)
 	}
+	if mayEndChunked(ctx, s) {
+		return p.departure.stop.wait(ctx, d)
+	}
 	return sleep(ctx, d)
 }
 
 // closesStream reports whether the process ends a stream now, because it was told to stop.
-func (p *replica) closesStream(s *stream) bool {
+func (p *replica) closesStream(ctx context.Context, s *stream) bool {
+	if p.endsChunked(ctx, s) {
+		return true
+	}
 	if !s.unframed || !p.ends.begun() {
 		return false
 	}
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -50,6 +50,8 @@
 	leaving atomic.Bool
 	// ends says whether the target was told to stop without notice.
 	ends *processEnd
+	// departure says whether the target has said that it is leaving, and ends its chunked streams.
+	departure *leavingProcess
 
 	// streamBegun gets a value when the target has sent the first event of a stream.
 	streamBegun chan struct{}
@@ -75,7 +77,7 @@
 }
 
 func newReplica(w *world, service id.Service, zone int) (*replica, error) {
-	p := &replica{w: w, zone: zone, ends: newProcessEnd(), streamBegun: make(chan struct{}, 1)}
+	p := &replica{w: w, zone: zone, ends: newProcessEnd(), departure: newLeavingProcess(), streamBegun: make(chan struct{}, 1)}
 	var err error
 	if p.server, err = server.New(w.host(0, 1)+":0", p); err != nil {
 		return nil, err
@@ -322,6 +324,8 @@
 
 // serveStream sends the events after the client's last one.
 func (p *replica) serveStream(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, s *stream) {
+	p.departure.streams.Add(1)
+	defer p.departure.streams.Add(-1)
 	if to := p.w.replicaAt(forwarded.BackupAddress); to != nil {
 		to.addBackup(string(forwarded.Attempt))
 	}
@@ -344,7 +348,7 @@
 	out := http.NewResponseController(w)
 	// A process that was told to stop sends one event of some streams that it begins.
 	oneMore := p.ends.begun() && rand.IntN(2) == 0
-	if planned.place == afterHead || !oneMore && p.closesStream(s) {
+	if planned.place == afterHead || !oneMore && p.closesStream(ctx, s) {
 		// The connection is closed in any case.
 		_ = out.Flush()
 		return
@@ -357,9 +361,12 @@
 		if !p.waitInStream(ctx, s, wait) {
 			panic(http.ErrAbortHandler)
 		}
-		if (!oneMore || i > last+1) && p.closesStream(s) {
+		if (!oneMore || i > last+1) && p.closesStream(ctx, s) {
 			return
 		}
+		if i == s.events {
+			p.recordLastEvent(s)
+		}
 		if _, err := io.WriteString(w, streamEvent(s.body, i, s.software)); err != nil || out.Flush() != nil || p.endsHere(planned, s, i) {
 			return
 		}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -86,6 +86,9 @@
 	// ProcessEnds adds targets that are told to stop: they end their unframed answers early, still
 	// serve for a while without saying that they are leaving, and end.
 	ProcessEnds bool
+	// LeavingEnds adds engines that say that they are leaving. Some then end their chunked streams early with their last
+	// chunks, live on for a while, and end.
+	LeavingEnds bool
 	// LatePlainEnds lets these targets also break off plain answers of which nothing tells entries: by
 	// processes that end later than entries wait, or that are replaced before entries ask.
 	LatePlainEnds bool
@@ -102,13 +105,17 @@
 
 // resumesElsewhere reports whether clients resume a stream at another entry than the one that broke it
 // off.
-func (o *Options) resumesElsewhere() bool { return o.AnswerEnds || o.resumesOften() || o.ProcessEnds }
+func (o *Options) resumesElsewhere() bool {
+	return o.AnswerEnds || o.resumesOften() || o.ProcessEnds || o.LeavingEnds
+}
 
 // resumesOften reports whether most requests are streams, which clients resume many times.
 func (o *Options) resumesOften() bool { return o.Unrecorded || o.AllKilled }
 
 // hasResidents reports whether clients keep connections to all entries.
-func (o *Options) hasResidents() bool { return o.Stops || o.AnswerEnds || o.ProcessEnds }
+func (o *Options) hasResidents() bool {
+	return o.Stops || o.AnswerEnds || o.ProcessEnds || o.LeavingEnds
+}
 
 // Limits of a run.
 const (
@@ -187,6 +194,7 @@
 	w.checkUnrecorded()
 	w.checkAllKilled()
 	w.checkProcessEnds()
+	w.checkLeavingEnds()
 	w.checkShares()
 	w.checkRecovery(ctx)
 }
@@ -209,6 +217,7 @@
 	unrecordedFaultStream  = 13
 	processEndRandomStream = 14
 	allKilledRandomStream  = 15
+	leavingEndRandomStream = 16
 	residentRandomStream   = 5000
 	clientRandomStream     = 1000
 )
--- a/internal/standin/soak/stops.go
+++ b/internal/standin/soak/stops.go
@@ -184,13 +184,16 @@
 }
 
 // newShape returns a random shape of a request of the client. With ProcessEnds, more answers are
-// unframed, and no body is late.
+// unframed, and no body is late. With LeavingEnds none is unframed.
 func (c *client) newShape() *shape {
 	s := newShape(c.random)
 	if c.w.opts.ProcessEnds {
 		s.unframed = s.unframed || c.random.Float64() < unframedShare
 		s.bodyDelay = 0
 	}
+	if c.w.opts.LeavingEnds {
+		s.unframed, s.bodyDelay = false, 0
+	}
 	return s
 }
 
--- a/internal/standin/soak/windows.go
+++ b/internal/standin/soak/windows.go
@@ -87,6 +87,13 @@
 	c.counts[name]++
 }
 
+// count returns the count of a name.
+func (c *counter) count(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[name]
+}
+
 func (c *counter) all() map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -63,6 +63,8 @@
 	unrecorded *unrecordedStreams
 	// breaks draws the answers that living targets break off.
 	breaks *answerBreaks
+	// leavingStreams counts, by body, the streams whose last event an engine sent while it was leaving.
+	leavingStreams *counter
 
 	service   *kv.Service
 	store     store.Store
@@ -87,7 +89,7 @@
 		opts: opts, dialect: platform.Dialect(), history: newHistory(time.Now()),
 		probes:       &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		faultWindows: &faultWindows{settle: settleTime}, disturbances: map[string]*faultWindows{}, outages: &outages{entries: opts.Entries}, actionCounts: newCounter(), service: kv.New(kv.Options{}), config: initialConfig(),
-		breaks: newAnswerBreaks(opts.Seed), unrecorded: newUnrecordedStreams(opts.Seed),
+		breaks: newAnswerBreaks(opts.Seed), unrecorded: newUnrecordedStreams(opts.Seed), leavingStreams: newCounter(),
 	}
 	w.store = w.service.Direct()
 	if opts.Crashing {
