--- a/internal/standin/soak/answerends.go
+++ b/internal/standin/soak/answerends.go
@@ -115,7 +115,7 @@
 	if !p.leaving.Load() {
 		return false
 	}
-	platform.EncodeLeaving(w.Header())
+	p.sayLeaving(w.Header())
 	platform.EncodeResponseMetadata(w.Header(), attempt, "", true)
 	w.WriteHeader(http.StatusServiceUnavailable)
 	return true
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -340,6 +340,7 @@
 		return
 	}
 	encodeSuccess(w, forwarded.Attempt)
+	p.sayLeaving(w.Header())
 	w.Header().Set("Content-Type", "text/event-stream")
 	if s.unframed {
 		// The server ends such an answer with its connection.
--- a/internal/transport/direct/leavingend_test.go
+++ b/internal/transport/direct/leavingend_test.go
@@ -52,6 +52,42 @@
 	}
 }
 
+// TestFramedEndOfLeavingTargetWithoutEvents guards against an empty stream that counts as whole because a target that was
+// told to stop ended it before its first event.
+func TestFramedEndOfLeavingTargetWithoutEvents(t *testing.T) {
+	for _, framing := range []string{"length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.target("t1", "10.0.1.1:80", "a", func(rw http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == reportPath {
+						fmt.Fprint(rw, 0)
+						return
+					}
+					time.Sleep(200 * time.Millisecond) // until its record says that it is leaving
+					events(rw, 0, 0, 0)
+					if framing == "chunks" {
+						rw.(http.Flusher).Flush()
+					}
+					time.AfterFunc(50*time.Millisecond, func() { env.crash("10.0.1.1:80") })
+				})
+				env.start()
+				time.AfterFunc(100*time.Millisecond, func() {
+					env.drainTarget("t1", "10.0.1.1:80", "a")
+					env.listTarget("t2", "10.0.2.1:80", "b")
+				})
+				env.startUnlisted("t2", "10.0.2.1:80", func(rw http.ResponseWriter, r *http.Request) { events(rw, after(r), 20, 30*time.Millisecond) })
+				begin := time.Now()
+				got := env.do("POST", "/r/x", "a1", "body")
+				env.is.True(!got.broken)
+				env.is.Equal(got.body, wholeStream(20))
+				env.is.Equal(env.countSent(), 2)
+				env.is.True(time.Since(begin) < 2*time.Second) // the client does not wait for the end of a process to get its first event
+				time.Sleep(10 * time.Second)                   // the search for the target's successor ends
+			})
+		})
+	}
+}
+
 // countSent returns the number of requests of clients that targets have received.
 func (env *testEnv) countSent() int { return env.countSentTo("t1") + env.countSentTo("t2") }
 
