--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -134,6 +134,12 @@
 	return e.Framing != Connection && e.TargetLeaves && e.Resumable && e.Begun && !e.AtDeadline
 }
 
+// isEmptyOfLeaving reports whether a target that was known to be leaving ended its answer before the first event, though
+// the stream may run elsewhere.
+func (e *End) isEmptyOfLeaving() bool {
+	return e.Framing != Connection && e.TargetLeaves && e.Resumable && !e.Begun && !e.AtDeadline
+}
+
 // ServesOn reports whether a process that served at the end of its answer still answers later. One that
 // announces meanwhile that it is leaving does not end at once.
 func (p Process) ServesOn() bool { return p == Serving || p == Leaving }
@@ -145,9 +151,11 @@
 }
 
 // Judge returns what follows from the end. A run begins with its first event, so a stream
-// without any is broken off unless the target framed it so.
+// without any is broken off unless the target framed it so and was not known to be leaving.
 func (e *End) Judge() Verdict {
 	switch {
+	case e.isEmptyOfLeaving():
+		return Verdict{BrokenOff, ByFraming}
 	case e.isDoubted() && !e.Settled:
 		return Verdict{Unsettled, ByFraming}
 	case e.isDoubted() && !e.Process.ServesOn():
--- a/internal/coordination/completion/completion_test.go
+++ b/internal/coordination/completion/completion_test.go
@@ -56,6 +56,15 @@
 		{"the same, runs once", func(e *completion.End) {
 			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true, Begun: true, Settled: true, Process: completion.Gone}
 		}, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
+		{"chunks of a leaving target without an event", func(e *completion.End) {
+			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true, Resumable: true}
+		}, completion.Verdict{Result: completion.BrokenOff, Evidence: completion.ByFraming}},
+		{"the same at the deadline", func(e *completion.End) {
+			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true, Resumable: true, AtDeadline: true}
+		}, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
+		{"no event, runs once", func(e *completion.End) {
+			*e = completion.End{Framing: completion.Chunks, TargetLeaves: true}
+		}, completion.Verdict{Result: completion.Complete, Evidence: completion.ByFraming}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/transport/direct/leavingend_test.go
+++ b/internal/transport/direct/leavingend_test.go
@@ -64,7 +64,7 @@
 						return
 					}
 					time.Sleep(200 * time.Millisecond) // until its record says that it is leaving
-					events(rw, 0, 0, 0)
+					events(rw, 1, 0, 0)                // a head alone
 					if framing == "chunks" {
 						rw.(http.Flusher).Flush()
 					}
