--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -297,6 +297,16 @@
 	playSeeds(t, answerEndSeeds, soak.Options{Engines: 24, Stops: true, AnswerEnds: true, HTTP10: true, Calm: true}, "targetReplaced")
 }
 
+// leavingEndSeeds are run by each TestRunLeavingEnds, with the cause of an earlier failure.
+var leavingEndSeeds = []seedCase{
+	{1, 20 * time.Second, "streams that leaving targets ended early with their last chunks counted as whole"},
+}
+
+// TestRunLeavingEnds runs real entries whose engines say that they are leaving, end their chunked streams early, and end.
+func TestRunLeavingEnds(t *testing.T) {
+	playSeeds(t, leavingEndSeeds, soak.Options{Engines: 24, LeavingEnds: true, Calm: true}, "engineLeft byRecord")
+}
+
 // processEndSeeds are run by each TestRunProcessEnds, with the cause of an earlier failure.
 var processEndSeeds = []seedCase{
 	{1, 30 * time.Second, "answers without length ended as if they were whole when their processes ended half a second later"},
