--- a/internal/transport/direct/leavingend_test.go
+++ b/internal/transport/direct/leavingend_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
@@ -88,6 +90,49 @@
 	}
 }
 
+// TestWholeStreamOfLastLeavingTarget guards against a whole stream that is broken off because its target, the last of its
+// version, ends once it has finished its streams.
+func TestWholeStreamOfLastLeavingTarget(t *testing.T) {
+	tests := []struct {
+		name string
+		// other is the version of the only other target.
+		other string
+		// delisted says that the target is removed from the list, and serves on.
+		delisted bool
+	}{
+		{"a release to another version", "v2", false},
+		{"the target is delisted and serves on", "v2", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, processEngine(1, func(rw http.ResponseWriter, r *http.Request) {
+					softwareEngine("v1", 0)(rw, r)
+					if !tt.delisted {
+						time.AfterFunc(50*time.Millisecond, func() { env.crash("10.0.1.1:80") })
+					}
+				}))
+				env.start()
+				env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine(tt.other, 0)))
+				time.AfterFunc(100*time.Millisecond, func() {
+					env.list(softwareItem("t2", "10.0.2.1:80", "b", tt.other, 1))
+					item := softwareItem("t1", "10.0.1.1:80", "a", "v1", 1)
+					item.Value = []byte(strings.Replace(string(item.Value), "ready", "draining", 1))
+					if tt.delisted {
+						env.changes <- store.Change{Item: item, Deleted: true}
+						return
+					}
+					env.list(item)
+				})
+				a := env.do("POST", "/r/x", "a1", "prompt")
+				env.is.Equal(versions(a.body)["v1"], softwareEvents)
+				time.Sleep(10 * time.Second)
+				env.is.True(!a.broken)
+			})
+		})
+	}
+}
+
 // countSent returns the number of requests of clients that targets have received.
 func (env *testEnv) countSent() int { return env.countSentTo("t1") + env.countSentTo("t2") }
 
--- a/internal/transport/direct/plainend.go
+++ b/internal/transport/direct/plainend.go
@@ -9,6 +9,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/completion"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/timing"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
@@ -97,12 +98,21 @@
 	if r.e.withdrawn.Paused(r.e.deps.Clock.Now(), t.Key()) {
 		return completion.Unknown, nil
 	}
+	name, ok, err := r.nameAt(ctx, t, path, deadline)
+	if err != nil {
+		return completion.Unknown, err
+	}
+	return r.judge(t, selfDescription{named: ok, same: name == t.ID}), nil
+}
+
+// nameAt requests its name from the process at a target's address. named is false if it is not healthy, or does not tell it.
+func (r *reportReader) nameAt(ctx context.Context, t *catalog.Target, path string, deadline time.Time) (name id.Target, named bool, err error) {
 	request := &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{}}
 	answer, err := r.e.pool.Do(ctx, t.Address, request, deadline)
 	if err != nil {
-		return completion.Unknown, err
+		return "", false, err
 	}
 	defer answer.Close()
-	name, ok := r.e.deps.Dialect.DecodeName(answer.Status, answer.Header)
-	return r.judge(t, selfDescription{named: ok, same: name == t.ID}), nil
+	name, named = r.e.deps.Dialect.DecodeName(answer.Status, answer.Header)
+	return name, named, nil
 }
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -193,16 +193,14 @@
 func (r *reportReader) judge(t *catalog.Target, said selfDescription) completion.Process {
 	current := r.e.directory.View().Targets[t.Service].Find(t.ID)
 	recorded := current != nil && current.Incarnation == t.Incarnation
-	leaving := said.leaving || r.e.withdrawn.Leaving(t.Key()) || (recorded && current.State != catalog.Ready)
+	leaving := said.leaving || r.e.withdrawn.Leaving(t.Key()) || current == nil || (recorded && current.State != catalog.Ready)
 	switch {
-	case leaving && said.named && said.same && recorded:
+	case leaving && said.named && said.same && (recorded || current == nil):
 		return completion.Leaving
 	case leaving:
 		return completion.Gone
-	case said.named && !said.same, current != nil && !recorded:
+	case said.named && !said.same, !recorded:
 		return completion.Replaced
-	case current == nil:
-		return completion.Gone
 	case !said.named:
 		return completion.Unknown
 	}
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
@@ -74,7 +75,11 @@
 	}
 	verdict := end.Judge()
 	if verdict.Result == completion.Unsettled {
-		end.Process, end.Settled = r.settle(ctx, end.Resumable), true
+		ask := func() (completion.Process, error) { return r.processAfterEnd(ctx, end.Resumable) }
+		if framing != completion.Connection {
+			ask = func() (completion.Process, error) { return r.leavingProcess(ctx) }
+		}
+		end.Process, end.Settled = r.settle(ctx, ask), true
 		verdict = end.Judge()
 	}
 	c.answer.evidence = verdict.Evidence
@@ -103,10 +108,27 @@
 	return c.e.reports.processOf(ctx, r.target)
 }
 
+// leavingProcess asks a target that is leaving which process serves there. One whose record names no start has another name after
+// a start, which its health check tells; while it leaves, that check may fail.
+func (r *eventRelay) leavingProcess(ctx context.Context) (completion.Process, error) {
+	c := r.s.c
+	path := c.cfg.Services[c.service].HealthPath
+	if r.target.Incarnation == 0 && path != "" {
+		name, named, err := c.e.reports.nameAt(ctx, r.target, path, c.now().Add(endCheckTimeout))
+		switch {
+		case err != nil:
+			return completion.Unknown, err
+		case named && name != r.target.ID:
+			return completion.Replaced, nil
+		}
+	}
+	return c.e.reports.processOf(ctx, r.target)
+}
+
 // settle asks the target again until the settle time is over, and returns Serving if its process has
 // answered at the end of that. What happens to the process meanwhile is no loss of the run, which has ended
 // before. It gives the stream up if the request's deadline is sooner.
-func (r *eventRelay) settle(ctx context.Context, resumable bool) completion.Process {
+func (r *eventRelay) settle(ctx context.Context, ask func() (completion.Process, error)) completion.Process {
 	c := r.s.c
 	ended := c.now()
 	if c.timeLeft() <= completion.SettleTime+deadlineEndMargin {
@@ -124,7 +146,7 @@
 		if !timing.Sleep(ctx, c.e.deps.Clock, next.Sub(c.now())) {
 			return completion.Unknown
 		}
-		process, err := r.processAfterEnd(ctx, resumable)
+		process, err := ask()
 		isLast := !next.Before(latest)
 		switch {
 		case process.ServesOn() && (isLast || next.Sub(ended) >= completion.SettleTime):
@@ -159,7 +181,7 @@
 	c, now := s.c, s.c.now()
 	none := c.answer.events == 0
 	return completion.End{
-		Framing: framing, TargetLeaves: s.mayDoubtEnd() && c.e.reports.leaves(t), Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: s.resumable(),
+		Framing: framing, TargetLeaves: c.e.reports.leaves(t) && s.mayDoubtEnd(t), Begun: s.lastEventID != "" || s.events > 0, AtDeadline: c.timeLeft() <= deadlineEndMargin, Resumable: s.resumable(),
 		Repeated:        none && s.endChecks.endedAt == t.Key() && s.endChecks.endedAfter == s.lastEventID,
 		Confirmable:     s.endChecks.count < maxEndChecks && c.e.retryBudgets.hasSpare(now, c.service, c.e.roster.LimitShare(now)),
 		ResumedByClient: s.events == 0 && c.meta.LastEventID != "",
@@ -167,7 +189,11 @@
 }
 
 // mayDoubtEnd reports whether there is time to find out whether a target that is leaving has ended its answer early.
-func (s *stream) mayDoubtEnd() bool { return s.c.timeLeft() > completion.SettleTime+deadlineEndMargin }
+// Another target of its version must be there to show it.
+func (s *stream) mayDoubtEnd(leaving *catalog.Target) bool {
+	others := slices.DeleteFunc(s.c.eligibleTargets().Ready(), func(t *catalog.Target) bool { return t.ID == leaving.ID })
+	return len(others) > 0 && s.c.timeLeft() > completion.SettleTime+deadlineEndMargin
+}
 
 // brokenOff returns the outcome of an attempt whose stream was broken off. err is the error of
 // asking its target.
