--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -185,16 +185,17 @@
 	clear(v.saved)
 }
 
-// MergeSaved records the versions that another entry saved the given time ago.
-func (v *Versions) MergeSaved(now time.Time, r Report, age time.Duration) {
+// MergeSaved records the versions that another entry saved the given time ago. Streams may have begun there until it
+// was saved, and for SavedMargin after that.
+func (v *Versions) MergeSaved(now time.Time, seen []SeenVersion, age time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for i := range r.Seen {
-		key := r.Seen[i].key()
-		at := now.Add(-age - time.Duration(r.Seen[i].AgeMS)*time.Millisecond)
-		if now.Sub(at) > v.lifetime+SavedMargin {
-			continue
-		}
+	at := now.Add(-age)
+	if age > v.lifetime+SavedMargin {
+		return
+	}
+	for i := range seen {
+		key := seen[i].key()
 		v.seenInItems[key] = latest(v.seenInItems[key], at)
 		v.saved[key] = true
 		if key.unknown != "" {
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -35,7 +35,10 @@
 // its stream may go on: all before it has begun.
 func (c *call) eligibleTargets() catalog.Targets {
 	listed := c.allTargets()
-	if c.software == nil {
+	switch {
+	case c.software == nil && c.route.Resumable:
+		return c.e.versionSaves.withoutRefused(listed)
+	case c.software == nil:
 		return listed
 	}
 	version, known := c.software.resolve(listed)
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -23,7 +23,7 @@
 	saveIntervalPerEntry = 90 * time.Millisecond
 	// maxStreamsSaveInterval is how old the saved versions of this entry may be while the key-value service
 	// answers.
-	maxStreamsSaveInterval = 5 * time.Second
+	maxStreamsSaveInterval = 2 * time.Second
 	// failedSavePause is the least time between two tries to save versions at once.
 	failedSavePause = 50 * time.Millisecond
 	// stateTimeout limits reading or writing the saved state as a whole. The client of
@@ -71,9 +71,11 @@
 	// Entry is the entry that saved the item; empty in older items.
 	Entry id.Entry `json:"entry,omitempty"`
 	// SavedAtMS is the time of day of the save, in milliseconds since 1970.
-	SavedAtMS int64           `json:"savedAtMs"`
-	Streams   []origin.Stream `json:"streams"`
-	Versions  origin.Report   `json:"versions"`
+	SavedAtMS int64 `json:"savedAtMs"`
+	// Era is the newest era of the key-value service that was known then.
+	Era      store.Era       `json:"era,omitempty"`
+	Streams  []origin.Stream `json:"streams"`
+	Versions origin.Report   `json:"versions"`
 }
 
 // run loads the state that all entries saved, then saves this entry's state until
@@ -147,50 +149,49 @@
 // what served until it ended, however long ago that is. The versions that served since are
 // listed, unless they came and went within that time.
 func (s *stateSaver) loadStreams(ctx context.Context) {
-	var ages savedAges
+	var read savedAges
 	s.streamsLoaded = s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
-		age, err := s.mergeStreams(value, true)
-		ages = append(ages, age)
+		saved, age, err := s.mergeStreams(value, true)
+		// What was saved later in an earlier era of the service, or what can't be read, may name more versions.
+		read.add(age, err != nil || saved.Era < s.e.storeWatcher.eras.Era())
 		return err
 	})
 	if !s.streamsLoaded {
 		return
 	}
-	complete := ages.complete(s.e.versions.Lifetime())
+	complete := read.complete()
 	if complete {
 		s.e.versions.Cover(s.e.deps.Clock.Now())
 	}
-	s.e.deps.Log.Emit(event.StreamsLoaded, "items", len(ages), "newest", ages.newest(), "complete", complete)
+	s.e.deps.Log.Emit(event.StreamsLoaded, "items", len(read.ages), "newest", read.newest(), "complete", complete)
 }
 
-// mergeStreams records what an entry has saved about streams, and returns the time since. atStart says that an item of this
+// mergeStreams records what an entry has saved about streams, and returns it with the time since. atStart says that an item of this
 // entry's name is that of an earlier process.
-func (s *stateSaver) mergeStreams(value []byte, atStart bool) (time.Duration, error) {
-	var saved streamsItem
+func (s *stateSaver) mergeStreams(value []byte, atStart bool) (saved streamsItem, age time.Duration, err error) {
 	if err := json.Unmarshal(value, &saved); err != nil {
-		return 0, err
+		return saved, 0, err
 	}
 	now := s.e.deps.Clock.Now()
-	age := max(0, now.Sub(time.UnixMilli(saved.SavedAtMS)))
+	age = max(0, now.Sub(time.UnixMilli(saved.SavedAtMS)))
 	for i := range saved.Streams {
 		saved.Streams[i].AgeMS += age.Milliseconds()
 	}
 	s.e.streams.Merge(now, saved.Streams)
 	switch {
 	case saved.Entry != s.e.cfg.Name:
-		s.e.versions.MergeSaved(now, saved.Versions, age)
+		s.e.versions.MergeSaved(now, saved.Versions.Seen, age)
 	case atStart:
 		// It is what served until the end of the last process of this name. What it knew says nothing about the time since.
-		saved.Versions.CoveredMS = 0
-		s.e.versions.Merge(now, saved.Versions, 0)
+		s.e.versions.Merge(now, origin.Report{Seen: versionsOf(saved)}, 0)
 	}
-	return age, nil
+	return saved, age, nil
 }
 
 // readOthers reads what all entries have saved about streams by now. It returns false if it can't be read.
 func (s *stateSaver) readOthers(ctx context.Context) bool {
 	return s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
-		_, err := s.mergeStreams(value, false)
+		_, _, err := s.mergeStreams(value, false)
 		return err
 	})
 }
@@ -286,7 +287,7 @@
 // streamsItem returns what this entry saves about streams now.
 func (s *stateSaver) streamsItem(now time.Time) streamsItem {
 	s.e.observeVersions()
-	return streamsItem{Entry: s.e.cfg.Name, SavedAtMS: now.UnixMilli(), Streams: s.e.streams.Own(now), Versions: s.e.versions.Report(now)}
+	return streamsItem{Entry: s.e.cfg.Name, SavedAtMS: now.UnixMilli(), Era: s.e.storeWatcher.eras.Era(), Streams: s.e.streams.Own(now), Versions: s.e.versions.Report(now)}
 }
 
 func (s *stateSaver) streamsPut(item streamsItem) store.Put {
--- a/internal/transport/direct/streambegin.go
+++ b/internal/transport/direct/streambegin.go
@@ -14,7 +14,7 @@
 const (
 	// beginReportTimeout is how long the first event of a stream waits for the report of the
 	// process that sent it.
-	beginReportTimeout = 250 * time.Millisecond
+	beginReportTimeout = time.Second
 	// A process that does not report its start is asked maxBeginReports times, at intervals of
 	// beginReportInterval.
 	maxBeginReports     = 6
@@ -60,7 +60,7 @@
 		named = false
 		b.identify(ctx)
 	}
-	if !c.saveVersion(ctx, b.software.seen(t)) {
+	if !c.saveVersion(ctx, t, b.software.seen(t)) {
 		b.stop()
 		return balance.Rerouted, errVersionNotSaved
 	}
