--- a/internal/transport/direct/savedversions_test.go
+++ b/internal/transport/direct/savedversions_test.go
@@ -59,6 +59,21 @@
 	})
 }
 
+// TestUnreadableVersionsOfOtherEntry guards against an entry that goes on at the only version it knows, though it can't read what
+// another entry has saved since.
+func TestUnreadableVersionsOfOtherEntry(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 0, softwareEngine("v1", 0))
+		env.start()
+		time.Sleep(time.Minute)
+		env.mu.Lock()
+		env.saved[store.StreamsPrefix+"e2"] = store.Item{Key: store.StreamsPrefix + "e2", ModRevision: 1, Value: []byte(`{"entry":"e2","savedAtMs":`)}
+		env.mu.Unlock()
+		a := env.do("POST", "/r/x", "a1", "prompt", "Last", "5", "Resumes", "foreign")
+		env.is.Equal(strings.TrimSpace(a.body), "versionUnknown")
+	})
+}
+
 // TestAllEntriesEndedAfterOneLostTheStore guards against a stream that goes on at another version, because the entry that began it
 // could not save for so long that its item no longer counts, while another entry saved.
 func TestAllEntriesEndedAfterOneLostTheStore(t *testing.T) {
--- a/internal/transport/direct/statesaver.go
+++ b/internal/transport/direct/statesaver.go
@@ -188,12 +188,15 @@
 	return saved, age, nil
 }
 
-// readOthers reads what all entries have saved about streams by now. It returns false if it can't be read.
+// readOthers reads what all entries have saved about streams by now. It returns false if some of it can't be read.
 func (s *stateSaver) readOthers(ctx context.Context) bool {
-	return s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
+	whole := true
+	listed := s.load(ctx, store.StreamsPrefix, event.StreamsNotLoaded, func(value []byte) error {
 		_, _, err := s.mergeStreams(value, false)
+		whole = whole && err == nil
 		return err
 	})
+	return listed && whole
 }
 
 // load applies the items with a prefix. It logs those that can't be decoded, and
