Soak: shapes of streams and resumptions that the users' pages allow (--page-shapes)

Callers saw streams that joined two versions' events where the soak saw none. Cause of the gap: its targets wrote each event whole, and its clients resumed only after their connection had ended, naming the first attempt. Change: targets cut the bytes of streams anywhere and vary ends of lines, fields and comments; clients resume beside their first connection, twice at once, after the last event, without naming an attempt or naming a resumption's; bodies equal among clients. Events are compared with the bytes that the target wrote for the attempt.

--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -132,6 +132,12 @@
 	// began is the attempt that brought the first event, and software its version.
 	began    direct.AttemptID
 	software id.SoftwareVersion
+	// lastBrought is the last attempt that brought an event, and naming says which attempt a
+	// resumption names.
+	lastBrought direct.AttemptID
+	naming      naming
+	// beside is set for a resumption beside another connection.
+	beside bool
 	// disconnectAt is when the client disconnects without waiting for the answer. The
 	// zero time means never.
 	disconnectAt time.Time
@@ -146,7 +152,7 @@
 // sendShaped does the same with a request of a shape.
 func (c *client) sendShaped(prefix string, form *shape) bool {
 	c.requestCount++
-	q := &request{path: prefix + strconv.Itoa(c.requestCount), body: fmt.Sprintf("%s-%d", c.name, c.requestCount), shape: form, startedAt: time.Now()}
+	q := &request{path: prefix + strconv.Itoa(c.requestCount), body: c.w.pages.bodyOf(&c.w.opts, fmt.Sprintf("%s-%d", c.name, c.requestCount)), shape: form, startedAt: time.Now()}
 	if form != nil {
 		q.path += "?" + form.query()
 	}
@@ -295,7 +301,7 @@
 		metadata.PromptTokens, metadata.OutputTokens, metadata.PromptParts = promptTokens, q.eventCount(), c.w.promptParts(q.body)
 	}
 	if q.lastEvent > 0 {
-		metadata.LastEventID, metadata.Resumes = direct.EventID(strconv.Itoa(q.lastEvent)), q.began
+		metadata.LastEventID, metadata.Resumes = direct.EventID(strconv.Itoa(q.lastEvent)), q.named()
 	}
 	platform.EncodeRequestMetadata(req.Header, &metadata)
 	if c.usesHTTP10(q) {
@@ -350,6 +356,7 @@
 	pause := thinkTime
 	if q.lastEvent > 0 {
 		c.brokeOff = c.conn.entry
+		c.drawNaming(q)
 		if c.w.opts.Unrecorded {
 			pause = 0
 		}
@@ -430,7 +437,7 @@
 
 // readStream reads a stream and checks that each event is the next expected one.
 func (c *client) readStream(attempt direct.AttemptID, q *request, res *http.Response) attemptResult {
-	events := eventstream.NewReader(res.Body)
+	events, planned := eventstream.NewReader(res.Body), c.drawSide(q)
 	for {
 		next, err := events.Next()
 		switch {
@@ -446,13 +453,12 @@
 		case err != nil:
 			return c.connectionLost(attempt, q, false, err)
 		}
-		software := softwareOf(string(next.Raw))
-		c.w.recordSoftware(attempt, q, software)
-		if want := streamEvent(q.body, q.lastEvent+1, software); string(next.Raw) != want {
-			c.w.history.recordViolation(EventsInOrder, attempt, "received event %q, want %q", next.Raw, want)
+		if !c.checkEvent(attempt, q, &next) {
+			continue
 		}
 		if q.lastEvent++; q.lastEvent == q.eventCount() {
 			c.countUnframed(q, false)
 		}
+		c.beginSide(planned, q)
 	}
 }
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -341,7 +341,7 @@
 		// The server ends such an answer with its connection.
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
-	out := http.NewResponseController(w)
+	out, events := http.NewResponseController(w), p.newEventWriter(w, forwarded.Attempt, s)
 	// A process that was told to stop sends one event of some streams that it begins.
 	oneMore := p.ends.begun() && rand.IntN(2) == 0
 	if planned.place == afterHead || !oneMore && p.closesStream(s) {
@@ -360,7 +360,7 @@
 		if (!oneMore || i > last+1) && p.closesStream(s) {
 			return
 		}
-		if _, err := io.WriteString(w, streamEvent(s.body, i, s.software)); err != nil || out.Flush() != nil || p.endsHere(planned, s, i) {
+		if events.write(i) != nil || p.endsHere(planned, s, i) {
 			return
 		}
 		if i == 1 {
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -92,6 +92,9 @@
 	// HTTP10 sends some of the attempts at streams over HTTP/1.0, where a plain close ends an
 	// answer.
 	HTTP10 bool
+	// PageShapes adds what the users' pages allow of the bytes of streams and of clients that resume: events
+	// cut anywhere, resumptions beside the first connection, equal bodies.
+	PageShapes bool
 	// Calm leaves out the faults and the planned work that the other options do not add.
 	Calm bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
@@ -102,7 +105,9 @@
 
 // resumesElsewhere reports whether clients resume a stream at another entry than the one that broke it
 // off.
-func (o *Options) resumesElsewhere() bool { return o.AnswerEnds || o.resumesOften() || o.ProcessEnds }
+func (o *Options) resumesElsewhere() bool {
+	return o.AnswerEnds || o.resumesOften() || o.ProcessEnds || o.PageShapes
+}
 
 // resumesOften reports whether most requests are streams, which clients resume many times.
 func (o *Options) resumesOften() bool { return o.Unrecorded || o.AllKilled }
@@ -187,6 +192,7 @@
 	w.checkUnrecorded()
 	w.checkAllKilled()
 	w.checkProcessEnds()
+	w.checkPageShapes()
 	w.checkShares()
 	w.checkRecovery(ctx)
 }
@@ -209,6 +215,7 @@
 	unrecordedFaultStream  = 13
 	processEndRandomStream = 14
 	allKilledRandomStream  = 15
+	pageShapeRandomStream  = 16
 	residentRandomStream   = 5000
 	clientRandomStream     = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -297,6 +297,15 @@
 	playSeeds(t, answerEndSeeds, soak.Options{Engines: 24, Stops: true, AnswerEnds: true, HTTP10: true, Calm: true}, "targetReplaced")
 }
 
+// pageShapeSeeds are run by each TestRunPageShapes, with the cause of an earlier failure.
+var pageShapeSeeds = []seedCase{{1, 25 * time.Second, "no earlier failure"}}
+
+// TestRunPageShapes runs real entries whose targets cut the bytes of streams anywhere, while clients resume
+// beside their first connections and send equal bodies, and engines are released.
+func TestRunPageShapes(t *testing.T) {
+	playSeeds(t, pageShapeSeeds, soak.Options{Engines: 24, Releases: true, PageShapes: true, Calm: true}, "")
+}
+
 // processEndSeeds are run by each TestRunProcessEnds, with the cause of an earlier failure.
 var processEndSeeds = []seedCase{
 	{1, 30 * time.Second, "answers without length ended as if they were whole when their processes ended half a second later"},
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -61,6 +61,8 @@
 
 	// unrecorded holds the streams of processes that no record described.
 	unrecorded *unrecordedStreams
+	// pages draws the shapes that the users' pages allow.
+	pages *pageShapes
 	// breaks draws the answers that living targets break off.
 	breaks *answerBreaks
 
@@ -87,7 +89,7 @@
 		opts: opts, dialect: platform.Dialect(), history: newHistory(time.Now()),
 		probes:       &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		faultWindows: &faultWindows{settle: settleTime}, disturbances: map[string]*faultWindows{}, outages: &outages{entries: opts.Entries}, actionCounts: newCounter(), service: kv.New(kv.Options{}), config: initialConfig(),
-		breaks: newAnswerBreaks(opts.Seed), unrecorded: newUnrecordedStreams(opts.Seed),
+		breaks: newAnswerBreaks(opts.Seed), unrecorded: newUnrecordedStreams(opts.Seed), pages: newPageShapes(opts.Seed),
 	}
 	w.store = w.service.Direct()
 	if opts.Crashing {
