--- a/internal/standin/soak/pageshapes.go
+++ b/internal/standin/soak/pageshapes.go
@@ -39,6 +39,9 @@
 	heldShare = 0.3
 )
 
+// commentBetween is the comment that targets write between some events.
+const commentBetween = ": between events"
+
 // naming says which attempt a resumption names.
 type naming int
 
@@ -202,7 +205,7 @@
 	if o.random.IntN(6) > 0 {
 		return ""
 	}
-	return ": between events" + o.lineEnd() + o.lineEnd()
+	return commentBetween + o.lineEnd() + o.lineEnd()
 }
 
 // lineEnd returns CRLF or LF.
@@ -226,6 +229,9 @@
 		return true
 	}
 	if next.Empty {
+		if strings.TrimRight(raw, "\r\n") != commentBetween {
+			c.w.history.recordViolation(EventsInOrder, attempt, "received %q between events, which no target wrote", raw)
+		}
 		return false
 	}
 	c.w.recordSoftware(attempt, q, softwareOfData(raw))
--- a/internal/standin/soak/pageshapes_test.go
+++ b/internal/standin/soak/pageshapes_test.go
@@ -37,6 +37,8 @@
 		missing := strings.Join(whole[:3], "") + strings.Join(whole[4:], "")
 		violated, _ = e.Read(strings.NewReader(missing), "a")
 		is.True(len(violated) > 0)
+		violated, _ = e.Read(strings.NewReader(whole[0]+": from another\n\n"+strings.Join(whole[1:], "")), "a")
+		is.Equal(violated, []soak.Guarantee{soak.EventsInOrder}) // a comment that no target wrote
 		other := splitEvents(second.Body.String())
 		joined := strings.Join(whole[:3], "") + strings.Join(other[3:], "")
 		violated, _ = e.Read(strings.NewReader(joined), "a")
