Soak: wait for the resumptions beside the last requests too

Cause: the requests of the recovery check may begin resumptions, which the end of the run would have cut. Change: the run waits for them after that check.

--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -192,9 +192,9 @@
 	w.checkUnrecorded()
 	w.checkAllKilled()
 	w.checkProcessEnds()
-	w.checkPageShapes()
 	w.checkShares()
 	w.checkRecovery(ctx)
+	w.checkPageShapes()
 }
 
 // Streams of the random number generator, which make independent sequences from one
