--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -95,6 +95,9 @@
 	// HTTP10 sends some of the attempts at streams over HTTP/1.0, where a plain close ends an
 	// answer.
 	HTTP10 bool
+	// PageShapes adds what the users' pages allow of the bytes of streams and of clients that resume: events
+	// cut anywhere, resumptions beside the first connection, equal bodies.
+	PageShapes bool
 	// Calm leaves out the faults and the planned work that the other options do not add.
 	Calm bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
@@ -106,7 +109,7 @@
 // resumesElsewhere reports whether clients resume a stream at another entry than the one that broke it
 // off.
 func (o *Options) resumesElsewhere() bool {
-	return o.AnswerEnds || o.resumesOften() || o.ProcessEnds || o.LeavingEnds
+	return o.AnswerEnds || o.resumesOften() || o.ProcessEnds || o.LeavingEnds || o.PageShapes
 }
 
 // resumesOften reports whether most requests are streams, which clients resume many times.
@@ -197,6 +200,7 @@
 	w.checkLeavingEnds()
 	w.checkShares()
 	w.checkRecovery(ctx)
+	w.checkPageShapes()
 }
 
 // Streams of the random number generator, which make independent sequences from one
@@ -218,6 +222,7 @@
 	processEndRandomStream = 14
 	allKilledRandomStream  = 15
 	leavingEndRandomStream = 16
+	pageShapeRandomStream  = 17
 	residentRandomStream   = 5000
 	clientRandomStream     = 1000
 )
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -307,6 +307,15 @@
 	playSeeds(t, leavingEndSeeds, soak.Options{Engines: 24, LeavingEnds: true, Calm: true}, "engineLeft byRecord")
 }
 
+// pageShapeSeeds are run by each TestRunPageShapes, with the cause of an earlier failure.
+var pageShapeSeeds = []seedCase{{1, 25 * time.Second, "no earlier failure"}}
+
+// TestRunPageShapes runs real entries whose targets cut the bytes of streams anywhere, while clients resume
+// beside their first connections and send equal bodies, and engines are released.
+func TestRunPageShapes(t *testing.T) {
+	playSeeds(t, pageShapeSeeds, soak.Options{Engines: 24, Releases: true, PageShapes: true, Calm: true}, "released")
+}
+
 // processEndSeeds are run by each TestRunProcessEnds, with the cause of an earlier failure.
 var processEndSeeds = []seedCase{
 	{1, 30 * time.Second, "answers without length ended as if they were whole when their processes ended half a second later"},
