--- a/internal/standin/soak/unrecorded.go
+++ b/internal/standin/soak/unrecorded.go
@@ -144,8 +144,8 @@
 	began  map[direct.AttemptID]*unrecordedStream
 	// software is the only version whose streams count with AllKilled, also if records describe their processes.
 	software id.SoftwareVersion
-	// received is the number of its streams whose first events clients have received.
-	received int
+	// received is set once a client has received the first event of one of these streams.
+	received bool
 	// disturbed holds the names of the entries that meet a fault.
 	disturbed map[string]bool
 	// resumed and early count the streams that clients resumed at another entry, and those of
