--- a/internal/standin/soak/release.go
+++ b/internal/standin/soak/release.go
@@ -253,6 +253,7 @@
 func (w *world) recordSoftware(attempt direct.AttemptID, q *request, v id.SoftwareVersion) {
 	if q.lastEvent == 0 {
 		q.software, q.began = v, attempt
+		w.unrecorded.firstEventReceived(v)
 	}
 	q.lastBrought = attempt
 	if q.software != v {
