--- a/internal/standin/soak/export_test.go
+++ b/internal/standin/soak/export_test.go
@@ -117,7 +117,7 @@
 // NewPageEvents returns the events of a seed.
 func NewPageEvents(seed uint64) *PageEvents {
 	opts := Options{Seed: seed, PageShapes: true}
-	return &PageEvents{&world{opts: opts, history: newHistory(time.Now()), pages: newPageShapes(seed)}}
+	return &PageEvents{&world{opts: opts, history: newHistory(time.Now()), pages: newPageShapes(seed), unrecorded: newUnrecordedStreams(seed)}}
 }
 
 // Write writes the events of an answer as a target does.
