--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -161,3 +161,45 @@
 	}
 	is.True(r.Len() <= int(origin.DefaultLifetime/time.Second)+2)
 }
+
+// TestMergeSaved guards against a version that counts as held because an entry that has ended saved it, and against one that
+// is forgotten while a stream may go on that began just after the save.
+func TestMergeSaved(t *testing.T) {
+	is := is.New(t)
+	v := origin.NewVersions()
+	v.Cover(start)
+	v.Observe(start, listed("v1"), true)
+	v2 := origin.SeenVersion{Service: "m", Software: "v2", AgeMS: 29_000}
+	v.MergeSaved(start, []origin.SeenVersion{v2}, 0)
+	is.True(!v.Saved(v2.Version()))
+	is.True(v.Mixed(start))
+	_, sole := v.Sole(start, "m")
+	is.True(!sole)
+	is.Equal(len(v.Report(start).Seen), 1) // it is not told on
+	late := start.Add(origin.DefaultLifetime + origin.SavedMargin)
+	v.Observe(late, listed("v1"), true)
+	is.True(v.Mixed(late))
+	late = late.Add(time.Second)
+	v.Observe(late, listed("v1"), true)
+	software, sole := v.Sole(late, "m")
+	is.True(sole && software == "v1")
+}
+
+// TestServe guards against a stream that begins at a version of which no entry knows that it serves.
+func TestServe(t *testing.T) {
+	is := is.New(t)
+	v := origin.NewVersions()
+	v.Observe(start, listed("v1"), true)
+	process := origin.SeenProcess("m", "t", origin.UnidentifiedStart)
+	is.True(v.Serve(start, process)) // it has become mixed
+	is.True(!v.Serve(start, process))
+	v.MarkSaved([]origin.SeenVersion{process})
+	is.True(v.Saved(process))
+	v.Observe(start.Add(time.Second), listed("v1"), true) // the target's record does not tell its version
+	is.True(v.Mixed(start.Add(time.Second)))
+	other := origin.NewVersions()
+	other.Merge(start, v.Report(start), 0)
+	is.True(other.Saved(process)) // another entry has saved it
+	other.ForgetSaved()
+	is.True(!other.Saved(process))
+}
--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -196,8 +196,8 @@
 	}
 	for i := range seen {
 		key := seen[i].key()
+		// The entry may have ended, so the item does not show that what begins later is held for long enough.
 		v.seenInItems[key] = latest(v.seenInItems[key], at)
-		v.saved[key] = true
 		if key.unknown != "" {
 			v.knowProcess(now, key)
 		}
--- a/internal/transport/direct/versionsave.go
+++ b/internal/transport/direct/versionsave.go
@@ -66,10 +66,10 @@
 	for {
 		ended := s.nextEnd()
 		switch {
-		case s.e.versions.Saved(version):
+		case s.e.versions.Saved(version), s.mayBeginUnsaved():
 			return true
 		case s.e.storeWatcher.storeUnavailable():
-			return s.mayBeginUnsaved()
+			return false
 		}
 		select {
 		case s.due <- struct{}{}:
