TestAbort waits until the engine has seen that its run was cancelled

Traced: the engine's handler notices the closed connection on a goroutine of its own, and the test read the count once, after the process had ended. With 20 ms in that handler it fails always, and passes with the wait that the other tests of the package have; the count must still be 1.

--- a/internal/transport/target/drain_test.go
+++ b/internal/transport/target/drain_test.go
@@ -86,5 +86,5 @@
 	err := h.waitEnd()
 	is.True(fault.Is(err, target.WorkAborted))
 	is.True(strings.Contains(err.Error(), testRequest))
-	is.Equal(e.cancelled.Load(), int64(1))
+	h.eventually(func() bool { return e.cancelled.Load() == 1 })
 }
