--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -33,9 +33,6 @@
 // served for as long after the save.
 const SavedMargin = 20 * time.Second
 
-// SeenOf returns the version at which a target serves, as its record tells.
-func SeenOf(t *catalog.Target) SeenVersion { return keyOf(t).seenVersion() }
-
 // SeenProcess returns the version of a process that no record describes.
 func SeenProcess(service id.Service, target id.Target, start id.Incarnation) SeenVersion {
 	return SeenVersion{Service: service, Unknown: target, Start: start}
