--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -317,6 +317,7 @@
 
 // TestRunLeavingEnds runs real entries whose engines say that they are leaving, end their chunked streams early, and end.
 func TestRunLeavingEnds(t *testing.T) {
+	t.Parallel()
 	playSeeds(t, leavingEndSeeds, soak.Options{Engines: 24, LeavingEnds: true, Calm: true}, "engineLeft byRecord")
 }
 
@@ -326,6 +327,7 @@
 // TestRunPageShapes runs real entries whose targets cut the bytes of streams anywhere, while clients resume
 // beside their first connections and send equal bodies, and engines are released.
 func TestRunPageShapes(t *testing.T) {
+	t.Parallel()
 	playSeeds(t, pageShapeSeeds, soak.Options{Engines: 24, Releases: true, PageShapes: true, Calm: true}, "released")
 }
 
@@ -348,5 +350,6 @@
 // TestRunAllKilled runs real entries that are all killed soon after another version has begun its first
 // streams, after a time in which one version alone has served. The processes of that version end too.
 func TestRunAllKilled(t *testing.T) {
+	t.Parallel()
 	playSeeds(t, allKilledSeeds, soak.Options{Engines: 24, AllKilled: true, Calm: true}, "versionAndEntriesKilled")
 }
