--- a/internal/coordination/completion/completion.go
+++ b/internal/coordination/completion/completion.go
@@ -129,15 +129,9 @@
 	return e.Framing == Connection && !e.AtDeadline && e.Begun
 }
 
-// isDoubted reports whether the answer marks its end, but may have been ended early. Only a resumption can show that.
+// isDoubted reports whether the answer marks its end, but may have been ended early. Only a run elsewhere can show that.
 func (e *End) isDoubted() bool {
-	return e.Framing != Connection && e.TargetLeaves && e.Resumable && e.Begun && !e.AtDeadline
-}
-
-// isEmptyOfLeaving reports whether a target that was known to be leaving ended its answer before the first event, though
-// the stream may run elsewhere.
-func (e *End) isEmptyOfLeaving() bool {
-	return e.Framing != Connection && e.TargetLeaves && e.Resumable && !e.Begun && !e.AtDeadline
+	return e.Framing != Connection && e.TargetLeaves && e.Resumable && !e.AtDeadline
 }
 
 // ServesOn reports whether a process that served at the end of its answer still answers later. One that
@@ -154,11 +148,9 @@
 // without any is broken off unless the target framed it so and was not known to be leaving.
 func (e *End) Judge() Verdict {
 	switch {
-	case e.isEmptyOfLeaving():
-		return Verdict{BrokenOff, ByFraming}
-	case e.isDoubted() && !e.Settled:
+	case e.isDoubted() && e.Begun && !e.Settled:
 		return Verdict{Unsettled, ByFraming}
-	case e.isDoubted() && !e.Process.ServesOn():
+	case e.isDoubted() && !(e.Begun && e.Process.ServesOn()):
 		return Verdict{BrokenOff, ByFraming}
 	case e.Framing != Connection:
 		return Verdict{Complete, ByFraming}
--- a/internal/coordination/origin/versions.go
+++ b/internal/coordination/origin/versions.go
@@ -108,13 +108,6 @@
 	v.lifetime = max(d, DefaultLifetime)
 }
 
-// Lifetime returns how long a stream may last.
-func (v *Versions) Lifetime() time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.lifetime
-}
-
 // Observe records the versions of the targets that are listed now. fresh says that the
 // list is up to date. It reports whether a service has become mixed.
 func (v *Versions) Observe(now time.Time, targets map[id.Service]catalog.Targets, fresh bool) bool {
--- a/internal/transport/direct/allended_test.go
+++ b/internal/transport/direct/allended_test.go
@@ -13,6 +13,42 @@
 	"foxtailward.example/foxtailward/internal/state/fault"
 )
 
+// listedAtV1 is the list with the target t2 alone.
+var listedAtV1 = []store.Item{softwareItem("t2", "10.0.2.1:80", "b", "v1", 1)}
+
+// switchingEngine returns a handler of an engine whose processes run the version of their start.
+func switchingEngine(start *atomic.Int64) http.HandlerFunc {
+	return reportingEngine(start, func(rw http.ResponseWriter, r *http.Request) {
+		softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
+	})
+}
+
+// failCommits makes the key-value service's writes fail while the result is true.
+func (env *testEnv) failCommits() *atomic.Bool {
+	var fail atomic.Bool
+	env.changeStore = func(s *store.Store) {
+		commit := s.Commit
+		s.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
+			if fail.Load() {
+				return store.Result{}, fault.New("commit", store.Unavailable, "the service is away")
+			}
+			return commit(ctx, txn)
+		}
+	}
+	return &fail
+}
+
+// restartAtV1 restarts the entry after t2 has started at v1, when the key-value service lists the given targets alone. The client's
+// connection ends.
+func (env *testEnv) restartAtV1(c *client, listed []store.Item) {
+	env.mu.Lock()
+	env.targets = listed
+	env.mu.Unlock()
+	env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
+	env.restart()
+	_ = c.conn.Close()
+}
+
 // TestResumptionAfterAllEntriesEndedWithinSave guards against a stream that goes on at another version because all
 // entries were killed before they had saved that its version served.
 func TestResumptionAfterAllEntriesEndedWithinSave(t *testing.T) {
@@ -47,21 +83,14 @@
 				if tt.starts {
 					born = 1
 				}
-				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", born, reportingEngine(&start, func(rw http.ResponseWriter, r *http.Request) {
-					softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
-				}))
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", born, switchingEngine(&start))
 				env.start()
 				time.Sleep(time.Minute + 100*time.Millisecond) // the entry knows all versions of the last streams
 				tt.begin(env, &start)
 				c, body, last := env.holdPart("a0")
 				env.is.Equal(versions(body)["v2"], 5)
 				start.Store(1)
-				env.mu.Lock()
-				env.targets = tt.after
-				env.mu.Unlock()
-				env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
-				env.restart()
-				_ = c.conn.Close()
+				env.restartAtV1(c, tt.after)
 				a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
 				env.is.Equal(versions(a.body)["v1"], 0)
 			})
@@ -101,21 +130,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			withEnv(t, func(env *testEnv) {
-				var away atomic.Bool
-				env.changeStore = func(s *store.Store) {
-					commit := s.Commit
-					s.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
-						if away.Load() {
-							return store.Result{}, fault.New("commit", store.Unavailable, "the service is away")
-						}
-						return commit(ctx, txn)
-					}
-				}
+				away := env.failCommits()
 				var start atomic.Int64
 				start.Store(1)
-				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, reportingEngine(&start, func(rw http.ResponseWriter, r *http.Request) {
-					softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
-				}))
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, switchingEngine(&start))
 				env.start()
 				time.Sleep(time.Minute)
 				env.is.Equal(versions(env.do("POST", "/r/x", "a0", "prompt a0").body)["v1"], softwareEvents)
--- a/internal/transport/direct/knownred_test.go
+++ b/internal/transport/direct/knownred_test.go
@@ -87,9 +87,7 @@
 		}
 		var start atomic.Int64
 		start.Store(1)
-		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, reportingEngine(&start, func(rw http.ResponseWriter, r *http.Request) {
-			softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
-		}))
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, switchingEngine(&start))
 		env.start()
 		time.Sleep(time.Minute)
 		slow.Store(true)
@@ -103,12 +101,7 @@
 		c, body, last := env.holdPart("a0")
 		env.is.Equal(versions(body)["v2"], 5)
 		start.Store(1)
-		env.mu.Lock()
-		env.targets = []store.Item{softwareItem("t2", "10.0.2.1:80", "b", "v1", 1)}
-		env.mu.Unlock()
-		env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
-		env.restart()
-		_ = c.conn.Close()
+		env.restartAtV1(c, listedAtV1)
 		a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
 		env.is.Equal(versions(a.body)["v1"], 0)
 	})
--- a/internal/transport/direct/savedversions_test.go
+++ b/internal/transport/direct/savedversions_test.go
@@ -1,7 +1,6 @@
 package direct_test
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"net/http"
@@ -11,7 +10,6 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/store"
-	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/settings"
 )
 
@@ -21,9 +19,7 @@
 	withEnv(t, func(env *testEnv) {
 		var start atomic.Int64
 		start.Store(1)
-		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, reportingEngine(&start, func(rw http.ResponseWriter, r *http.Request) {
-			softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
-		}))
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, switchingEngine(&start))
 		env.start()
 		time.Sleep(time.Minute + 100*time.Millisecond)
 		env.mu.Lock()
@@ -36,11 +32,8 @@
 		env.mu.Lock()
 		env.saved = copied
 		env.era++
-		env.targets = []store.Item{softwareItem("t2", "10.0.2.1:80", "b", "v1", 1)}
 		env.mu.Unlock()
-		env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
-		env.restart()
-		_ = c.conn.Close()
+		env.restartAtV1(c, listedAtV1)
 		a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
 		env.is.Equal(versions(a.body)["v1"], 0)
 	})
@@ -80,21 +73,10 @@
 	for _, away := range []time.Duration{20 * time.Second, 52 * time.Second} {
 		t.Run(away.String(), func(t *testing.T) {
 			withEnv(t, func(env *testEnv) {
-				var cut atomic.Bool
-				env.changeStore = func(s *store.Store) {
-					commit := s.Commit
-					s.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
-						if cut.Load() {
-							return store.Result{}, fault.New("commit", store.Unavailable, "this entry does not reach the service")
-						}
-						return commit(ctx, txn)
-					}
-				}
+				cut := env.failCommits()
 				var start atomic.Int64
 				start.Store(1)
-				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, reportingEngine(&start, func(rw http.ResponseWriter, r *http.Request) {
-					softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
-				}))
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, switchingEngine(&start))
 				env.start()
 				time.Sleep(time.Minute)
 				cut.Store(true)
@@ -110,12 +92,9 @@
 				item.Key = store.StreamsPrefix + "e0" // the entry that starts has another name
 				item.Value = []byte(strings.Replace(string(item.Value), `"entry":"e"`, `"entry":"e0"`, 1))
 				env.saved[item.Key] = item
-				env.targets = []store.Item{softwareItem("t2", "10.0.2.1:80", "b", "v1", 1)}
 				env.mu.Unlock()
-				env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
 				cut.Store(false)
-				env.restart()
-				_ = c.conn.Close()
+				env.restartAtV1(c, listedAtV1)
 				a := env.do("POST", "/r/x", "a1", "prompt a0", "Last", last, "Resumes", "a0")
 				env.is.Equal(versions(a.body)["v1"], 0)
 			})
@@ -131,9 +110,7 @@
 			withEnv(t, func(env *testEnv) {
 				var start atomic.Int64
 				start.Store(1)
-				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, reportingEngine(&start, func(rw http.ResponseWriter, r *http.Request) {
-					softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
-				}))
+				env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, switchingEngine(&start))
 				env.start()
 				time.Sleep(time.Minute)
 				start.Store(2)
@@ -142,12 +119,7 @@
 				c, body, last := env.holdPart("a0")
 				env.is.Equal(versions(body)["v2"], 5)
 				start.Store(1)
-				env.mu.Lock()
-				env.targets = []store.Item{softwareItem("t2", "10.0.2.1:80", "b", "v1", 1)}
-				env.mu.Unlock()
-				env.startUnlisted("t2", "10.0.2.1:80", processEngine(1, softwareEngine("v1", 0)))
-				env.restart()
-				_ = c.conn.Close()
+				env.restartAtV1(c, listedAtV1)
 				for try := range 5 { // all within the time in which a stream may last
 					time.Sleep(3 * time.Second)
 					a := env.do("POST", "/r/x", fmt.Sprint("a1-", try), "prompt a0", "Last", last, "Resumes", "a0")
@@ -184,22 +156,11 @@
 // first sent to one whose version can't be saved.
 func TestStoreOutageBesideUnrecordedTarget(t *testing.T) {
 	withEnv(t, func(env *testEnv) {
-		var away atomic.Bool
-		env.changeStore = func(s *store.Store) {
-			commit := s.Commit
-			s.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
-				if away.Load() {
-					return store.Result{}, fault.New("commit", store.Unavailable, "the service is away")
-				}
-				return commit(ctx, txn)
-			}
-		}
+		away := env.failCommits()
 		env.retries = &settings.Retries{Ratio: 0.1, MinRetries: 5, WindowSeconds: 10}
 		var start atomic.Int64
 		start.Store(1)
-		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, reportingEngine(&start, func(rw http.ResponseWriter, r *http.Request) {
-			softwareEngine(fmt.Sprint("v", start.Load()), 0)(rw, r)
-		}))
+		env.softwareTarget("t1", "10.0.1.1:80", "a", "v1", 1, switchingEngine(&start))
 		env.softwareTarget("t2", "10.0.2.1:80", "b", "v1", 1, processEngine(1, softwareEngine("v1", 0)))
 		env.start()
 		time.Sleep(time.Minute)
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -202,7 +202,7 @@
 	switch {
 	case end.AtDeadline:
 		return balance.Lost, errEndAtDeadline
-	case !end.Begun && end.TargetLeaves && end.Framing != completion.Connection:
+	case end.Framing != completion.Connection:
 		// A target that is leaving ends its streams; it did not crash while it ran this one.
 		return balance.Rerouted, errEndUnconfirmed
 	case fault.Is(err, upstream.NotSent):
--- a/internal/transport/direct/versionsave.go
+++ b/internal/transport/direct/versionsave.go
@@ -159,8 +159,9 @@
 	if !ok {
 		c.e.versionSaves.refuse(t, version)
 	}
-	c.e.metrics.versionSaved(ok, c.e.versions.Saved(version))
-	c.log(event.VersionSaved, "software", version.Software, "target", version.Unknown, "start", version.Start, "saved", c.e.versions.Saved(version), "begins", ok, "took", c.now().Sub(began))
+	saved := c.e.versions.Saved(version)
+	c.e.metrics.versionSaved(ok, saved)
+	c.log(event.VersionSaved, "software", version.Software, "target", version.Unknown, "start", version.Start, "saved", saved, "begins", ok, "took", c.now().Sub(began))
 	return ok
 }
 
