--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -61,6 +61,7 @@
 
 // runDirect runs an entry until it has drained or its grace time is over.
 func runDirect(ctx context.Context, d *daemon, s *settings.Direct) error {
+	platform.ApplyContract(s)
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
 	}
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -130,6 +130,8 @@
 	ownHostFaultAt time.Time
 	// waiting holds the attempts whose targets have not begun to answer.
 	waiting map[*Attempt]struct{}
+	// uneven holds the services whose targets say how fast their hosts work.
+	uneven map[id.Service]bool
 }
 
 // New returns a Balancer for an entry in the zone. random returns numbers in
@@ -139,7 +141,7 @@
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, links: map[id.Zone]*linkRecord{}, waiting: map[*Attempt]struct{}{},
 		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, backlogs: map[id.Target]backlog{}, lost: map[id.TargetIncarnation]time.Time{},
-		replaced: map[id.TargetIncarnation]time.Time{},
+		replaced: map[id.TargetIncarnation]time.Time{}, uneven: map[id.Service]bool{},
 	}
 }
 
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -38,6 +38,10 @@
 	// Load is what this entry has in flight there.
 	Load
 
+	// load is what the target last said about its load, at loadAt.
+	load   TargetLoad
+	loadAt time.Time
+
 	// lastActivity is when the target last sent something.
 	lastActivity time.Time
 	// refusedAt is when the target last answered that it failed or refused a
--- a/internal/protocol/direct/direct.go
+++ b/internal/protocol/direct/direct.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
 	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
@@ -108,8 +109,13 @@
 	Limit Limit
 	// Notice is what the target says about further requests.
 	Notice Notice
+	// Load is what the target says about its load; nil if it says nothing.
+	Load *TargetLoad
 }
 
+// TargetLoad is what a target says about its load.
+type TargetLoad = balance.TargetLoad
+
 // VersionReport says which versions of targets' software have served recently.
 type VersionReport = origin.Report
 
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -32,8 +32,38 @@
 	StoreAddress string        `toml:"store"`
 	Limits       ProcessLimits `toml:"limits"`
 	Retries      Retries       `toml:"retries"`
+	// Contract names the parts of the deployment's contract. The adapter of the platform
+	// says which settings they call for.
+	Contract  []string  `toml:"contract"`
+	Admission Admission `toml:"admission"`
+	Rollouts  Rollouts  `toml:"rollouts"`
 }
 
+// Admission decides about requests while there is too little room for all.
+type Admission struct {
+	// Ordered says that callers compete for room: requests wait at the entry, and the ones
+	// that cost their callers least are delayed or refused first. Services whose targets
+	// share their hosts with others are treated so in any case.
+	Ordered bool `toml:"ordered"`
+}
+
+// Rollouts bounds what a new version of a service's software may get and do before it is
+// trusted. If Share is 0, roll-outs are not served.
+type Rollouts struct {
+	// Share is the largest share of a service's requests that an unproven version gets.
+	Share float64 `toml:"share"`
+	// Tolerance is the number of requests that it may get beyond Share.
+	Tolerance int `toml:"tolerance"`
+	// RevertMS is the time in milliseconds within which a bad version gets nothing more.
+	RevertMS int64 `toml:"revertMs"`
+}
+
+// Enabled reports whether roll-outs are served.
+func (r *Rollouts) Enabled() bool { return r.Share > 0 }
+
+// RevertTime returns the time within which a bad version gets nothing more.
+func (r *Rollouts) RevertTime() time.Duration { return time.Duration(r.RevertMS) * time.Millisecond }
+
 // ProcessLimits holds the limits that a process runs under.
 type ProcessLimits struct {
 	// MemoryMB is the memory, in MB, above which the host kills the process.
@@ -117,6 +147,12 @@
 		return newKeyError("retries.slack", "is %v, want a number of 0 or more", s.Retries.MinRetries)
 	case s.Retries.WindowSeconds < 0:
 		return newKeyError("retries.windowSeconds", "is %v, want a number above 0", s.Retries.WindowSeconds)
+	case s.Rollouts.Share < 0 || s.Rollouts.Share > 1:
+		return newKeyError("rollouts.share", "is %v, want a number from 0 to 1", s.Rollouts.Share)
+	case s.Rollouts.Tolerance < 0:
+		return newKeyError("rollouts.tolerance", "is %v, want a number of 0 or more", s.Rollouts.Tolerance)
+	case s.Rollouts.RevertMS < 0:
+		return newKeyError("rollouts.revertMs", "is %v, want a number of 0 or more", s.Rollouts.RevertMS)
 	}
 	for i, seed := range s.SeedAddresses {
 		if _, _, err := net.SplitHostPort(seed); err != nil {
--- a/internal/transport/direct/withdrawal.go
+++ b/internal/transport/direct/withdrawal.go
@@ -74,6 +74,7 @@
 // sent is when the request was sent there.
 func (c *call) observeAnswer(sent time.Time, t *catalog.Target, meta direct.ResponseMetadata) {
 	c.e.limits.observe(sent, t, meta.Limit)
+	c.e.balancer.ObserveLoad(c.now(), t, meta.Load)
 	if meta.Notice.Pause > 0 {
 		c.log(event.TargetPaused, "target", t.ID, "incarnation", t.Incarnation, "for", meta.Notice.Pause)
 	}
