An answer that ends while its request is still being written is not whole; a status outside 100 to 599 is none

What callers saw: the client of a long upload got a part of an answer as a whole one, and an answer whose status is 000 was skipped as if it were informational, so that a later answer on the connection took its place; 600 and above were passed on.

Cause: a reset reports its error once, to the write or to the read. When the write of the upload takes it, the next read returns the end of the connection, which ends an answer without length. readHead took any status below 200 for an informational one.

Change: at the end of an answer that its connection ends, Answer.Read asks whether the whole request was written; readHead refuses statuses out of range.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// requestWritten reports whether the whole request was written, once the connection has ended. It
+// stops the write if not. A reset reports its error to the write or to the read, and only once,
+// so a read that returns the end of the connection does not show that there was no reset.
+func (c *conn) requestWritten() bool {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	<-c.writeDone
+	return c.writeErr == nil
+}
+
 // stillOpen reports whether an idle connection has not expired, is open, and has
 // received no bytes.
 func (c *conn) stillOpen(now time.Time) bool {
--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -15,6 +15,9 @@
 	maxHeadBytes = 64 << 10
 	// protocolPrefix begins every answer.
 	protocolPrefix = "HTTP/1."
+	// minStatus and maxStatus are the range of statuses, by RFC 9110, section 15.
+	minStatus = 100
+	maxStatus = 599
 	// protocolWithoutChunks begins the answers of the version that has no chunks.
 	protocolWithoutChunks = "HTTP/1.0"
 )
@@ -22,6 +25,7 @@
 var (
 	errSwitched    = errors.New("unexpected 101 Switching Protocols answer")
 	errNoAnswer    = errors.New("bytes that begin no answer")
+	errNoStatus    = errors.New("status of an answer is out of range")
 	errOldChunks   = errors.New("chunks in an answer of HTTP/1.0")
 	errHeadTooLong = errors.New("head of an answer exceeds its size limit")
 )
@@ -68,7 +72,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case res.StatusCode < minStatus || res.StatusCode > maxStatus:
+			return nil, errNoStatus
+		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitched
 		}
 		if res.StatusCode >= http.StatusOK {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -169,6 +169,9 @@
 	a.conn.abort()
 }
 
+// errEndsEarly means that the connection ended the answer while the request was being written.
+var errEndsEarly = errors.New("the connection ended before the request was written")
+
 // bodyReader records when the body has been read to its end.
 type bodyReader struct{ a *Answer }
 
@@ -176,6 +179,8 @@
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.a.res.Body.Read(p)
 	switch {
+	case errors.Is(err, io.EOF) && b.a.Framing == completion.Connection && !b.a.conn.requestWritten():
+		return n, fault.Wrap("Answer.Read", ConnectionLost, errEndsEarly)
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
 		b.a.complete = true
 		return n, io.EOF
