Calls of plain services: a status out of range is a lost answer

Cause: net/http returns an answer with status 000 like any other, and an entry can't pass it on: writing that status panics, which ends the caller's connection.

Change: readReply refuses statuses outside 100 to 599, as the pool of direct entries does.

Result: TestDoInvalidStatus fails before (000, 099, 600) and passes.

--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -62,6 +62,9 @@
 	dialTimeout = 2 * time.Second
 	idleTimeout = 90 * time.Second
 	maxIdle     = 32
+	// minStatus and maxStatus are the range of statuses, by RFC 9110, section 15.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // Client calls one plain service. It is safe for concurrent use.
@@ -153,6 +156,9 @@
 }
 
 func readReply(request id.Request, resp *http.Response) (*answer.Reply, error) {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return nil, fault.New("Client.Do", ResponseLost, "the service answered with status %03d, want %d to %d", resp.StatusCode, minStatus, maxStatus)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
 	if err != nil {
 		return nil, fault.Wrap("Client.Do", ResponseLost, err)
--- a/internal/transport/service/client_test.go
+++ b/internal/transport/service/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	standin "foxtailward.example/foxtailward/internal/standin/server"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/transport/service"
 )
@@ -106,3 +107,20 @@
 	is.True(fault.Is(err, service.NotSent))
 	is.True(client.Health(t.Context()) != nil)
 }
+
+// TestDoInvalidStatus guards against answers whose status is none, which no entry can pass on.
+func TestDoInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			raw, err := standin.NewRaw(false)
+			is.NoErr(err)
+			defer raw.Close()
+			raw.AnswerNext("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nno")
+			client := service.NewClient("http://" + raw.Address())
+			defer client.Close()
+			_, err = client.Do(t.Context(), service.Request{ID: "ans-00000000-aa", Method: http.MethodGet, Path: "/"})
+			is.True(fault.Is(err, service.ResponseLost))
+		})
+	}
+}
