--- /dev/null
+++ b/internal/coordination/rollout/ledger.go
@@ -0,0 +1,46 @@
+package rollout
+
+const (
+	// canaryPart and goingOnPart are the parts of the share that new requests use during the
+	// canary stage, and that streams which the new version began may use.
+	canaryPart  = 0.5
+	goingOnPart = 0.8
+	// toleranceKept is the part of the tolerance that is kept for entries that start again.
+	toleranceKept = 0.5
+)
+
+// Ledger counts what one entry has sent to a service since it knew of the order.
+type Ledger struct {
+	sent, toNew int
+}
+
+// Sent records one attempt to send a request to the service.
+func (l *Ledger) Sent(toNew bool) {
+	l.sent++
+	if toNew {
+		l.toNew++
+	}
+}
+
+// Totals returns the number of attempts, and of those at the new version.
+func (l *Ledger) Totals() (sent, toNew int) { return l.sent, l.toNew }
+
+// Bound is the bound on what an unproven version gets, over all entries.
+type Bound struct {
+	// Share is the largest share of all requests, and Tolerance a number beyond it.
+	Share     float64
+	Tolerance int
+	// Entries is the number of entries that share Tolerance.
+	Entries int
+}
+
+// Allows reports whether the next request may be sent to the new version during the canary
+// stage. goesOn says that the request goes on with a stream which the version began.
+func (l *Ledger) Allows(b Bound, goesOn bool) bool {
+	part := canaryPart
+	if goesOn {
+		part = goingOnPart
+	}
+	tolerance := (1 - toleranceKept) * part * float64(b.Tolerance) / float64(max(1, b.Entries))
+	return float64(l.toNew+1) <= part*b.Share*float64(l.sent+1)+tolerance
+}
--- a/internal/coordination/store/store.go
+++ b/internal/coordination/store/store.go
@@ -174,6 +174,9 @@
 	// StreamsPrefix is followed by the name of an entry of whose streams it is stored at
 	// which version of a target's software they began.
 	StreamsPrefix = Root + "streams/"
+	// RolloutPrefix is followed by the name of a service whose traffic moves to another
+	// version of its software.
+	RolloutPrefix = Root + "rollouts/"
 	// LeaderKey is held by the process that decides on placement.
 	LeaderKey = Root + "placement/leader"
 	// OrderPrefix is followed by the id of a standing order.
