Roll-outs: entries carry out the operator's orders

Cause: no code knew an operator's order to move a service to another version. Change: orders come with the watch of the configuration; stages are written by compare-and-swap together with the operator's status, and travel between entries with the counts of answers; targets are filtered by stage, and each attempt at the new version is counted against its share. A version that appears is held back until the orders have been read again. The types that the platform's codec needs are in state/catalog, as platform/ must not import decisions. All of it only if the settings have [rollouts].

--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -99,5 +99,6 @@
 	return direct.Codec{
 		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, ParseTargetID: platform.TargetID,
+		RolloutPrefix: platform.RolloutPrefix, DecodeRollout: platform.DecodeRollout, EncodeRolloutStatus: platform.EncodeRolloutStatus,
 	}
 }
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -16,8 +16,8 @@
 
 import (
 	"slices"
-	"time"
 
+	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -25,39 +25,14 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// Malformed means that an order or a stage is incomplete or out of range.
+// Malformed means that a stage or a report is incomplete or out of range.
 const Malformed Kind = "malformed"
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// MaxDuration is the longest time budget of an order.
-const MaxDuration = 24 * time.Hour
-
 // Order is the operator's request to move a service to a version.
-type Order struct {
-	Service id.Service         `json:"service"`
-	To      id.SoftwareVersion `json:"to"`
-	// DurationMS is the time budget in milliseconds.
-	DurationMS int64 `json:"durationMs"`
-	// Revision is the key-value service's revision of the order.
-	Revision int64 `json:"revision"`
-}
-
-// Duration returns the time budget of the order.
-func (o *Order) Duration() time.Duration { return time.Duration(o.DurationMS) * time.Millisecond }
-
-// Validate returns an error of kind Malformed for an order that can't be carried out.
-func (o *Order) Validate() error {
-	const op = "Order.Validate"
-	switch {
-	case o.Service == "" || o.To == "":
-		return fault.New(op, Malformed, "the order names no service or no version")
-	case o.DurationMS <= 0 || o.Duration() > MaxDuration || o.DurationMS > MaxDuration.Milliseconds():
-		return fault.New(op, Malformed, "time budget of %d ms is out of range", o.DurationMS)
-	}
-	return nil
-}
+type Order = catalog.RolloutOrder
 
 // Phase is a stage of a roll-out.
 type Phase string
@@ -74,6 +49,17 @@
 // Final reports whether no step follows.
 func (p Phase) Final() bool { return p == Completed || p == Reverted }
 
+// State returns the state that the operator reads.
+func (p Phase) State() catalog.RolloutState {
+	switch p {
+	case Completed:
+		return catalog.RolloutCompleted
+	case Reverted:
+		return catalog.RolloutReverted
+	}
+	return catalog.RolloutInProgress
+}
+
 // Stage is the state of a service's roll-out that all entries share.
 type Stage struct {
 	// Number rises with each stage of the service, also over orders.
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -14,6 +14,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
+	"foxtailward.example/foxtailward/internal/coordination/rollout"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
 	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
@@ -98,6 +99,9 @@
 	Era           store.Era      `json:"era,omitempty"`
 	// Versions are the software versions that have served recently, unless it is one alone.
 	Versions *origin.Report `json:"versions,omitempty"`
+	// Rollouts is what the entry knows of services whose traffic moves to another version, if
+	// it serves roll-outs. A service that is not named says nothing.
+	Rollouts map[id.Service]rollout.Report `json:"rollouts,omitempty"`
 }
 
 // StopsIn returns the time until a draining entry stops; 0 if it is not
--- a/internal/protocol/direct/validate.go
+++ b/internal/protocol/direct/validate.go
@@ -47,6 +47,11 @@
 	if slices.ContainsFunc(u.TargetChanges, func(c TargetChange) bool { return c.Key == "" || c.Revision <= 0 }) {
 		return fault.New(op, Malformed, "change of a target without key or revision")
 	}
+	for service, r := range u.Rollouts {
+		if err := r.Validate(); err != nil || service == "" {
+			return fault.New(op, Malformed, "roll-out of service %q: %v", service, err)
+		}
+	}
 	return nil
 }
 
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -68,23 +68,30 @@
 
 // Store and configuration events, numbered from 500.
 var (
-	StoreDown         = Event{500, "storeDown", Error, "The key-value service does not answer; requests are still served.", "check the key-value service"}
-	StoreRecovered    = Event{501, "storeBack", Info, "The key-value service answers again.", "none"}
-	StoreSlow         = Event{502, "storeSlow", Warn, "A call was delayed to stay within the rate limit of the key-value service.", "none unless this lasts"}
-	RevisionInForce   = Event{503, "revisionInForce", Info, "A configuration revision is in force in this process.", "none"}
-	RevisionRefused   = Event{504, "revisionRefused", Error, "A configuration revision could not be read and was not put in force.", "upgrade the process or correct the configuration"}
-	ClaimMade         = Event{505, "claimMade", Info, "A call that must run at most once was claimed.", "none"}
-	ClaimRefused      = Event{506, "claimRefused", Warn, "A claim could not be made, so the call was not run.", "check the key-value service"}
-	ClaimUnknown      = Event{507, "claimUnknown", Error, "It is unknown whether a call that must run at most once has run.", "ask the service's owner about the call"}
-	LeadershipGained  = Event{508, "leadershipGained", Info, "This process became the leader that decides on placement.", "none"}
-	WatchEnded        = Event{510, "watchEnded", Info, "A watch on the key-value service broke off; its keys are read again.", "none unless it repeats"}
-	RunsNotSaved      = Event{511, "runsUnkept", Info, "The runs of unfinished streams, or the requests suspected of crashing targets, could not be written to the key-value service.", "none; they are needed only if all entries end at the same time"}
-	SuspectsNotLoaded = Event{513, "suspectsUnread", Info, "The requests suspected of crashing targets that entries had saved could not be read.", "none; it is tried again, and other entries report them too"}
-	RunsNotLoaded     = Event{512, "runsUnread", Info, "The runs that entries had saved could not be read.", "none; streams that are resumed start from the beginning"}
-	StreamsNotLoaded  = Event{515, "streamsUnread", Info, "The software versions of streams that entries had saved could not be read.", "none; it is tried again, and other entries tell them too"}
-	StreamsLoaded     = Event{516, "streamsRead", Info, "The software versions of streams that entries had saved were read.", "none; complete=false says that streams which nobody remembers are refused for the lifetime of a stream, as entries that could not save for long may have begun them at unknown versions"}
-	StoreRestored     = Event{514, "storeRestored", Warn, "The key-value service returned from an older copy of its state; its keys are read, and this process's saved state is written, again.", "none; check that changes of the last seconds were made again"}
-	LeadershipLost    = Event{509, "leadershipLost", Info, "This process is no longer the leader that decides on placement.", "none"}
+	StoreDown          = Event{500, "storeDown", Error, "The key-value service does not answer; requests are still served.", "check the key-value service"}
+	StoreRecovered     = Event{501, "storeBack", Info, "The key-value service answers again.", "none"}
+	StoreSlow          = Event{502, "storeSlow", Warn, "A call was delayed to stay within the rate limit of the key-value service.", "none unless this lasts"}
+	RevisionInForce    = Event{503, "revisionInForce", Info, "A configuration revision is in force in this process.", "none"}
+	RevisionRefused    = Event{504, "revisionRefused", Error, "A configuration revision could not be read and was not put in force.", "upgrade the process or correct the configuration"}
+	ClaimMade          = Event{505, "claimMade", Info, "A call that must run at most once was claimed.", "none"}
+	ClaimRefused       = Event{506, "claimRefused", Warn, "A claim could not be made, so the call was not run.", "check the key-value service"}
+	ClaimUnknown       = Event{507, "claimUnknown", Error, "It is unknown whether a call that must run at most once has run.", "ask the service's owner about the call"}
+	LeadershipGained   = Event{508, "leadershipGained", Info, "This process became the leader that decides on placement.", "none"}
+	WatchEnded         = Event{510, "watchEnded", Info, "A watch on the key-value service broke off; its keys are read again.", "none unless it repeats"}
+	RunsNotSaved       = Event{511, "runsUnkept", Info, "The runs of unfinished streams, or the requests suspected of crashing targets, could not be written to the key-value service.", "none; they are needed only if all entries end at the same time"}
+	SuspectsNotLoaded  = Event{513, "suspectsUnread", Info, "The requests suspected of crashing targets that entries had saved could not be read.", "none; it is tried again, and other entries report them too"}
+	RunsNotLoaded      = Event{512, "runsUnread", Info, "The runs that entries had saved could not be read.", "none; streams that are resumed start from the beginning"}
+	StreamsNotLoaded   = Event{515, "streamsUnread", Info, "The software versions of streams that entries had saved could not be read.", "none; it is tried again, and other entries tell them too"}
+	StreamsLoaded      = Event{516, "streamsRead", Info, "The software versions of streams that entries had saved were read.", "none; complete=false says that streams which nobody remembers are refused for the lifetime of a stream, as entries that could not save for long may have begun them at unknown versions"}
+	RolloutOrdered     = Event{540, "rolloutOrdered", Info, "The operator has ordered that a service's traffic moves to another version, or has withdrawn that (withdrawn=true).", "none"}
+	RolloutStage       = Event{541, "rolloutStage", Info, "A roll-out has entered a stage.", "stage reverting or reverted: see the reason, and rolloutBad"}
+	RolloutBad         = Event{542, "rolloutBad", Warn, "The new version answers worse than the old ones; this entry sends nothing more to it.", "check the version on the route that is named"}
+	RolloutWaits       = Event{543, "rolloutWaits", Info, "A roll-out waits for the reason that is named.", "none unless it lasts beyond the time budget: see OPERATIONS.md, Roll-outs"}
+	RolloutNotWritten  = Event{544, "rolloutNotWritten", Info, "The stage of a roll-out could not be written; it is decided again.", "none unless it repeats"}
+	RolloutRefused     = Event{545, "rolloutRefused", Error, "An order or a stage of a roll-out can't be read; it is left alone.", "correct the order that the key names"}
+	RolloutVersionHeld = Event{546, "rolloutVersionHeld", Info, "A version has appeared; nothing is sent to it until the orders have been read again.", "none unless the key-value service is away"}
+	StoreRestored      = Event{514, "storeRestored", Warn, "The key-value service returned from an older copy of its state; its keys are read, and this process's saved state is written, again.", "none; check that changes of the last seconds were made again"}
+	LeadershipLost     = Event{509, "leadershipLost", Info, "This process is no longer the leader that decides on placement.", "none"}
 )
 
 // Placement and target events, numbered from 600.
@@ -109,6 +116,7 @@
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
+		RolloutOrdered, RolloutStage, RolloutBad, RolloutWaits, RolloutNotWritten, RolloutRefused, RolloutVersionHeld,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
 }
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -20,6 +20,7 @@
 func (c *call) choose(ctx context.Context) (balance.Choice, bool) {
 	// occupied holds the targets that others try after their pauses.
 	occupied := map[id.Target]bool{}
+	c.drawVersion()
 	for ctx.Err() == nil {
 		c.limitedTarget = nil
 		now := c.now()
@@ -27,7 +28,7 @@
 		choice, ok := c.e.balancer.Choose(now, c.requirements, free, c.tried)
 		if !ok || choice.Reason == balance.LastResort {
 			if first := c.firstInTime(full); first != nil {
-				if c.takePlace(ctx, first, c.maxLimitWait()) {
+				if c.takePlace(ctx, first, c.maxLimitWait()) && c.takeShareOrPlace(first) {
 					return c.choiceAtLimit(first), true
 				}
 				continue
@@ -45,7 +46,10 @@
 			c.endTrial()
 			continue
 		}
-		if !ok || c.e.limits.take(now, choice.Target, 0) {
+		if !ok && c.endDraw() {
+			continue
+		}
+		if !ok || (c.takeShare(choice.Target) && c.e.limits.take(now, choice.Target, 0)) {
 			return choice, ok
 		}
 		c.endReservation()
--- a/internal/transport/direct/configwatch.go
+++ b/internal/transport/direct/configwatch.go
@@ -18,6 +18,7 @@
 	fromList  itemSource = "list"
 	fromWatch itemSource = "watch"
 	fromEntry itemSource = "entry"
+	fromWrite itemSource = "write"
 )
 
 // watchConfig lists the configuration and then watches it for changes. A watch that
@@ -31,6 +32,7 @@
 			w.pause(ctx)
 			continue
 		}
+		w.e.rollouts.replaceOrders(page)
 		for i := range page.Items {
 			// The error has been logged.
 			_ = w.applyConfig(page.Items[i], page.Era, fromList)
@@ -48,12 +50,15 @@
 	for ctx.Err() == nil {
 		watchCtx, cancelWatch := context.WithCancel(ctx)
 		w.withLock(func() {
-			if w.configEra == point.Era {
+			if w.configEra == point.Era && point.Revision < w.configItem.ModRevision {
+				// The watch doesn't deliver what came before the configuration.
+				w.e.rollouts.readAgain()
 				point.Revision = max(point.Revision, w.configItem.ModRevision)
 			}
 			w.cancelConfigWatch = cancelWatch
 		})
 		err := w.watch(watchCtx, prefix, point, func(c store.Change) {
+			w.e.rollouts.applyOrder(c)
 			if !c.Deleted {
 				// The error has been logged.
 				_ = w.applyConfig(c.Item, point.Era, fromWatch)
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -72,6 +72,11 @@
 	DecodeConfig  func(data []byte) (*catalog.Config, error)
 	DecodeTarget  func(i store.Item, now time.Time) (*catalog.Target, error)
 	ParseTargetID func(key string) (id.Target, bool)
+	// RolloutPrefix begins with ConfigPrefix and is followed by a service. It, DecodeRollout
+	// and EncodeRolloutStatus are needed only if roll-outs are served.
+	RolloutPrefix       string
+	DecodeRollout       func(i store.Item) (catalog.RolloutOrder, error)
+	EncodeRolloutStatus func(service id.Service, state catalog.RolloutState, to id.SoftwareVersion) (key string, value []byte)
 }
 
 // Deps are the dependencies of an entry. All fields but the last four
@@ -115,6 +120,8 @@
 	streams  *origin.Registry
 	versions *origin.Versions
 	reports  *reportReader
+	// rollouts is nil if roll-outs are not served.
+	rollouts *rollouts
 	// versionSaves has the versions saved at which streams begin, and saver saves them.
 	versionSaves *versionSaves
 	saver        *stateSaver
@@ -201,6 +208,9 @@
 	e.versionSaves = newVersionSaves(e)
 	e.saver = &stateSaver{e: e}
 	e.storeWatcher = newStoreWatcher(e)
+	if cfg.Rollouts.Enabled() {
+		e.rollouts = newRollouts(e)
+	}
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -195,6 +195,8 @@
 	memoryMB float64
 	// retries replaces the retry budget unless it is nil.
 	retries *settings.Retries
+	// rollouts are the settings of roll-outs.
+	rollouts settings.Rollouts
 	// watch replaces the watch of targets unless it is nil.
 	watch func(ctx context.Context) error
 	// changeStore changes the key-value service's calls unless it is nil.
@@ -321,6 +323,7 @@
 	if env.retries != nil {
 		s.Retries = *env.retries
 	}
+	s.Rollouts = env.rollouts
 	s.SetDefaults()
 	return s
 }
@@ -413,6 +416,7 @@
 			return t, err
 		},
 		ParseTargetID: func(key string) (id.Target, bool) { return id.Target(key), true },
+		RolloutPrefix: "config/rollout/", DecodeRollout: decodeOrder, EncodeRolloutStatus: encodeStatus,
 	}
 }
 
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -97,6 +97,9 @@
 	// software is the version at which the request's stream goes on; nil before it has
 	// begun.
 	software *requiredSoftware
+	// drawn is set while the current attempt may be sent to the new version of a roll-out, and
+	// refusedNew if that version may not get it.
+	drawn, refusedNew bool
 	// releaseBuffers give back the memory of the request's body and of the buffered answers.
 	releaseBuffers []func()
 	// heldBack is set if the request may not start yet because requests with this
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -332,6 +332,7 @@
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
 	}
 	u.Successors = x.e.successors.recentlyFound(now)
+	u.Rollouts = x.e.rollouts.reports()
 	for lost, age := range x.e.balancer.RecentlyReplaced(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Replaced: true, AgeMS: age.Milliseconds()})
 	}
@@ -390,6 +391,7 @@
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
 	x.mergeVersions(now, u.Versions)
+	x.e.rollouts.merge(now, u)
 	if !u.Notice {
 		x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
 	}
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -82,6 +82,9 @@
 		wg.Go(func() { e.peerExchange.run(serving) })
 	}
 	wg.Go(func() { e.saver.run(serving) })
+	if e.rollouts != nil {
+		wg.Go(func() { e.rollouts.run(serving) })
+	}
 	wg.Go(func() { e.closeIdleConns(serving) })
 	wg.Go(func() { e.watchClocks(serving) })
 	if e.cfg.OperatorAddress != "" {
--- a/internal/transport/direct/software.go
+++ b/internal/transport/direct/software.go
@@ -34,7 +34,7 @@
 // eligibleTargets returns the currently known targets of the request's service at which
 // its stream may go on: all before it has begun.
 func (c *call) eligibleTargets() catalog.Targets {
-	listed := c.allTargets()
+	listed := c.permitted(c.allTargets())
 	switch {
 	case c.software == nil && c.route.Resumable:
 		return c.e.versionSaves.withoutRefused(listed)
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -131,7 +131,7 @@
 // beginning.
 func (s *stream) nextAttempt(ctx context.Context) (attempt, bool) {
 	c := s.c
-	if a, ok := s.confirmEnd(ctx); ok {
+	if a, ok := s.confirmEnd(ctx); ok && c.takeShare(a.choice.Target) {
 		return a, true
 	}
 	if c.runs >= c.maxRuns() {
@@ -142,7 +142,7 @@
 	if c.sends == 0 && s.lastEventID != "" && c.route.Resumable {
 		s.inheritCopy(now, targets)
 	}
-	if t, ref := s.copyHolder(now, targets); t != nil && c.takePlace(ctx, t, resumeLimitWait) {
+	if t, ref := s.copyHolder(now, targets); t != nil && c.takeShare(t) && c.takePlace(ctx, t, resumeLimitWait) {
 		backup := c.e.balancer.BackupFor(c.now(), c.requirements, targets, t, c.tried)
 		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsBackup}, resumeFrom: ref}, true
 	}
