Roll-outs: streams count at their first event, crashes once, the tolerance in whole requests

Cause: streams end after 10 s and more, so a canary of 12 s had no answers of theirs; a tolerance divided into fractions gave entries with few requests none; a target that crashes breaks off all its requests, which says nothing about its version. Change: first events and the pace of streams are counted apart; broken connections of a target count once a second; the tolerance is given out in whole requests by rank; the switch is at 65% of the time budget at the earliest; an order for the version that serves alone completes at once.

--- a/internal/coordination/rollout/counts.go
+++ b/internal/coordination/rollout/counts.go
@@ -67,17 +67,26 @@
 	// Took is the time to the answer, or to its first event. It is 0 if it says nothing, for
 	// example because the target is still warming up.
 	Took time.Duration
+	// Pace says that Took is the mean time between a stream's events.
+	Pace bool
 }
 
+// paceSuffix follows the name of a route under which the pace of its streams is counted.
+const paceSuffix = " pace"
+
 // Add records an answer.
 func (c Counts) Add(a Answer) {
-	r := c[a.Route]
+	name := a.Route
+	if a.Pace {
+		name += paceSuffix
+	}
+	r := c[name]
 	if r == nil {
 		if len(c) >= maxRoutes {
 			return
 		}
 		r = &RouteCounts{}
-		c[a.Route] = r
+		c[name] = r
 	}
 	t := &r.Old
 	if a.New {
--- a/internal/coordination/rollout/decide.go
+++ b/internal/coordination/rollout/decide.go
@@ -13,7 +13,7 @@
 	minWholeTime = 2 * time.Second
 	commitTime   = 500 * time.Millisecond
 	// maxWholePart is the largest part of the time budget that is left for both.
-	maxWholePart = 0.5
+	maxWholePart = 0.35
 	// minWatchTime is how long the whole traffic is watched before the roll-out completes.
 	minWatchTime = time.Second
 	// minCapacity is the least capacity of the new version, relative to the old ones, with
@@ -28,12 +28,13 @@
 
 // Reasons of steps.
 const (
-	Ordered      Reason = "ordered"
-	JudgedGood   Reason = "judgedGood"
-	JudgedBad    Reason = "judgedBad"
-	Withdrawn    Reason = "withdrawn"
-	Acknowledged Reason = "acknowledged"
-	TimeUp       Reason = "timeUp"
+	Ordered       Reason = "ordered"
+	JudgedGood    Reason = "judgedGood"
+	JudgedBad     Reason = "judgedBad"
+	Withdrawn     Reason = "withdrawn"
+	Acknowledged  Reason = "acknowledged"
+	TimeUp        Reason = "timeUp"
+	NothingToMove Reason = "nothingToMove"
 )
 
 // Reasons to wait.
@@ -141,7 +142,11 @@
 	s.Old = append(s.Old, v.Listed...)
 	s.Barred = withoutVersion(s.Barred, s.To, nil)
 	s.Old = withoutVersion(s.Old, s.To, s.Barred)
-	return Step{Next: s, Reason: Ordered}
+	if len(v.Listed) > 0 && len(withoutVersion(slices.Clone(v.Listed), s.To, nil)) == 0 {
+		// The version serves alone already.
+		s.Phase, s.Share, s.Reason = Completed, 1, NothingToMove
+	}
+	return Step{Next: s, Reason: s.Reason}
 }
 
 // withoutVersion returns the versions without one and without others, each once.
--- a/internal/coordination/rollout/ledger.go
+++ b/internal/coordination/rollout/ledger.go
@@ -5,8 +5,9 @@
 	// canary stage, and that streams which the new version began may use.
 	canaryPart  = 0.5
 	goingOnPart = 0.8
-	// toleranceKept is the part of the tolerance that is kept for entries that start again.
-	toleranceKept = 0.5
+	// tolerancePart is the part of the tolerance that is divided over the entries. The rest is
+	// for entries that start again, and for the time in which a finding spreads.
+	tolerancePart = 0.5
 )
 
 // Ledger counts what one entry has sent to a service since it knew of the order.
@@ -30,8 +31,21 @@
 	// Share is the largest share of all requests, and Tolerance a number beyond it.
 	Share     float64
 	Tolerance int
-	// Entries is the number of entries that share Tolerance.
-	Entries int
+	// Entries is the number of entries that share Tolerance, and Rank the place of this one
+	// among them, from 0.
+	Entries, Rank int
+}
+
+// quota returns how many requests of the tolerance are this entry's. Those that are left over
+// are given out by rank.
+func (b *Bound) quota() float64 {
+	divided := int(tolerancePart * float64(b.Tolerance))
+	entries := max(1, b.Entries)
+	quota := divided / entries
+	if b.Rank < divided%entries {
+		quota++
+	}
+	return float64(quota)
 }
 
 // Allows reports whether the next request may be sent to the new version during the canary
@@ -41,6 +55,5 @@
 	if goesOn {
 		part = goingOnPart
 	}
-	tolerance := (1 - toleranceKept) * part * float64(b.Tolerance) / float64(max(1, b.Entries))
-	return float64(l.toNew+1) <= part*b.Share*float64(l.sent+1)+tolerance
+	return float64(l.toNew+1) <= part*b.Share*float64(l.sent+1)+b.quota()
 }
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -113,7 +113,7 @@
 		// Other entries may have requests waiting for targets of the same zone.
 		c.e.updatePeers()
 	}
-	c.observeVersion(choice.Target, outcome, sent, now)
+	c.countOutcome(choice.Target, outcome, sent, now)
 	c.e.metrics.sendEnded(choice.Target, outcome, now.Sub(sent))
 	c.e.metrics.answerEnded(c.route, &c.answer, outcome)
 	fields := []any{"target", choice.Target.ID, "process", choice.Target.Incarnation, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
--- a/internal/transport/direct/rollout.go
+++ b/internal/transport/direct/rollout.go
@@ -56,6 +56,8 @@
 	revision, number int64
 	// refused is the revision of the last order that could not be decoded.
 	refused int64
+	// lostAt is when targets last broke off a request.
+	lostAt map[id.Target]time.Time
 	// due is the step that is due, since dueSince.
 	due      rollout.Step
 	dueSince time.Time
--- a/internal/transport/direct/rolloutcall.go
+++ b/internal/transport/direct/rolloutcall.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/rollout"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
@@ -14,7 +13,11 @@
 
 // bound returns the bound on what an unproven version gets.
 func (r *rollouts) bound(now time.Time) rollout.Bound {
-	return rollout.Bound{Share: r.e.cfg.Rollouts.Share, Tolerance: r.e.cfg.Rollouts.Tolerance, Entries: r.e.roster.LimitSharers(now)}
+	alive := r.e.roster.Alive(now)
+	return rollout.Bound{
+		Share: r.e.cfg.Rollouts.Share, Tolerance: r.e.cfg.Rollouts.Tolerance,
+		Entries: r.e.roster.LimitSharers(now), Rank: id.RendezvousRank("tolerance", r.e.cfg.PeerAddress, alive),
+	}
 }
 
 // drawVersion decides whether the next attempt may be sent to the new version of a roll-out.
@@ -24,12 +27,11 @@
 	if r == nil {
 		return
 	}
-	bound := r.bound(c.now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.states[c.service]
 	c.refusedNew = false
-	c.drawn = st != nil && c.software == nil && c.sends == 0 && st.MayDraw(bound)
+	c.drawn = st != nil && st.Active() && c.software == nil && c.sends == 0 && st.MayDraw(r.bound(c.now()))
 }
 
 // endDraw reports whether the attempt was drawn for the new version, and ends that.
@@ -46,14 +48,13 @@
 	if r == nil {
 		return true
 	}
-	bound := r.bound(c.now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.states[c.service]
 	if st == nil {
 		return true
 	}
-	if st.Take(t.Software, c.software != nil, bound) {
+	if st.Take(t.Software, c.software != nil, r.bound(c.now())) {
 		if st.Stage != nil && st.Active() {
 			c.e.metrics.rolloutSend(c.service, st.Stage.Role(t.Software))
 		}
@@ -75,36 +76,6 @@
 	return false
 }
 
-// observeVersion counts the outcome of an attempt.
-func (c *call) observeVersion(t *catalog.Target, outcome balance.Outcome, sent, now time.Time) {
-	r := c.e.rollouts
-	if r == nil || t.SoftwareUnknown || (outcome != balance.Succeeded && outcome != balance.Failed && outcome != balance.Lost) {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	st := r.states[c.service]
-	if st == nil || st.Stage == nil || !st.Active() {
-		return
-	}
-	role := st.Stage.Role(t.Software)
-	if role != rollout.NewVersion && role != rollout.OldVersion {
-		return
-	}
-	a := rollout.Answer{Route: c.route.Name, New: role == rollout.NewVersion, Failed: outcome != balance.Succeeded}
-	if !sent.Before(t.WarmAt) {
-		a.Took = now.Sub(sent)
-		if c.route.Kind == catalog.Streaming {
-			a.Took = c.attemptBegan.Sub(sent)
-		}
-	}
-	st.State.Add(a)
-	if a.New && a.Failed && st.Examine(now) {
-		r.foundBad(st)
-		r.e.updatePeers()
-	}
-}
-
 // permitted returns the targets whose version may get the request.
 func (c *call) permitted(listed catalog.Targets) catalog.Targets {
 	r := c.e.rollouts
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -283,6 +283,9 @@
 		case err != nil:
 			return balance.Lost, err
 		}
+		if c.attemptBegan.IsZero() {
+			c.countFirstEvent(r.target, sent, c.now())
+		}
 		r.recordEvent(packetLoss)
 		if goesOn {
 			if outcome, err := s.confirmTarget(ctx, r.target); outcome != balance.Succeeded {
