--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -59,6 +59,9 @@
 	AnsweredAtStops Guarantee = "answeredAtStops"
 	// SoundEnds means that unframed streams whose last event has arrived end as whole.
 	SoundEnds Guarantee = "soundEnds"
+	// RolloutKept means that a bad version gets no more than its share and is not completed, and
+	// that, without faults, roll-outs come to their end in time.
+	RolloutKept Guarantee = "rolloutKept"
 	// PlanMet means that a run met the case that its plan is for.
 	PlanMet Guarantee = "planMet"
 	// ProcessLifecycle: processes exit only when they are told to, and in time.
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -71,6 +71,9 @@
 	if opts.Rests {
 		p = append(p, newRests(opts, rand.New(rand.NewPCG(opts.Seed, restRandomStream)))...)
 	}
+	if opts.Rollouts {
+		p = append(p, newRollouts(opts, rand.New(rand.NewPCG(opts.Seed, rolloutRandomStream)))...)
+	}
 	if opts.Releases {
 		p = append(p, newReleases(opts, rand.New(rand.NewPCG(opts.Seed, releaseRandomStream)))...)
 	}
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -99,7 +99,15 @@
 slack = 150
 windowSeconds = 10
 `, p.name, p.host, clientPort, p.host, readinessPort, p.host, operatorPort, p.host, peerPort, seeds,
-		p.store.address(), p.name, zoneName(p.zone), graceTime.Seconds(), addressReuseTime.Seconds())
+		p.store.address(), p.name, zoneName(p.zone), graceTime.Seconds(), addressReuseTime.Seconds()) + p.rolloutSettings()
+}
+
+// rolloutSettings returns the part of the settings that has the entry serve roll-outs.
+func (p *process) rolloutSettings() string {
+	if !p.w.opts.Rollouts {
+		return ""
+	}
+	return fmt.Sprintf("[rollouts]\nshare = %v\ntolerance = %d\nrevertMs = %d\n", rolloutShare, rolloutTolerance, revertTime.Milliseconds())
 }
 
 // start starts the program. The kernel kills it if this process ends.
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -189,7 +189,7 @@
 	if form != nil && strings.HasPrefix(r.URL.Path, slowPath) && !sleep(ctx, form.work) {
 		return
 	}
-	p.servePlain(ctx, w, &forwarded, string(body))
+	p.servePlain(ctx, w, &forwarded, r.URL.Path, string(body))
 }
 
 // turnAway answers a request that the replica does not run, because it is for another target or
@@ -301,13 +301,14 @@
 
 // servePlain answers with a body that names the attempt and repeats the request's
 // body.
-func (p *replica) servePlain(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, body string) {
-	if !sleep(ctx, plainLatency) {
+func (p *replica) servePlain(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, path, body string) {
+	fails, factor := p.w.rollout.Load().answer(p.currentTarget().Software, path)
+	if !sleep(ctx, time.Duration(factor)*plainLatency) {
 		return
 	}
 	p.mu.Lock()
 	p.plainRequests++
-	fails := p.plainRequests%requestsPerFailure == 0
+	fails = fails || p.plainRequests%requestsPerFailure == 0
 	p.mu.Unlock()
 	encodeSuccess(w, forwarded.Attempt)
 	if fails {
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -98,6 +98,9 @@
 	// PageShapes adds what the users' pages allow of the bytes of streams and of clients that resume: events
 	// cut anywhere, resumptions beside the first connection, equal bodies.
 	PageShapes bool
+	// Rollouts adds the operator's orders to move the plain service to new versions, good and bad ones, and entries
+	// that are killed meanwhile.
+	Rollouts bool
 	// Calm leaves out the faults and the planned work that the other options do not add.
 	Calm bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
@@ -223,6 +226,7 @@
 	allKilledRandomStream  = 15
 	leavingEndRandomStream = 16
 	pageShapeRandomStream  = 17
+	rolloutRandomStream    = 18
 	residentRandomStream   = 5000
 	clientRandomStream     = 1000
 )
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -72,6 +72,9 @@
 	store     store.Store
 	storeHTTP *server.Server
 
+	// rollout watches the roll-out of the plain service; nil before the first one.
+	rollout atomic.Pointer[rolloutWatch]
+
 	// shares counts the streams that began and went on.
 	shares streamShares
 
@@ -240,6 +243,11 @@
 	return w.commit(ctx, store.Txn{Puts: []store.Put{put}})
 }
 
+// put writes an item to the key-value service.
+func (w *world) put(ctx context.Context, key string, value []byte) error {
+	return w.commit(ctx, store.Txn{Puts: []store.Put{{Key: key, Value: value}}})
+}
+
 func (w *world) removeTarget(ctx context.Context, name id.Target) error {
 	return w.commit(ctx, store.Txn{Deletes: []string{platform.TargetPrefix + string(name)}})
 }
