Roll-outs: all routes are judged together too, and the tolerance is spread over the time budget

Cause: in the soak (30 requests a second), versions that failed from 4 s on were found 8 s later: four bad answers had to come together on one route, and the tolerance was used up in the first seconds. Change: the scores of all routes are added up as well; two fifths of the tolerance may be used at once, the rest by and by until 70% of the time budget.

--- a/internal/coordination/rollout/judge.go
+++ b/internal/coordination/rollout/judge.go
@@ -43,6 +43,43 @@
 	signs
 )
 
+// scores are the log-likelihood ratios of the signs and rates, and the bad answers in them.
+type scores struct {
+	score [signs][len(excessRates)]float64
+	bad   [signs][len(excessRates)]int
+}
+
+// add adds answers to the score of a sign.
+func (s *scores) add(of sign, bad, total int, oldRate float64) {
+	for i, excess := range excessRates {
+		rate := oldRate + excess*(1-oldRate)
+		s.score[of][i] += float64(bad)*math.Log(rate/oldRate) + float64(total-bad)*math.Log((1-rate)/(1-oldRate))
+		s.bad[of][i] += bad
+	}
+}
+
+// restart has the scores that have fallen to 0 start over.
+func (s *scores) restart() {
+	for of := range signs {
+		for i := range excessRates {
+			if s.score[of][i] <= 0 {
+				s.score[of][i], s.bad[of][i] = 0, 0
+			}
+		}
+	}
+}
+
+// highest returns the highest score, and whether one says that the version is bad.
+func (s *scores) highest() (score float64, bad bool) {
+	for of := range signs {
+		for i := range excessRates {
+			score = max(score, s.score[of][i])
+			bad = bad || (s.score[of][i] >= badScore && s.bad[of][i] >= minSigns)
+		}
+	}
+	return score, bad
+}
+
 // evidence is what is known of one route.
 type evidence struct {
 	// seenOld and seenNew are the answers that have been taken in. Those of the new version
@@ -52,10 +89,12 @@
 	// recent are the old answers and bad ones of the last seconds.
 	recentTotal float64
 	recentBad   [signs]float64
-	score       [signs][len(excessRates)]float64
-	bad         [signs][len(excessRates)]int
+	scores      scores
 }
 
+// AllRoutes stands for all routes of a service together.
+const AllRoutes = "*"
+
 // Finding is what the answers say about the new version.
 type Finding struct {
 	// Bad is set if it is worse than the old versions, on Route. Score is the highest
@@ -72,8 +111,10 @@
 // Judge compares the answers of a new version with those of the old ones.
 type Judge struct {
 	routes map[string]*evidence
-	at     time.Time
-	found  *Finding
+	// all are the scores of all routes together.
+	all   scores
+	at    time.Time
+	found *Finding
 }
 
 // NewJudge returns a judge that knows no answer.
@@ -95,16 +136,14 @@
 			e = &evidence{}
 			j.routes[route] = e
 		}
-		e.observe(c, decay)
-		score, bad := e.highest()
-		if score > f.Score || bad {
-			f.Score, f.Route = max(f.Score, score), route
-		}
-		f.Bad = f.Bad || bad
+		e.observe(c, decay, &j.all)
+		f.note(&e.scores, route)
 		if !strings.HasSuffix(route, paceSuffix) {
 			f.Answers += c.New.Total()
 		}
 	}
+	j.all.restart()
+	f.note(&j.all, AllRoutes)
 	if f.Bad && j.found == nil {
 		found := f
 		j.found = &found
@@ -116,6 +155,15 @@
 	return f
 }
 
+// note records the highest of some scores.
+func (f *Finding) note(s *scores, route string) {
+	score, bad := s.highest()
+	if score > f.Score || (bad && !f.Bad) {
+		f.Score, f.Route = max(f.Score, score), route
+	}
+	f.Bad = f.Bad || bad
+}
+
 func sortedRoutes(counts Counts) []string {
 	var routes []string
 	for route := range counts {
@@ -146,8 +194,8 @@
 	return true
 }
 
-// observe takes in the answers of a route.
-func (e *evidence) observe(c *RouteCounts, decay float64) {
+// observe takes in the answers of a route, for its own scores and for those of all routes.
+func (e *evidence) observe(c *RouteCounts, decay float64, all *scores) {
 	slowFrom := slowBucket(c.Old)
 	old := since(c.Old, e.seenOld)
 	e.seenOld = cloneTally(c.Old)
@@ -159,8 +207,11 @@
 		}
 		added := since(c.New, e.seenNew[s])
 		e.seenNew[s] = cloneTally(c.New)
-		e.update(s, badIn(added, s, slowFrom), added.Total(), e.oldRate(s, c.Old, slowFrom))
+		bad, rate := badIn(added, s, slowFrom), e.oldRate(s, c.Old, slowFrom)
+		e.scores.add(s, bad, added.Total(), rate)
+		all.add(s, bad, added.Total(), rate)
 	}
+	e.scores.restart()
 }
 
 // since returns the answers that have been added to those seen.
@@ -170,29 +221,6 @@
 	return added
 }
 
-// update adds answers to the scores.
-func (e *evidence) update(s sign, bad, total int, oldRate float64) {
-	for i, excess := range excessRates {
-		rate := oldRate + excess*(1-oldRate)
-		e.score[s][i] += float64(bad)*math.Log(rate/oldRate) + float64(total-bad)*math.Log((1-rate)/(1-oldRate))
-		e.bad[s][i] += bad
-		if e.score[s][i] <= 0 {
-			e.score[s][i], e.bad[s][i] = 0, 0
-		}
-	}
-}
-
-// highest returns the highest score, and whether one says that the version is bad.
-func (e *evidence) highest() (score float64, bad bool) {
-	for s := range signs {
-		for i := range excessRates {
-			score = max(score, e.score[s][i])
-			bad = bad || (e.score[s][i] >= badScore && e.bad[s][i] >= minSigns)
-		}
-	}
-	return score, bad
-}
-
 // oldRate returns the rate of bad answers that is ordinary on the route.
 func (e *evidence) oldRate(s sign, old Tally, slowFrom int) float64 {
 	total := float64(old.Total())
--- a/internal/coordination/rollout/ledger.go
+++ b/internal/coordination/rollout/ledger.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "time"
+
 const (
 	// canaryPart and goingOnPart are the parts of the share that new requests use during the
 	// canary stage, and that streams which the new version began may use.
@@ -36,6 +38,20 @@
 	Entries, Rank int
 }
 
+const (
+	// toleranceAtOnce is the part of the divided tolerance that may be used from the beginning.
+	// The rest follows evenly until toleranceUntil of the time budget, so that a version that
+	// turns bad late is found also where there are few requests.
+	toleranceAtOnce = 0.4
+	toleranceUntil  = 0.7
+)
+
+// ToleranceAt returns how much of a tolerance may be used some time after the order.
+func ToleranceAt(tolerance int, since, budget time.Duration) int {
+	passed := min(1, max(0, since.Seconds()/(toleranceUntil*budget.Seconds())))
+	return int(float64(tolerance) * (toleranceAtOnce + (1-toleranceAtOnce)*passed))
+}
+
 // quota returns how many requests of the tolerance are this entry's. Those that are left over
 // are given out by rank.
 func (b *Bound) quota() float64 {
--- a/internal/transport/direct/rolloutcall.go
+++ b/internal/transport/direct/rolloutcall.go
@@ -11,12 +11,15 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// bound returns the bound on what an unproven version gets.
-func (r *rollouts) bound(now time.Time) rollout.Bound {
-	alive := r.e.roster.Alive(now)
+// bound returns the bound on what an unproven version gets. The caller holds mu.
+func (r *rollouts) bound(now time.Time, st *rolloutState) rollout.Bound {
+	tolerance := r.e.cfg.Rollouts.Tolerance
+	if st.Order != nil {
+		tolerance = rollout.ToleranceAt(tolerance, r.sinceOrder(now, st), st.Order.Duration())
+	}
 	return rollout.Bound{
-		Share: r.e.cfg.Rollouts.Share, Tolerance: r.e.cfg.Rollouts.Tolerance,
-		Entries: r.e.roster.LimitSharers(now), Rank: id.RendezvousRank("tolerance", r.e.cfg.PeerAddress, alive),
+		Share: r.e.cfg.Rollouts.Share, Tolerance: tolerance, Entries: r.e.roster.LimitSharers(now),
+		Rank: id.RendezvousRank("tolerance", r.e.cfg.PeerAddress, r.e.roster.Alive(now)),
 	}
 }
 
@@ -31,7 +34,7 @@
 	defer r.mu.Unlock()
 	st := r.states[c.service]
 	c.refusedNew = false
-	c.drawn = st != nil && st.Active() && c.software == nil && c.sends == 0 && st.MayDraw(r.bound(c.now()))
+	c.drawn = st != nil && st.Active() && c.software == nil && c.sends == 0 && st.MayDraw(r.bound(c.now(), st))
 }
 
 // endDraw reports whether the attempt was drawn for the new version, and ends that.
@@ -54,7 +57,7 @@
 	if st == nil {
 		return true
 	}
-	if st.Take(t.Software, c.software != nil, r.bound(c.now())) {
+	if st.Take(t.Software, c.software != nil, r.bound(c.now(), st)) {
 		if st.Stage != nil && st.Active() {
 			c.e.metrics.rolloutSend(c.service, st.Stage.Role(t.Software))
 		}
