Roll-outs: orders of a new era, and the replaced versions after a withdrawn order

Cause: read in review. Revisions of different eras of the key-value service were compared, so an order that was written again after a return from an older copy could be ignored; versions that a completed order had replaced stayed barred after the order was removed. Change: a list of a new era replaces the known orders; without an order, what a completed one replaced may serve again, and what was reverted may not. Result: go test -race of coordination/rollout and transport/direct passes. The eras have no test of their own yet.

--- a/internal/coordination/rollout/permit.go
+++ b/internal/coordination/rollout/permit.go
@@ -83,7 +83,8 @@
 func (p *Permit) allowsOld(goesOn bool) bool {
 	switch p.Stage.Phase {
 	case Completed:
-		return false
+		// Without an order, versions serve side by side.
+		return p.Order == nil
 	case Whole:
 		return goesOn || p.Stopped || !p.NewServes
 	}
--- a/internal/transport/direct/rollout.go
+++ b/internal/transport/direct/rollout.go
@@ -43,7 +43,9 @@
 	states map[id.Service]*rolloutState
 	// ordersRead is set once the orders have been read.
 	ordersRead bool
-	versions   *listedVersions
+	// ordersEra is the era of the revisions of the orders.
+	ordersEra store.Era
+	versions  *listedVersions
 	// stagesRead is set while items holds what the key-value service has, in the era stagesEra.
 	stagesRead bool
 	stagesEra  store.Era
--- a/internal/transport/direct/rolloutcall.go
+++ b/internal/transport/direct/rolloutcall.go
@@ -13,10 +13,10 @@
 
 // bound returns the bound on what an unproven version gets. The caller holds mu.
 func (r *rollouts) bound(now time.Time, st *rolloutState) rollout.Bound {
-	tolerance := r.e.cfg.Rollouts.Tolerance
-	if st.Order != nil {
-		tolerance = rollout.ToleranceAt(tolerance, r.sinceOrder(now, st), st.Order.Duration())
+	if st.Order == nil || !st.Active() {
+		return rollout.Bound{}
 	}
+	tolerance := rollout.ToleranceAt(r.e.cfg.Rollouts.Tolerance, r.sinceOrder(now, st), st.Order.Duration())
 	return rollout.Bound{
 		Share: r.e.cfg.Rollouts.Share, Tolerance: tolerance, Entries: r.e.roster.LimitSharers(now),
 		Rank: id.RendezvousRank("tolerance", r.e.cfg.PeerAddress, r.e.roster.Alive(now)),
--- a/internal/transport/direct/rolloutstore.go
+++ b/internal/transport/direct/rolloutstore.go
@@ -53,15 +53,21 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if page.Era < r.ordersEra {
+		return
+	}
+	// Revisions of different eras can't be compared.
+	newEra := page.Era > r.ordersEra
+	r.ordersEra = page.Era
 	listed := map[id.Service]bool{}
 	for i := range page.Items {
 		if service, ok := r.serviceOf(page.Items[i].Key); ok {
 			listed[service] = true
-			r.applyOrderItem(service, page.Items[i], fromList)
+			r.applyOrderItem(service, page.Items[i], fromList, newEra)
 		}
 	}
 	for service, st := range r.states {
-		if !listed[service] && st.Order != nil && st.Order.Revision <= page.Revision {
+		if !listed[service] && st.Order != nil && (newEra || st.Order.Revision <= page.Revision) {
 			r.setOrder(st, nil, fromList)
 		}
 	}
@@ -80,7 +86,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !c.Deleted {
-		r.applyOrderItem(service, c.Item, fromWatch)
+		r.applyOrderItem(service, c.Item, fromWatch, false)
 		return
 	}
 	if st := r.states[service]; st != nil && st.Order != nil && st.Order.Revision < c.Item.ModRevision {
@@ -94,11 +100,11 @@
 	return id.Service(name), ok && name != ""
 }
 
-// applyOrderItem applies an order; one that can't be decoded is left alone. The caller holds
-// mu.
-func (r *rollouts) applyOrderItem(service id.Service, i store.Item, source itemSource) {
+// applyOrderItem applies an order that is newer than the known one, or of a new era; one that
+// can't be decoded is left alone. The caller holds mu.
+func (r *rollouts) applyOrderItem(service id.Service, i store.Item, source itemSource, newEra bool) {
 	st := r.state(service)
-	if st.Order != nil && i.ModRevision <= st.Order.Revision {
+	if st.Order != nil && i.ModRevision <= st.Order.Revision && !newEra {
 		return
 	}
 	o, err := r.e.deps.Codec.DecodeRollout(i)
