Roll-outs: a version is good only if no entry doubts it

Change: entries tell their scores; a doubt of any of them within the last seconds holds the switch, and an entry decides for a version only after it has judged for 3 s. Result: go test -race of coordination/rollout, and of the roll-outs in transport/direct, passes.

--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -370,6 +370,30 @@
 	}
 }
 
+// TestStateTrusted guards against a version that is taken for good by an entry that has just
+// started, or while another entry doubts it.
+func TestStateTrusted(t *testing.T) {
+	is := is.New(t)
+	s := rollout.NewState("m")
+	now := time.Unix(100, 0)
+	s.SetOrder(now, order(v2, 5))
+	s.Adopt(now, canary().Stage)
+	for range 100 {
+		s.Add(rollout.Answer{Route: "r", Took: time.Millisecond})
+		s.Add(rollout.Answer{Route: "r", New: true, Took: time.Millisecond})
+	}
+	s.Examine(now)
+	is.True(!s.Trusted(now, time.Second).Good)
+	later := now.Add(4 * time.Second)
+	is.True(s.Trusted(later, time.Second).Good)
+	from := rollout.Reporter{Address: "b", Incarnation: 1}
+	s.Merge(later, from, rollout.Report{Counted: 5, Score: 5})
+	is.True(!s.Trusted(later, time.Second).Good)
+	is.True(s.Trusted(later.Add(2*time.Second), time.Second).Good) // the doubt is old
+	s.Merge(later, from, rollout.Report{Counted: 4, Score: 5})
+	is.True(s.Trusted(later, time.Second).Good) // of an earlier order
+}
+
 // TestStateStops guards against further requests to a version that this entry, or another one,
 // has found bad, before any stage says so.
 func TestStateStops(t *testing.T) {
--- a/internal/coordination/rollout/state.go
+++ b/internal/coordination/rollout/state.go
@@ -6,6 +6,9 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
+// minJudgeTime is how long an entry must have judged a version before it takes it for good.
+const minJudgeTime = 3 * time.Second
+
 // Reporter identifies a process of an entry.
 type Reporter struct {
 	Address     string
@@ -105,7 +108,7 @@
 
 // Report returns what this entry tells the others.
 func (s *State) Report(atOld, atNew int) Report {
-	r := Report{Order: s.Order, Stage: s.Stage, Counted: s.counted, Bad: s.Stopped(), AtOld: atOld, AtNew: atNew}
+	r := Report{Order: s.Order, Stage: s.Stage, Counted: s.counted, Bad: s.Stopped(), Score: s.Finding.Score, AtOld: atOld, AtNew: atNew}
 	if s.Active() {
 		r.Counts = s.counts.Clone()
 	}
@@ -133,6 +136,22 @@
 	return s.Finding.Bad && !before
 }
 
+// Trusted returns the finding of this entry, which is good only if this entry has judged the
+// version for minJudgeTime, and if no other one has told of a doubt within maxAge. An entry that
+// has just started sees all earlier answers at once, not in their order.
+func (s *State) Trusted(now time.Time, maxAge time.Duration) Finding {
+	f := s.Finding
+	if s.Order == nil || now.Sub(s.SeenAt) < min(minJudgeTime, s.Order.Duration()/4) {
+		f.Good = false
+	}
+	for _, p := range s.peers {
+		if p.report.Counted == s.counted && now.Sub(p.at) <= maxAge && p.report.Score >= doubtScore {
+			f.Good = false
+		}
+	}
+	return f
+}
+
 // Entries returns what the running entries have reported within maxAge, after this entry's
 // own state.
 func (s *State) Entries(now time.Time, atOld int, alive []string, maxAge time.Duration) []EntryState {
--- a/internal/transport/direct/rollout.go
+++ b/internal/transport/direct/rollout.go
@@ -192,7 +192,7 @@
 func (r *rollouts) view(now time.Time, st *rolloutState, alive []string) rollout.View {
 	targets := r.e.directory.View().Targets[st.Service]
 	v := rollout.View{
-		Entry: r.e.cfg.Name, Order: st.Order, Stage: st.Stage, Share: r.e.cfg.Rollouts.Share, Finding: st.Finding, ReportedBad: st.Stopped(),
+		Entry: r.e.cfg.Name, Order: st.Order, Stage: st.Stage, Share: r.e.cfg.Rollouts.Share, ReportedBad: st.Stopped(),
 		RunTime: r.e.likelyRunTime(st.Service), SinceStage: now.Sub(st.StageAt), SinceOrder: r.sinceOrder(now, st),
 	}
 	v.BegunMS = now.Add(-v.SinceOrder).UnixMilli()
@@ -211,6 +211,7 @@
 	}
 	maxAge := max(minReportTime, reportIntervals*updateInterval(len(alive)))
 	atOld, _ := r.running(st, targets)
+	v.Finding = st.Trusted(now, maxAge)
 	v.Entries = st.Entries(now, atOld, alive, maxAge)
 	return v
 }
