Roll-outs: a final stage is written again after the key-value service returned from an older copy

Cause: found by a test. After a roll-out had ended, nothing woke the loop that takes the steps when a list of a new era lacked the stage, so the operator's status stayed away. Change: each list of the stages wakes it. TestRolloutOfReturnedStore.

--- a/internal/transport/direct/rollout_test.go
+++ b/internal/transport/direct/rollout_test.go
@@ -30,6 +30,7 @@
 	items    map[string]store.Item
 	history  []store.Change
 	revision int64
+	era      store.Era
 	// changed is closed at each change.
 	changed chan struct{}
 	// commit replaces the outcome of a transaction unless it is nil.
@@ -71,7 +72,7 @@
 func (s *rolloutStore) list(prefix string) store.Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := store.Page{Revision: s.revision}
+	page := store.Page{Revision: s.revision, Era: s.era}
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
 			page.Items = append(page.Items, item)
@@ -109,13 +110,13 @@
 	for _, c := range txn.Compares {
 		item := s.items[c.Key]
 		if item.ModRevision != c.ModRevision {
-			return store.Result{Revision: s.revision}
+			return store.Result{Revision: s.revision, Era: s.era}
 		}
 	}
 	for _, p := range txn.Puts {
 		s.putLocked(p.Key, p.Value)
 	}
-	return store.Result{Succeeded: true, Revision: s.revision}
+	return store.Result{Succeeded: true, Revision: s.revision, Era: s.era}
 }
 
 // use has an entry's key-value service hold roll-outs.
@@ -161,6 +162,14 @@
 	}
 }
 
+// returnEmpty loses all items, and gives revisions out again, in a new era.
+func (s *rolloutStore) returnEmpty() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.history, s.revision = map[string]store.Item{}, nil, 1
+	s.era++
+}
+
 // decodeOrder decodes an order of the form "service to milliseconds".
 func decodeOrder(i store.Item) (catalog.RolloutOrder, error) {
 	o := catalog.RolloutOrder{Revision: i.ModRevision}
@@ -350,3 +359,26 @@
 		env.is.Equal(kv.listsOrders, 1)
 	})
 }
+
+// TestRolloutOfReturnedStore guards against an order that is ignored because it was written again
+// after the key-value service had returned from an older copy, and against requests to a version
+// that was reverted before.
+func TestRolloutOfReturnedStore(t *testing.T) {
+	withRollouts(t, slowAnswer(20*time.Millisecond, http.StatusInternalServerError), func(env *testEnv, kv *rolloutStore) {
+		kv.put(orderKey, []byte("m v2 12000"))
+		env.start()
+		env.load(4 * time.Second)
+		env.is.Equal(kv.status(), "reverted v2")
+		kv.returnEmpty()
+		env.returnStore()
+		since := time.Now()
+		env.load(3 * time.Second)
+		_, sent := env.sentTo(since, time.Now())
+		env.is.Equal(sent, 0)
+		env.is.Equal(kv.status(), "reverted v2") // written again
+
+		kv.put(orderKey, []byte("m v3 12000")) // its revision is lower than the first one's
+		env.load(time.Second)
+		env.is.Equal(kv.status(), "inProgress v3")
+	})
+}
--- a/internal/transport/direct/rolloutstore.go
+++ b/internal/transport/direct/rolloutstore.go
@@ -197,6 +197,8 @@
 	for i := range page.Items {
 		r.applyStage(page.Items[i], fromList)
 	}
+	// The key-value service may lack a stage.
+	signal(r.woken)
 }
 
 // applyStage applies a stage that the key-value service has.
