--- a/cmd/foxtailward/hostile_test.go
+++ b/cmd/foxtailward/hostile_test.go
@@ -19,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"foxtailward.example/foxtailward/internal/coordination/store"
+	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/platform"
@@ -58,8 +59,7 @@
 		case <-r.Context().Done():
 		}
 	}
-	w.Header().Set("X-Foxtailward-Attempt-Id", r.Header.Get("X-Foxtailward-Attempt-Id"))
-	w.Header().Set("X-Foxtailward-Response-Signature", "signed")
+	platform.EncodeResponseMetadata(w.Header(), platform.DecodeForwardedRequest(r.Header).Attempt, "signed", false)
 	_, _ = io.WriteString(w, "ok")
 }
 
@@ -183,7 +183,31 @@
 
 // requestLine begins a head to a path.
 func requestLine(path string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: " + shopHost + "\r\nX-Foxtailward-Attempt-Id: hostile\r\nX-Foxtailward-Deadline-Ms: 60000\r\nContent-Length: 0\r\n"
+	var b strings.Builder
+	b.WriteString("POST " + path + " HTTP/1.1\r\nHost: " + shopHost + "\r\nContent-Length: 0\r\n")
+	// A strings.Builder takes everything.
+	_ = hostileHeader().Write(&b)
+	return b.String()
+}
+
+// hostileHeader returns the metadata of a hostile client's request.
+func hostileHeader() http.Header {
+	header := http.Header{}
+	platform.EncodeRequestMetadata(header, &direct.RequestMetadata{Attempt: "hostile", Timeout: holdTimeout})
+	return header
+}
+
+// shortParts returns a head that is made of one list of very many empty parts of a prompt.
+func shortParts(path string, size int) []byte {
+	header := http.Header{}
+	platform.EncodeRequestMetadata(header, &direct.RequestMetadata{PromptTokens: 1, PromptParts: []direct.PartID{"part"}})
+	head := requestLine(path)
+	for name, values := range header {
+		if strings.Contains(values[0], "part") {
+			head += name + ": "
+		}
+	}
+	return []byte(head + strings.Repeat(",", size-len(head)-4) + "\r\n\r\n")
 }
 
 // shortLines returns a head of the size, without its empty line at the end, that is made of
@@ -272,10 +296,9 @@
 // of very many short parts. They wait at a target all at once.
 func TestHostileShortLines(t *testing.T) {
 	const clients = 160
-	list := requestLine(holdPath) + "X-Foxtailward-Prompt-Prefix: "
 	heads := map[string][]byte{
 		"shortLines": append(shortLines(holdPath, legalHeadBytes), "\r\n"...),
-		"shortParts": []byte(list + strings.Repeat(",", legalHeadBytes-len(list)-4) + "\r\n\r\n"),
+		"shortParts": shortParts(holdPath, legalHeadBytes),
 	}
 	for kind, head := range heads {
 		t.Run(kind, func(t *testing.T) {
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -81,6 +81,9 @@
 
 // Limits restrict what clients may send.
 type Limits struct {
+	// HeaderBytes is the maximum size of a request's head; 0 means the entry's own
+	// limit.
+	HeaderBytes int
 	// BodyBytes is the maximum size of a request's body; 0 means the entry's own
 	// limit.
 	BodyBytes int64
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -101,11 +101,17 @@
 	CallRefused      = Event{609, "callRefused", Warn, "A call to a plain service was refused before it ran.", "see the reason"}
 )
 
+// Inbound events, numbered from 230.
+var (
+	ClientsRefused = Event{230, "clientsRefused", Warn, "Clients were refused before their requests were read, or their connections were closed, because they sent or held more than the process allows.", "see the reason; none unless clients within the limits are hit"}
+)
+
 // All returns all events in ascending order of their numbers.
 func All() []Event {
 	return []Event{
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
+		ClientsRefused,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -68,6 +68,9 @@
 type ProcessLimits struct {
 	// MemoryMB is the memory, in MB, above which the host kills the process.
 	MemoryMB float64 `toml:"memoryMB"`
+	// MaxFDs is the number of descriptors that the process may have open; 0 for the limit
+	// that the system enforces.
+	MaxFDs int `toml:"maxFDs"`
 	// GraceSeconds is the time between the stop signal and the kill signal.
 	GraceSeconds float64 `toml:"graceSeconds"`
 	// AddressReuseSeconds is the minimum time between the end of a target and the
@@ -137,6 +140,8 @@
 	switch {
 	case s.Limits.MemoryMB < 0:
 		return newKeyError("limits.memoryMB", "is %v, want a number above 0, or leave it out", s.Limits.MemoryMB)
+	case s.Limits.MaxFDs < 0:
+		return newKeyError("limits.maxFDs", "is %v, want a number above 0, or leave it out", s.Limits.MaxFDs)
 	case s.Limits.GraceSeconds < 0:
 		return newKeyError("limits.graceSeconds", "is %v, want a number above 0", s.Limits.GraceSeconds)
 	case s.Limits.AddressReuseSeconds < 0:
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -43,6 +43,7 @@
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/inbound"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
@@ -144,6 +145,7 @@
 	metricsListener net.Listener
 	server          *http.Server
 	idle            *idleConns
+	inbound         *inbound.Guard
 
 	// targetsListed is set once the targets have been read. configured is closed
 	// once the configuration has been read too.
@@ -202,12 +204,12 @@
 	e.saver = &stateSaver{e: e}
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
+	e.inbound = newInboundGuard(e)
 	e.metrics = newEntryMetrics(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         e.idle.stateChanged,
 		ConnContext:       withClientConn,
 	}
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -21,7 +21,6 @@
 // Limits of requests.
 const (
 	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
 	// maxBodyBytes limits the request body if the configuration sets no limit.
 	maxBodyBytes = 16 << 20
 	// defaultTimeout applies to requests without a timeout from their route or
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -33,6 +33,8 @@
 		return age.Seconds()
 	})
 	m.set.RegisterGauge("peers", func() float64 { return float64(e.roster.LimitSharers(e.deps.Clock.Now()) - 1) })
+	m.set.RegisterGauge("clientConnections", func() float64 { return float64(e.inbound.Connections()) })
+	m.set.RegisterGauge("largeHeadBytes", func() float64 { return float64(e.inbound.HeadMemory()) })
 	m.set.RegisterGauge("logLinesDropped", func() float64 { return float64(e.deps.Log.Dropped()) })
 	return m
 }
@@ -72,6 +74,12 @@
 	m.set.Count("refusals", meter.Label{Key: "status", Value: strconv.Itoa(f.status)}, meter.Label{Key: "reason", Value: f.reason})
 }
 
+// clientRefused counts a client that was refused before its request was read, or whose
+// connection was closed.
+func (m *entryMetrics) clientRefused(listener, reason string) {
+	m.set.Count("clientsRefused", meter.Label{Key: "listener", Value: listener}, meter.Label{Key: "reason", Value: reason})
+}
+
 // sendEnded records the outcome of an attempt at a target.
 func (m *entryMetrics) sendEnded(t *catalog.Target, o balance.Outcome, took time.Duration) {
 	m.set.Observe("send", took, meter.Label{Key: "service", Value: string(t.Service)}, meter.Label{Key: "outcome", Value: string(o)})
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -141,7 +141,7 @@
 func (x *peerExchange) run(ctx context.Context) {
 	server := &http.Server{Handler: http.HandlerFunc(x.serve), ReadTimeout: readinessTimeout, WriteTimeout: readinessTimeout, IdleTimeout: 2 * peerIdleTimeout}
 	var wg sync.WaitGroup
-	wg.Go(func() { x.e.serveOn(server, x.listener) })
+	wg.Go(func() { x.e.serveOn(peersName, server, x.listener) })
 	wg.Go(func() { x.receiveLoop(ctx) })
 	wg.Go(func() { x.sendLoop(ctx) })
 	<-ctx.Done()
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -75,8 +75,8 @@
 	defer wg.Wait()
 	defer stop()
 	ready := e.readinessServer()
-	wg.Go(func() { e.serveOn(ready, e.readinessListener) })
-	wg.Go(func() { e.serveOn(e.server, e.clientListener) })
+	wg.Go(func() { e.serveOn(readinessName, ready, e.readinessListener) })
+	wg.Go(func() { e.serveOn(clientsName, e.server, e.clientListener) })
 	wg.Go(func() { e.storeWatcher.run(serving) })
 	if e.peerExchange != nil {
 		wg.Go(func() { e.peerExchange.run(serving) })
@@ -89,7 +89,7 @@
 	}
 	metricsServer := e.metricsServer()
 	if e.metricsListener != nil {
-		wg.Go(func() { e.serveOn(metricsServer, e.metricsListener) })
+		wg.Go(func() { e.serveOn(metricsName, metricsServer, e.metricsListener) })
 	}
 	<-ctx.Done()
 	err := e.drain()
@@ -100,8 +100,8 @@
 	return err
 }
 
-func (e *Entry) serveOn(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+func (e *Entry) serveOn(name string, s *http.Server, l net.Listener) {
+	if err := s.Serve(e.protect(name, s, l)); !errors.Is(err, http.ErrServerClosed) {
 		e.deps.Log.Emit(event.TaskFailed, "duty", "serve", "address", l.Addr(), "error", err)
 	}
 }
@@ -111,6 +111,7 @@
 		Ready:   e.ready,
 		Status:  func() any { return e.status() },
 		Metrics: e.deps.Metrics,
+		Protect: func(s *http.Server, l net.Listener) net.Listener { return e.protect(operatorsName, s, l) },
 	})
 	if err := s.Run(ctx, e.cfg.OperatorAddress); err != nil {
 		e.deps.Log.Emit(event.TaskFailed, "duty", "operators", "error", err)
--- a/internal/transport/direct/unframedclient.go
+++ b/internal/transport/direct/unframedclient.go
@@ -10,6 +10,9 @@
 
 // withClientConn is the ConnContext callback of the server.
 func withClientConn(ctx context.Context, conn net.Conn) context.Context {
+	if guarded, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = guarded.NetConn()
+	}
 	return context.WithValue(ctx, clientConnKey{}, conn)
 }
 
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -74,6 +74,9 @@
 	Explain func(ctx context.Context, request id.Request) (*status.Explanation, bool)
 	// Metrics is the process's metrics registry.
 	Metrics metrics.Registry
+	// Protect bounds what clients make the server hold. It returns the listener to serve
+	// on. If it is nil, only the server's own limits apply.
+	Protect func(server *http.Server, l net.Listener) net.Listener
 }
 
 // Server is the HTTP server for operators of one process.
@@ -117,8 +120,12 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	listener := s.listener
+	if s.opts.Protect != nil {
+		listener = s.opts.Protect(server, listener)
+	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(s.listener) }()
+	go func() { failed <- server.Serve(listener) }()
 	select {
 	case err := <-failed:
 		return fault.Wrap("Server.Run", ServeFailed, err)
