--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 )
 
@@ -22,6 +23,12 @@
 	// cancel is called if the target's group is lost before the target has begun
 	// to answer.
 	cancel func()
+	// wait is what the target was expected to do first when the attempt was sent.
+	wait startWait
+	// claim decides the attempt's turn if its target's zone is lost; nil for none. moved says
+	// that it was cancelled for that.
+	claim *retry.Claim
+	moved bool
 }
 
 // Start counts a request at the choice's target, and its copy at the backup. If
@@ -30,12 +37,13 @@
 func (b *Balancer) Start(now time.Time, c Choice, request Request, cancel func()) *Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	wait := b.expectedWait(now, c.Target, &request)
 	r := b.record(now, c.Target)
 	r.Running++
 	r.PrefillTokens += request.PromptTokens
 	b.addBacklog(now, c.Target.ID, request.PromptTokens)
 	r.MemoryTokens += request.memory()
-	attempt := &Attempt{balancer: b, request: request, target: c.Target, cancel: cancel}
+	attempt := &Attempt{balancer: b, request: request, target: c.Target, cancel: cancel, wait: wait}
 	attempt.setBackup(now, c.Backup)
 	b.waiting[attempt] = struct{}{}
 	return attempt
@@ -89,15 +97,7 @@
 // End records the outcome; further calls do nothing. It reports whether the
 // target's group now counts as lost because of it.
 func (a *Attempt) End(now time.Time, o Outcome) bool {
-	a.balancer.mu.Lock()
-	defer a.balancer.mu.Unlock()
-	if a.ended {
-		return false
-	}
-	a.ended = true
-	a.endWait(now)
-	a.release(now)
-	return a.balancer.recordOutcome(now, a.target, o)
+	return a.EndWith(now, o, Untyped)
 }
 
 // release subtracts what Start counted, once. If the target has started again since,
--- /dev/null
+++ b/internal/coordination/balance/evidence.go
@@ -0,0 +1,209 @@
+package balance
+
+import (
+	"time"
+
+	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// Evidence says what showed that a target was lost.
+type Evidence string
+
+// Kinds of evidence.
+const (
+	// Untyped means that nothing is known about it. The loss counts.
+	Untyped Evidence = ""
+	// Connection means that a connection was refused, reset or closed.
+	Connection Evidence = "connection"
+	// StreamSilence means that a run stopped which had sent events.
+	StreamSilence Evidence = "streamSilence"
+	// StartSilence means that a run sent nothing though nothing was in front of it.
+	StartSilence Evidence = "startSilence"
+	// OverdueStart means that a run sent nothing, which a backlog in front of it may explain. It
+	// does not show that the target is lost.
+	OverdueStart Evidence = "overdueStart"
+)
+
+const (
+	// startMargin and startFactor times the expected wait are how long a run may be silent
+	// before its first event if a backlog was in front of it.
+	startMargin = 2 * time.Second
+	startFactor = 2
+	// minAhead is the least expected wait for others that explains silence.
+	minAhead = 250 * time.Millisecond
+	// generationTime is how long a generation is expected to occupy a slot.
+	generationTime = 6 * time.Second
+	// paceValidFor is how long a target's word about its host's pace is used, and maxSlowness
+	// bounds what is believed of it.
+	paceValidFor = time.Second
+	maxSlowness  = 4.0
+	// silenceBefore is the part of a silence that ended a run during which another run's event
+	// from the target contradicts the loss. It is less than the shortest such silence, by the
+	// time that messages between entries take.
+	silenceBefore = 200 * time.Millisecond
+)
+
+// startWait is the time that a run was expected to wait for its first event when it was sent.
+type startWait struct {
+	sent time.Time
+	// ahead is the time until its turn comes, and own the time that its prompt takes then.
+	ahead, own time.Duration
+}
+
+// expectedWait returns how long a request that is sent to the target now waits for its first
+// event. A target of a plain service has a request wait while all of its slots are taken.
+func (b *Balancer) expectedWait(now time.Time, t *catalog.Target, request *Request) startWait {
+	r := b.record(now, t)
+	l := b.total(r, t)
+	w := startWait{sent: now}
+	var slotWait time.Duration
+	if t.Slots > 0 && l.Running >= t.Slots {
+		slotWait = time.Duration(l.Running-t.Slots+1) * generationTime / time.Duration(t.Slots)
+	}
+	if request.Engine == nil {
+		w.ahead = slotWait
+		return w
+	}
+	slowness := r.slowness(now)
+	w.ahead = slotWait + computeTime(b.backlogOf(now, t.ID, l), slowness)
+	w.own = computeTime(float64(request.PromptTokens), slowness)
+	return w
+}
+
+// computeTime returns how long an engine takes for so many tokens of prompts.
+func computeTime(tokens, slowness float64) time.Duration {
+	return time.Duration(tokens / drainPerSecond * slowness * float64(time.Second))
+}
+
+// slowness returns how long work takes at the target relative to the usual time, as far as it
+// has said so lately.
+func (r *record) slowness(now time.Time) float64 {
+	if r.loadAt.IsZero() || now.Sub(r.loadAt) > paceValidFor {
+		return 1
+	}
+	return min(maxSlowness, max(1, r.load.Slowness))
+}
+
+// SilenceExplained reports whether the attempt may still wait for its first event, because its
+// turn may not have come. It may not after latest, or if the target is known to be lost.
+func (a *Attempt) SilenceExplained(now, latest time.Time) bool {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	if a.started || a.ended || !now.Before(latest) || a.balancer.lostSince(now, a) {
+		return false
+	}
+	ahead := a.ahead(now)
+	return ahead >= minAhead && now.Before(a.wait.sent.Add(startMargin+startFactor*(ahead+a.wait.own)))
+}
+
+// ExpectedWait returns how long the attempt was expected to wait for others, for the log.
+func (a *Attempt) ExpectedWait(now time.Time) time.Duration {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	return a.ahead(now)
+}
+
+// ahead returns the expected wait for others. Prompts that were sent later may overtake the
+// attempt, if they are more urgent.
+func (a *Attempt) ahead(now time.Time) time.Duration {
+	if a.request.Engine == nil || a.waitEnded {
+		return a.wait.ahead
+	}
+	r := a.balancer.record(now, a.target)
+	l := a.balancer.total(r, a.target)
+	later := computeTime(float64(max(0, l.PrefillTokens-a.request.PromptTokens)), r.slowness(now))
+	return max(a.wait.ahead, later)
+}
+
+// lostSince reports whether the target was lost, or its zone, by evidence that a backlog can't
+// give, and has sent nothing since.
+func (b *Balancer) lostSince(now time.Time, a *Attempt) bool {
+	r := b.record(now, a.target)
+	for _, at := range []time.Time{r.lostAt, b.zoneRecord(a.target).lostAt} {
+		if at.After(a.wait.sent.Add(-zoneSuspectTime)) && !r.lastActivity.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// SilenceEvidence returns what the attempt's silence shows, if it ends for that.
+func (a *Attempt) SilenceEvidence(now time.Time) Evidence {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	switch {
+	case a.started && a.request.Engine != nil:
+		return StreamSilence
+	case a.ahead(now) >= minAhead && !a.balancer.lostSince(now, a):
+		return OverdueStart
+	}
+	return StartSilence
+}
+
+// EndWith is like End. evidence says what showed a loss.
+func (a *Attempt) EndWith(now time.Time, o Outcome, evidence Evidence) bool {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	if a.ended {
+		return false
+	}
+	a.ended = true
+	a.endWait(now)
+	a.release(now)
+	if evidence == OverdueStart {
+		rec := a.balancer.record(now, a.target)
+		rec.recordOutcome(now, 1)
+		rec.suspect(now)
+		return false
+	}
+	a.balancer.recordEvidence(now, a.target, evidence)
+	return a.balancer.recordOutcome(now, a.target, o)
+}
+
+// recordEvidence records what showed that a target was lost.
+func (b *Balancer) recordEvidence(at time.Time, t *catalog.Target, evidence Evidence) {
+	if evidence == Untyped {
+		return
+	}
+	r := b.record(at, t)
+	r.evidence = evidence
+	if evidence == Connection || evidence == StreamSilence {
+		r.lostAt = at
+	}
+}
+
+// LossEvidence returns what showed the last loss of an incarnation of a target.
+func (b *Balancer) LossEvidence(key id.TargetIncarnation) Evidence {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.targets[key.Target]; r != nil && r.incarnation == key.Incarnation {
+		return r.evidence
+	}
+	return Untyped
+}
+
+// ApplyPeerLossBy is like ApplyPeerLoss. evidence says what showed the loss. It does not count
+// if a backlog may explain it, or if this entry has heard from the target in the meantime.
+func (b *Balancer) ApplyPeerLossBy(now time.Time, t *catalog.Target, ago time.Duration, evidence Evidence) bool {
+	if evidence == OverdueStart || b.contradicts(now, t, now.Add(-ago), evidence) {
+		return false
+	}
+	if evidence == Connection || evidence == StreamSilence {
+		b.mu.Lock()
+		if r := b.record(now, t); now.Add(-ago).After(r.lostAt) {
+			r.lostAt = now.Add(-ago)
+		}
+		b.mu.Unlock()
+	}
+	return b.ApplyPeerLoss(now, t, ago)
+}
+
+// contradicts reports whether this entry has heard from a target since another entry lost it,
+// or during the silence that ended the other entry's run.
+func (b *Balancer) contradicts(now time.Time, t *catalog.Target, lostAt time.Time, evidence Evidence) bool {
+	if evidence == StreamSilence || evidence == StartSilence {
+		lostAt = lostAt.Add(-silenceBefore)
+	}
+	return b.LastActivity(now, t).After(lostAt)
+}
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -48,6 +48,11 @@
 	// request.
 	refusedAt time.Time
 
+	// lostAt is when this entry or another one last lost the target by evidence that a backlog
+	// can't give. evidence is what showed this entry's last loss.
+	lostAt   time.Time
+	evidence Evidence
+
 	// losses counts consecutive losses.
 	losses       int
 	suspectUntil time.Time
--- a/internal/coordination/balance/zone.go
+++ b/internal/coordination/balance/zone.go
@@ -96,7 +96,7 @@
 // recordLoss records the loss of a target, and reports whether its group newly
 // counts as lost because of it. If the group counts as lost, the attempts that
 // wait for a suspected target of the group are cancelled, since they would wait
-// in vain.
+// in vain. Those that have a claim wait for TakeMoves.
 func (b *Balancer) recordLoss(now time.Time, t *catalog.Target, own bool) bool {
 	if b.ownHostFault(now) {
 		return false
@@ -114,7 +114,7 @@
 	newlyLost := !z.lostRecently(now)
 	z.lostAt = now
 	for attempt := range b.waiting {
-		if groupOf(attempt.target) == g && attempt.cancel != nil && b.suspected(now, attempt.target) {
+		if groupOf(attempt.target) == g && attempt.cancel != nil && attempt.claim == nil && b.suspected(now, attempt.target) {
 			attempt.cancel()
 		}
 	}
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -118,10 +118,7 @@
 	if left < 1 {
 		return false
 	}
-	if b.partFrom.IsZero() || now.Sub(b.partFrom) >= others.Age {
-		b.partFrom = now
-		b.part = int(left*partOf(own, all) + b.cfg.Random())
-	}
+	b.renewPart(now, left, partOf(own, all), others.Age)
 	if b.part <= 0 {
 		return false
 	}
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -124,6 +124,8 @@
 	Incarnation id.Incarnation `json:"incarnation,omitempty"`
 	// Replaced is set if another target answers at its address.
 	Replaced bool `json:"replaced,omitempty"`
+	// Evidence says what showed the loss; omitted if that is not known.
+	Evidence balance.Evidence `json:"evidence,omitempty"`
 	// AgeMS is the age of the loss when the message was sent, in milliseconds.
 	AgeMS int64 `json:"agoMs"`
 }
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -50,7 +50,12 @@
 	TargetPaused       = Event{319, "targetPaused", Info, "A target answered 503 and said for how long it wants no requests from this entry.", "check the target if it repeats"}
 	StreamOrigin       = Event{320, "streamOrigin", Info, "An entry found out at which software version a stream began, from the process that sent its first event or for a client that resumes it.", "none; source says from what it is known, and start which process reported"}
 	VersionSaved       = Event{321, "versionSaved", Info, "The first event of a stream waited until the key-value service held the software version of the target that sent it.", "none; check the key-value service if begins=false repeats: the stream then begins elsewhere"}
-	BudgetExhausted    = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is exhausted.", "find the losses that use it up"}
+
+	SilenceExplained = Event{420, "silenceExplained", Info, "A run may go on waiting for its first event, because a backlog in front of it explains the silence.", "none; add replicas if it repeats"}
+	WaitingMoved     = Event{421, "waitingMoved", Warn, "Runs that waited in a lost zone left it, as many as the retry budget and free slots allow, those that matter most first.", "none; left tells how many wait on"}
+	RetryAwaited     = Event{422, "retryAwaited", Info, "A request waited until the retry budget allowed its next attempt, or in vain.", "find the losses that use the budget up"}
+	RetryTooLate     = Event{423, "retryTooLate", Info, "A request was not sent again after a loss, because its client would give up before the next event.", "none"}
+	BudgetExhausted  = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is exhausted.", "find the losses that use it up"}
 )
 
 // Membership and limit events, numbered from 400.
@@ -108,6 +113,7 @@
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
+		SilenceExplained, WaitingMoved, RetryAwaited, RetryTooLate,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -134,7 +134,9 @@
 	pauses    pauseDetector
 	startedAt time.Time
 	// successors searches for the targets that replace lost ones.
-	successors   *successorFinder
+	successors *successorFinder
+	// moves has runs leave lost zones.
+	moves        *zoneMoves
 	estimatorsMu sync.Mutex
 	estimators   map[id.Service]*pace.Estimator
 
@@ -202,6 +204,7 @@
 	e.saver = &stateSaver{e: e}
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
+	e.moves = newZoneMoves(e)
 	e.metrics = newEntryMetrics(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -75,6 +75,10 @@
 	reservedPlace id.Target
 	// budgetExhausted is set if the retry budget did not allow another attempt.
 	budgetExhausted bool
+	// retryGranted is set while the call holds a retry that it has waited for.
+	retryGranted bool
+	// evidence is what showed the loss of the last attempt's target.
+	evidence balance.Evidence
 	// requestFingerprint identifies the content of the request. quarantineLeft is
 	// how much longer a request with this fingerprint is refused because it
 	// crashes targets; 0 if it is not quarantined.
@@ -121,6 +125,7 @@
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "protocol", c.r.Proto, "left", c.timeLeft())
 	defer c.endTrial()
 	defer c.endReservation()
+	defer c.returnRetry()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -287,6 +292,8 @@
 	now := c.now()
 	if c.sends == 0 {
 		c.e.retryBudgets.recordRequest(now, c.service)
+	} else if c.retryGranted {
+		c.retryGranted = false
 	} else if c.reached && !c.e.retryBudgets.tryRetry(now, c.service, c.e.roster.LimitShare(now), c.reportAge(now)) {
 		c.budgetExhausted = true
 		c.log(event.BudgetExhausted, "service", c.service, "entries", c.e.roster.LimitSharers(now))
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -8,6 +8,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/meter"
 )
 
@@ -110,6 +111,23 @@
 	m.set.Count("requestsCleared", meter.Label{Key: "outcome", Value: string(o)})
 }
 
+// silenceExplained counts runs whose silence a backlog explained.
+func (m *entryMetrics) silenceExplained(service id.Service) {
+	m.set.Count("silencesExplained", meter.Label{Key: "service", Value: string(service)})
+}
+
+// waitingMoved counts the waiting runs that left a lost zone.
+func (m *entryMetrics) waitingMoved(service id.Service, n int) {
+	for range n {
+		m.set.Count("waitingMoved", meter.Label{Key: "service", Value: string(service)})
+	}
+}
+
+// retryWaited records how long a request waited for a retry.
+func (m *entryMetrics) retryWaited(service id.Service, result string, took time.Duration) {
+	m.set.Observe("retryWait", took, meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "result", Value: result})
+}
+
 // targetConnected counts a new connection to a target.
 func (m *entryMetrics) targetConnected() { m.set.Count("targetConnections") }
 
--- /dev/null
+++ b/internal/transport/direct/moves.go
@@ -0,0 +1,88 @@
+package direct
+
+import (
+	"sync"
+	"time"
+
+	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
+)
+
+// moveInterval is how often more of the runs that wait in a lost zone may leave it.
+const moveInterval = 50 * time.Millisecond
+
+// zoneMoves has runs that wait for targets of lost zones leave them, as the retry budget and the
+// free slots of other targets allow. It is safe for concurrent use.
+type zoneMoves struct {
+	e *Entry
+
+	mu sync.Mutex
+	// scheduled holds the services for which another round follows.
+	scheduled map[id.Service]bool
+}
+
+func newZoneMoves(e *Entry) *zoneMoves { return &zoneMoves{e: e, scheduled: map[id.Service]bool{}} }
+
+// targetLost begins a round for a service that has lost a target.
+func (m *zoneMoves) targetLost(service id.Service) {
+	if m.e.competes(service) && m.schedule(service) {
+		m.round(service)
+	}
+}
+
+// schedule reports whether the caller begins the next round.
+func (m *zoneMoves) schedule(service id.Service) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.scheduled[service] {
+		return false
+	}
+	m.scheduled[service] = true
+	return true
+}
+
+// round has as many runs leave as may now. If others wait on, another round follows.
+func (m *zoneMoves) round(service id.Service) {
+	e := m.e
+	now := e.deps.Clock.Now()
+	budget := e.retryBudgets.available(now, service, e.roster.LimitShare(now), streamReportAge)
+	room := e.balancer.FreeSlots(now, e.directory.View().Targets[service])
+	moves := e.balancer.TakeMoves(now, service, min(budget, room))
+	if len(moves.Taken) > 0 {
+		first, last := moves.Taken[0], moves.Taken[len(moves.Taken)-1]
+		e.deps.Log.Emit(event.WaitingMoved, "service", service, "moved", len(moves.Taken), "left", moves.Left, "budget", budget, "room", room,
+			"firstPriority", first.Priority, "firstBegun", first.Begun, "lastPriority", last.Priority)
+		e.metrics.waitingMoved(service, len(moves.Taken))
+	}
+	if moves.Left > 0 && !e.stopped() {
+		e.deps.Clock.AfterFunc(moveInterval, func() { m.round(service) })
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.scheduled, service)
+}
+
+// judgeSilence returns a function that reports whether silence may end a run that begins now: not
+// before its turn at the target could have come, and otherwise as mayEnd says.
+func (s *stream) judgeSilence(run *balance.Attempt, target id.Target, mayEnd func() bool) func() bool {
+	c := s.c
+	if !c.e.competes(c.service) {
+		return mayEnd
+	}
+	sent := c.now()
+	latest := sent.Add(min(c.timeLeft(), clientPatience(c.route)) / 2)
+	var logged sync.Once
+	return func() bool {
+		now := c.now()
+		if run.SilenceExplained(now, latest) {
+			logged.Do(func() {
+				c.log(event.SilenceExplained, "target", target, "silent", now.Sub(sent), "ahead", run.ExpectedWait(now))
+				c.e.metrics.silenceExplained(c.service)
+			})
+			return false
+		}
+		return mayEnd()
+	}
+}
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -329,7 +329,7 @@
 	u.Versions = x.takeVersionReport(now)
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
 	for lost, age := range x.e.balancer.RecentLosses(now) {
-		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
+		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Evidence: x.e.balancer.LossEvidence(lost), AgeMS: age.Milliseconds()})
 	}
 	u.Successors = x.e.successors.recentlyFound(now)
 	for lost, age := range x.e.balancer.RecentlyReplaced(now) {
@@ -425,7 +425,13 @@
 		return
 	}
 	x.e.quarantine.TargetLost(now.Add(-l.Age()), t.Key(), t.Zone)
-	if x.e.balancer.ApplyPeerLoss(now, t, l.Age()) {
+	evidence := l.Evidence
+	if !x.e.competes(t.Service) {
+		evidence = balance.Untyped
+	}
+	zoneLost := x.e.balancer.ApplyPeerLossBy(now, t, l.Age(), evidence)
+	x.e.moves.targetLost(t.Service)
+	if zoneLost {
 		x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Age())
 	}
 }
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -38,7 +38,7 @@
 func (c *call) servePlain(ctx context.Context) {
 	var failed *bufferedAnswer
 	for c.sends < c.maxRuns()+extraSends && c.runs < c.maxRuns() && !c.expired() {
-		if c.stopsFirst() || !c.mayStart(ctx) {
+		if c.stopsFirst() || !c.awaitRetry(ctx, c.claim) || !c.mayStart(ctx) {
 			break
 		}
 		choice, ok := c.choose(ctx)
@@ -102,14 +102,19 @@
 	if outcome == balance.Unreachable {
 		c.notReached()
 	}
-	zoneLost := run.End(now, outcome)
+	c.evidence = c.lossEvidence(run, outcome, err)
+	zoneLost := run.EndWith(now, outcome, c.evidence)
 	c.updateQuarantine(now, sent, choice.Target, outcome, err)
-	if c.requirements.Engine != nil && (outcome == balance.Lost || outcome == balance.Unreachable) {
+	lost := c.evidence != balance.OverdueStart && (outcome == balance.Lost || outcome == balance.Unreachable)
+	if lost {
+		c.e.moves.targetLost(c.service)
+	}
+	if c.requirements.Engine != nil && lost {
 		// Only for engines: health checks of a plain service would take up slots of
 		// its few targets.
 		c.e.successors.start(choice.Target)
 	}
-	if c.requirements.Engine != nil && outcome == balance.Lost {
+	if c.requirements.Engine != nil && lost && outcome == balance.Lost {
 		// Other entries may have requests waiting for targets of the same zone.
 		c.e.updatePeers()
 	}
@@ -117,6 +122,9 @@
 	c.e.metrics.answerEnded(c.route, &c.answer, outcome)
 	fields := []any{"target", choice.Target.ID, "process", choice.Target.Incarnation, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	fields = append(fields, c.answer.fields()...)
+	if c.evidence != balance.Untyped {
+		fields = append(fields, "evidence", c.evidence)
+	}
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
--- a/internal/transport/direct/quarantine.go
+++ b/internal/transport/direct/quarantine.go
@@ -129,6 +129,9 @@
 // connection that this entry closed says nothing about the target, and neither does
 // an invalid answer.
 func (c *call) mayHaveEnded(now time.Time, t *catalog.Target, outcome balance.Outcome, err error) bool {
+	if c.evidence == balance.OverdueStart {
+		return false
+	}
 	if outcome == balance.Lost && (fault.Is(err, upstream.ReadTimeout) || c.expired()) {
 		return now.Sub(c.e.balancer.HeardFrom(t.Key())) > minSilence
 	}
--- a/internal/transport/direct/retries.go
+++ b/internal/transport/direct/retries.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex
 	budgets map[id.Service]*retry.Budget
 	peers   map[id.Entry]peerCounts
+	// waiters holds the requests that wait for a retry.
+	waiters map[id.Service]*retry.Waiters
 }
 
 // peerCounts are the counts that another entry reported last.
@@ -45,7 +47,7 @@
 }
 
 func newRetryBudgets(cfg retry.Config) *retryBudgets {
-	return &retryBudgets{cfg: cfg, budgets: map[id.Service]*retry.Budget{}, peers: map[id.Entry]peerCounts{}}
+	return &retryBudgets{cfg: cfg, budgets: map[id.Service]*retry.Budget{}, peers: map[id.Entry]peerCounts{}, waiters: map[id.Service]*retry.Waiters{}}
 }
 
 func (r *retryBudgets) budget(now time.Time, service id.Service) *retry.Budget {
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -101,7 +101,7 @@
 	}
 	defer s.endHandover()
 	for s.mayRunAgain() {
-		if s.stopsFirst() || !c.mayStart(ctx) {
+		if s.stopsFirst() || !c.awaitRetry(ctx, s.claim) || !c.mayStart(ctx) {
 			break
 		}
 		a, ok := s.nextAttempt(ctx)
@@ -190,6 +190,9 @@
 		reroute = nil
 	}
 	run := c.e.balancer.Start(sent, a.choice, requirements, reroute)
+	if reroute != nil && c.e.competes(c.service) {
+		run.SetClaim(s.claim())
+	}
 	c.endReservation()
 	c.e.loadChanged(a.choice.Target, true)
 	defer c.e.loadChanged(a.choice.Target, false)
@@ -226,7 +229,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	relay := &eventRelay{s: s, target: a.choice.Target, run: run, detector: detect.New(stallConfig(), c.now(), expected)}
-	relay.silence = newSilenceWatch(c.e.deps.Clock, s.silenceEnds(a.choice.Target), cancel)
+	relay.silence = newSilenceWatch(c.e.deps.Clock, s.judgeSilence(run, a.choice.Target.ID, s.silenceEnds(a.choice.Target)), cancel)
 	if !a.confirmsEnd {
 		s.copyTracker.runStarted(a.choice.Backup, c.meta.Attempt)
 	}
