--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -149,7 +149,7 @@
 	}
 }
 
-func (b *Balancer) recordOutcome(now time.Time, t *catalog.Target, o Outcome) bool {
+func (b *Balancer) recordOutcome(now time.Time, t *catalog.Target, o Outcome, evidence Evidence) bool {
 	rec := b.record(now, t)
 	switch o {
 	case Succeeded:
@@ -167,7 +167,7 @@
 		rec.recordOutcome(now, 1)
 		rec.suspect(now)
 		b.lost[t.Key()] = now
-		return b.recordLoss(now, t, true)
+		return b.recordLoss(now, t, loss{at: now, own: true, weak: evidence == PausedStream})
 	case Replaced:
 		rec.replacedUntil = now.Add(replacedTime)
 		b.replaced[t.Key()] = now
--- a/internal/coordination/balance/evidence.go
+++ b/internal/coordination/balance/evidence.go
@@ -18,6 +18,9 @@
 	Connection Evidence = "connection"
 	// StreamSilence means that a run stopped which had sent events.
 	StreamSilence Evidence = "streamSilence"
+	// PausedStream means the same at an engine whose memory was full, so that it may have
+	// preempted the run. Only many such losses show that a zone is lost.
+	PausedStream Evidence = "pausedStream"
 	// StartSilence means that a run sent nothing though nothing was in front of it.
 	StartSilence Evidence = "startSilence"
 	// OverdueStart means that a run sent nothing, which a backlog in front of it may explain. It
@@ -38,6 +41,8 @@
 	// bounds what is believed of it.
 	paceValidFor = time.Second
 	maxSlowness  = 4.0
+	// fullShare is the share of an engine's memory from which it may preempt runs.
+	fullShare = 0.9
 	// silenceBefore is the part of a silence that ended a run during which another run's event
 	// from the target contradicts the loss. It is less than the shortest such silence, by the
 	// time that messages between entries take.
@@ -57,20 +62,34 @@
 	r := b.record(now, t)
 	l := b.total(r, t)
 	w := startWait{sent: now}
-	var slotWait time.Duration
-	if t.Slots > 0 && l.Running >= t.Slots {
-		slotWait = time.Duration(l.Running-t.Slots+1) * generationTime / time.Duration(t.Slots)
-	}
 	if request.Engine == nil {
-		w.ahead = slotWait
+		w.ahead = slotWait(t, l)
 		return w
 	}
 	slowness := r.slowness(now)
-	w.ahead = slotWait + computeTime(b.backlogOf(now, t.ID, l), slowness)
+	w.ahead = max(slotWait(t, l), memoryWait(request, l)) + computeTime(b.backlogOf(now, t.ID, l), slowness)
 	w.own = computeTime(float64(request.PromptTokens), slowness)
 	return w
 }
 
+// slotWait returns how long a request waits for a slot at a target with a load.
+func slotWait(t *catalog.Target, l Load) time.Duration {
+	if t.Slots == 0 || l.Running < t.Slots {
+		return 0
+	}
+	return time.Duration(l.Running-t.Slots+1) * generationTime / time.Duration(t.Slots)
+}
+
+// memoryWait returns how long a request waits until generations have freed the memory that it
+// needs at an engine with a load. All of the memory is freed once in a generationTime.
+func memoryWait(request *Request, l Load) time.Duration {
+	size := request.Engine.MemoryTokens
+	if size == 0 || l.MemoryTokens+request.memory() <= size {
+		return 0
+	}
+	return time.Duration(float64(l.MemoryTokens+request.memory()-size) / float64(size) * float64(generationTime))
+}
+
 // computeTime returns how long an engine takes for so many tokens of prompts.
 func computeTime(tokens, slowness float64) time.Duration {
 	return time.Duration(tokens / drainPerSecond * slowness * float64(time.Second))
@@ -120,27 +139,39 @@
 // give, and has sent nothing since.
 func (b *Balancer) lostSince(now time.Time, a *Attempt) bool {
 	r := b.record(now, a.target)
-	for _, at := range []time.Time{r.lostAt, b.zoneRecord(a.target).lostAt} {
-		if at.After(a.wait.sent.Add(-zoneSuspectTime)) && !r.lastActivity.After(at) {
-			return true
-		}
-	}
-	return false
+	return r.silentSince(r.lostAt, a) || r.silentSince(b.zoneRecord(a.target).lostAt, a)
+}
+
+// silentSince reports whether a loss at a time may concern the attempt, and the target has sent
+// nothing since.
+func (r *record) silentSince(at time.Time, a *Attempt) bool {
+	return at.After(a.wait.sent.Add(-zoneSuspectTime)) && !r.lastActivity.After(at)
 }
 
 // SilenceEvidence returns what the attempt's silence shows, if it ends for that.
 func (a *Attempt) SilenceEvidence(now time.Time) Evidence {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
+	r := a.balancer.record(now, a.target)
 	switch {
+	case a.started && a.request.Engine != nil && a.balancer.memoryFull(r, a):
+		return PausedStream
 	case a.started && a.request.Engine != nil:
 		return StreamSilence
-	case a.ahead(now) >= minAhead && !a.balancer.lostSince(now, a):
+	case a.ahead(now) >= minAhead && !r.silentSince(r.lostAt, a):
 		return OverdueStart
 	}
 	return StartSilence
 }
 
+// memoryFull reports whether the generations at the attempt's engine may need more memory than it
+// has, so that it preempts some of them.
+func (b *Balancer) memoryFull(r *record, a *Attempt) bool {
+	size := a.request.Engine.MemoryTokens
+	l := b.total(r, a.target)
+	return size > 0 && float64(l.MemoryTokens) >= fullShare*float64(size)
+}
+
 // EndWith is like End. evidence says what showed a loss.
 func (a *Attempt) EndWith(now time.Time, o Outcome, evidence Evidence) bool {
 	a.balancer.mu.Lock()
@@ -158,7 +189,7 @@
 		return false
 	}
 	a.balancer.recordEvidence(now, a.target, evidence)
-	return a.balancer.recordOutcome(now, a.target, o)
+	return a.balancer.recordOutcome(now, a.target, o, evidence)
 }
 
 // recordEvidence records what showed that a target was lost.
@@ -196,13 +227,13 @@
 		}
 		b.mu.Unlock()
 	}
-	return b.ApplyPeerLoss(now, t, ago)
+	return b.applyPeerLoss(now, t, ago, evidence)
 }
 
 // contradicts reports whether this entry has heard from a target since another entry lost it,
 // or during the silence that ended the other entry's run.
 func (b *Balancer) contradicts(now time.Time, t *catalog.Target, lostAt time.Time, evidence Evidence) bool {
-	if evidence == StreamSilence || evidence == StartSilence {
+	if evidence == StreamSilence || evidence == PausedStream || evidence == StartSilence {
 		lostAt = lostAt.Add(-silenceBefore)
 	}
 	return b.LastActivity(now, t).After(lostAt)
--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -167,6 +167,10 @@
 // the target's group now counts as lost because of it. A loss that is reported
 // again is not counted twice.
 func (b *Balancer) ApplyPeerLoss(now time.Time, t *catalog.Target, ago time.Duration) bool {
+	return b.applyPeerLoss(now, t, ago, Untyped)
+}
+
+func (b *Balancer) applyPeerLoss(now time.Time, t *catalog.Target, ago time.Duration, evidence Evidence) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := now.Add(-ago)
@@ -178,5 +182,5 @@
 	if until := at.Add(minSuspectTime); until.After(r.suspectUntil) {
 		r.suspectUntil = until
 	}
-	return b.recordLoss(at, t, false)
+	return b.recordLoss(at, t, loss{at: at, weak: evidence == PausedStream})
 }
--- a/internal/coordination/balance/zone.go
+++ b/internal/coordination/balance/zone.go
@@ -22,6 +22,8 @@
 	// other entries report losses. The more entries there are, the more often some of
 	// them lose a target each by chance, and they do not report which targets live.
 	zoneLossShare = 0.2
+	// weakLossShare is the same if losses count that a busy engine may cause.
+	weakLossShare = 0.4
 	// zoneSuspectTime is how long the targets of a lost zone are avoided if they
 	// were known before the loss. After that time, targets that have ended are
 	// no longer listed, and targets that started again count as new ones.
@@ -49,6 +51,8 @@
 	at time.Time
 	// own is set if this entry lost the target, and not only others.
 	own bool
+	// weak is set if a busy engine may have caused it.
+	weak bool
 }
 
 // losses counts the targets of a group that were lost within zoneWindow. first is when
@@ -76,35 +80,47 @@
 	return !z.lostAt.IsZero() && now.Sub(z.lostAt) <= zoneWindow
 }
 
+// recentLosses are the recent losses of a group: those that this entry has seen, those that any
+// entry has, and these with the weak ones.
+type recentLosses struct{ own, strong, all losses }
+
 // addLoss records the loss of a target, seen by this entry or another one. It returns the
-// recent losses that this entry has seen, and those that any entry has.
-func (z *zoneRecord) addLoss(now time.Time, name id.Target, own bool) (ownLosses, allLosses losses) {
-	z.losses[name] = loss{now, own || z.losses[name].own}
+// recent losses.
+func (z *zoneRecord) addLoss(now time.Time, name id.Target, l loss) (recent recentLosses) {
+	last, known := z.losses[name]
+	l.own = l.own || last.own
+	if known && now.Sub(last.at) <= zoneWindow {
+		l.weak = l.weak && last.weak
+	}
+	z.losses[name] = l
 	for other, l := range z.losses {
 		if now.Sub(l.at) > zoneWindow {
 			delete(z.losses, other)
 			continue
 		}
-		allLosses.add(l.at)
-		if l.own {
-			ownLosses.add(l.at)
+		recent.all.add(l.at)
+		if !l.weak {
+			recent.strong.add(l.at)
+		}
+		if l.own && !l.weak {
+			recent.own.add(l.at)
 		}
 	}
-	return ownLosses, allLosses
+	return recent
 }
 
 // recordLoss records the loss of a target, and reports whether its group newly
 // counts as lost because of it. If the group counts as lost, the attempts that
 // wait for a suspected target of the group are cancelled, since they would wait
 // in vain. Those that have a claim wait for TakeMoves.
-func (b *Balancer) recordLoss(now time.Time, t *catalog.Target, own bool) bool {
+func (b *Balancer) recordLoss(now time.Time, t *catalog.Target, l loss) bool {
 	if b.ownHostFault(now) {
 		return false
 	}
 	z, g := b.zoneRecord(t), groupOf(t)
-	ownLosses, allLosses := z.addLoss(now, t.ID, own)
-	leastOfAll := max(zoneLosses, int(math.Ceil(zoneLossShare*float64(b.groupSize(g)))))
-	if !b.prevails(g, ownLosses, zoneLosses) && !b.prevails(g, allLosses, leastOfAll) {
+	recent := z.addLoss(now, t.ID, l)
+	least := func(share float64) int { return max(zoneLosses, int(math.Ceil(share*float64(b.groupSize(g))))) }
+	if !b.prevails(g, recent.own, zoneLosses) && !b.prevails(g, recent.strong, least(zoneLossShare)) && !b.prevails(g, recent.all, least(weakLossShare)) {
 		return false
 	}
 	if b.otherZoneLost(now, g) {
