--- a/internal/coordination/balance/evidence.go
+++ b/internal/coordination/balance/evidence.go
@@ -23,8 +23,8 @@
 	PausedStream Evidence = "pausedStream"
 	// StartSilence means that a run sent nothing though nothing was in front of it.
 	StartSilence Evidence = "startSilence"
-	// OverdueStart means that a run sent nothing, which a backlog in front of it may explain. It
-	// does not show that the target is lost.
+	// OverdueStart means that a run sent nothing at a target that gave other signs of life, or that
+	// a backlog in front of it may explain it. It does not show that the target is lost.
 	OverdueStart Evidence = "overdueStart"
 )
 
@@ -104,50 +104,6 @@
 	return min(maxSlowness, max(1, r.load.Slowness))
 }
 
-// SilenceExplained reports whether the attempt may still wait for its first event, because its
-// turn may not have come. It may not after latest, or if the target is known to be lost.
-func (a *Attempt) SilenceExplained(now, latest time.Time) bool {
-	a.balancer.mu.Lock()
-	defer a.balancer.mu.Unlock()
-	if a.started || a.ended || !now.Before(latest) || a.balancer.lostSince(now, a) {
-		return false
-	}
-	ahead := a.ahead(now)
-	return ahead >= minAhead && now.Before(a.wait.sent.Add(startMargin+startFactor*(ahead+a.wait.own)))
-}
-
-// ExpectedWait returns how long the attempt was expected to wait for others, for the log.
-func (a *Attempt) ExpectedWait(now time.Time) time.Duration {
-	a.balancer.mu.Lock()
-	defer a.balancer.mu.Unlock()
-	return a.ahead(now)
-}
-
-// ahead returns the expected wait for others. Prompts that were sent later may overtake the
-// attempt, if they are more urgent.
-func (a *Attempt) ahead(now time.Time) time.Duration {
-	if a.request.Engine == nil || a.waitEnded {
-		return a.wait.ahead
-	}
-	r := a.balancer.record(now, a.target)
-	l := a.balancer.total(r, a.target)
-	later := computeTime(float64(max(0, l.PrefillTokens-a.request.PromptTokens)), r.slowness(now))
-	return max(a.wait.ahead, later)
-}
-
-// lostSince reports whether the target was lost, or its zone, by evidence that a backlog can't
-// give, and has sent nothing since.
-func (b *Balancer) lostSince(now time.Time, a *Attempt) bool {
-	r := b.record(now, a.target)
-	return r.silentSince(r.lostAt, a) || r.silentSince(b.zoneRecord(a.target).lostAt, a)
-}
-
-// silentSince reports whether a loss at a time may concern the attempt, and the target has sent
-// nothing since.
-func (r *record) silentSince(at time.Time, a *Attempt) bool {
-	return at.After(a.wait.sent.Add(-zoneSuspectTime)) && !r.lastActivity.After(at)
-}
-
 // SilenceEvidence returns what the attempt's silence shows, if it ends for that.
 func (a *Attempt) SilenceEvidence(now time.Time) Evidence {
 	a.balancer.mu.Lock()
@@ -158,6 +114,10 @@
 		return PausedStream
 	case a.started && a.request.Engine != nil:
 		return StreamSilence
+	case r.unansweredNow(now):
+		return StartSilence
+	case !r.heardAt().IsZero() && now.Sub(r.heardAt()) <= signValidFor && !r.silentSince(r.lostAt, a):
+		return OverdueStart
 	case a.ahead(now) >= minAhead && !r.silentSince(r.lostAt, a):
 		return OverdueStart
 	}
@@ -236,5 +196,7 @@
 	if evidence == StreamSilence || evidence == PausedStream || evidence == StartSilence {
 		lostAt = lostAt.Add(-silenceBefore)
 	}
-	return b.LastActivity(now, t).After(lostAt)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.record(now, t).heardAt().After(lostAt)
 }
--- a/internal/coordination/balance/evidence_test.go
+++ b/internal/coordination/balance/evidence_test.go
@@ -116,7 +116,8 @@
 }
 
 // TestWaveOfLosses has the nine engines of a zone lost every 6 s, each with four prompts that
-// wait: they leave in order, five a round, each once, and those without a claim leave at once.
+// wait: once the engines were asked in vain they leave in order, five a round, each once, and
+// those without a claim leave at once.
 func TestWaveOfLosses(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -140,6 +141,12 @@
 		is.Equal(atOnce, 1)
 		is.Equal(cancelled, 0)
 		is.Equal(b.TakeMoves(now, "other", 100).Left, 0)
+		is.Equal(b.TakeMoves(now, "m", 5), balance.Moves{Left: 36})
+		is.Equal(len(b.Stranded(now, "m")), 9)
+		for _, target := range ts {
+			b.RecordSign(now, target, false)
+		}
+		is.Equal(len(b.Stranded(now, "m")), 0)
 		is.Equal(b.TakeMoves(now, "m", -1).Left, 36)
 		var all []retry.Claim
 		for len(all) < 36 {
@@ -156,6 +163,51 @@
 	}
 }
 
+// TestJudgeSilence has a run wait for 4.2 s at an engine, behind a prompt of 8,000 tokens.
+func TestJudgeSilence(t *testing.T) {
+	at := start.Add(4200 * time.Millisecond)
+	tests := []struct {
+		name     string
+		prompts  int
+		before   func(b *balance.Balancer, target *catalog.Target, run *balance.Attempt)
+		verdict  balance.SilenceVerdict
+		evidence balance.Evidence
+	}{
+		{"nothing heard", 1, nil, balance.SilenceUnclear, balance.OverdueStart},
+		{"another run streams", 1, func(_ *balance.Balancer, _ *catalog.Target, run *balance.Attempt) {
+			run.RecordActivity(at.Add(-time.Second))
+		}, balance.SilenceExpected, balance.OverdueStart},
+		{"another run streamed 3 s ago", 1, func(_ *balance.Balancer, _ *catalog.Target, run *balance.Attempt) {
+			run.RecordActivity(at.Add(-3 * time.Second))
+		}, balance.SilenceUnclear, balance.OverdueStart},
+		{"it answers", 1, func(b *balance.Balancer, target *catalog.Target, _ *balance.Attempt) { b.RecordSign(at, target, true) }, balance.SilenceExpected, balance.OverdueStart},
+		{"it does not answer", 1, func(b *balance.Balancer, target *catalog.Target, _ *balance.Attempt) { b.RecordSign(at, target, false) }, balance.SilenceEnds, balance.StartSilence},
+		{"it answers, with nothing in front", 0, func(b *balance.Balancer, target *catalog.Target, _ *balance.Attempt) { b.RecordSign(at, target, true) }, balance.SilenceEnds, balance.OverdueStart},
+		{"it answers after a connection broke", 1, func(b *balance.Balancer, target *catalog.Target, _ *balance.Attempt) {
+			b.ApplyPeerLossBy(at.Add(-time.Second), target, 0, balance.Connection)
+			b.RecordSign(at, target, true)
+		}, balance.SilenceExpected, balance.OverdueStart},
+		{"heard before a connection broke", 1, func(b *balance.Balancer, target *catalog.Target, run *balance.Attempt) {
+			run.RecordActivity(at.Add(-time.Second))
+			b.ApplyPeerLossBy(at, target, 0, balance.Connection)
+		}, balance.SilenceUnclear, balance.StartSilence},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer()
+			target := targets("m", 1, "a")[0]
+			run := queue(b, target, tt.prompts+1)
+			if tt.before != nil {
+				tt.before(b, target, run)
+			}
+			is.Equal(run.JudgeSilence(at, start.Add(time.Minute)), tt.verdict)
+			is.Equal(run.SilenceEvidence(at), tt.evidence)
+			is.Equal(run.JudgeSilence(at, at), balance.SilenceEnds)
+		})
+	}
+}
+
 // TestMovesEndWithSignOfLife guards against a run that leaves a target which has sent something
 // since its zone was lost.
 func TestMovesEndWithSignOfLife(t *testing.T) {
--- a/internal/coordination/balance/moves.go
+++ b/internal/coordination/balance/moves.go
@@ -25,20 +25,32 @@
 	a.claim = &c
 }
 
+// mayMove reports whether an attempt with a claim waits for a target of a service whose zone is
+// lost.
+func (b *Balancer) mayMove(now time.Time, a *Attempt, service id.Service) bool {
+	return a.target.Service == service && a.claim != nil && a.cancel != nil && !a.moved &&
+		b.zoneRecord(a.target).mayBeLost(now, b.record(now, a.target))
+}
+
 // TakeMoves cancels the first most attempts, by their claims, of those that wait for targets of
-// a service whose zones are lost.
+// a service whose zones are lost, and that were asked in vain whether they live.
 func (b *Balancer) TakeMoves(now time.Time, service id.Service, most int) Moves {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var stranded []*Attempt
+	unclear := 0
 	for a := range b.waiting {
-		if a.target.Service == service && a.claim != nil && a.cancel != nil && !a.moved && b.zoneRecord(a.target).mayBeLost(now, b.record(now, a.target)) {
+		switch {
+		case !b.mayMove(now, a, service):
+		case b.record(now, a.target).unansweredNow(now):
 			stranded = append(stranded, a)
+		default:
+			unclear++
 		}
 	}
 	slices.SortFunc(stranded, func(x, y *Attempt) int { return x.claim.Compare(*y.claim) })
 	most = min(max(0, most), len(stranded))
-	moves := Moves{Left: len(stranded) - most}
+	moves := Moves{Left: len(stranded) - most + unclear}
 	for _, a := range stranded[:most] {
 		a.moved = true
 		moves.Taken = append(moves.Taken, *a.claim)
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -53,6 +53,10 @@
 	lostAt   time.Time
 	evidence Evidence
 
+	// aliveAt is when the target last answered the question whether it lives, and unansweredAt
+	// when such a question last remained without an answer.
+	aliveAt, unansweredAt time.Time
+
 	// losses counts consecutive losses.
 	losses       int
 	suspectUntil time.Time
--- a/internal/coordination/balance/zone.go
+++ b/internal/coordination/balance/zone.go
@@ -70,10 +70,10 @@
 }
 
 // mayBeLost reports whether a target may have been lost with its group: it was
-// known at that time and has sent nothing since.
+// known at that time and has given no sign of life since.
 func (z *zoneRecord) mayBeLost(now time.Time, r *record) bool {
 	recent := !z.lostAt.IsZero() && now.Sub(z.lostAt) < zoneSuspectTime
-	return recent && !r.since.After(z.lostAt) && !r.lastActivity.After(z.lostAt)
+	return recent && !r.since.After(z.lostAt) && !r.heardAt().After(z.lostAt)
 }
 
 func (z *zoneRecord) lostRecently(now time.Time) bool {
@@ -201,7 +201,7 @@
 func (b *Balancer) activeTargets(g group, since time.Time) int {
 	n := 0
 	for _, r := range b.targets {
-		if r.group == g && r.lastActivity.After(since) {
+		if r.group == g && r.heardAt().After(since) {
 			n++
 		}
 	}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -136,7 +136,9 @@
 	// successors searches for the targets that replace lost ones.
 	successors *successorFinder
 	// moves has runs leave lost zones.
-	moves        *zoneMoves
+	moves *zoneMoves
+	// signs asks silent targets whether they live.
+	signs        *signsOfLife
 	estimatorsMu sync.Mutex
 	estimators   map[id.Service]*pace.Estimator
 
@@ -205,6 +207,7 @@
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.moves = newZoneMoves(e)
+	e.signs = newSignsOfLife(e)
 	e.metrics = newEntryMetrics(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -116,6 +116,11 @@
 	m.set.Count("silencesExplained", meter.Label{Key: "service", Value: string(service)})
 }
 
+// signAsked counts questions to targets whether they live.
+func (m *entryMetrics) signAsked(service id.Service, answered bool) {
+	m.set.Count("signsAsked", meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "answered", Value: strconv.FormatBool(answered)})
+}
+
 // waitingMoved counts the waiting runs that left a lost zone.
 func (m *entryMetrics) waitingMoved(service id.Service, n int) {
 	for range n {
--- a/internal/transport/direct/moves.go
+++ b/internal/transport/direct/moves.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -46,6 +47,11 @@
 func (m *zoneMoves) round(service id.Service) {
 	e := m.e
 	now := e.deps.Clock.Now()
+	for _, t := range e.balancer.Stranded(now, service) {
+		if !e.signs.ask(t) {
+			e.balancer.RecordSign(now, t, false)
+		}
+	}
 	budget := e.retryBudgets.available(now, service, e.roster.LimitShare(now), streamReportAge)
 	room := e.balancer.FreeSlots(now, e.directory.View().Targets[service])
 	moves := e.balancer.TakeMoves(now, service, min(budget, room))
@@ -65,24 +71,26 @@
 }
 
 // judgeSilence returns a function that reports whether silence may end a run that begins now: not
-// before its turn at the target could have come, and otherwise as mayEnd says.
-func (s *stream) judgeSilence(run *balance.Attempt, target id.Target, mayEnd func() bool) func() bool {
+// before its turn could have come at a target that lives, and otherwise as mayEnd says.
+func (s *stream) judgeSilence(run *balance.Attempt, t *catalog.Target, mayEnd func() bool) func() bool {
 	c := s.c
-	if !c.e.competes(c.service) {
+	if !c.e.competes(c.service) || c.requirements.Engine == nil {
 		return mayEnd
 	}
-	sent := c.now()
-	latest := sent.Add(min(c.timeLeft(), clientPatience(c.route)) / 2)
+	sent, latest := c.now(), s.latestStart(false)
 	var logged sync.Once
 	return func() bool {
 		now := c.now()
-		if run.SilenceExplained(now, latest) {
+		verdict := run.JudgeSilence(now, latest)
+		if verdict == balance.SilenceUnclear && !c.e.signs.ask(t) && !run.SilenceExplained(now, latest) {
+			verdict = balance.SilenceEnds
+		}
+		if verdict == balance.SilenceExpected {
 			logged.Do(func() {
-				c.log(event.SilenceExplained, "target", target, "silent", now.Sub(sent), "ahead", run.ExpectedWait(now))
+				c.log(event.SilenceExplained, "target", t.ID, "silent", now.Sub(sent), "ahead", run.ExpectedWait(now))
 				c.e.metrics.silenceExplained(c.service)
 			})
-			return false
 		}
-		return mayEnd()
+		return verdict == balance.SilenceEnds && mayEnd()
 	}
 }
--- a/internal/transport/direct/overload_test.go
+++ b/internal/transport/direct/overload_test.go
@@ -9,9 +9,18 @@
 )
 
 // queued answers with 20 events, the first one after a wait that depends on how many requests
-// came before: each has a prompt that takes a second and a half.
-func queued() http.HandlerFunc {
+// came before: each has a prompt that takes a second and a half. It answers health checks if it
+// lives, and otherwise nothing.
+func queued(lives bool) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
+		switch {
+		case !lives:
+			<-r.Context().Done()
+			return
+		case r.URL.Path == healthPath:
+			rw.Header().Set("Name", "t1")
+			return
+		}
 		wait := map[string]time.Duration{"a1": 1500 * time.Millisecond, "a2": 3 * time.Second, "a3": 6500 * time.Millisecond}
 		select {
 		case <-time.After(wait[r.Header.Get("Attempt")]):
@@ -24,25 +33,29 @@
 
 // TestQueueOfPrompts guards against a stream that is taken from an engine which only has the
 // prompts of others to compute first: three of 8,000 tokens are sent to it within 20 ms, and
-// the last gets its first event after 6.5 s.
+// the last gets its first event after 6.5 s. If the engine is gone, a question to it tells.
 func TestQueueOfPrompts(t *testing.T) {
 	tests := []struct {
 		name             string
-		competes         bool
+		competes, lives  bool
 		sends, explained int
+		// asked is the number of questions; most is the time until the answer is whole.
+		asked int
+		most  time.Duration
 	}{
-		{"requests compete", true, 1, 1},
-		{"requests don't compete", false, 2, 0},
+		{"requests compete", true, true, 1, 1, 1, 7200 * time.Millisecond},
+		{"requests compete, and it is gone", true, false, 2, 0, 1, 6 * time.Second},
+		{"requests don't compete", false, true, 2, 0, 0, 5 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			withEnv(t, func(env *testEnv) {
-				env.target("t1", "10.0.1.1:80", "a", queued())
+				env.target("t1", "10.0.1.1:80", "a", queued(tt.lives))
 				env.start()
 				if tt.competes {
 					env.entry.SetUneven(service)
 				}
-				got := make(chan answer, 3)
+				got, began := make(chan answer, 3), time.Now()
 				for _, attempt := range []string{"a1", "a2", "a3"} {
 					go func() { got <- env.do("POST", "/r/x", attempt, "prompt", "Prompt", "8000") }()
 					time.Sleep(10 * time.Millisecond)
@@ -55,6 +68,10 @@
 				}
 				env.is.Equal(env.log.count("name=sendEnded request=a3 "), tt.sends)
 				env.is.Equal(env.log.count("name=silenceExplained request=a3 "), tt.explained)
+				env.is.True(time.Since(began) < tt.most)
+				env.mu.Lock()
+				defer env.mu.Unlock()
+				env.is.True(env.checks >= tt.asked)
 			})
 		})
 	}
@@ -75,7 +92,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			withEnv(t, func(env *testEnv) {
 				env.retries = &settings.Retries{Ratio: 0, MinRetries: 8, WindowSeconds: 2}
-				breaks := func(rw http.ResponseWriter, _ *http.Request) {
+				breaks := func(_ http.ResponseWriter, _ *http.Request) {
 					time.Sleep(300 * time.Millisecond)
 					panic(http.ErrAbortHandler)
 				}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -229,7 +229,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	relay := &eventRelay{s: s, target: a.choice.Target, run: run, detector: detect.New(stallConfig(), c.now(), expected)}
-	relay.silence = newSilenceWatch(c.e.deps.Clock, s.judgeSilence(run, a.choice.Target.ID, s.silenceEnds(a.choice.Target)), cancel)
+	relay.silence = newSilenceWatch(c.e.deps.Clock, s.judgeSilence(run, a.choice.Target, s.silenceEnds(a.choice.Target)), cancel)
 	if !a.confirmsEnd {
 		s.copyTracker.runStarted(a.choice.Backup, c.meta.Attempt)
 	}
