--- a/internal/coordination/balance/evidence.go
+++ b/internal/coordination/balance/evidence.go
@@ -116,7 +116,7 @@
 		return StreamSilence
 	case r.unansweredNow(now):
 		return StartSilence
-	case !r.heardAt().IsZero() && now.Sub(r.heardAt()) <= signValidFor && !r.silentSince(r.lostAt, a):
+	case r.heardAt().After(a.wait.sent) && now.Sub(r.heardAt()) <= signValidFor && !r.silentSince(r.lostAt, a):
 		return OverdueStart
 	case a.ahead(now) >= minAhead && !r.silentSince(r.lostAt, a):
 		return OverdueStart
--- a/internal/coordination/balance/evidence_test.go
+++ b/internal/coordination/balance/evidence_test.go
@@ -201,9 +201,10 @@
 			if tt.before != nil {
 				tt.before(b, target, run)
 			}
-			is.Equal(run.JudgeSilence(at, start.Add(time.Minute)), tt.verdict)
+			is.Equal(run.JudgeSilence(at), tt.verdict)
 			is.Equal(run.SilenceEvidence(at), tt.evidence)
-			is.Equal(run.JudgeSilence(at, at), balance.SilenceEnds)
+			run.MarkStarted(at)
+			is.Equal(run.JudgeSilence(at), balance.SilenceEnds)
 		})
 	}
 }
--- a/internal/coordination/balance/silence.go
+++ b/internal/coordination/balance/silence.go
@@ -24,14 +24,13 @@
 	SilenceEnds SilenceVerdict = "ends"
 )
 
-// JudgeSilence judges the attempt's silence, which is longer than its own prompt explains. After
-// latest, the attempt has no time left to wait for its turn.
-func (a *Attempt) JudgeSilence(now, latest time.Time) SilenceVerdict {
+// JudgeSilence judges the attempt's silence, which is longer than its own prompt explains.
+func (a *Attempt) JudgeSilence(now time.Time) SilenceVerdict {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	r := a.balancer.record(now, a.target)
 	switch {
-	case a.started || a.ended || !now.Before(latest):
+	case a.started || a.ended:
 		return SilenceEnds
 	case !r.knownState(now):
 		return SilenceUnclear
--- a/internal/transport/direct/moves.go
+++ b/internal/transport/direct/moves.go
@@ -77,11 +77,11 @@
 	if !c.e.competes(c.service) || c.requirements.Engine == nil {
 		return mayEnd
 	}
-	sent, latest := c.now(), s.latestStart(false)
+	sent, latest := c.now(), s.latestRetry(false)
 	var logged sync.Once
 	return func() bool {
 		now := c.now()
-		verdict := run.JudgeSilence(now, latest)
+		verdict := run.JudgeSilence(now)
 		if verdict == balance.SilenceUnclear && !c.e.signs.ask(t) && !run.SilenceExplained(now, latest) {
 			verdict = balance.SilenceEnds
 		}
--- a/internal/transport/direct/retrywait.go
+++ b/internal/transport/direct/retrywait.go
@@ -40,9 +40,9 @@
 	return max(minWriteTimeout, writeLatencyFactor*r.LatencyObjective, writeGapFactor*r.GapObjective)
 }
 
-// latestStart returns until when it is worth anything to send the stream to a target: its client
+// latestRetry returns until when it is worth anything to send the stream to a target: its client
 // must get the next event before it gives up. A run from a copy has no prompt to compute.
-func (s *stream) latestStart(resumes bool) time.Time {
+func (s *stream) latestRetry(resumes bool) time.Time {
 	c := s.c
 	from := c.start
 	if s.headSent {
@@ -65,7 +65,7 @@
 func (s *stream) claim() retry.Claim {
 	c := s.c
 	copied := s.copyTracker.held()
-	return retry.Claim{Begun: s.headSent, Copy: copied, Priority: c.cfg.PriorityOf(c.route, c.account), Latest: s.latestStart(copied)}
+	return retry.Claim{Begun: s.headSent, Copy: copied, Priority: c.cfg.PriorityOf(c.route, c.account), Latest: s.latestRetry(copied)}
 }
 
 // held reports whether a copy of the stream's run is known.
@@ -82,8 +82,9 @@
 
 // awaitRetry waits until the retry budget allows the request's next attempt, and takes it. It
 // returns false if that takes longer than the attempt is worth anything. Requests for services
-// without competition don't wait.
-func (c *call) awaitRetry(ctx context.Context, claim func() retry.Claim) bool {
+// without competition don't wait. stops reports whether the entry stops before the request would
+// end.
+func (c *call) awaitRetry(ctx context.Context, claim func() retry.Claim, stops func() bool) bool {
 	if c.sends == 0 || !c.reached || c.retryGranted || !c.e.competes(c.service) {
 		return true
 	}
@@ -104,7 +105,10 @@
 			c.recordRetryWait(now.Sub(began), "granted")
 			return true
 		}
-		if !now.Before(own.Latest) || c.stopsFirst() || !timing.Sleep(ctx, c.e.deps.Clock, retryCheckInterval) {
+		if !now.Before(own.Latest) || stops() || !timing.Sleep(ctx, c.e.deps.Clock, retryCheckInterval) {
+			if c.clientGone() {
+				c.abandon()
+			}
 			c.budgetExhausted = true
 			c.recordRetryWait(c.now().Sub(began), "none")
 			c.log(event.BudgetExhausted, "service", c.service, "entries", c.e.roster.LimitSharers(c.now()))
--- a/internal/transport/direct/signs.go
+++ b/internal/transport/direct/signs.go
@@ -12,7 +12,7 @@
 )
 
 // signTimeout is how long a target may take to answer whether it lives.
-const signTimeout = 500 * time.Millisecond
+const signTimeout = 300 * time.Millisecond
 
 // signsOfLife asks targets whether they live by a health check, where a run's silence does not
 // tell. The answer does not depend on a queue of requests. It is safe for concurrent use.
