--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -38,7 +38,7 @@
 func (c *call) servePlain(ctx context.Context) {
 	var failed *bufferedAnswer
 	for c.sends < c.maxRuns()+extraSends && c.runs < c.maxRuns() && !c.expired() {
-		if c.stopsFirst() || !c.awaitRetry(ctx, c.claim, c.stopsFirst) || !c.mayStart(ctx) {
+		if c.stopsFirst() || !c.awaitRetry(ctx, retryWait{c.claim, c.retryWaitEnd, c.stopsFirst}) || !c.mayStart(ctx) {
 			break
 		}
 		choice, ok := c.choose(ctx)
--- a/internal/transport/direct/retrywait.go
+++ b/internal/transport/direct/retrywait.go
@@ -61,6 +61,27 @@
 	return latest.Add(-retryMargin)
 }
 
+// retryWaitEnd returns until when the stream waits for a retry. Its client may try again by
+// itself, without the entries' budget, so a stream that is not late yet uses half of the time until it
+// is. One that pauses too long waits no longer, and one that has not begun until its client gives up.
+func (s *stream) retryWaitEnd(now time.Time) time.Time {
+	c := s.c
+	if s.events > 0 {
+		return s.lastEventAt.Add(c.route.GapObjective)
+	}
+	return c.waitEnd(now, s.latestRetry(s.copyTracker.held()))
+}
+
+// retryWaitEnd returns until when a request whose answer is not a stream waits for a retry.
+func (c *call) retryWaitEnd(now time.Time) time.Time { return c.waitEnd(now, c.claim().Latest) }
+
+func (c *call) waitEnd(now, latest time.Time) time.Time {
+	if left := c.start.Add(c.route.LatencyObjective).Sub(now); left > 0 && now.Add(left/2).Before(latest) {
+		return now.Add(left / 2)
+	}
+	return latest
+}
+
 // claim returns what decides the stream's turn among others that have lost their targets.
 func (s *stream) claim() retry.Claim {
 	c := s.c
@@ -80,16 +101,24 @@
 	return retry.Claim{Priority: c.cfg.PriorityOf(c.route, c.account), Latest: c.deadline.Add(-min(c.route.LatencyObjective, c.deadline.Sub(c.start)/2))}
 }
 
+// retryWait is how a request waits for a retry.
+type retryWait struct {
+	claim func() retry.Claim
+	// end returns until when it waits. stops reports whether the entry stops before the request
+	// would end.
+	end   func(now time.Time) time.Time
+	stops func() bool
+}
+
 // awaitRetry waits until the retry budget allows the request's next attempt, and takes it. It
 // returns false if that takes longer than the attempt is worth anything. Requests for services
-// without competition don't wait. stops reports whether the entry stops before the request would
-// end.
-func (c *call) awaitRetry(ctx context.Context, claim func() retry.Claim, stops func() bool) bool {
+// without competition don't wait.
+func (c *call) awaitRetry(ctx context.Context, w retryWait) bool {
 	if c.sends == 0 || !c.reached || c.retryGranted || !c.e.competes(c.service) {
 		return true
 	}
 	began := c.now()
-	own := claim()
+	own, end := w.claim(), w.end(began)
 	if !began.Before(own.Latest) {
 		c.log(event.RetryTooLate, "late", began.Sub(own.Latest), "sends", c.sends, "begun", own.Begun)
 		c.e.metrics.retryWaited(c.service, "tooLate", 0)
@@ -105,7 +134,7 @@
 			c.recordRetryWait(now.Sub(began), "granted")
 			return true
 		}
-		if !now.Before(own.Latest) || stops() || !timing.Sleep(ctx, c.e.deps.Clock, retryCheckInterval) {
+		if !now.Before(end) || w.stops() || !timing.Sleep(ctx, c.e.deps.Clock, retryCheckInterval) {
 			if c.clientGone() {
 				c.abandon()
 			}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -101,7 +101,7 @@
 	}
 	defer s.endHandover()
 	for s.mayRunAgain() {
-		if s.stopsFirst() || !c.awaitRetry(ctx, s.claim, s.stopsFirst) || !c.mayStart(ctx) {
+		if s.stopsFirst() || !c.awaitRetry(ctx, retryWait{s.claim, s.retryWaitEnd, s.stopsFirst}) || !c.mayStart(ctx) {
 			break
 		}
 		a, ok := s.nextAttempt(ctx)
