--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -48,6 +48,15 @@
 	// request.
 	refusedAt time.Time
 
+	// lostAt is when this entry or another one last lost the target by evidence that a backlog
+	// can't give. evidence is what showed this entry's last loss.
+	lostAt   time.Time
+	evidence Evidence
+
+	// aliveAt is when the target last answered the question whether it lives, and unansweredAt
+	// when such a question last remained without an answer.
+	aliveAt, unansweredAt time.Time
+
 	// losses counts consecutive losses.
 	losses       int
 	suspectUntil time.Time
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -142,7 +142,11 @@
 	pauses    pauseDetector
 	startedAt time.Time
 	// successors searches for the targets that replace lost ones.
-	successors   *successorFinder
+	successors *successorFinder
+	// moves has runs leave lost zones.
+	moves *zoneMoves
+	// signs asks silent targets whether they live.
+	signs        *signsOfLife
 	estimatorsMu sync.Mutex
 	estimators   map[id.Service]*pace.Estimator
 
@@ -215,6 +219,8 @@
 	}
 	e.successors = newSuccessorFinder(e)
 	e.inbound = newInboundGuard(e)
+	e.moves = newZoneMoves(e)
+	e.signs = newSignsOfLife(e)
 	e.metrics = newEntryMetrics(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
