Placing by expected finish, with a believed pace of each target; engines' memory is a bound

Cause: targets say in a fourth load figure how long work takes on their host at the moment, and nothing used it. Requests were placed by count, so a target in a slow spell of 600 ms got as many as the others, and memory was a cost only.

Change: balance/pace.go keeps a target's word, which fades within 600 ms, learn.go the slow class of a target or its zone by what answers took, finish.go places by the expected finish. Entries tell each other the words they hear (PeerUpdate.paces). An engine without the memory for a run, or for a copy and one more run, is left out (F0430). It acts where targets say their pace or admission is ordered; elsewhere the costs are the old ones. docs/design/pace.md.

Result: on virtual time (TestPlayUneven, 6 targets, 4 entries, 200 requests of 60 ms a second) the mean answer takes 69 to 70 ms by finish and 74 to 75 by count under spells at 15% of the targets, 67 to 68 and 76 to 77 with one target slow for good. `go test` of balance (with -race), direct, event, protocol/direct, platform passed.

--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -19,6 +19,8 @@
 	ended     bool
 	// released says that what Start counted is no longer counted.
 	released bool
+	// work is what the attempt tells about the target's pace.
+	work work
 	// cancel is called if the target's group is lost before the target has begun
 	// to answer.
 	cancel func()
@@ -37,6 +39,7 @@
 	r.MemoryTokens += request.memory()
 	attempt := &Attempt{balancer: b, request: request, target: c.Target, cancel: cancel}
 	attempt.setBackup(now, c.Backup)
+	attempt.work = b.beginWork(now, c.Target)
 	b.waiting[attempt] = struct{}{}
 	return attempt
 }
@@ -61,6 +64,7 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	a.balancer.record(now, a.target).lastActivity = now
+	a.work.addEvent(now)
 }
 
 func (a *Attempt) endWait(now time.Time) {
@@ -95,6 +99,7 @@
 		return false
 	}
 	a.ended = true
+	a.work.learn(now, a, o)
 	a.endWait(now)
 	a.release(now)
 	return a.balancer.recordOutcome(now, a.target, o)
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -38,6 +38,8 @@
 	// Prompt identifies the prompt, so that a repeated prompt is sent to the
 	// engine that has computed it before; empty for none.
 	Prompt string
+	// Kind names the kind of work, if all of that kind take about equally long.
+	Kind string
 }
 
 func (r *Request) memory() int { return r.PromptTokens + r.OutputTokens }
@@ -105,6 +107,9 @@
 	// ReportAge returns how old the other entries' reports of their loads may be. If it is
 	// nil, they are current. It must not be changed once the Balancer is in use.
 	ReportAge func() time.Duration
+	// Ordered says that callers compete for room at all services, so that requests are placed
+	// by when they are expected to be finished. It must not be changed once the Balancer is in use.
+	Ordered bool
 
 	zone   id.Zone
 	random func() float64
@@ -132,6 +137,12 @@
 	waiting map[*Attempt]struct{}
 	// uneven holds the services whose targets say how fast their hosts work.
 	uneven map[id.Service]bool
+	// unreported holds when words of targets about their pace were heard that the other
+	// entries have not been told.
+	unreported map[id.Target]time.Time
+	// medians and classes hold what answers tell about the pace of targets.
+	medians map[workKind]*median
+	classes map[group]*slowClasses
 }
 
 // New returns a Balancer for an entry in the zone. random returns numbers in
@@ -141,7 +152,7 @@
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, links: map[id.Zone]*linkRecord{}, waiting: map[*Attempt]struct{}{},
 		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, backlogs: map[id.Target]backlog{}, lost: map[id.TargetIncarnation]time.Time{},
-		replaced: map[id.TargetIncarnation]time.Time{}, uneven: map[id.Service]bool{},
+		replaced: map[id.TargetIncarnation]time.Time{}, uneven: map[id.Service]bool{}, unreported: map[id.Target]time.Time{}, medians: map[workKind]*median{}, classes: map[group]*slowClasses{},
 	}
 }
 
@@ -170,7 +181,7 @@
 	costs := make(map[*catalog.Target]float64, len(targets))
 	var best *catalog.Target
 	for _, t := range targets {
-		if t.State != catalog.Ready || tried[t.ID] || b.isReplaced(now, t) {
+		if t.State != catalog.Ready || tried[t.ID] || b.isReplaced(now, t) || !b.fits(now, request, t, 1) {
 			continue
 		}
 		costs[t] = b.cost(now, request, t)
@@ -179,7 +190,7 @@
 		}
 	}
 	if best != nil && request.Engine == nil {
-		best = b.drawService(targets, costs, best)
+		best = b.drawService(request, targets, costs, best)
 	}
 	if best == nil || request.Engine == nil || request.Prompt == "" {
 		return best, costs[best]
@@ -222,7 +233,8 @@
 		if t.State != catalog.Ready || t.ID == runner.ID || t.Zone == runner.Zone || !t.SameSoftware(runner) || tried[t.ID] || b.isReplaced(now, t) {
 			continue
 		}
-		if cost := b.backupCost(now, request, t); cost < suspectCost {
+		// A copy leaves room for one more run.
+		if cost := b.backupCost(now, request, t); cost < suspectCost && b.fits(now, request, t, 2) {
 			candidates, costs = append(candidates, t), append(costs, cost)
 		}
 	}
--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -51,15 +51,18 @@
 func (b *Balancer) cost(now time.Time, request Request, t *catalog.Target) float64 {
 	r := b.record(now, t)
 	cost := jitter*b.random() + failureCost*r.failureShare(now)
-	if request.Engine != nil {
+	switch {
+	case b.byFinish(t.Service):
+		cost += b.finishCost(now, request, r, t)
+	case request.Engine != nil:
 		cost += b.engineCost(now, request, r, t)
-	} else {
+	default:
 		cost += b.serviceCost(r, t)
 	}
 	if b.losesPackets(now, t.Zone) {
 		cost += linkCost
 	}
-	if now.Before(t.WarmAt) {
+	if now.Before(t.WarmAt) && !b.byFinish(t.Service) {
 		cost *= coldFactor
 	}
 	if b.suspected(now, t) {
--- a/internal/coordination/balance/draw.go
+++ b/internal/coordination/balance/draw.go
@@ -15,14 +15,17 @@
 	fullTemperatureAge = time.Second
 	// currentAge is the age up to which reports count as current.
 	currentAge = 200 * time.Millisecond
+	// fullTemperatureWorks is the age, in times that the work takes, at which the temperature
+	// is full for services that are placed by finish.
+	fullTemperatureWorks = 2
 )
 
 // drawService draws a target of a plain service, with a probability that falls with its
 // cost. Requests of such services end long before the other entries' next reports, so if
 // all entries took the target that is cheapest by the last ones, they would overload it
 // until then. While the reports are current, it returns best, the cheapest target.
-func (b *Balancer) drawService(targets catalog.Targets, costs map[*catalog.Target]float64, best *catalog.Target) *catalog.Target {
-	temperature := b.temperature()
+func (b *Balancer) drawService(request Request, targets catalog.Targets, costs map[*catalog.Target]float64, best *catalog.Target) *catalog.Target {
+	temperature := b.temperature(best, request.Kind)
 	if temperature == 0 {
 		return best
 	}
@@ -48,11 +51,15 @@
 }
 
 // temperature returns by how much more a target may cost that is still chosen often.
-func (b *Balancer) temperature() float64 {
+func (b *Balancer) temperature(t *catalog.Target, kind string) float64 {
 	if b.ReportAge == nil {
 		return 0
 	}
 	age := b.ReportAge()
+	if b.byFinish(t.Service) {
+		work := b.usualSeconds(workKind{t.Service, kind}, usualWork)
+		return maxTemperature * min(1, age.Seconds()/(fullTemperatureWorks*work))
+	}
 	if age <= currentAge {
 		return 0
 	}
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -41,6 +41,9 @@
 	// load is what the target last said about its load, at loadAt.
 	load   TargetLoad
 	loadAt time.Time
+	// pace is what the target's words say about its pace, and classes what its answers do.
+	pace    Pace
+	classes slowClasses
 
 	// lastActivity is when the target last sent something.
 	lastActivity time.Time
--- a/internal/coordination/balance/targetload.go
+++ b/internal/coordination/balance/targetload.go
@@ -26,6 +26,8 @@
 	b.uneven[t.Service] = true
 	r := b.record(now, t)
 	r.load, r.loadAt = *l, now
+	r.pace.hear(now, l.Slowness)
+	b.unreported[t.ID] = now
 }
 
 // Uneven reports whether targets of a service say how fast their hosts work at the moment,
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -66,6 +66,9 @@
 	// LoadChanges is what the entry has in flight at the targets where that has changed
 	// since the last message.
 	LoadChanges map[id.Target]balance.Load `json:"loadChanges,omitempty"`
+	// Paces are the targets' words about their pace that the entry has heard since the last
+	// message.
+	Paces map[id.Target]balance.PaceReport `json:"paces,omitempty"`
 	// Runs are the runs of unfinished streams that are copied to another engine.
 	Runs []handover.Run `json:"runs,omitempty"`
 	// Retries counts the recent requests and retries to each service.
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -63,6 +63,7 @@
 	PeerUpdateShortened  = Event{409, "peerUpdateShortened", Warn, "A message to the other entries was too long, and unfinished runs, or target failures of the least suspected requests, were left out.", "add entries if it repeats"}
 	StoreSnapshotAdopted = Event{407, "beliefTaken", Info, "The targets were learned from another entry because the key-value service does not answer this one.", "check the key-value service if this lasts"}
 	PauseDetected        = Event{408, "standstillSeen", Warn, "This process or its host did not run for a while.", "check the load of the host if this repeats"}
+	TargetsOutOfMemory   = Event{430, "targetsOutOfMemory", Warn, "No engine that is ready has the memory for a request beside the runs and copies that it has.", "add engines if it repeats"}
 	ShareStale           = Event{405, "shareStale", Warn, "The owner of a limit does not respond; the last share of the limit stays in force.", "none"}
 )
 
@@ -107,7 +108,7 @@
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
-		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
+		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened, TargetsOutOfMemory,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -45,8 +45,12 @@
 			c.endTrial()
 			continue
 		}
-		if !ok || c.e.limits.take(now, choice.Target, 0) {
-			return choice, ok
+		if !ok {
+			c.noteMemory(now, free)
+			return choice, false
+		}
+		if c.e.limits.take(now, choice.Target, 0) {
+			return choice, true
 		}
 		c.endReservation()
 		c.endTrial()
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -189,7 +189,7 @@
 	}
 	e.stopping, e.endStopping = context.WithCancel(context.Background())
 	e.working, e.endWorking = context.WithCancel(context.Background())
-	e.balancer.GroupSize = e.targetsIn
+	e.balancer.GroupSize, e.balancer.Ordered = e.targetsIn, cfg.Admission.Ordered
 	e.balancer.ReportAge = func() time.Duration { return updateInterval(e.roster.CountAlive(deps.Clock.Now())) }
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.quarantine.Entries = func() int { return e.roster.LimitSharers(deps.Clock.Now()) }
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -161,6 +161,7 @@
 	c.requirements = balance.Request{
 		Engine:       c.engine(),
 		PromptTokens: c.meta.PromptTokens, OutputTokens: c.meta.OutputTokens, Prompt: string(c.meta.OwnPart()),
+		Kind: route.Name,
 	}
 	c.setDeadline()
 	if c.stopsFirst() {
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -331,7 +331,7 @@
 	for lost, age := range x.e.balancer.RecentLosses(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
 	}
-	u.Successors = x.e.successors.recentlyFound(now)
+	u.Successors, u.Paces = x.e.successors.recentlyFound(now), x.e.balancer.TakePaces(now)
 	for lost, age := range x.e.balancer.RecentlyReplaced(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Replaced: true, AgeMS: age.Milliseconds()})
 	}
@@ -384,6 +384,7 @@
 // applyState applies what a message says about its sender's state.
 func (x *peerExchange) applyState(ctx context.Context, now time.Time, u *direct.PeerUpdate) {
 	x.applyLoads(now, u)
+	x.e.balancer.ApplyPeerPaces(now, u.Paces)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
 	x.e.limits.merge(now, u.Limits)
 	x.e.withdrawn.Merge(now, u.Leaving)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -117,6 +117,7 @@
 	c.e.metrics.answerEnded(c.route, &c.answer, outcome)
 	fields := []any{"target", choice.Target.ID, "process", choice.Target.Incarnation, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	fields = append(fields, c.answer.fields()...)
+	fields = append(fields, c.paceFields(now, choice.Target, now.Sub(sent))...)
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
