The usual word of a target with few words is that of its zone

Change: words are averaged by zone too, each counting as much as it is independent of the one before. A target with few words has the average of its zone.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -140,9 +140,10 @@
 	// unreported holds when words of targets about their pace were heard that the other
 	// entries have not been told.
 	unreported map[id.Target]time.Time
-	// medians and classes hold what answers tell about the pace of targets.
+	// medians holds how long work usually takes, and zones what the targets of each zone tell
+	// about their pace.
 	medians map[workKind]*median
-	classes map[group]*slowClasses
+	zones   map[group]*experience
 }
 
 // New returns a Balancer for an entry in the zone. random returns numbers in
@@ -152,7 +153,7 @@
 		zone: zone, random: random,
 		targets: map[id.Target]*record{}, groups: map[group]*zoneRecord{}, links: map[id.Zone]*linkRecord{}, waiting: map[*Attempt]struct{}{},
 		peers: map[id.Entry]peerLoads{}, others: map[id.Target]Load{}, backlogs: map[id.Target]backlog{}, lost: map[id.TargetIncarnation]time.Time{},
-		replaced: map[id.TargetIncarnation]time.Time{}, uneven: map[id.Service]bool{}, unreported: map[id.Target]time.Time{}, medians: map[workKind]*median{}, classes: map[group]*slowClasses{},
+		replaced: map[id.TargetIncarnation]time.Time{}, uneven: map[id.Service]bool{}, unreported: map[id.Target]time.Time{}, medians: map[workKind]*median{}, zones: map[group]*experience{},
 	}
 }
 
--- a/internal/coordination/balance/learn.go
+++ b/internal/coordination/balance/learn.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// classMemory is the number of answers over which a class is averaged, and
-	// classHalfLife the time in which their weight halves.
-	classMemory   = 64
-	classHalfLife = 30 * time.Second
-	// priorWeight is the number of answers from which a class counts more than the one that
-	// holds without them.
+	// averageMemory is the number of values over which an average is taken, and
+	// averageHalfLife the time in which their weight halves.
+	averageMemory   = 64
+	averageHalfLife = 30 * time.Second
+	// priorWeight is the number of values from which an average counts more than what holds
+	// without them.
 	priorWeight = 12
 	// nearlyFullShare is the share of a target's slots in use from which it counts as nearly
 	// full.
@@ -65,81 +65,88 @@
 	}
 }
 
-// slowClass is the average logarithm of what answers took relative to their medians, which
+// average is an average of values, of which later ones replace earlier ones, and which
 // fades with time.
-type slowClass struct {
+type average struct {
 	mean, weight float64
 	at           time.Time
 }
 
-func (c *slowClass) observe(now time.Time, ratio float64) {
-	c.weight = c.weightAt(now)*(1-1.0/classMemory) + 1
-	c.mean += (math.Log(limitSlowness(ratio)) - c.mean) / c.weight
-	c.at = now
+// observe adds a value. news is 1 if it is independent of those before it, and less otherwise.
+func (a *average) observe(now time.Time, value, news float64) {
+	a.weight = a.weightAt(now)*(1-news/averageMemory) + news
+	if a.weight > 0 {
+		a.mean += (value - a.mean) * news / a.weight
+	}
+	if now.After(a.at) {
+		a.at = now
+	}
 }
 
-func (c *slowClass) weightAt(now time.Time) float64 {
-	return c.weight * math.Exp2(-now.Sub(c.at).Seconds()/classHalfLife.Seconds())
+func (a *average) weightAt(now time.Time) float64 {
+	return a.weight * math.Exp2(-max(0, now.Sub(a.at)).Seconds()/averageHalfLife.Seconds())
 }
 
-// mix returns the average where prior holds without answers.
-func (c *slowClass) mix(now time.Time, prior float64) float64 {
-	weight := c.weightAt(now)
-	return (weight*c.mean + priorWeight*prior) / (weight + priorWeight)
+// mix returns the average where prior holds without values.
+func (a *average) mix(now time.Time, prior float64) float64 {
+	weight := a.weightAt(now)
+	return (weight*a.mean + priorWeight*prior) / (weight + priorWeight)
 }
 
-// slowClasses are a target's or a zone's classes: usually, and while the target is nearly
-// full.
-type slowClasses struct{ usual, nearlyFull slowClass }
+// experience is what a target, or the targets of a zone, have told about their pace: the
+// average of their words, and the average logarithms of what their answers took relative to
+// the medians, usually and while they were nearly full.
+type experience struct{ words, usual, nearlyFull average }
 
-// add records an answer of a target that was nearly full or not when it got the request.
-func (c *slowClasses) add(now time.Time, full bool, ratio float64) {
+// addAnswer adds the ratio of an answer from a target that was nearly full or not.
+func (x *experience) addAnswer(now time.Time, full bool, ratio float64) {
+	class := &x.usual
 	if full {
-		c.nearlyFull.observe(now, ratio)
-		return
+		class = &x.nearlyFull
 	}
-	c.usual.observe(now, ratio)
-}
-
-// nearlyFull reports whether so many of a target's slots are in use.
-func nearlyFull(l Load, t *catalog.Target) bool {
-	return t.Slots > 0 && float64(l.Running) >= nearlyFullShare*float64(t.Slots)
+	class.observe(now, math.Log(limitSlowness(ratio)), 1)
 }
 
-// classOf returns the factor by which the target's answers take longer than those of the
-// service. What only few answers of the target tell is taken from its zone.
-func (b *Balancer) classOf(now time.Time, r *record, full bool) float64 {
-	zone := b.classes[r.group]
-	if zone == nil {
-		return 1
-	}
-	class := r.classes.usual.mix(now, zone.usual.mix(now, 0))
+// classOf returns the factor by which answers take longer than those of the service. What
+// only few answers of the target tell is taken from its zone.
+func (x *experience) classOf(now time.Time, zone *experience, full bool) float64 {
+	class := x.usual.mix(now, zone.usual.mix(now, 0))
 	if full {
-		class = r.classes.nearlyFull.mix(now, zone.nearlyFull.mix(now, class))
+		class = x.nearlyFull.mix(now, zone.nearlyFull.mix(now, class))
 	}
 	return math.Exp(class)
 }
 
-// learn records that work of a kind took so long at a target until now, and whether the
-// target was nearly full when it began.
+// learned returns what the targets of a zone have told.
+func (b *Balancer) learned(g group) *experience {
+	x := b.zones[g]
+	if x == nil {
+		x = &experience{}
+		b.zones[g] = x
+	}
+	return x
+}
+
+// nearlyFull reports whether so many of a target's slots are in use.
+func nearlyFull(l Load, t *catalog.Target) bool {
+	return t.Slots > 0 && float64(l.Running) >= nearlyFullShare*float64(t.Slots)
+}
+
+// learn records that work of a kind took so long at a target that worked for span until now,
+// and whether the target was nearly full when that began.
 func (b *Balancer) learn(now time.Time, t *catalog.Target, kind string, took, span time.Duration, full bool) {
 	m := b.median(workKind{t.Service, kind})
 	if took <= 0 || m == nil {
 		return
 	}
 	r := b.record(now, t)
-	seconds := took.Seconds() / r.pace.told(now.Sub(r.pace.WordAt), span)
+	p := b.paceOf(now, r, Load{}, t)
+	seconds := took.Seconds() / p.told(now.Sub(p.WordAt), span)
 	m.observe(seconds)
-	if m.samples <= firstSamples {
-		return
-	}
-	zone := b.classes[r.group]
-	if zone == nil {
-		zone = &slowClasses{}
-		b.classes[r.group] = zone
+	if m.samples > firstSamples {
+		r.addAnswer(now, full, seconds/m.seconds)
+		b.learned(r.group).addAnswer(now, full, seconds/m.seconds)
 	}
-	r.classes.add(now, full, seconds/m.seconds)
-	zone.add(now, full, seconds/m.seconds)
 }
 
 // median returns the estimate for a kind of work, or nil if there are too many kinds.
--- a/internal/coordination/balance/pace.go
+++ b/internal/coordination/balance/pace.go
@@ -14,10 +14,9 @@
 	wordLifetime = 600 * time.Millisecond
 	// countLifetime is the age up to which a target's word about its requests is used.
 	countLifetime = 100 * time.Millisecond
-	// usualTime is the time over which a target's words are averaged, and maxWordWeight the
-	// largest weight of one word in that average.
-	usualTime     = 2 * time.Second
-	maxWordWeight = 0.1
+	// usualTime is the time between two words of a target from which they count as
+	// independent of each other in the average.
+	usualTime = 2 * time.Second
 	// Words and learned paces count as minSlowness at least and as maxSlowness at most.
 	minSlowness = 1 / maxSlowness
 	maxSlowness = 8.0
@@ -29,7 +28,7 @@
 	// Word is what the target said at WordAt; 0 for nothing.
 	Word   float64
 	WordAt time.Time
-	// Usual is the average of its words.
+	// Usual is the average of its words, and of those of its zone if there are few.
 	Usual float64
 	// Class is what its answers took beyond what its words explain.
 	Class float64
@@ -44,7 +43,7 @@
 // latest of them has the given age.
 func (p Pace) told(age, span time.Duration) float64 {
 	if p.Word == 0 {
-		return 1
+		return p.Usual
 	}
 	share := wordShare(age, span)
 	return share*p.Word + (1-share)*p.Usual
@@ -66,20 +65,19 @@
 
 func limitSlowness(s float64) float64 { return min(max(s, minSlowness), maxSlowness) }
 
-// hear records a word of the target from the given time, unless a later one is known.
-func (p *Pace) hear(at time.Time, word float64) {
-	if !(word > 0) || math.IsInf(word, 1) || (p.Word != 0 && !at.After(p.WordAt)) {
+// hear records a target's word from the given time, unless a later one is known.
+func (b *Balancer) hear(r *record, at time.Time, word float64) {
+	if !(word > 0) || math.IsInf(word, 1) || (r.pace.Word != 0 && !at.After(r.pace.WordAt)) {
 		return
 	}
 	word = limitSlowness(word)
-	weight := maxWordWeight
-	if p.Word == 0 {
-		p.Usual = 1
-	} else {
-		weight = min(weight, 1-math.Exp(-at.Sub(p.WordAt).Seconds()/usualTime.Seconds()))
+	news := 1.0
+	if r.pace.Word != 0 {
+		news = 1 - math.Exp(-at.Sub(r.pace.WordAt).Seconds()/usualTime.Seconds())
 	}
-	p.Usual += weight * (word - p.Usual)
-	p.Word, p.WordAt = word, at
+	r.pace.Word, r.pace.WordAt = word, at
+	r.words.observe(at, word, news)
+	b.learned(r.group).words.observe(at, word, news)
 }
 
 // Pace returns what is believed about a target's pace.
@@ -92,8 +90,9 @@
 
 // paceOf returns what is believed about a target's pace with the given load.
 func (b *Balancer) paceOf(now time.Time, r *record, l Load, t *catalog.Target) Pace {
-	p := r.pace
-	p.Class = b.classOf(now, r, nearlyFull(l, t))
+	p, zone := r.pace, b.learned(r.group)
+	p.Usual = r.words.mix(now, zone.words.mix(now, 1))
+	p.Class = r.classOf(now, zone, nearlyFull(l, t))
 	return p
 }
 
@@ -135,6 +134,6 @@
 			continue
 		}
 		b.uneven[r.group.service] = true
-		r.pace.hear(now.Add(-age), report.Slowness)
+		b.hear(r, now.Add(-age), report.Slowness)
 	}
 }
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -41,9 +41,10 @@
 	// load is what the target last said about its load, at loadAt.
 	load   TargetLoad
 	loadAt time.Time
-	// pace is what the target's words say about its pace, and classes what its answers do.
-	pace    Pace
-	classes slowClasses
+	// pace holds the target's last word about its pace, and experience what all of its words
+	// and answers tell.
+	pace Pace
+	experience
 
 	// lastActivity is when the target last sent something.
 	lastActivity time.Time
--- a/internal/coordination/balance/targetload.go
+++ b/internal/coordination/balance/targetload.go
@@ -26,7 +26,7 @@
 	b.uneven[t.Service] = true
 	r := b.record(now, t)
 	r.load, r.loadAt = *l, now
-	r.pace.hear(now, l.Slowness)
+	b.hear(r, now, l.Slowness)
 	b.unreported[t.ID] = now
 }
 
