An entry whose processor or link is full leaves new clients to the others for a while

Change: package coordination/capacity decides by the shares of processor and link in use and by the lag of the entry's timers, with hysteresis, for a sixteenth of the time and a second at most, and for a quarter of a zone's entries at a time (PeerUpdate.away). The settings have limits.cpuShare and limits.linkMbps. It acts where callers compete (F0431).

Result: TestDeciderObserve, TestDeciderYields, TestOwnLoad; `go test` of capacity, direct, protocol/direct, event, settings, platform, cmd/foxtailward passed.

--- a/internal/coordination/balance/targetload.go
+++ b/internal/coordination/balance/targetload.go
@@ -30,6 +30,13 @@
 	b.unreported[t.ID] = now
 }
 
+// AnyUneven reports whether there are services for which Uneven is true.
+func (b *Balancer) AnyUneven() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.uneven) > 0
+}
+
 // Uneven reports whether targets of a service say how fast their hosts work at the moment,
 // because they share them with others.
 func (b *Balancer) Uneven(service id.Service) bool {
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -56,6 +56,8 @@
 	// StopsInMS is the time in milliseconds until a draining entry stops; 0 if it
 	// is not draining.
 	StopsInMS int64 `json:"stopsInMs,omitempty"`
+	// Away is set if the entry takes no new connections, because it has no room.
+	Away bool `json:"away,omitempty"`
 	// StoreReachable is set if the entry can reach the key-value service.
 	StoreReachable bool `json:"reachesStore,omitempty"`
 	// KnownPeers holds the addresses of the other entries that the sender receives
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -64,6 +64,7 @@
 	StoreSnapshotAdopted = Event{407, "beliefTaken", Info, "The targets were learned from another entry because the key-value service does not answer this one.", "check the key-value service if this lasts"}
 	PauseDetected        = Event{408, "standstillSeen", Warn, "This process or its host did not run for a while.", "check the load of the host if this repeats"}
 	TargetsOutOfMemory   = Event{430, "targetsOutOfMemory", Warn, "No engine that is ready has the memory for a request beside the runs and copies that it has.", "add engines if it repeats"}
+	CapacityChanged      = Event{431, "capacityChanged", Warn, "An entry that callers compete for takes no new connections, because its processor or link is in use, or takes them again.", "give the entry more processor or bandwidth, or add entries, if it repeats"}
 	ShareStale           = Event{405, "shareStale", Warn, "The owner of a limit does not respond; the last share of the limit stays in force.", "none"}
 )
 
@@ -108,7 +109,7 @@
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
-		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened, TargetsOutOfMemory,
+		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened, TargetsOutOfMemory, CapacityChanged,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -68,6 +68,10 @@
 type ProcessLimits struct {
 	// MemoryMB is the memory, in MB, above which the host kills the process.
 	MemoryMB float64 `toml:"memoryMB"`
+	// CPUShare is the share of a processor that the process may use, and LinkMbps the
+	// bandwidth of its host's link in Mbit/s; 0 if they are not known.
+	CPUShare float64 `toml:"cpuShare"`
+	LinkMbps float64 `toml:"linkMbps"`
 	// GraceSeconds is the time between the stop signal and the kill signal.
 	GraceSeconds float64 `toml:"graceSeconds"`
 	// AddressReuseSeconds is the minimum time between the end of a target and the
@@ -137,6 +141,10 @@
 	switch {
 	case s.Limits.MemoryMB < 0:
 		return newKeyError("limits.memoryMB", "is %v, want a number above 0, or leave it out", s.Limits.MemoryMB)
+	case s.Limits.CPUShare < 0:
+		return newKeyError("limits.cpuShare", "is %v, want a number above 0, or leave it out", s.Limits.CPUShare)
+	case s.Limits.LinkMbps < 0:
+		return newKeyError("limits.linkMbps", "is %v, want a number above 0, or leave it out", s.Limits.LinkMbps)
 	case s.Limits.GraceSeconds < 0:
 		return newKeyError("limits.graceSeconds", "is %v, want a number above 0", s.Limits.GraceSeconds)
 	case s.Limits.AddressReuseSeconds < 0:
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -122,6 +122,7 @@
 	startsNamed atomic.Bool
 	pool        *upstream.Pool
 	metrics     *entryMetrics
+	ownLoad     *ownLoad
 
 	retryBudgets *retryBudgets
 	limits       *targetLimits
@@ -202,7 +203,8 @@
 	e.saver = &stateSaver{e: e}
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
-	e.metrics = newEntryMetrics(e)
+	e.metrics, e.ownLoad = newEntryMetrics(e), newOwnLoad(e)
+	e.registerOwnLoad()
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
--- a/internal/transport/direct/pause.go
+++ b/internal/transport/direct/pause.go
@@ -59,7 +59,10 @@
 // watchClocks checks the clocks periodically until ctx ends.
 func (e *Entry) watchClocks(ctx context.Context) {
 	e.checkClocks()
-	timing.Every(ctx, e.deps.Clock, clockCheckInterval, e.checkClocks)
+	timing.Every(ctx, e.deps.Clock, clockCheckInterval, func() {
+		e.checkClocks()
+		e.ownLoad.measure(clockCheckInterval)
+	})
 }
 
 func (e *Entry) checkClocks() {
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -314,6 +314,7 @@
 		From: x.e.cfg.Name, Incarnation: x.incarnation, Sequence: x.sequence, Address: x.e.cfg.PeerAddress,
 		Version: x.e.configVersion(), Zone: x.e.cfg.Place.Zone,
 	}
+	u.Away = x.e.ownLoad.away.Load()
 	u.StoreReachable = x.e.targetsListed.Load() && !x.storeWatcher.storeUnavailable()
 	if start := x.e.drainStart.Load(); start != nil {
 		u.StopsInMS = max(1, x.e.drainEnd(*start).Sub(now).Milliseconds())
@@ -370,6 +371,7 @@
 		return
 	}
 	x.configs.observe(ctx, u.Address, u.Version)
+	x.e.ownLoad.applyPeer(now, u)
 	if u.Notice || !u.Announcement {
 		x.applyState(ctx, now, u)
 	}
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -217,7 +217,9 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	c.w.WriteHeader(a.status)
-	if _, err := c.w.Write(a.body); err != nil && c.clientGone() {
+	n, err := c.w.Write(a.body)
+	c.e.ownLoad.sent.Add(int64(n))
+	if err != nil && c.clientGone() {
 		c.abandon()
 	}
 	c.e.metrics.requestEnded(c.route, outcomeAnswered, c.now().Sub(c.start))
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -164,6 +164,8 @@
 		return errNoConfig
 	case !e.targetsListed.Load():
 		return errNoTargets
+	case e.ownLoad.away.Load():
+		return errChoked
 	}
 	return nil
 }
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -416,7 +416,8 @@
 	if err := s.out.SetWriteDeadline(s.writeDeadline()); err != nil {
 		return err
 	}
-	_, err := s.c.w.Write(next.Raw)
+	n, err := s.c.w.Write(next.Raw)
+	s.c.e.ownLoad.sent.Add(int64(n))
 	return err
 }
 
