A later end of a stream counts less than a later beginning; a target at its limit must have the memory too

Cause: callers of streams need the first event soon and the others without a pause. The whole time of the answer in the cost gathered streams on the engines of the faster zones, which are lost with their zones. And a request that waits for a target at its limit was not held to that target's memory.

Change: the answer's time counts a quarter (answerShare). firstFree leaves out targets without the memory (Balancer.Fits).

Result: `go test` of balance and the parts of direct that match Limit, Choose, Memory passed.

--- a/internal/coordination/balance/finish.go
+++ b/internal/coordination/balance/finish.go
@@ -13,6 +13,9 @@
 	// delayShare is how much the delay of a running generation by the new prompt counts,
 	// relative to a delay of the request itself.
 	delayShare = 0.5
+	// answerShare is how much a later end of a stream counts, relative to a later beginning:
+	// callers need the first event soon, and the others without a pause.
+	answerShare = 0.25
 )
 
 // byFinish reports whether requests for a service are placed by when they are expected to be
@@ -52,7 +55,7 @@
 	cost += max(runCost, delayShare*prompt*slowness)*float64(l.Running) + backupHeldCost*float64(l.Backups)
 	begins := now.Add(seconds((ahead + prompt) * slowness))
 	answer := b.usualSeconds(workKind{t.Service, answerTime}, 0)
-	cost += answer * pace.Slowness(begins, seconds(answer)) * coldness(begins, t, seconds(answer))
+	cost += answerShare * answer * pace.Slowness(begins, seconds(answer)) * coldness(begins, t, seconds(answer))
 	if t.Zone != b.zone {
 		cost += otherZoneCost
 	}
@@ -94,6 +97,13 @@
 	return l.MemoryTokens+times*request.memory() <= request.Engine.MemoryTokens
 }
 
+// Fits reports whether an engine has the memory for a request, as far as this entry knows.
+func (b *Balancer) Fits(now time.Time, request Request, t *catalog.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fits(now, request, t, 1)
+}
+
 // OutOfMemory reports whether at least one of the targets is ready and none that is has the
 // memory for the request.
 func (b *Balancer) OutOfMemory(now time.Time, request Request, targets catalog.Targets) bool {
--- a/internal/coordination/balance/pace_test.go
+++ b/internal/coordination/balance/pace_test.go
@@ -136,6 +136,7 @@
 	}
 	is.True(len(attempts) >= 4*88000/9000/2) // at least half of the memory holds runs
 	is.True(b.OutOfMemory(start, request(), ts))
+	is.True(!b.Fits(start, request(), ts[0]))
 	is.True(!b.OutOfMemory(start, balance.Request{Engine: engine(), PromptTokens: 100}, ts))
 	is.True(!b.OutOfMemory(start, request(), nil)) // no target is another reason
 	attempts[0].End(start, balance.Succeeded)
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -83,13 +83,13 @@
 }
 
 // firstFree returns the target that may get a request first, and the time until then.
-// Targets that were tried or are suspected are left out.
+// Targets that were tried, are suspected or lack the memory for it are left out.
 func (c *call) firstFree(full catalog.Targets) (*catalog.Target, time.Duration) {
 	now := c.now()
 	var first *catalog.Target
 	var least time.Duration
 	for _, t := range full {
-		if c.tried[t.ID] || c.e.balancer.Suspected(now, t) {
+		if c.tried[t.ID] || c.e.balancer.Suspected(now, t) || !c.e.balancer.Fits(now, c.requirements, t) {
 			continue
 		}
 		if wait := c.e.limits.wait(now, t); first == nil || wait < least {
