--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -20,6 +20,8 @@
 	ended     bool
 	// released says that what Start counted is no longer counted.
 	released bool
+	// work is what the attempt tells about the target's pace.
+	work work
 	// cancel is called if the target's group is lost before the target has begun
 	// to answer.
 	cancel func()
@@ -45,6 +47,7 @@
 	r.MemoryTokens += request.memory()
 	attempt := &Attempt{balancer: b, request: request, target: c.Target, cancel: cancel, wait: wait}
 	attempt.setBackup(now, c.Backup)
+	attempt.work = b.beginWork(now, c.Target)
 	b.waiting[attempt] = struct{}{}
 	return attempt
 }
@@ -69,6 +72,7 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	a.balancer.record(now, a.target).lastActivity = now
+	a.work.addEvent(now)
 }
 
 func (a *Attempt) endWait(now time.Time) {
--- a/internal/coordination/balance/evidence.go
+++ b/internal/coordination/balance/evidence.go
@@ -37,10 +37,6 @@
 	minAhead = 250 * time.Millisecond
 	// generationTime is how long a generation is expected to occupy a slot.
 	generationTime = 6 * time.Second
-	// paceValidFor is how long a target's word about its host's pace is used, and maxSlowness
-	// bounds what is believed of it.
-	paceValidFor = time.Second
-	maxSlowness  = 4.0
 	// fullShare is the share of an engine's memory from which it may preempt runs.
 	fullShare = 0.9
 	// silenceBefore is the part of a silence that ended a run during which another run's event
@@ -66,9 +62,9 @@
 		w.ahead = slotWait(t, l)
 		return w
 	}
-	slowness := r.slowness(now)
-	w.ahead = max(slotWait(t, l), memoryWait(request, l)) + computeTime(b.backlogOf(now, t.ID, l), slowness)
-	w.own = computeTime(float64(request.PromptTokens), slowness)
+	pace := b.paceOf(now, r, l, t)
+	w.ahead = max(slotWait(t, l), memoryWait(request, l)) + pace.computeTime(now, b.backlogOf(now, t.ID, l))
+	w.own = pace.computeTime(now, float64(request.PromptTokens))
 	return w
 }
 
@@ -90,18 +86,10 @@
 	return time.Duration(float64(l.MemoryTokens+request.memory()-size) / float64(size) * float64(generationTime))
 }
 
-// computeTime returns how long an engine takes for so many tokens of prompts.
-func computeTime(tokens, slowness float64) time.Duration {
-	return time.Duration(tokens / drainPerSecond * slowness * float64(time.Second))
-}
-
-// slowness returns how long work takes at the target relative to the usual time, as far as it
-// has said so lately.
-func (r *record) slowness(now time.Time) float64 {
-	if r.loadAt.IsZero() || now.Sub(r.loadAt) > paceValidFor {
-		return 1
-	}
-	return min(maxSlowness, max(1, r.load.Slowness))
+// computeTime returns how long an engine takes for so many tokens of prompts, as usual at least.
+func (p Pace) computeTime(now time.Time, tokens float64) time.Duration {
+	usual := seconds(tokens / drainPerSecond)
+	return time.Duration(max(1, p.Slowness(now, usual)) * float64(usual))
 }
 
 // SilenceEvidence returns what the attempt's silence shows, if it ends for that.
@@ -140,6 +128,7 @@
 		return false
 	}
 	a.ended = true
+	a.work.learn(now, a, o)
 	a.endWait(now)
 	a.release(now)
 	if evidence == OverdueStart {
@@ -177,7 +166,7 @@
 // ApplyPeerLossBy is like ApplyPeerLoss. evidence says what showed the loss. It does not count
 // if a backlog may explain it, or if this entry has heard from the target in the meantime.
 func (b *Balancer) ApplyPeerLossBy(now time.Time, t *catalog.Target, ago time.Duration, evidence Evidence) bool {
-	if evidence == OverdueStart || b.contradicts(now, t, now.Add(-ago), evidence) {
+	if evidence == OverdueStart || (evidence != Untyped && b.contradicts(now, t, now.Add(-ago), evidence)) {
 		return false
 	}
 	if evidence == Connection || evidence == StreamSilence {
--- a/internal/coordination/balance/silence.go
+++ b/internal/coordination/balance/silence.go
@@ -71,7 +71,7 @@
 	}
 	r := a.balancer.record(now, a.target)
 	l := a.balancer.total(r, a.target)
-	later := computeTime(float64(max(0, l.PrefillTokens-a.request.PromptTokens)), r.slowness(now))
+	later := a.balancer.paceOf(now, r, l, a.target).computeTime(now, float64(max(0, l.PrefillTokens-a.request.PromptTokens)))
 	return max(a.wait.ahead, later)
 }
 
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -57,6 +57,8 @@
 	// StopsInMS is the time in milliseconds until a draining entry stops; 0 if it
 	// is not draining.
 	StopsInMS int64 `json:"stopsInMs,omitempty"`
+	// Away is set if the entry takes no new connections, because it has no room.
+	Away bool `json:"away,omitempty"`
 	// StoreReachable is set if the entry can reach the key-value service.
 	StoreReachable bool `json:"reachesStore,omitempty"`
 	// KnownPeers holds the addresses of the other entries that the sender receives
@@ -67,6 +69,9 @@
 	// LoadChanges is what the entry has in flight at the targets where that has changed
 	// since the last message.
 	LoadChanges map[id.Target]balance.Load `json:"loadChanges,omitempty"`
+	// Paces are the targets' words about their pace that the entry has heard since the last
+	// message.
+	Paces map[id.Target]balance.PaceReport `json:"paces,omitempty"`
 	// Runs are the runs of unfinished streams that are copied to another engine.
 	Runs []handover.Run `json:"runs,omitempty"`
 	// Retries counts the recent requests and retries to each service.
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -203,6 +203,7 @@
 	if limit := p.limits.answer(self, forwarded.Attempt); limit > 0 {
 		platform.EncodeLimit(w.Header(), limit)
 	}
+	p.sayPace(w.Header(), self)
 	p.checkNotDrained(forwarded.Attempt)
 	return p.refuseLeaving(w, forwarded.Attempt) || p.serveRest(w, self, forwarded.Attempt)
 }
@@ -303,7 +304,7 @@
 // body.
 func (p *replica) servePlain(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, path, body string) {
 	fails, factor := p.w.rollout.Load().answer(p.currentTarget().Software, path)
-	if !sleep(ctx, time.Duration(factor)*plainLatency) {
+	if !sleep(ctx, time.Duration(factor)*p.work(plainLatency)) {
 		return
 	}
 	p.mu.Lock()
@@ -357,6 +358,10 @@
 	}
 	for i := last + 1; i <= s.events; i++ {
 		wait := s.gap
+		if wait == eventGap {
+			// Streams of other shapes keep the times that they are named for.
+			wait = p.work(wait)
+		}
 		if i == s.events/2 && last == 0 {
 			wait += s.pause
 		}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -101,6 +101,9 @@
 	// Rollouts adds the operator's orders to move the plain service to new versions, good and bad ones, and entries
 	// that are killed meanwhile.
 	Rollouts bool
+	// Uneven lets targets share their hosts with others: work takes longer in spells, and in one
+	// zone at all times. They say so, at times wrongly.
+	Uneven bool
 	// Calm leaves out the faults and the planned work that the other options do not add.
 	Calm bool
 	// SafetyOnly leaves out the checks that depend on the machine's speed, for
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -68,6 +68,8 @@
 	PeerUpdateShortened  = Event{409, "peerUpdateShortened", Warn, "A message to the other entries was too long, and unfinished runs, or target failures of the least suspected requests, were left out.", "add entries if it repeats"}
 	StoreSnapshotAdopted = Event{407, "beliefTaken", Info, "The targets were learned from another entry because the key-value service does not answer this one.", "check the key-value service if this lasts"}
 	PauseDetected        = Event{408, "standstillSeen", Warn, "This process or its host did not run for a while.", "check the load of the host if this repeats"}
+	TargetsOutOfMemory   = Event{430, "targetsOutOfMemory", Warn, "No engine that is ready has the memory for a request beside the runs and copies that it has.", "add engines if it repeats"}
+	CapacityChanged      = Event{431, "capacityChanged", Warn, "An entry that callers compete for takes no new connections, because its processor or link is in use, or takes them again.", "give the entry more processor or bandwidth, or add entries, if it repeats"}
 	ShareStale           = Event{405, "shareStale", Warn, "The owner of a limit does not respond; the last share of the limit stays in force.", "none"}
 )
 
@@ -126,7 +128,7 @@
 		ClientsRefused,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
-		SilenceExplained, WaitingMoved, RetryAwaited, RetryTooLate,
+		SilenceExplained, WaitingMoved, RetryAwaited, RetryTooLate, TargetsOutOfMemory, CapacityChanged,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
 		RolloutOrdered, RolloutStage, RolloutBad, RolloutWaits, RolloutNotWritten, RolloutRefused, RolloutVersionHeld,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -71,6 +71,10 @@
 	// MaxFDs is the number of descriptors that the process may have open; 0 for the limit
 	// that the system enforces.
 	MaxFDs int `toml:"maxFDs"`
+	// CPUShare is the share of a processor that the process may use, and LinkMbps the
+	// bandwidth of its host's link in Mbit/s; 0 if they are not known.
+	CPUShare float64 `toml:"cpuShare"`
+	LinkMbps float64 `toml:"linkMbps"`
 	// GraceSeconds is the time between the stop signal and the kill signal.
 	GraceSeconds float64 `toml:"graceSeconds"`
 	// AddressReuseSeconds is the minimum time between the end of a target and the
@@ -142,6 +146,10 @@
 		return newKeyError("limits.memoryMB", "is %v, want a number above 0, or leave it out", s.Limits.MemoryMB)
 	case s.Limits.MaxFDs < 0:
 		return newKeyError("limits.maxFDs", "is %v, want a number above 0, or leave it out", s.Limits.MaxFDs)
+	case s.Limits.CPUShare < 0:
+		return newKeyError("limits.cpuShare", "is %v, want a number above 0, or leave it out", s.Limits.CPUShare)
+	case s.Limits.LinkMbps < 0:
+		return newKeyError("limits.linkMbps", "is %v, want a number above 0, or leave it out", s.Limits.LinkMbps)
 	case s.Limits.GraceSeconds < 0:
 		return newKeyError("limits.graceSeconds", "is %v, want a number above 0", s.Limits.GraceSeconds)
 	case s.Limits.AddressReuseSeconds < 0:
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -49,8 +49,12 @@
 		if !ok && c.endDraw() {
 			continue
 		}
-		if !ok || (c.takeShare(choice.Target) && c.e.limits.take(now, choice.Target, 0)) {
-			return choice, ok
+		if !ok {
+			c.noteMemory(now, free)
+			return choice, false
+		}
+		if c.takeShare(choice.Target) && c.e.limits.take(now, choice.Target, 0) {
+			return choice, true
 		}
 		c.endReservation()
 		c.endTrial()
@@ -83,13 +87,13 @@
 }
 
 // firstFree returns the target that may get a request first, and the time until then.
-// Targets that were tried or are suspected are left out.
+// Targets that were tried, are suspected or lack the memory for it are left out.
 func (c *call) firstFree(full catalog.Targets) (*catalog.Target, time.Duration) {
 	now := c.now()
 	var first *catalog.Target
 	var least time.Duration
 	for _, t := range full {
-		if c.tried[t.ID] || c.e.balancer.Suspected(now, t) {
+		if c.tried[t.ID] || c.e.balancer.Suspected(now, t) || !c.e.balancer.Fits(now, c.requirements, t) {
 			continue
 		}
 		if wait := c.e.limits.wait(now, t); first == nil || wait < least {
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -130,6 +130,7 @@
 	startsNamed atomic.Bool
 	pool        *upstream.Pool
 	metrics     *entryMetrics
+	ownLoad     *ownLoad
 
 	retryBudgets *retryBudgets
 	limits       *targetLimits
@@ -202,7 +203,7 @@
 	}
 	e.stopping, e.endStopping = context.WithCancel(context.Background())
 	e.working, e.endWorking = context.WithCancel(context.Background())
-	e.balancer.GroupSize = e.targetsIn
+	e.balancer.GroupSize, e.balancer.Ordered = e.targetsIn, cfg.Admission.Ordered
 	e.balancer.ReportAge = func() time.Duration { return updateInterval(e.roster.CountAlive(deps.Clock.Now())) }
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.quarantine.Entries = func() int { return e.roster.LimitSharers(deps.Clock.Now()) }
@@ -221,7 +222,8 @@
 	e.inbound = newInboundGuard(e)
 	e.moves = newZoneMoves(e)
 	e.signs = newSignsOfLife(e)
-	e.metrics = newEntryMetrics(e)
+	e.metrics, e.ownLoad = newEntryMetrics(e), newOwnLoad(e)
+	e.registerOwnLoad()
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
--- a/internal/transport/direct/export_test.go
+++ b/internal/transport/direct/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"foxtailward.example/foxtailward/internal/coordination/balance"
+	"foxtailward.example/foxtailward/internal/coordination/roster"
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
@@ -20,3 +21,14 @@
 func (e *Entry) SetUneven(service id.Service) {
 	e.balancer.ObserveLoad(e.deps.Clock.Now(), &catalog.Target{ID: "hint", Service: service}, &balance.TargetLoad{Slowness: 1})
 }
+
+// MeasureLoad has the entry measure its load after it has sent so many bytes, while it hears
+// of the other entries. It reports whether the entry takes new connections.
+func (e *Entry) MeasureLoad(sent int64, others ...roster.Peer) bool {
+	for _, p := range others {
+		e.roster.Observe(e.deps.Clock.Now(), p, nil)
+	}
+	e.ownLoad.sent.Add(sent)
+	e.ownLoad.measure(clockCheckInterval)
+	return !e.ownLoad.away.Load()
+}
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -314,6 +314,7 @@
 		From: x.e.cfg.Name, Incarnation: x.incarnation, Sequence: x.sequence, Address: x.e.cfg.PeerAddress,
 		Version: x.e.configVersion(), Zone: x.e.cfg.Place.Zone,
 	}
+	u.Away = x.e.ownLoad.away.Load()
 	u.StoreReachable = x.e.targetsListed.Load() && !x.storeWatcher.storeUnavailable()
 	if start := x.e.drainStart.Load(); start != nil {
 		u.StopsInMS = max(1, x.e.drainEnd(*start).Sub(now).Milliseconds())
@@ -331,7 +332,7 @@
 	for lost, age := range x.e.balancer.RecentLosses(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Evidence: x.e.balancer.LossEvidence(lost), AgeMS: age.Milliseconds()})
 	}
-	u.Successors = x.e.successors.recentlyFound(now)
+	u.Successors, u.Paces = x.e.successors.recentlyFound(now), x.e.balancer.TakePaces(now)
 	u.Rollouts = x.e.rollouts.reports()
 	for lost, age := range x.e.balancer.RecentlyReplaced(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Replaced: true, AgeMS: age.Milliseconds()})
@@ -371,6 +372,7 @@
 		return
 	}
 	x.configs.observe(ctx, u.Address, u.Version)
+	x.e.ownLoad.applyPeer(now, u)
 	if u.Notice || !u.Announcement {
 		x.applyState(ctx, now, u)
 	}
@@ -385,6 +387,7 @@
 // applyState applies what a message says about its sender's state.
 func (x *peerExchange) applyState(ctx context.Context, now time.Time, u *direct.PeerUpdate) {
 	x.applyLoads(now, u)
+	x.e.balancer.ApplyPeerPaces(now, u.Paces)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
 	x.e.limits.merge(now, u.Limits)
 	x.e.withdrawn.Merge(now, u.Leaving)
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -126,6 +126,7 @@
 	if c.evidence != balance.Untyped {
 		fields = append(fields, "evidence", c.evidence)
 	}
+	fields = append(fields, c.paceFields(now, choice.Target, now.Sub(sent))...)
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
@@ -225,7 +226,9 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	c.w.WriteHeader(a.status)
-	if _, err := c.w.Write(a.body); err != nil && c.clientGone() {
+	n, err := c.w.Write(a.body)
+	c.e.ownLoad.sent.Add(int64(n))
+	if err != nil && c.clientGone() {
 		c.abandon()
 	}
 	c.e.metrics.requestEnded(c.route, outcomeAnswered, c.now().Sub(c.start))
