Requests that compete for room wait at the entry, in the order of what a delay costs

Cause: entries sent into full targets and answered 503 targetsBusy with a fixed Retry-After; the most urgent kind got a smaller share than a less urgent one, also because an account's priority hid that of the route. Change: overload.Line orders what waits (urgency, can be on time, account's share and work, arrival), balance.Room says how much targets can take, PeerUpdate.waiting tells the others, Config.UrgencyOf orders kinds of accounts with a priority of their own.

--- a/internal/coordination/balance/attempt.go
+++ b/internal/coordination/balance/attempt.go
@@ -159,6 +159,9 @@
 		rec.recordOutcome(now, 0)
 	case Failed, Refused:
 		rec.refusedAt = now
+		if o == Refused {
+			rec.fullUntil = now.Add(fullTime)
+		}
 		rec.recordOutcome(now, 1)
 	case Lost, Unreachable:
 		if o == Lost && b.ownHostFault(now) {
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -132,6 +132,8 @@
 	waiting map[*Attempt]struct{}
 	// uneven holds the services whose targets say how fast their hosts work.
 	uneven map[id.Service]bool
+	// draws round this entry's part of the room of plain services.
+	draws map[id.Service]*draw
 }
 
 // New returns a Balancer for an entry in the zone. random returns numbers in
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -48,6 +48,11 @@
 	// request.
 	refusedAt time.Time
 
+	// fullUntil is the time until which the target counts as full, because it refused a
+	// request. roomDraw rounds this entry's part of its room.
+	fullUntil time.Time
+	roomDraw  draw
+
 	// losses counts consecutive losses.
 	losses       int
 	suspectUntil time.Time
--- a/internal/coordination/balance/targetload.go
+++ b/internal/coordination/balance/targetload.go
@@ -18,12 +18,14 @@
 
 // ObserveLoad records what a target said about its load just now; nil if it said nothing.
 func (b *Balancer) ObserveLoad(now time.Time, t *catalog.Target, l *TargetLoad) {
-	if l == nil || l.Slowness == 0 {
+	if l == nil {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.uneven[t.Service] = true
+	if l.Slowness > 0 {
+		b.uneven[t.Service] = true
+	}
 	r := b.record(now, t)
 	r.load, r.loadAt = *l, now
 }
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -18,6 +18,14 @@
 //	}
 //	item, ok := q.Next(hasCapacity, now) // whenever a target may have capacity
 //	dropped := q.DropLate(now)           // a few times per second
+//
+// A Line holds the requests for one service at a direct entry. It orders them by what a delay
+// costs their callers, strictly by priority first, and has the same verdicts:
+//
+//	place := line.NewPlace(item, now)
+//	verdict, displaced := line.Offer(place, free, now)
+//	place, passed := line.Next(hasRoom, now)
+//	dropped := line.DropLate(now)
 package overload
 
 import (
@@ -42,6 +50,11 @@
 	// Deadline is when the caller gives up. If zero, the maximum wait of the class
 	// applies.
 	Deadline time.Time
+	// Priority and OnTimeBy order the requests of a Line. Priority 0 is the most urgent.
+	// OnTimeBy is the latest start with which the request meets its latency objective; zero
+	// for none.
+	Priority int
+	OnTimeBy time.Time
 }
 
 // Kind is the decision about an offered request.
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -12,6 +12,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/origin"
+	"foxtailward.example/foxtailward/internal/coordination/overload"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
 	"foxtailward.example/foxtailward/internal/coordination/store"
@@ -70,6 +71,8 @@
 	Runs []handover.Run `json:"runs,omitempty"`
 	// Retries counts the recent requests and retries to each service.
 	Retries map[id.Service]retry.Counts `json:"retries,omitempty"`
+	// Waiting counts the requests that wait for room at each service's targets, by rank.
+	Waiting map[id.Service]map[overload.Rank]int `json:"waiting,omitempty"`
 	// Losses are the targets that the entry recently lost.
 	Losses []Loss `json:"losses,omitempty"`
 	// Successors are the targets that the entry recently found at the addresses of
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -50,6 +50,8 @@
 
 	byHost map[string]Routes
 	byKey  map[Key]*ClientAccount
+	// urgencies are sorted, the most urgent first.
+	urgencies []urgency
 }
 
 // ClientAccount is a client account with its keys.
@@ -112,6 +114,7 @@
 			c.byKey[key] = &c.Accounts[i]
 		}
 	}
+	c.indexUrgencies()
 	return nil
 }
 
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -24,6 +24,10 @@
 	RequestFinished  = Event{204, "requestFinished", Info, "The answer to a request is complete.", "none"}
 	RequestFailed    = Event{205, "requestFailed", Warn, "An accepted request ended without a complete answer, and its caller was notified.", "see the reason"}
 	RequestAbandoned = Event{206, "requestAbandoned", Info, "No client reads an answer any more, and its work was cancelled.", "none"}
+	RequestWaits     = Event{220, "requestWaits", Info, "A request waits because there is no room for it at its service's targets, or others go first.", "none; see room in docs/design/waiting.md"}
+	RequestGoesOn    = Event{221, "requestGoesOn", Info, "A request that waited is sent to a target.", "none; passed says how many that came earlier still wait"}
+	RequestDisplaced = Event{222, "requestDisplaced", Info, "A request that waited gave its place to one that a delay costs more, and was refused without being run.", "add targets if this lasts"}
+	RoomRefused      = Event{223, "roomRefused", Info, "A request was refused, or gave up waiting, because room at a target would come too late for it.", "add targets if this lasts"}
 	RequestAdopted   = Event{207, "requestAdopted", Warn, "An entry took over a request whose owner is gone.", "none"}
 )
 
@@ -105,7 +109,7 @@
 func All() []Event {
 	return []Event{
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
-		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
+		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted, RequestWaits, RequestGoesOn, RequestDisplaced, RoomRefused,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
--- a/internal/state/meter/meter.go
+++ b/internal/state/meter/meter.go
@@ -100,8 +100,8 @@
 
 // RegisterGauge registers a gauge. value is called whenever the metrics are
 // read. The name must include the unit.
-func (s *Set) RegisterGauge(name string, value func() float64) {
-	s.registry.GetOrRegister(name, metrics.NewFunctionalGaugeFloat64(value))
+func (s *Set) RegisterGauge(name string, value func() float64, labels ...Label) {
+	s.registry.GetOrRegister(s.seriesName(name, labels, maxCounters), metrics.NewFunctionalGaugeFloat64(value))
 }
 
 // seriesName returns the name under which a series is registered. If the metric
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -153,9 +153,13 @@
 	return lasting
 }
 
-// withRoom leaves out the targets of a stream that goes on which have as many requests as
-// they run and queue at once: all that go on come to the few targets of a version.
+// withRoom leaves out the targets without room for a request that has waited for it, and those
+// of a stream that goes on which have as many requests as they run and queue at once: all that
+// go on come to the few targets of a version.
 func (c *call) withRoom(targets catalog.Targets) catalog.Targets {
+	if c.waits() {
+		return c.roomy(targets)
+	}
 	if c.software == nil {
 		return targets
 	}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -126,6 +126,7 @@
 	retryBudgets *retryBudgets
 	limits       *targetLimits
 	places       *targetPlaces
+	lines        *waitingLines
 	withdrawn    *withdrawal.Tracker
 	// buffers holds the answers of targets, and bodies the bodies of requests.
 	buffers, bodies *bodyBuffers
@@ -203,6 +204,7 @@
 	e.storeWatcher = newStoreWatcher(e)
 	e.successors = newSuccessorFinder(e)
 	e.metrics = newEntryMetrics(e)
+	e.lines = newWaitingLines(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -73,6 +73,8 @@
 	trial *catalog.Target
 	// reservedPlace is the target at which the call has reserved a place; empty for none.
 	reservedPlace id.Target
+	// wait is how the call waits for room at a target.
+	wait waitState
 	// budgetExhausted is set if the retry budget did not allow another attempt.
 	budgetExhausted bool
 	// requestFingerprint identifies the content of the request. quarantineLeft is
@@ -120,6 +122,7 @@
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "protocol", c.r.Proto, "left", c.timeLeft())
 	defer c.endTrial()
+	defer c.endTurn()
 	defer c.endReservation()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -253,7 +256,7 @@
 	m := direct.ForwardMetadata{Timeout: c.timeLeft(), Target: choice.Target.ID}
 	m.Account = c.accountName()
 	if c.requirements.Engine != nil {
-		priority := c.cfg.PriorityOf(c.route, c.account)
+		priority := c.priority()
 		m.Priority = &priority
 	}
 	if choice.Backup != nil {
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -8,6 +8,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/meter"
 )
 
@@ -57,6 +58,21 @@
 	outcomeBroken    = "streamBroken"
 )
 
+// registerWaiting registers the number of requests that wait for room at a service's targets.
+func (m *entryMetrics) registerWaiting(service id.Service, value func() float64) {
+	m.set.RegisterGauge("waitingRequests", value, meter.Label{Key: "service", Value: string(service)})
+}
+
+// waitEnded records how long a request waited for room.
+func (m *entryMetrics) waitEnded(service id.Service, waited time.Duration) {
+	m.set.Observe("roomWait", waited, meter.Label{Key: "service", Value: string(service)})
+}
+
+// roomRefused counts a request that was refused or displaced because there was too little room.
+func (m *entryMetrics) roomRefused(service id.Service, reason string) {
+	m.set.Count("roomRefusals", meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "reason", Value: reason})
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *entryMetrics) firstEvent(route *catalog.Route, took time.Duration) {
 	m.set.Observe("firstEvent", took, meter.Label{Key: "route", Value: route.Name})
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -327,6 +327,7 @@
 	u := x.header(now)
 	u.Leaving = x.e.withdrawn.Reports(now)
 	u.Versions = x.takeVersionReport(now)
+	u.Waiting = x.e.lines.counts(now)
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
 	for lost, age := range x.e.balancer.RecentLosses(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
@@ -385,6 +386,7 @@
 func (x *peerExchange) applyState(ctx context.Context, now time.Time, u *direct.PeerUpdate) {
 	x.applyLoads(now, u)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
+	x.e.lines.setPeer(now, u.From, u.Waiting)
 	x.e.limits.merge(now, u.Limits)
 	x.e.withdrawn.Merge(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
--- a/internal/transport/direct/places.go
+++ b/internal/transport/direct/places.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -8,9 +9,9 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// targetPlaces counts the streams that go on at a target and have not started there yet, so
-// that those which choose a target at the same time do not all take its last place. It
-// is safe for concurrent use.
+// targetPlaces counts the requests that are about to be sent to a target: streams that go on,
+// and requests that have waited for room. So those which choose a target at the same time do
+// not all take its last place. It is safe for concurrent use.
 type targetPlaces struct {
 	// running returns the requests that run at a target.
 	running func(now time.Time, t *catalog.Target) int
@@ -41,6 +42,25 @@
 	return true
 }
 
+// reserveUnchanged takes a place at a target unless others have taken places there beyond those
+// that were seen.
+func (p *targetPlaces) reserveUnchanged(t id.Target, seen int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reserved[t] > seen {
+		return false
+	}
+	p.reserved[t]++
+	return true
+}
+
+// snapshot returns the places that are reserved.
+func (p *targetPlaces) snapshot() map[id.Target]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.reserved)
+}
+
 // giveBack gives back a place, once its stream runs there or is not sent.
 func (p *targetPlaces) giveBack(t id.Target) {
 	p.mu.Lock()
@@ -50,12 +70,17 @@
 	}
 }
 
-// reservePlace takes a place for a stream that goes on. It returns false if the target is full.
+// reservePlace takes a place for a stream that goes on, or for a request that has waited for
+// room. It returns false if the target is full, or if others have taken a place there meanwhile.
 func (c *call) reservePlace(t *catalog.Target) bool {
-	if c.software == nil {
+	switch {
+	case c.waits():
+		if !c.e.places.reserveUnchanged(t.ID, c.wait.reserved[t.ID]) {
+			return false
+		}
+	case c.software == nil:
 		return true
-	}
-	if !c.e.places.reserve(c.now(), t) {
+	case !c.e.places.reserve(c.now(), t):
 		return false
 	}
 	c.reservedPlace = t.ID
@@ -67,5 +92,6 @@
 	if c.reservedPlace != "" {
 		c.e.places.giveBack(c.reservedPlace)
 		c.reservedPlace = ""
+		c.endTurn()
 	}
 }
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -38,12 +38,15 @@
 func (c *call) servePlain(ctx context.Context) {
 	var failed *bufferedAnswer
 	for c.sends < c.maxRuns()+extraSends && c.runs < c.maxRuns() && !c.expired() {
-		if c.stopsFirst() || !c.mayStart(ctx) {
+		if c.stopsFirst() || !c.awaitRoom(ctx) || !c.mayStart(ctx) {
 			break
 		}
 		choice, ok := c.choose(ctx)
 		if !ok {
 			c.notReached()
+			if c.lostRoom() {
+				continue
+			}
 			break
 		}
 		if c.stopsFirst() || !c.allowSend() {
@@ -62,7 +65,7 @@
 		case balance.Failed:
 			failed = answer
 		case balance.Refused:
-			c.targetBusy = true
+			c.refusedBy(choice.Target)
 		}
 	}
 	if failed != nil {
@@ -78,6 +81,7 @@
 	sent := c.now()
 	c.answer = answerRecord{}
 	run := c.e.balancer.Start(sent, choice, c.requirements, nil)
+	c.endReservation()
 	answer, outcome, err := c.roundTrip(ctx, choice)
 	if c.clientGone() || (outcome == balance.Lost && c.e.stopped()) {
 		outcome = balance.ClientCancelled
@@ -114,6 +118,7 @@
 		c.e.updatePeers()
 	}
 	c.e.metrics.sendEnded(choice.Target, outcome, now.Sub(sent))
+	c.e.lines.sendEnded(c, outcome, now.Sub(sent))
 	c.e.metrics.answerEnded(c.route, &c.answer, outcome)
 	fields := []any{"target", choice.Target.ID, "process", choice.Target.Incarnation, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	fields = append(fields, c.answer.fields()...)
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -99,6 +99,8 @@
 	case c.runs == 0 && !c.expired() && c.versionGone():
 		c.log(event.RecoveryRefused, "reason", "versionGone", "resumes", c.meta.Resumes, "lastEvent", c.meta.LastEventID)
 		c.refuse(refusal{status: statusNotRun, reason: "versionGone", retryAfter: versionGoneRetryAfter})
+	case c.runs == 0 && c.wait.refused != "":
+		c.refuse(refusal{status: statusNotRun, reason: string(c.wait.refused), retryAfter: c.wait.retryAfter})
 	case c.runs == 0 && c.limitedTarget != nil && !c.expired():
 		c.refuseAtLimit()
 	case c.runs == 0 && !c.expired() && c.pause() > 0:
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -101,12 +101,15 @@
 	}
 	defer s.endHandover()
 	for s.mayRunAgain() {
-		if s.stopsFirst() || !c.mayStart(ctx) {
+		if s.stopsFirst() || !c.awaitRoom(ctx) || !c.mayStart(ctx) {
 			break
 		}
 		a, ok := s.nextAttempt(ctx)
 		if !ok {
 			c.notReached()
+			if c.lostRoom() {
+				continue
+			}
 			break
 		}
 		if s.stopsFirst() || !c.allowSend() {
@@ -210,7 +213,9 @@
 		// A copy can be used only after the prompt has been processed.
 		s.copyTracker.take()
 	}
-	c.targetBusy = c.targetBusy || outcome == balance.Refused
+	if outcome == balance.Refused {
+		c.refusedBy(a.choice.Target)
+	}
 	c.succeeded = outcome == balance.Succeeded
 	c.recordSend(run, a.choice, outcome, sent, err)
 	return outcome
