--- a/internal/coordination/overload/line.go
+++ b/internal/coordination/overload/line.go
@@ -20,8 +20,13 @@
 	// it, before the rate at which room comes is used.
 	minBusyTime   = 300 * time.Millisecond
 	minBusyStarts = 6
+	// displacingFactor is how many times as much as a request the last one of the same rank must
+	// count, by its account's work and its own, to give its place to it.
+	displacingFactor = 2
 	// defaultRetryAfter is the Retry-After while that rate is not known.
 	defaultRetryAfter = 300 * time.Millisecond
+	// refusalPause is the time without a refusal after which refusals begin anew.
+	refusalPause = time.Second
 	// minRetryAfter is the shortest Retry-After.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -61,6 +66,8 @@
 	starts    int
 	rate      roomRate
 	returning []returning
+	// refusedSince is when refusals began, and refusedAt when the last one was.
+	refusedSince, refusedAt time.Time
 }
 
 // returning is a request that was refused and told to come back.
@@ -122,6 +129,7 @@
 func (l *Line) Offer(p *Place, free bool, now time.Time) (Verdict, *Dropped) {
 	l.advance(now)
 	l.sort(now)
+	l.rate.offered += p.Item.Cost
 	at := l.position(p, now)
 	if free && at == 0 {
 		l.start(p)
@@ -132,7 +140,7 @@
 	if left <= 0 || (known && wait > time.Duration(maxWaitPart*float64(left))) {
 		return Verdict{Kind: Refused, Reason: TooLate, Wait: wait, RetryAfter: l.retryAfter(p, now)}, nil
 	}
-	last := at == len(l.waiting)
+	last := !l.displaces(p, now)
 	if len(l.waiting) < l.cfg.MaxQueued && !(last && len(l.waiting)+l.expected(p, now) >= l.cfg.MaxQueued) {
 		l.waiting = slices.Insert(l.waiting, at, p)
 		return Verdict{Kind: Queued, Reason: Enqueued, Wait: wait}, nil
@@ -145,6 +153,19 @@
 	return Verdict{Kind: Queued, Reason: Enqueued, Wait: wait}, &Dropped{Item: displaced.Item, Reason: Displaced, RetryAfter: l.retryAfter(displaced, now)}
 }
 
+// displaces reports whether a request may take the place of the last one that waits: it has a lower
+// rank, or its account got much less.
+func (l *Line) displaces(p *Place, now time.Time) bool {
+	if len(l.waiting) == 0 {
+		return false
+	}
+	last := l.waiting[len(l.waiting)-1]
+	if rank, other := p.Rank(now), last.Rank(now); rank != other {
+		return rank < other
+	}
+	return displacingFactor*l.share(p) <= l.share(last)
+}
+
 // Next removes and returns the first request for which hasRoom reports that there is room,
 // and how many requests that came earlier it passes. It returns nil if there is none.
 func (l *Line) Next(hasRoom func(*Item) bool, now time.Time) (next *Place, passed int) {
@@ -316,20 +337,35 @@
 	if !known {
 		wait = defaultRetryAfter
 	}
-	wait = max(minRetryAfter, ceilToMillisecond(wait))
+	// What comes meanwhile takes its part of the room, and will probably for as long as it did.
+	wait = max(minRetryAfter, ceilToMillisecond(time.Duration(float64(wait)*l.rate.pressure())), l.refusedFor(now))
 	if len(l.returning) < l.cfg.MaxQueued {
 		l.returning = append(l.returning, returning{at: now.Add(wait), priority: p.Item.Priority, cost: p.Item.Cost})
 	}
 	return wait
 }
 
-// expected returns how many requests were told to come back later than now and are at least as
-// urgent as a request. The line keeps places for them, so that they are not refused again.
+// refusedFor returns for how long requests have been refused, without a pause of refusalPause.
+func (l *Line) refusedFor(now time.Time) time.Duration {
+	if l.refusedAt.IsZero() || now.Sub(l.refusedAt) > refusalPause {
+		l.refusedSince = now
+	}
+	l.refusedAt = now
+	return now.Sub(l.refusedSince)
+}
+
+// expected returns how many requests that are at least as urgent as a request were told to come
+// back before all that waits has started. The line keeps places for them, so that they are not
+// refused again.
 func (l *Line) expected(p *Place, now time.Time) int {
 	l.forgetReturned(now)
+	wait, known := l.waitAt(len(l.waiting))
+	if !known {
+		wait = defaultRetryAfter
+	}
 	n := 0
 	for _, r := range l.returning {
-		if r.priority <= p.Item.Priority {
+		if r.priority <= p.Item.Priority && r.at.Before(now.Add(wait)) {
 			n++
 		}
 	}
@@ -347,6 +383,8 @@
 	// smoothed.
 	cost, starts float64
 	busy         time.Duration
+	// offered is what came in that time.
+	offered float64
 }
 
 func (r *roomRate) advance(took time.Duration, waiting bool) {
@@ -354,12 +392,20 @@
 		return
 	}
 	left := math.Exp(-took.Seconds() / workWindow.Seconds())
-	r.cost, r.starts = r.cost*left, r.starts*left
+	r.cost, r.starts, r.offered = r.cost*left, r.starts*left, r.offered*left
 	r.busy = time.Duration(float64(r.busy)*left) + took
 }
 
 func (r *roomRate) add(cost float64) { r.cost, r.starts = r.cost+cost, r.starts+1 }
 
+// pressure returns how many times as much work came as was started, at least 1.
+func (r *roomRate) pressure() float64 {
+	if r.cost <= 0 {
+		return 1
+	}
+	return max(1, r.offered/r.cost)
+}
+
 // timeFor returns the expected time until work of the given cost has started, if the rate is
 // known.
 func (r *roomRate) timeFor(cost float64) (time.Duration, bool) {
