Order and room: places of engines with much room, a turn ends with its reservation; transport tests

Cause: while nothing competed, a service's room was given as the number of requests that wait, and a reserved place counted beside its turn, so requests waited a poll though there was room. Tests: transport/direct with -race passes, the new ones 10 times.

--- a/internal/coordination/balance/room.go
+++ b/internal/coordination/balance/room.go
@@ -17,6 +17,8 @@
 	// engineBacklog is the number of prompt tokens that an engine may have yet to compute when
 	// it gets a request: less than a second's work.
 	engineBacklog = 6000
+	// unboundedRoom is the room at a target that does not say how many requests it runs.
+	unboundedRoom = 1 << 20
 	// fullTime is how long a target that refused a request as full gets no other one from this
 	// entry.
 	fullTime = 150 * time.Millisecond
@@ -88,25 +90,42 @@
 	share := float64(rivals.Waiting) / float64(max(1, rivals.Waiting+rivals.Others))
 	for _, t := range usable {
 		r := b.record(now, t)
-		if now.Before(r.fullUntil) {
+		places := b.enginePlaces(now, request, r, t, rivals.Reserved[t.ID])
+		if places == 0 {
 			continue
 		}
-		l, reserved := b.total(r, t), rivals.Reserved[t.ID]
-		if t.Slots > 0 && l.Running+reserved >= t.Slots+t.Slots/engineQueueDivisor {
-			continue
-		}
-		if b.backlogOf(now, t.ID, l)+float64(reserved*request.PromptTokens) > engineBacklog {
-			continue
-		}
-		if rivals.Others > 0 && b.redraw(now, &r.roomDraw, engineDrawInterval) >= share {
-			continue
+		if rivals.Others > 0 {
+			if b.redraw(now, &r.roomDraw, engineDrawInterval) >= share {
+				continue
+			}
+			places = 1
 		}
 		room.Targets = append(room.Targets, t)
+		room.Places += places
 	}
-	room.Places = len(room.Targets)
 	return room
 }
 
+// enginePlaces returns how many requests like the given one an engine has room for.
+func (b *Balancer) enginePlaces(now time.Time, request Request, r *record, t *catalog.Target, reserved int) int {
+	if now.Before(r.fullUntil) {
+		return 0
+	}
+	l := b.total(r, t)
+	places := unboundedRoom
+	if t.Slots > 0 {
+		places = t.Slots + t.Slots/engineQueueDivisor - l.Running - reserved
+	}
+	backlog := b.backlogOf(now, t.ID, l) + float64(reserved*request.PromptTokens)
+	if backlog > engineBacklog {
+		return 0
+	}
+	if request.PromptTokens > 0 {
+		places = min(places, 1+int(engineBacklog-backlog)/request.PromptTokens)
+	}
+	return max(0, places)
+}
+
 // serviceRoom returns the room at targets of a plain service. While all requests that entries
 // have there, or want to send, are more than the targets run and queue, an entry may have its
 // part of these in flight, by its part of the requests.
@@ -127,8 +146,10 @@
 	demand := own + others + rivals.Waiting + rivals.Others
 	switch {
 	case len(room.Targets) == 0:
-	case unbounded || demand <= bound:
-		room.Places = rivals.Waiting
+	case unbounded:
+		room.Places = unboundedRoom
+	case demand <= bound:
+		room.Places = bound - demand + rivals.Waiting
 	default:
 		share := float64(own+rivals.Waiting) / float64(demand)
 		part := int(share*float64(bound) + b.redraw(now, b.serviceDraw(usable[0].Service), plainDrawInterval))
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -195,6 +195,8 @@
 	memoryMB float64
 	// retries replaces the retry budget unless it is nil.
 	retries *settings.Retries
+	// ordered says that callers compete for room.
+	ordered bool
 	// watch replaces the watch of targets unless it is nil.
 	watch func(ctx context.Context) error
 	// changeStore changes the key-value service's calls unless it is nil.
@@ -321,6 +323,7 @@
 	if env.retries != nil {
 		s.Retries = *env.retries
 	}
+	s.Admission.Ordered = env.ordered
 	s.SetDefaults()
 	return s
 }
--- a/internal/transport/direct/places.go
+++ b/internal/transport/direct/places.go
@@ -78,6 +78,8 @@
 		if !c.e.places.reserveUnchanged(t.ID, c.wait.reserved[t.ID]) {
 			return false
 		}
+		// The place counts from now on, and no longer the turn.
+		c.e.lines.endTurn(c)
 	case c.software == nil:
 		return true
 	case !c.e.places.reserve(c.now(), t):
