--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -144,6 +144,8 @@
 	// about their pace.
 	medians map[workKind]*median
 	zones   map[group]*experience
+	// draws round this entry's part of the room of plain services.
+	draws map[id.Service]*draw
 }
 
 // New returns a Balancer for an entry in the zone. random returns numbers in
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -60,6 +60,10 @@
 	// aliveAt is when the target last answered the question whether it lives, and unansweredAt
 	// when such a question last remained without an answer.
 	aliveAt, unansweredAt time.Time
+	// fullUntil is the time until which the target counts as full, because it refused a
+	// request. roomDraw rounds this entry's part of its room.
+	fullUntil time.Time
+	roomDraw  draw
 
 	// losses counts consecutive losses.
 	losses       int
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -135,6 +135,7 @@
 	retryBudgets *retryBudgets
 	limits       *targetLimits
 	places       *targetPlaces
+	lines        *waitingLines
 	withdrawn    *withdrawal.Tracker
 	// buffers holds the answers of targets, and bodies the bodies of requests.
 	buffers, bodies *bodyBuffers
@@ -224,6 +225,7 @@
 	e.signs = newSignsOfLife(e)
 	e.metrics, e.ownLoad = newEntryMetrics(e), newOwnLoad(e)
 	e.registerOwnLoad()
+	e.lines = newWaitingLines(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -197,6 +197,8 @@
 	retries *settings.Retries
 	// rollouts are the settings of roll-outs.
 	rollouts settings.Rollouts
+	// ordered says that callers compete for room.
+	ordered bool
 	// watch replaces the watch of targets unless it is nil.
 	watch func(ctx context.Context) error
 	// changeStore changes the key-value service's calls unless it is nil.
@@ -324,6 +326,7 @@
 		s.Retries = *env.retries
 	}
 	s.Rollouts = env.rollouts
+	s.Admission.Ordered = env.ordered
 	s.SetDefaults()
 	return s
 }
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -328,6 +328,7 @@
 	u := x.header(now)
 	u.Leaving = x.e.withdrawn.Reports(now)
 	u.Versions = x.takeVersionReport(now)
+	u.Waiting = x.e.lines.counts(now)
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
 	for lost, age := range x.e.balancer.RecentLosses(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Evidence: x.e.balancer.LossEvidence(lost), AgeMS: age.Milliseconds()})
@@ -389,6 +390,7 @@
 	x.applyLoads(now, u)
 	x.e.balancer.ApplyPeerPaces(now, u.Paces)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
+	x.e.lines.setPeer(now, u.From, u.Waiting)
 	x.e.limits.merge(now, u.Limits)
 	x.e.withdrawn.Merge(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
