--- a/internal/coordination/balance/cost.go
+++ b/internal/coordination/balance/cost.go
@@ -59,6 +59,9 @@
 	if b.losesPackets(now, t.Zone) {
 		cost += linkCost
 	}
+	if now.Before(r.busyUntil) {
+		cost += busyCost
+	}
 	if now.Before(t.WarmAt) {
 		cost *= coldFactor
 	}
--- a/internal/coordination/balance/evidence.go
+++ b/internal/coordination/balance/evidence.go
@@ -108,7 +108,7 @@
 func (a *Attempt) SilenceEvidence(now time.Time) Evidence {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	r := a.balancer.record(now, a.target)
+	r := a.balancer.look(now, a.target)
 	switch {
 	case a.started && a.request.Engine != nil && a.balancer.memoryFull(r, a):
 		return PausedStream
@@ -198,5 +198,5 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.record(now, t).heardAt().After(lostAt)
+	return b.look(now, t).heardAt().After(lostAt)
 }
--- a/internal/coordination/balance/evidence_test.go
+++ b/internal/coordination/balance/evidence_test.go
@@ -225,3 +225,20 @@
 	is.Equal(b.TakeMoves(start.Add(1200*time.Millisecond), "m", 5), balance.Moves{})
 	is.Equal(b.FreeSlots(start.Add(1200*time.Millisecond), ts), 36+10)
 }
+
+// TestSilentTargetIsBusy guards against new requests for an engine at which one waits for longer than
+// its own prompt explains, though its load tells nothing.
+func TestSilentTargetIsBusy(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	ts := targets("m", 2, "a")
+	run := b.Start(start, balance.Choice{Target: ts[0]}, request(), nil)
+	b.Start(start, balance.Choice{Target: ts[1]}, request(), nil).MarkStarted(start)
+	b.Start(start.Add(3*time.Second), balance.Choice{Target: ts[1]}, request(), nil)
+	at := start.Add(4 * time.Second)
+	before, _ := b.Choose(at, request(), ts, nil)
+	is.Equal(before.Target.ID, ts[0].ID)
+	is.Equal(run.JudgeSilence(at), balance.SilenceUnclear)
+	after, _ := b.Choose(at, request(), ts, nil)
+	is.Equal(after.Target.ID, ts[1].ID)
+}
--- a/internal/coordination/balance/moves.go
+++ b/internal/coordination/balance/moves.go
@@ -29,7 +29,7 @@
 // lost.
 func (b *Balancer) mayMove(now time.Time, a *Attempt, service id.Service) bool {
 	return a.target.Service == service && a.claim != nil && a.cancel != nil && !a.moved &&
-		b.zoneRecord(a.target).mayBeLost(now, b.record(now, a.target))
+		b.zoneRecord(a.target).mayBeLost(now, b.look(now, a.target))
 }
 
 // TakeMoves cancels the first most attempts, by their claims, of those that wait for targets of
@@ -42,7 +42,7 @@
 	for a := range b.waiting {
 		switch {
 		case !b.mayMove(now, a, service):
-		case b.record(now, a.target).unansweredNow(now):
+		case b.look(now, a.target).unansweredNow(now):
 			stranded = append(stranded, a)
 		default:
 			unclear++
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -56,6 +56,8 @@
 	// aliveAt is when the target last answered the question whether it lives, and unansweredAt
 	// when such a question last remained without an answer.
 	aliveAt, unansweredAt time.Time
+	// busyUntil is until when the target counts as busier than its load tells.
+	busyUntil time.Time
 
 	// losses counts consecutive losses.
 	losses       int
--- a/internal/coordination/balance/silence.go
+++ b/internal/coordination/balance/silence.go
@@ -11,6 +11,22 @@
 // the state of a target.
 const signValidFor = 1500 * time.Millisecond
 
+const (
+	// busyTime is how long a target counts as busier than its load tells after a run there was
+	// silent for longer than its own prompt explains, and busyCost is added to its cost then.
+	busyTime = 500 * time.Millisecond
+	busyCost = 2
+)
+
+// look returns the record of a target's incarnation. Unlike record, it does not replace the record
+// of another incarnation by a new one.
+func (b *Balancer) look(now time.Time, t *catalog.Target) *record {
+	if r := b.targets[t.ID]; r != nil && r.incarnation == t.Incarnation {
+		return r
+	}
+	return &record{incarnation: t.Incarnation, group: groupOf(t), since: now}
+}
+
 // SilenceVerdict says what the silence of a run means that has sent no event yet.
 type SilenceVerdict string
 
@@ -25,10 +41,19 @@
 )
 
 // JudgeSilence judges the attempt's silence, which is longer than its own prompt explains.
+// While it goes on, the target counts as busier than its load tells.
 func (a *Attempt) JudgeSilence(now time.Time) SilenceVerdict {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	r := a.balancer.record(now, a.target)
+	verdict := a.judgeSilence(now)
+	if !a.started && !a.ended {
+		a.balancer.look(now, a.target).busyUntil = now.Add(busyTime)
+	}
+	return verdict
+}
+
+func (a *Attempt) judgeSilence(now time.Time) SilenceVerdict {
+	r := a.balancer.look(now, a.target)
 	switch {
 	case a.started || a.ended:
 		return SilenceEnds
@@ -69,7 +94,7 @@
 	if a.request.Engine == nil || a.waitEnded {
 		return a.wait.ahead
 	}
-	r := a.balancer.record(now, a.target)
+	r := a.balancer.look(now, a.target)
 	l := a.balancer.total(r, a.target)
 	later := computeTime(float64(max(0, l.PrefillTokens-a.request.PromptTokens)), r.slowness(now))
 	return max(a.wait.ahead, later)
@@ -111,7 +136,7 @@
 // lostSince reports whether the target was lost, or its zone, by evidence that a backlog can't
 // give, and has given no sign of life since.
 func (b *Balancer) lostSince(now time.Time, a *Attempt) bool {
-	r := b.record(now, a.target)
+	r := b.look(now, a.target)
 	return r.silentSince(r.lostAt, a) || r.silentSince(b.zoneRecord(a.target).lostAt, a)
 }
 
@@ -129,7 +154,7 @@
 	seen := map[id.Target]bool{}
 	var stranded catalog.Targets
 	for a := range b.waiting {
-		if b.mayMove(now, a, service) && !seen[a.target.ID] && !b.record(now, a.target).unansweredNow(now) {
+		if b.mayMove(now, a, service) && !seen[a.target.ID] && !b.look(now, a.target).unansweredNow(now) {
 			seen[a.target.ID] = true
 			stranded = append(stranded, a.target)
 		}
--- a/internal/transport/direct/retrywait.go
+++ b/internal/transport/direct/retrywait.go
@@ -148,7 +148,7 @@
 
 // recordRetryWait records that the request has waited for a retry.
 func (c *call) recordRetryWait(took time.Duration, result string) {
-	if took == 0 {
+	if took < retryCheckInterval {
 		return
 	}
 	c.e.metrics.retryWaited(c.service, result, took)
