--- a/internal/protocol/direct/lossevidence_test.go
+++ b/internal/protocol/direct/lossevidence_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -16,9 +17,11 @@
 	for _, evidence := range []balance.Evidence{balance.Untyped, balance.Connection} {
 		is := is.New(t)
 		u := direct.PeerUpdate{From: "e", Address: "10.0.0.1:7200", Losses: []direct.Loss{{Target: "t", Evidence: evidence}}}
+		loss, err := json.Marshal(u.Losses[0])
+		is.NoErr(err)
+		is.Equal(strings.Contains(string(loss), "evidence"), evidence != balance.Untyped)
 		data, _, err := u.Encode()
 		is.NoErr(err)
-		is.Equal(strings.Contains(string(data), "evidence"), evidence != balance.Untyped)
 		decoded, err := direct.DecodePeerUpdate(data)
 		is.NoErr(err)
 		is.Equal(decoded.Losses[0].Evidence, evidence)
