--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -64,6 +64,8 @@
 	// request. roomDraw rounds this entry's part of its room.
 	fullUntil time.Time
 	roomDraw  draw
+	// busyUntil is until when the target counts as busier than its load tells.
+	busyUntil time.Time
 
 	// losses counts consecutive losses.
 	losses       int
