Order and room: an engine's memory bounds its room

Cause: engines preempted requests beyond their memory and read their prompts again; and a target without memory for a request is no place for it.

--- a/internal/coordination/balance/room.go
+++ b/internal/coordination/balance/room.go
@@ -112,6 +112,10 @@
 		return 0
 	}
 	l := b.total(r, t)
+	memory, needed := request.Engine.MemoryTokens, request.memory()
+	if needed <= memory && l.MemoryTokens+(1+reserved)*needed > memory {
+		return 0
+	}
 	places := unboundedRoom
 	if t.Slots > 0 {
 		places = t.Slots + t.Slots/engineQueueDivisor - l.Running - reserved
--- a/internal/coordination/balance/room_test.go
+++ b/internal/coordination/balance/room_test.go
@@ -47,6 +47,13 @@
 	attempt.End(start, balance.Refused)
 	is.Equal(b.Room(start.Add(100*time.Millisecond), request(), ts, alone).Places, 0) // it has just refused one
 	is.Equal(b.Room(start.Add(200*time.Millisecond), request(), ts, alone).Places, 1)
+	large := request()
+	large.OutputTokens = 90000 - large.PromptTokens
+	is.Equal(b.Room(start.Add(200*time.Millisecond), large, ts, alone).Places, 1) // the target itself refuses it
+	large.OutputTokens = 60000 - large.PromptTokens
+	other := b.Start(start.Add(-time.Minute), balance.Choice{Target: ts[0]}, balance.Request{Engine: engine(), OutputTokens: 30000}, nil)
+	is.Equal(b.Room(start.Add(200*time.Millisecond), large, ts, alone).Places, 0) // no memory
+	other.End(start, balance.Succeeded)
 	reserved := balance.Rivals{Waiting: 1, Reserved: map[id.Target]int{ts[0].ID: 1}}
 	is.Equal(b.Room(start.Add(200*time.Millisecond), request(), ts, reserved).Places, 0)
 	b.ApplyPeerLoss(start.Add(time.Second), ts[0], 0)
