--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -157,7 +157,7 @@
 // of a stream that goes on which have as many requests as they run and queue at once: all that
 // go on come to the few targets of a version.
 func (c *call) withRoom(targets catalog.Targets) catalog.Targets {
-	if c.waits() {
+	if c.usesRoom() {
 		return c.roomy(targets)
 	}
 	if c.software == nil {
--- a/internal/transport/direct/places.go
+++ b/internal/transport/direct/places.go
@@ -74,7 +74,7 @@
 // room. It returns false if the target is full, or if others have taken a place there meanwhile.
 func (c *call) reservePlace(t *catalog.Target) bool {
 	switch {
-	case c.waits():
+	case c.usesRoom():
 		if !c.e.places.reserveUnchanged(t.ID, c.wait.reserved[t.ID]) {
 			return false
 		}
--- a/internal/transport/direct/waitingcall.go
+++ b/internal/transport/direct/waitingcall.go
@@ -40,6 +40,10 @@
 // waits reports whether the call has to wait for room. A stream that has begun does not.
 func (c *call) waits() bool { return c.software == nil && c.e.competes(c.service) }
 
+// usesRoom reports whether the call has waited, or asked, for room, so that it is sent to targets
+// with room only. Requests for a service may come to compete while a call chooses its target.
+func (c *call) usesRoom() bool { return c.wait.place != nil && c.waits() }
+
 // awaitRoom waits until there is room for the request at a target. It returns false if the
 // request ends instead.
 func (c *call) awaitRoom(ctx context.Context) bool {
