The order of urgencies is built from the distinct priorities, not from all pairs of route and account

Cause: a configuration of many routes and accounts would have been sorted by their product (found by reading).

--- a/internal/state/catalog/urgency.go
+++ b/internal/state/catalog/urgency.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -17,16 +18,21 @@
 
 // indexUrgencies lists the urgencies that requests can have, the most urgent first.
 func (c *Config) indexUrgencies() {
-	c.urgencies = nil
+	ofAccounts := map[int]bool{}
+	for i := range c.Accounts {
+		if p := c.Accounts[i].Priority; p != nil {
+			ofAccounts[*p] = true
+		}
+	}
+	all := map[urgency]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		c.urgencies = append(c.urgencies, urgency{r.Priority, r.Priority})
-		for j := range c.Accounts {
-			c.urgencies = append(c.urgencies, urgency{c.PriorityOf(r, &c.Accounts[j]), r.Priority})
+		all[urgency{r.Priority, r.Priority}] = true
+		for p := range ofAccounts {
+			all[urgency{p, r.Priority}] = true
 		}
 	}
-	slices.SortFunc(c.urgencies, urgency.compare)
-	c.urgencies = slices.Compact(c.urgencies)
+	c.urgencies = slices.SortedFunc(maps.Keys(all), urgency.compare)
 }
 
 // UrgencyOf returns the place of an account's request on the route in the order of the urgencies
