--- a/internal/coordination/balance/targetload.go
+++ b/internal/coordination/balance/targetload.go
@@ -23,11 +23,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.Slowness > 0 {
-		b.uneven[t.Service] = true
-	}
 	r := b.record(now, t)
 	r.load, r.loadAt = *l, now
+	if l.Slowness == 0 {
+		return
+	}
+	b.uneven[t.Service] = true
 }
 
 // Uneven reports whether targets of a service say how fast their hosts work at the moment,
