--- a/internal/coordination/balance/room.go
+++ b/internal/coordination/balance/room.go
@@ -112,6 +112,9 @@
 		return 0
 	}
 	l := b.total(r, t)
+	if request.memory() <= request.Engine.MemoryTokens && !b.fits(now, request, t, 1+reserved) {
+		return 0
+	}
 	places := unboundedRoom
 	if t.Slots > 0 {
 		places = t.Slots + t.Slots/engineQueueDivisor - l.Running - reserved
