Roll-outs: a version is held back for 2 s at most while the orders can't be read

An entry that learns of new targets from others while it is cut off from the key-value service would not have used them before its return. Result: TestVersionWithStoreAway and the other tests of roll-outs and versions in transport/direct pass with -race.

--- a/internal/transport/direct/rollout_test.go
+++ b/internal/transport/direct/rollout_test.go
@@ -35,6 +35,8 @@
 	changed chan struct{}
 	// commit replaces the outcome of a transaction unless it is nil.
 	commit func(apply func() store.Result) (store.Result, error)
+	// fails makes lists of the orders alone fail.
+	fails atomic.Bool
 	// calls counts the calls about roll-outs, and listsOrders those that read the orders alone.
 	calls, listsOrders int
 }
@@ -136,6 +138,9 @@
 	}
 	kv.List = func(ctx context.Context, prefix string) (store.Page, error) {
 		if mine(prefix) {
+			if s.fails.Load() {
+				return store.Page{}, fault.New("list", store.Unavailable, "away")
+			}
 			return s.list(prefix), nil
 		}
 		page, err := list(ctx, prefix)
@@ -382,3 +387,26 @@
 		env.is.Equal(kv.status(), "inProgress v3")
 	})
 }
+
+// TestVersionWithStoreAway guards against a version that is held back for as long as the
+// key-value service is away.
+func TestVersionWithStoreAway(t *testing.T) {
+	withRollouts(t, slowAnswer(20*time.Millisecond, http.StatusOK), func(env *testEnv, kv *rolloutStore) {
+		later := slices.Clone(env.targets[2:])
+		env.targets = env.targets[:2]
+		env.start()
+		env.load(time.Second)
+		kv.fails.Store(true)
+		for _, item := range later {
+			env.list(item)
+		}
+		since := time.Now()
+		env.load(time.Second)
+		_, sent := env.sentTo(since, time.Now())
+		env.is.Equal(sent, 0)
+		since = time.Now().Add(2 * time.Second)
+		env.load(4 * time.Second)
+		_, sent = env.sentTo(since, time.Now())
+		env.is.True(sent > 10)
+	})
+}
--- a/internal/transport/direct/rolloutstore.go
+++ b/internal/transport/direct/rolloutstore.go
@@ -13,8 +13,12 @@
 	"foxtailward.example/foxtailward/internal/state/timing"
 )
 
-// stageCheckInterval is how often it is checked whether the stages must be watched.
-const stageCheckInterval = 500 * time.Millisecond
+const (
+	// stageCheckInterval is how often it is checked whether the stages must be watched.
+	stageCheckInterval = 500 * time.Millisecond
+	// maxHoldTime is how long a version is held back if the orders can't be read.
+	maxHoldTime = 2 * time.Second
+)
 
 // readAgain requests that the orders be read again.
 func (r *rollouts) readAgain() {
@@ -31,21 +35,31 @@
 			return
 		case <-r.again:
 		}
-		for ctx.Err() == nil {
-			before := r.versions.listed(r.e.directory.View().Targets)
-			page, ok := r.e.storeWatcher.list(ctx, r.e.deps.Codec.RolloutPrefix)
-			if ok {
-				r.replaceOrders(page)
-				r.mu.Lock()
-				r.versions.trust(before)
-				r.mu.Unlock()
-				break
-			}
+		since := r.e.deps.Clock.Now()
+		for ctx.Err() == nil && !r.readOrdersOnce(ctx, since) {
 			r.e.storeWatcher.pause(ctx)
 		}
 	}
 }
 
+// readOrdersOnce reads the orders, so that the versions that are listed may be used. It reports
+// whether they may: after maxHoldTime also if the orders can't be read, because other entries
+// tell of them.
+func (r *rollouts) readOrdersOnce(ctx context.Context, since time.Time) bool {
+	listed := r.versions.listed(r.e.directory.View().Targets)
+	page, ok := r.e.storeWatcher.list(ctx, r.e.deps.Codec.RolloutPrefix)
+	if ok {
+		r.replaceOrders(page)
+	}
+	if !ok && r.e.deps.Clock.Since(since) < maxHoldTime {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions.trust(listed)
+	return true
+}
+
 // replaceOrders applies a list that contains all orders, among other items.
 func (r *rollouts) replaceOrders(page store.Page) {
 	if r == nil {
