Roll-outs: an order back from an unfinished one completes at once; the soak's new targets write records

Cause: read in a soak's log. An order to the version that serves, while the version of an unfinished order is barred, would have held the serving one at the canary's share with no other to serve. In the soak, targets beside the old ones wrote their records once only, so that a return of the key-value service from an older copy lost them (5 of 6 good versions ended in progress). Change: such an order is completed at once; the new targets write their records each second. Result: go test -race of coordination/rollout and of roll-outs and versions in transport/direct passes. TestRunRollouts passes.

--- a/internal/coordination/rollout/decide.go
+++ b/internal/coordination/rollout/decide.go
@@ -142,8 +142,8 @@
 	s.Old = append(s.Old, v.Listed...)
 	s.Barred = withoutVersion(s.Barred, s.To, nil)
 	s.Old = withoutVersion(s.Old, s.To, s.Barred)
-	if len(v.Listed) > 0 && len(withoutVersion(slices.Clone(v.Listed), s.To, nil)) == 0 {
-		// The version serves alone already.
+	if len(v.Listed) > 0 && len(withoutVersion(slices.Clone(v.Listed), s.To, s.Barred)) == 0 {
+		// The version serves alone already, apart from those that may get nothing.
 		s.Phase, s.Share, s.Reason = Completed, 1, NothingToMove
 	}
 	return Step{Next: s, Reason: s.Reason}
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -213,6 +213,7 @@
 		{"an order before any target is known", with(func(v *rollout.View) { v.Stage, v.Listed = nil, nil }), rollout.Canary, rollout.Ordered},
 		{"no order", rollout.View{}, "", rollout.NoOrder},
 		{"a second order", with(func(v *rollout.View) { v.Order = order(v3, 9) }), rollout.Canary, rollout.Ordered},
+		{"an order back to the old version", with(func(v *rollout.View) { v.Order = order(v1, 9) }), rollout.Completed, rollout.NothingToMove},
 		{"withdrawn", with(func(v *rollout.View) { v.Order = nil }), rollout.Reverting, rollout.Withdrawn},
 		{"withdrawn when completed", at(rollout.Completed, func(v *rollout.View) { v.Order = nil }), "", rollout.IsFinal},
 		{"good too early", with(func(v *rollout.View) { v.Finding = good }), "", rollout.SwitchNotDue},
--- a/internal/standin/soak/rollouts.go
+++ b/internal/standin/soak/rollouts.go
@@ -22,6 +22,8 @@
 	rolloutLead = 300 * time.Millisecond
 	// statusInterval is how often the operator reads the status.
 	statusInterval = 50 * time.Millisecond
+	// recordInterval is how often targets write their records.
+	recordInterval = time.Second
 	// maxKillsInRollout is the number of entries that are killed during a roll-out.
 	maxKillsInRollout = 2
 )
@@ -134,11 +136,7 @@
 	w.history.count("rollout " + watch.bad.name)
 	sleep(ctx, rolloutLead)
 	beside := w.startBeside(ctx, watch.to)
-	var took time.Duration
-	state := catalog.RolloutInProgress
-	for state == catalog.RolloutInProgress && time.Since(watch.ordered) < rolloutBudget+rolloutPause/2 && sleep(ctx, statusInterval) {
-		state, took = w.rolloutState(ctx, watch.to), time.Since(watch.ordered)
-	}
+	state, took := w.awaitRollout(ctx, watch, beside)
 	w.history.count(fmt.Sprintf("rollout %s %s", watch.bad.name, state))
 	w.checkRolloutEnd(watch, state, took)
 	if state == catalog.RolloutCompleted {
@@ -156,6 +154,25 @@
 	w.checkExposure(watch)
 }
 
+// awaitRollout waits until entries report the end of a roll-out, or for some time beyond its time
+// budget. Meanwhile the new targets write their records again and again, as targets do.
+func (w *world) awaitRollout(ctx context.Context, watch *rolloutWatch, beside []*replica) (state catalog.RolloutState, took time.Duration) {
+	state = catalog.RolloutInProgress
+	written := time.Now()
+	for state == catalog.RolloutInProgress && took < rolloutBudget+rolloutPause/2 && sleep(ctx, statusInterval) {
+		state, took = w.rolloutState(ctx, watch.to), time.Since(watch.ordered)
+		if time.Since(written) < recordInterval {
+			continue
+		}
+		written = time.Now()
+		for _, p := range beside {
+			p.setState(catalog.Ready)
+			w.mustCommit(ctx, func() error { return w.writeTarget(ctx, p) })
+		}
+	}
+	return state, took
+}
+
 // startBeside starts as many targets of a version as there are of the plain service.
 func (w *world) startBeside(ctx context.Context, v id.SoftwareVersion) []*replica {
 	var beside []*replica
