--- a/cmd/foxtailward/hostile_test.go
+++ b/cmd/foxtailward/hostile_test.go
@@ -69,6 +69,8 @@
 	c      *directCluster
 	t      *testing.T
 	target *heldTarget
+	// memoryMB is what the process may take.
+	memoryMB int
 	// addresses has the address of each listener.
 	addresses map[string]string
 }
@@ -77,7 +79,7 @@
 func startHostile(t *testing.T) *hostileEntry {
 	t.Helper()
 	c := newDirectCluster(t)
-	h := &hostileEntry{c: c, t: t, target: &heldTarget{release: make(chan struct{})}, addresses: map[string]string{}}
+	h := &hostileEntry{c: c, t: t, memoryMB: hostileMemoryMB, target: &heldTarget{release: make(chan struct{})}, addresses: map[string]string{}}
 	server := httptest.NewServer(h.target)
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
@@ -90,12 +92,18 @@
 		fmt.Fprintf(&text, "%s = %q\n", name, h.addresses[name])
 	}
 	fmt.Fprintf(&text, "[limits]\nmemoryMB = %d\n[place]\nhost = \"e\"\nzone = \"a\"\nregion = \"x\"\n", hostileMemoryMB)
-	h.process = c.start("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, hostileFDs), c.mainPath, "direct", "--config", c.config("e", text.String()))
+	h.process = c.startLimited("direct", "--config", c.config("e", text.String()))
 	h.line(t, "name=revisionInForce")
 	h.ordinary("before")
 	return h
 }
 
+// startLimited starts the program with few descriptors.
+func (c *cluster) startLimited(args ...string) *process {
+	c.t.Helper()
+	return c.start("/bin/sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, hostileFDs), c.mainPath}, args...)...)
+}
+
 // putLimitedConfig writes a configuration with the operator's limits.
 func (c *directCluster) putLimitedConfig() {
 	is := is.New(c.t)
@@ -173,8 +181,8 @@
 	fds, err := os.ReadDir(dir + "/fd")
 	is.New(h.t).NoErr(err)
 	h.t.Logf("%s: largest memory %d MB, descriptors %d", kind, kB>>10, len(fds))
-	if kB > hostileMemoryMB<<10 {
-		h.t.Errorf("the process took %d MB, its machine has %d", kB>>10, hostileMemoryMB)
+	if kB > h.memoryMB<<10 {
+		h.t.Errorf("the process took %d MB, its machine has %d", kB>>10, h.memoryMB)
 	}
 	if len(fds) > mostHostileFDs {
 		h.t.Errorf("the process has %d descriptors open, want at most %d", len(fds), mostHostileFDs)
@@ -376,3 +384,79 @@
 		t.Errorf("one request of legal size got %.40q", answer)
 	}
 }
+
+// memoryOnWireMB bounds a process on the product's own wire, whose settings name no memory: the
+// memory for heads that applies then, and as much for the rest.
+const memoryOnWireMB = 128
+
+// startOnWire starts an entry or a target process on the product's own wire.
+func startOnWire(t *testing.T, role string) *hostileEntry {
+	t.Helper()
+	c := newCluster(t)
+	_, store := c.standIn("store")
+	h := &hostileEntry{t: t, memoryMB: memoryOnWireMB, addresses: map[string]string{}}
+	text := "name = \"e\"\n"
+	listeners := []string{"peers", "operators"}
+	if role == "entry" {
+		listeners = append(listeners, "callers")
+	}
+	for _, name := range listeners {
+		h.addresses[name] = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		text += fmt.Sprintf("%s = %q\n", name, h.addresses[name])
+	}
+	text += fmt.Sprintf("[place]\nhost = \"e\"\nzone = \"a\"\nregion = \"x\"\n[platform]\nstores = [%q]\n", store)
+	if role == "target" {
+		_, engine := c.standIn("engine", "--model", "report", "--version", "v1")
+		text += fmt.Sprintf("[engine]\nurl = %q\nmodel = \"report\"\nversion = \"v1\"\nslots = 16\n", engine)
+	}
+	h.process = c.startLimited(role, "--config", c.config(role, text))
+	h.answered("before")
+	return h
+}
+
+// answered asks each listener with HTTP for a page, which must be answered.
+func (h *hostileEntry) answered(when string) {
+	h.t.Helper()
+	for name, path := range map[string]string{"operators": "/healthz", "callers": "/v1/models"} {
+		address, ok := h.addresses[name]
+		if !ok {
+			continue
+		}
+		err := fmt.Errorf("not asked")
+		for deadline := time.Now().Add(waitTimeout); err != nil && time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+			var res *http.Response
+			if res, err = http.Get("http://" + address + path); err == nil {
+				_ = res.Body.Close()
+			}
+		}
+		if err != nil {
+			h.t.Errorf("%s the crowd: %s: %v", when, name, err)
+		}
+	}
+}
+
+// Processes on the product's own wire get heads without end and partial heads too.
+func TestHostileOnWire(t *testing.T) {
+	const clients = 40
+	for _, role := range []string{"entry", "target"} {
+		for _, listener := range []string{"callers", "operators", "peers"} {
+			if role == "target" && listener == "callers" {
+				continue
+			}
+			t.Run(role+"/"+listener, func(t *testing.T) {
+				h := startOnWire(t, role)
+				for _, kind := range endlessHeads {
+					leave := h.crowd(listener, clients, func(_ int, conn net.Conn) { kind.client(conn) })
+					leave()
+				}
+				h.check("endless heads")
+				for _, head := range [][]byte{nil, shortLines("/v1/models", legalHeadBytes)} {
+					leave := h.crowd(listener, hostileFDs, func(_ int, conn net.Conn) { _, _ = conn.Write(head) })
+					h.check("partial heads")
+					h.answered("during")
+					leave()
+				}
+			})
+		}
+	}
+}
