--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"runtime/debug"
 	"time"
@@ -97,19 +96,6 @@
 	return time.Duration(t.Nano())
 }
 
-// maxDescriptors returns how many descriptors the process may have open: the configured number,
-// or less if the system enforces less; 0 if that is not known.
-func maxDescriptors(configured int) int {
-	var limit unix.Rlimit
-	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
-		return configured
-	}
-	if configured == 0 {
-		return int(limit.Cur)
-	}
-	return min(configured, int(limit.Cur))
-}
-
 func platformCodec() direct.Codec {
 	return direct.Codec{
 		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
--- a/cmd/foxtailward/entry.go
+++ b/cmd/foxtailward/entry.go
@@ -53,7 +53,7 @@
 	}
 	defer services.close()
 	p := entry.New(*s, entry.Deps{
-		Clock: clockwork.NewRealClock(), Log: d.log, Metrics: registry, Current: conf.NewCurrent(),
+		Clock: clockwork.NewRealClock(), Log: d.log, Metrics: registry, Current: conf.NewCurrent(), Guard: newGuard(d.log),
 		Store: services.store, WatchHostList: services.watchHostList, Seeds: func() []string { return s.Platform.SeedAddresses },
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
--- a/cmd/foxtailward/target.go
+++ b/cmd/foxtailward/target.go
@@ -65,12 +65,15 @@
 		return err
 	}
 	defer services.close()
-	p := target.New(*s, targetDeps(services, d.log, registry))
+	guard := newGuard(d.log)
+	deps := targetDeps(services, d.log, registry)
+	deps.Guard = guard
+	p := target.New(*s, deps)
 	if err := p.Listen(); err != nil {
 		return err
 	}
 	operators := operatorpage.New(operatorpage.Options{
-		Ready: func() error { return targetReady(p) }, Status: func() any { return p.Status() }, Metrics: registry,
+		Ready: func() error { return targetReady(p) }, Status: func() any { return p.Status() }, Metrics: registry, Guard: guard,
 	})
 	if err := operators.Listen(s.OperatorAddress); err != nil {
 		return err
--- a/internal/transport/direct/inbound.go
+++ b/internal/transport/direct/inbound.go
@@ -14,7 +14,6 @@
 	readinessName = "readiness"
 	metricsName   = "metrics"
 	peersName     = "peers"
-	operatorsName = "operators"
 )
 
 const (
--- a/internal/transport/direct/run.go
+++ b/internal/transport/direct/run.go
@@ -111,7 +111,7 @@
 		Ready:   e.ready,
 		Status:  func() any { return e.status() },
 		Metrics: e.deps.Metrics,
-		Protect: func(s *http.Server, l net.Listener) net.Listener { return e.protect(operatorsName, s, l) },
+		Guard:   e.inbound,
 	})
 	if err := s.Run(ctx, e.cfg.OperatorAddress); err != nil {
 		e.deps.Log.Emit(event.TaskFailed, "duty", "operators", "error", err)
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -40,6 +40,7 @@
 	"foxtailward.example/foxtailward/internal/state/settings"
 	"foxtailward.example/foxtailward/internal/state/timing"
 	"foxtailward.example/foxtailward/internal/transport/caller"
+	"foxtailward.example/foxtailward/internal/transport/inbound"
 	"foxtailward.example/foxtailward/internal/transport/operator"
 	"foxtailward.example/foxtailward/internal/transport/peer"
 )
@@ -66,6 +67,8 @@
 // Deps are the dependencies of a process. Clock, Current, Seeds and Random must
 // be set.
 type Deps struct {
+	// Guard bounds what clients make the process hold; nil for no bound.
+	Guard   *inbound.Guard
 	Clock   clockwork.Clock
 	Log     *event.Log
 	Metrics metrics.Registry
@@ -298,6 +301,7 @@
 	}
 	p.operatorServer = operator.New(operator.Options{
 		Ready: p.ready, Status: func() any { return p.status() }, Explain: p.explain, Metrics: p.deps.Metrics,
+		Guard: p.deps.Guard,
 	})
 	return fault.Wrap("Process.Listen", ListenFailed, p.operatorServer.Listen(p.settings.OperatorAddress))
 }
@@ -335,9 +339,9 @@
 	p.startExchange()
 	p.emit(event.ProcessStarted, "callers", p.CallerAddress(), "peers", p.PeerAddress(), "operators", p.OperatorAddress())
 	var tasks sync.WaitGroup
-	tasks.Go(func() { p.runTask("peers", func() error { return p.grpcServer.Serve(p.peerListener) }) })
+	tasks.Go(func() { p.runTask("peers", func() error { return p.grpcServer.Serve(p.limitPeers()) }) })
 	tasks.Go(func() {
-		p.runTask("callers", func() error { return ignoreServerClosed(p.callerServer.Serve(p.callerListener)) })
+		p.runTask("callers", func() error { return ignoreServerClosed(p.callerServer.Serve(p.protectCallers())) })
 	})
 	tasks.Go(func() {
 		p.runTask("operators", func() error { return p.operatorServer.Run(p.runCtx, p.settings.OperatorAddress) })
--- a/internal/transport/inbound/conn.go
+++ b/internal/transport/inbound/conn.go
@@ -58,6 +58,9 @@
 	}
 	c.head.add(p[:n])
 	switch {
+	case c.listener.cfg.HeadBytes == nil:
+		c.readPreface()
+		return n, err
 	case c.head.bytes > c.listener.cfg.HeadBytes()+headSlop:
 		return 0, c.refuse(HeadTooLong, p)
 	case !c.charge(c.head.cost()):
@@ -66,6 +69,18 @@
 	return n, err
 }
 
+// prefaceBytes is the length of the text that begins a connection of HTTP/2.
+const prefaceBytes = 24
+
+// readPreface records that a connection which does not speak HTTP/1 is in use once it has
+// begun.
+func (c *conn) readPreface() {
+	if c.head.bytes >= prefaceBytes || c.head.complete {
+		c.serving.Store(true)
+		c.handle.Serve()
+	}
+}
+
 // charge charges the cost of a head, and returns false if there is no room for it.
 func (c *conn) charge(cost clientlimit.Bytes) bool {
 	evicted, ok := c.handle.Charge(cost)
--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -70,14 +70,19 @@
 	Name string
 	// Conns is the largest number of connections.
 	Conns int
-	// HeadBytes returns the largest size of a head.
+	// HeadBytes returns the largest size of a head. It is nil for a listener that does not
+	// speak HTTP/1, of which only the connections are bounded.
 	HeadBytes func() int
 }
 
 // Protect returns a listener for the server whose connections are bounded, and sets the
-// server's callbacks. It must be called before the server serves.
+// server's callbacks. It must be called before the server serves. A guard that is nil
+// protects nothing.
 func (g *Guard) Protect(server *http.Server, inner net.Listener, l Listener) net.Listener {
-	guarded := &listener{Listener: inner, guard: g, cfg: l, entries: g.ledger.NewListener(l.Conns)}
+	if g == nil {
+		return inner
+	}
+	guarded := g.listen(inner, l)
 	handler, connState, connContext := server.Handler, server.ConnState, server.ConnContext
 	server.Handler = guarded.handler(handler)
 	server.ConnState = func(c net.Conn, state http.ConnState) {
@@ -99,6 +104,26 @@
 	return guarded
 }
 
+// Limit returns a listener whose connections are bounded. A guard that is nil limits nothing.
+func (g *Guard) Limit(inner net.Listener, l Listener) net.Listener {
+	if g == nil {
+		return inner
+	}
+	return g.listen(inner, l)
+}
+
+func (g *Guard) listen(inner net.Listener, l Listener) *listener {
+	return &listener{Listener: inner, guard: g, cfg: l, entries: g.ledger.NewListener(l.Conns)}
+}
+
+// Limits returns the limits of the guard, the zero value for none.
+func (g *Guard) Limits() clientlimit.Limits {
+	if g == nil {
+		return clientlimit.Limits{}
+	}
+	return g.opts.Limits
+}
+
 // evict closes connections that make room for others.
 func (g *Guard) evict(l *listener, handles ...*clientlimit.Conn) {
 	for _, handle := range handles {
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -36,6 +36,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/status"
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
+	"foxtailward.example/foxtailward/internal/transport/inbound"
 )
 
 // Kind classifies this package's errors.
@@ -74,9 +75,9 @@
 	Explain func(ctx context.Context, request id.Request) (*status.Explanation, bool)
 	// Metrics is the process's metrics registry.
 	Metrics metrics.Registry
-	// Protect bounds what clients make the server hold. It returns the listener to serve
-	// on. If it is nil, only the server's own limits apply.
-	Protect func(server *http.Server, l net.Listener) net.Listener
+	// Guard bounds what clients make the server hold. If it is nil, only the server's own
+	// limits apply.
+	Guard *inbound.Guard
 }
 
 // Server is the HTTP server for operators of one process.
@@ -120,10 +121,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	listener := s.listener
-	if s.opts.Protect != nil {
-		listener = s.opts.Protect(server, listener)
-	}
+	listener := s.opts.Guard.Protect(server, s.listener, inbound.Listener{
+		Name: "operators", Conns: s.opts.Guard.Limits().InternalConns, HeadBytes: func() int { return maxHeaderBytes },
+	})
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/internal/transport/target/process.go
+++ b/internal/transport/target/process.go
@@ -35,6 +35,7 @@
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
 	"foxtailward.example/foxtailward/internal/state/timing"
+	"foxtailward.example/foxtailward/internal/transport/inbound"
 )
 
 // Kind is the kind of this package's errors.
@@ -61,6 +62,8 @@
 
 // Deps are the dependencies of a process. Clock must be set.
 type Deps struct {
+	// Guard bounds what clients make the process hold; nil for no bound.
+	Guard *inbound.Guard
 	Clock clockwork.Clock
 	Log   *event.Log
 	// Metrics is the registry of the process's metrics; nil means a private
@@ -222,7 +225,7 @@
 }
 
 func (p *Process) serve() {
-	if err := p.server.Serve(p.listener); err != nil {
+	if err := p.server.Serve(p.limitPeers()); err != nil {
 		p.emit(event.TaskFailed, "duty", "serve", "error", err)
 		p.cancel()
 	}
