--- a/internal/coordination/balance/room_test.go
+++ b/internal/coordination/balance/room_test.go
@@ -40,6 +40,7 @@
 func TestRoomOfEngineByBacklog(t *testing.T) {
 	is := is.New(t)
 	b, ts := newBalancer(), targets("m", 1, "a")
+	b.Ordered = true
 	alone := balance.Rivals{Waiting: 1}
 	attempt := b.Start(start, balance.Choice{Target: ts[0]}, request(), nil)
 	is.Equal(b.Room(start, request(), ts, alone).Places, 0) // 8000 tokens are ahead
