--- a/cmd/foxtailward/direct.go
+++ b/cmd/foxtailward/direct.go
@@ -65,6 +65,7 @@
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
 	}
+	s.Limits.MaxFDs = maxDescriptors(s.Limits.MaxFDs)
 	var e *direct.Entry
 	kv := platform.NewStore(platform.StoreOptions{
 		Address:    s.StoreAddress,
@@ -99,5 +100,6 @@
 	return direct.Codec{
 		ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, ParseTargetID: platform.TargetID,
+		RolloutPrefix: platform.RolloutPrefix, DecodeRollout: platform.DecodeRollout, EncodeRolloutStatus: platform.EncodeRolloutStatus,
 	}
 }
--- a/internal/coordination/balance/record.go
+++ b/internal/coordination/balance/record.go
@@ -41,6 +41,10 @@
 	// load is what the target last said about its load, at loadAt.
 	load   TargetLoad
 	loadAt time.Time
+	// pace holds the target's last word about its pace, and experience what all of its words
+	// and answers tell.
+	pace Pace
+	experience
 
 	// lastActivity is when the target last sent something.
 	lastActivity time.Time
@@ -48,6 +52,21 @@
 	// request.
 	refusedAt time.Time
 
+	// lostAt is when this entry or another one last lost the target by evidence that a backlog
+	// can't give. evidence is what showed this entry's last loss.
+	lostAt   time.Time
+	evidence Evidence
+
+	// aliveAt is when the target last answered the question whether it lives, and unansweredAt
+	// when such a question last remained without an answer.
+	aliveAt, unansweredAt time.Time
+	// fullUntil is the time until which the target counts as full, because it refused a
+	// request. roomDraw rounds this entry's part of its room.
+	fullUntil time.Time
+	roomDraw  draw
+	// busyUntil is until when the target counts as busier than its load tells.
+	busyUntil time.Time
+
 	// losses counts consecutive losses.
 	losses       int
 	suspectUntil time.Time
--- a/internal/coordination/balance/targetload.go
+++ b/internal/coordination/balance/targetload.go
@@ -18,14 +18,26 @@
 
 // ObserveLoad records what a target said about its load just now; nil if it said nothing.
 func (b *Balancer) ObserveLoad(now time.Time, t *catalog.Target, l *TargetLoad) {
-	if l == nil || l.Slowness == 0 {
+	if l == nil {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.uneven[t.Service] = true
 	r := b.record(now, t)
 	r.load, r.loadAt = *l, now
+	if l.Slowness == 0 {
+		return
+	}
+	b.uneven[t.Service] = true
+	b.hear(r, now, l.Slowness)
+	b.unreported[t.ID] = now
+}
+
+// AnyUneven reports whether there are services for which Uneven is true.
+func (b *Balancer) AnyUneven() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.uneven) > 0
 }
 
 // Uneven reports whether targets of a service say how fast their hosts work at the moment,
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -12,8 +12,10 @@
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/handover"
 	"foxtailward.example/foxtailward/internal/coordination/origin"
+	"foxtailward.example/foxtailward/internal/coordination/overload"
 	"foxtailward.example/foxtailward/internal/coordination/quarantine"
 	"foxtailward.example/foxtailward/internal/coordination/retry"
+	"foxtailward.example/foxtailward/internal/coordination/rollout"
 	"foxtailward.example/foxtailward/internal/coordination/store"
 	"foxtailward.example/foxtailward/internal/coordination/targetlimit"
 	"foxtailward.example/foxtailward/internal/coordination/withdrawal"
@@ -56,6 +58,8 @@
 	// StopsInMS is the time in milliseconds until a draining entry stops; 0 if it
 	// is not draining.
 	StopsInMS int64 `json:"stopsInMs,omitempty"`
+	// Away is set if the entry takes no new connections, because it has no room.
+	Away bool `json:"away,omitempty"`
 	// StoreReachable is set if the entry can reach the key-value service.
 	StoreReachable bool `json:"reachesStore,omitempty"`
 	// KnownPeers holds the addresses of the other entries that the sender receives
@@ -66,10 +70,15 @@
 	// LoadChanges is what the entry has in flight at the targets where that has changed
 	// since the last message.
 	LoadChanges map[id.Target]balance.Load `json:"loadChanges,omitempty"`
+	// Paces are the targets' words about their pace that the entry has heard since the last
+	// message.
+	Paces map[id.Target]balance.PaceReport `json:"paces,omitempty"`
 	// Runs are the runs of unfinished streams that are copied to another engine.
 	Runs []handover.Run `json:"runs,omitempty"`
 	// Retries counts the recent requests and retries to each service.
 	Retries map[id.Service]retry.Counts `json:"retries,omitempty"`
+	// Waiting counts the requests that wait for room at each service's targets, by rank.
+	Waiting map[id.Service]map[overload.Rank]int `json:"waiting,omitempty"`
 	// Losses are the targets that the entry recently lost.
 	Losses []Loss `json:"losses,omitempty"`
 	// Successors are the targets that the entry recently found at the addresses of
@@ -98,6 +107,9 @@
 	Era           store.Era      `json:"era,omitempty"`
 	// Versions are the software versions that have served recently, unless it is one alone.
 	Versions *origin.Report `json:"versions,omitempty"`
+	// Rollouts is what the entry knows of services whose traffic moves to another version, if
+	// it serves roll-outs. A service that is not named says nothing.
+	Rollouts map[id.Service]rollout.Report `json:"rollouts,omitempty"`
 }
 
 // StopsIn returns the time until a draining entry stops; 0 if it is not
@@ -124,6 +136,8 @@
 	Incarnation id.Incarnation `json:"incarnation,omitempty"`
 	// Replaced is set if another target answers at its address.
 	Replaced bool `json:"replaced,omitempty"`
+	// Evidence says what showed the loss; omitted if that is not known.
+	Evidence balance.Evidence `json:"evidence,omitempty"`
 	// AgeMS is the age of the loss when the message was sent, in milliseconds.
 	AgeMS int64 `json:"agoMs"`
 }
--- a/internal/standin/soak/replica.go
+++ b/internal/standin/soak/replica.go
@@ -189,7 +189,7 @@
 	if form != nil && strings.HasPrefix(r.URL.Path, slowPath) && !sleep(ctx, form.work) {
 		return
 	}
-	p.servePlain(ctx, w, &forwarded, string(body))
+	p.servePlain(ctx, w, &forwarded, r.URL.Path, string(body))
 }
 
 // turnAway answers a request that the replica does not run, because it is for another target or
@@ -203,6 +203,7 @@
 	if limit := p.limits.answer(self, forwarded.Attempt); limit > 0 {
 		platform.EncodeLimit(w.Header(), limit)
 	}
+	p.sayPace(w.Header(), self)
 	p.checkNotDrained(forwarded.Attempt)
 	return p.refuseLeaving(w, forwarded.Attempt) || p.serveRest(w, self, forwarded.Attempt)
 }
@@ -301,13 +302,14 @@
 
 // servePlain answers with a body that names the attempt and repeats the request's
 // body.
-func (p *replica) servePlain(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, body string) {
-	if !sleep(ctx, plainLatency) {
+func (p *replica) servePlain(ctx context.Context, w http.ResponseWriter, forwarded *platform.ForwardedRequest, path, body string) {
+	fails, factor := p.w.rollout.Load().answer(p.currentTarget().Software, path)
+	if !sleep(ctx, time.Duration(factor)*p.work(plainLatency)) {
 		return
 	}
 	p.mu.Lock()
 	p.plainRequests++
-	fails := p.plainRequests%requestsPerFailure == 0
+	fails = fails || p.plainRequests%requestsPerFailure == 0
 	p.mu.Unlock()
 	encodeSuccess(w, forwarded.Attempt)
 	if fails {
@@ -356,6 +358,10 @@
 	}
 	for i := last + 1; i <= s.events; i++ {
 		wait := s.gap
+		if wait == eventGap {
+			// Streams of other shapes keep the times that they are named for.
+			wait = p.work(wait)
+		}
 		if i == s.events/2 && last == 0 {
 			wait += s.pause
 		}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -50,6 +50,8 @@
 
 	byHost map[string]Routes
 	byKey  map[Key]*ClientAccount
+	// urgencies are sorted, the most urgent first.
+	urgencies []urgency
 }
 
 // ClientAccount is a client account with its keys.
@@ -81,6 +83,9 @@
 
 // Limits restrict what clients may send.
 type Limits struct {
+	// HeaderBytes is the maximum size of a request's head; 0 means the entry's own
+	// limit.
+	HeaderBytes int
 	// BodyBytes is the maximum size of a request's body; 0 means the entry's own
 	// limit.
 	BodyBytes int64
@@ -112,6 +117,7 @@
 			c.byKey[key] = &c.Accounts[i]
 		}
 	}
+	c.indexUrgencies()
 	return nil
 }
 
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -24,6 +24,10 @@
 	RequestFinished  = Event{204, "requestFinished", Info, "The answer to a request is complete.", "none"}
 	RequestFailed    = Event{205, "requestFailed", Warn, "An accepted request ended without a complete answer, and its caller was notified.", "see the reason"}
 	RequestAbandoned = Event{206, "requestAbandoned", Info, "No client reads an answer any more, and its work was cancelled.", "none"}
+	RequestWaits     = Event{220, "requestWaits", Info, "A request waits because there is no room for it at its service's targets, or others go first.", "none; see room in docs/design/waiting.md"}
+	RequestGoesOn    = Event{221, "requestGoesOn", Info, "A request that waited is sent to a target.", "none; passed says how many that came earlier still wait"}
+	RequestDisplaced = Event{222, "requestDisplaced", Info, "A request that waited gave its place to one that a delay costs more, and was refused without being run.", "add targets if this lasts"}
+	RoomRefused      = Event{223, "roomRefused", Info, "A request was refused, or gave up waiting, because room at a target would come too late for it.", "add targets if this lasts"}
 	RequestAdopted   = Event{207, "requestAdopted", Warn, "An entry took over a request whose owner is gone.", "none"}
 )
 
@@ -50,7 +54,12 @@
 	TargetPaused       = Event{319, "targetPaused", Info, "A target answered 503 and said for how long it wants no requests from this entry.", "check the target if it repeats"}
 	StreamOrigin       = Event{320, "streamOrigin", Info, "An entry found out at which software version a stream began, from the process that sent its first event or for a client that resumes it.", "none; source says from what it is known, and start which process reported"}
 	VersionSaved       = Event{321, "versionSaved", Info, "The first event of a stream waited until the key-value service held the software version of the target that sent it.", "none; check the key-value service if begins=false repeats: the stream then begins elsewhere"}
-	BudgetExhausted    = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is exhausted.", "find the losses that use it up"}
+
+	SilenceExplained = Event{420, "silenceExplained", Info, "A run may go on waiting for its first event, because a backlog in front of it explains the silence.", "none; add replicas if it repeats"}
+	WaitingMoved     = Event{421, "waitingMoved", Warn, "Runs that waited in a lost zone left it, as many as the retry budget and free slots allow, those that matter most first.", "none; left tells how many wait on"}
+	RetryAwaited     = Event{422, "retryAwaited", Info, "A request waited until the retry budget allowed its next attempt, or in vain.", "find the losses that use the budget up"}
+	RetryTooLate     = Event{423, "retryTooLate", Info, "A request was not sent again after a loss, because its client would give up before the next event.", "none"}
+	BudgetExhausted  = Event{312, "budgetExhausted", Warn, "The retry or hedge budget is exhausted.", "find the losses that use it up"}
 )
 
 // Membership and limit events, numbered from 400.
@@ -63,28 +72,37 @@
 	PeerUpdateShortened  = Event{409, "peerUpdateShortened", Warn, "A message to the other entries was too long, and unfinished runs, or target failures of the least suspected requests, were left out.", "add entries if it repeats"}
 	StoreSnapshotAdopted = Event{407, "beliefTaken", Info, "The targets were learned from another entry because the key-value service does not answer this one.", "check the key-value service if this lasts"}
 	PauseDetected        = Event{408, "standstillSeen", Warn, "This process or its host did not run for a while.", "check the load of the host if this repeats"}
+	TargetsOutOfMemory   = Event{430, "targetsOutOfMemory", Warn, "No engine that is ready has the memory for a request beside the runs and copies that it has.", "add engines if it repeats"}
+	CapacityChanged      = Event{431, "capacityChanged", Warn, "An entry that callers compete for takes no new connections, because its processor or link is in use, or takes them again.", "give the entry more processor or bandwidth, or add entries, if it repeats"}
 	ShareStale           = Event{405, "shareStale", Warn, "The owner of a limit does not respond; the last share of the limit stays in force.", "none"}
 )
 
 // Store and configuration events, numbered from 500.
 var (
-	StoreDown         = Event{500, "storeDown", Error, "The key-value service does not answer; requests are still served.", "check the key-value service"}
-	StoreRecovered    = Event{501, "storeBack", Info, "The key-value service answers again.", "none"}
-	StoreSlow         = Event{502, "storeSlow", Warn, "A call was delayed to stay within the rate limit of the key-value service.", "none unless this lasts"}
-	RevisionInForce   = Event{503, "revisionInForce", Info, "A configuration revision is in force in this process.", "none"}
-	RevisionRefused   = Event{504, "revisionRefused", Error, "A configuration revision could not be read and was not put in force.", "upgrade the process or correct the configuration"}
-	ClaimMade         = Event{505, "claimMade", Info, "A call that must run at most once was claimed.", "none"}
-	ClaimRefused      = Event{506, "claimRefused", Warn, "A claim could not be made, so the call was not run.", "check the key-value service"}
-	ClaimUnknown      = Event{507, "claimUnknown", Error, "It is unknown whether a call that must run at most once has run.", "ask the service's owner about the call"}
-	LeadershipGained  = Event{508, "leadershipGained", Info, "This process became the leader that decides on placement.", "none"}
-	WatchEnded        = Event{510, "watchEnded", Info, "A watch on the key-value service broke off; its keys are read again.", "none unless it repeats"}
-	RunsNotSaved      = Event{511, "runsUnkept", Info, "The runs of unfinished streams, or the requests suspected of crashing targets, could not be written to the key-value service.", "none; they are needed only if all entries end at the same time"}
-	SuspectsNotLoaded = Event{513, "suspectsUnread", Info, "The requests suspected of crashing targets that entries had saved could not be read.", "none; it is tried again, and other entries report them too"}
-	RunsNotLoaded     = Event{512, "runsUnread", Info, "The runs that entries had saved could not be read.", "none; streams that are resumed start from the beginning"}
-	StreamsNotLoaded  = Event{515, "streamsUnread", Info, "The software versions of streams that entries had saved could not be read.", "none; it is tried again, and other entries tell them too"}
-	StreamsLoaded     = Event{516, "streamsRead", Info, "The software versions of streams that entries had saved were read.", "none; complete=false says that streams which nobody remembers are refused for the lifetime of a stream, as entries that could not save for long may have begun them at unknown versions"}
-	StoreRestored     = Event{514, "storeRestored", Warn, "The key-value service returned from an older copy of its state; its keys are read, and this process's saved state is written, again.", "none; check that changes of the last seconds were made again"}
-	LeadershipLost    = Event{509, "leadershipLost", Info, "This process is no longer the leader that decides on placement.", "none"}
+	StoreDown          = Event{500, "storeDown", Error, "The key-value service does not answer; requests are still served.", "check the key-value service"}
+	StoreRecovered     = Event{501, "storeBack", Info, "The key-value service answers again.", "none"}
+	StoreSlow          = Event{502, "storeSlow", Warn, "A call was delayed to stay within the rate limit of the key-value service.", "none unless this lasts"}
+	RevisionInForce    = Event{503, "revisionInForce", Info, "A configuration revision is in force in this process.", "none"}
+	RevisionRefused    = Event{504, "revisionRefused", Error, "A configuration revision could not be read and was not put in force.", "upgrade the process or correct the configuration"}
+	ClaimMade          = Event{505, "claimMade", Info, "A call that must run at most once was claimed.", "none"}
+	ClaimRefused       = Event{506, "claimRefused", Warn, "A claim could not be made, so the call was not run.", "check the key-value service"}
+	ClaimUnknown       = Event{507, "claimUnknown", Error, "It is unknown whether a call that must run at most once has run.", "ask the service's owner about the call"}
+	LeadershipGained   = Event{508, "leadershipGained", Info, "This process became the leader that decides on placement.", "none"}
+	WatchEnded         = Event{510, "watchEnded", Info, "A watch on the key-value service broke off; its keys are read again.", "none unless it repeats"}
+	RunsNotSaved       = Event{511, "runsUnkept", Info, "The runs of unfinished streams, or the requests suspected of crashing targets, could not be written to the key-value service.", "none; they are needed only if all entries end at the same time"}
+	SuspectsNotLoaded  = Event{513, "suspectsUnread", Info, "The requests suspected of crashing targets that entries had saved could not be read.", "none; it is tried again, and other entries report them too"}
+	RunsNotLoaded      = Event{512, "runsUnread", Info, "The runs that entries had saved could not be read.", "none; streams that are resumed start from the beginning"}
+	StreamsNotLoaded   = Event{515, "streamsUnread", Info, "The software versions of streams that entries had saved could not be read.", "none; it is tried again, and other entries tell them too"}
+	StreamsLoaded      = Event{516, "streamsRead", Info, "The software versions of streams that entries had saved were read.", "none; complete=false says that streams which nobody remembers are refused for the lifetime of a stream, as entries that could not save for long may have begun them at unknown versions"}
+	RolloutOrdered     = Event{540, "rolloutOrdered", Info, "The operator has ordered that a service's traffic moves to another version, or has withdrawn that (withdrawn=true).", "none"}
+	RolloutStage       = Event{541, "rolloutStage", Info, "A roll-out has entered a stage.", "stage reverting or reverted: see the reason, and rolloutBad"}
+	RolloutBad         = Event{542, "rolloutBad", Warn, "The new version answers worse than the old ones; this entry sends nothing more to it.", "check the version on the route that is named"}
+	RolloutWaits       = Event{543, "rolloutWaits", Info, "A roll-out waits for the reason that is named.", "none unless it lasts beyond the time budget: see OPERATIONS.md, Roll-outs"}
+	RolloutNotWritten  = Event{544, "rolloutNotWritten", Info, "The stage of a roll-out could not be written; it is decided again.", "none unless it repeats"}
+	RolloutRefused     = Event{545, "rolloutRefused", Error, "An order or a stage of a roll-out can't be read; it is left alone.", "correct the order that the key names"}
+	RolloutVersionHeld = Event{546, "rolloutVersionHeld", Info, "A version has appeared; nothing is sent to it until the orders have been read again.", "none unless the key-value service is away"}
+	StoreRestored      = Event{514, "storeRestored", Warn, "The key-value service returned from an older copy of its state; its keys are read, and this process's saved state is written, again.", "none; check that changes of the last seconds were made again"}
+	LeadershipLost     = Event{509, "leadershipLost", Info, "This process is no longer the leader that decides on placement.", "none"}
 )
 
 // Placement and target events, numbered from 600.
@@ -101,14 +119,22 @@
 	CallRefused      = Event{609, "callRefused", Warn, "A call to a plain service was refused before it ran.", "see the reason"}
 )
 
+// Inbound events, numbered from 230.
+var (
+	ClientsRefused = Event{230, "clientsRefused", Warn, "Clients were refused before their requests were read, or their connections were closed, because they sent or held more than the process allows.", "see the reason; none unless clients within the limits are hit"}
+)
+
 // All returns all events in ascending order of their numbers.
 func All() []Event {
 	return []Event{
 		ProcessStarted, ProcessReady, DrainStarted, DrainWaiting, DrainEnded, WorkAborted, TaskFailed, SettingsRead, LinesDropped,
 		RequestAccepted, RequestRefused, RequestJoined, RequestForwarded, RequestFinished, RequestFailed, RequestAbandoned, RequestAdopted,
+		RequestWaits, RequestGoesOn, RequestDisplaced, RoomRefused, ClientsRefused,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
+		SilenceExplained, WaitingMoved, RetryAwaited, RetryTooLate, TargetsOutOfMemory, CapacityChanged,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
+		RolloutOrdered, RolloutStage, RolloutBad, RolloutWaits, RolloutNotWritten, RolloutRefused, RolloutVersionHeld,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
 	}
 }
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -20,6 +20,7 @@
 func (c *call) choose(ctx context.Context) (balance.Choice, bool) {
 	// occupied holds the targets that others try after their pauses.
 	occupied := map[id.Target]bool{}
+	c.drawVersion()
 	for ctx.Err() == nil {
 		c.limitedTarget = nil
 		now := c.now()
@@ -27,7 +28,7 @@
 		choice, ok := c.e.balancer.Choose(now, c.requirements, free, c.tried)
 		if !ok || choice.Reason == balance.LastResort {
 			if first := c.firstInTime(full); first != nil {
-				if c.takePlace(ctx, first, c.maxLimitWait()) {
+				if c.takePlace(ctx, first, c.maxLimitWait()) && c.takeShareOrPlace(first) {
 					return c.choiceAtLimit(first), true
 				}
 				continue
@@ -45,8 +46,15 @@
 			c.endTrial()
 			continue
 		}
-		if !ok || c.e.limits.take(now, choice.Target, 0) {
-			return choice, ok
+		if !ok && c.endDraw() {
+			continue
+		}
+		if !ok {
+			c.noteMemory(now, free)
+			return choice, false
+		}
+		if c.takeShare(choice.Target) && c.e.limits.take(now, choice.Target, 0) {
+			return choice, true
 		}
 		c.endReservation()
 		c.endTrial()
@@ -79,13 +87,13 @@
 }
 
 // firstFree returns the target that may get a request first, and the time until then.
-// Targets that were tried or are suspected are left out.
+// Targets that were tried, are suspected or lack the memory for it are left out.
 func (c *call) firstFree(full catalog.Targets) (*catalog.Target, time.Duration) {
 	now := c.now()
 	var first *catalog.Target
 	var least time.Duration
 	for _, t := range full {
-		if c.tried[t.ID] || c.e.balancer.Suspected(now, t) {
+		if c.tried[t.ID] || c.e.balancer.Suspected(now, t) || !c.e.balancer.Fits(now, c.requirements, t) {
 			continue
 		}
 		if wait := c.e.limits.wait(now, t); first == nil || wait < least {
@@ -153,9 +161,13 @@
 	return lasting
 }
 
-// withRoom leaves out the targets of a stream that goes on which have as many requests as
-// they run and queue at once: all that go on come to the few targets of a version.
+// withRoom leaves out the targets without room for a request that has waited for it, and those
+// of a stream that goes on which have as many requests as they run and queue at once: all that
+// go on come to the few targets of a version.
 func (c *call) withRoom(targets catalog.Targets) catalog.Targets {
+	if c.usesRoom() {
+		return c.roomy(targets)
+	}
 	if c.software == nil {
 		return targets
 	}
--- a/internal/transport/direct/direct.go
+++ b/internal/transport/direct/direct.go
@@ -43,6 +43,7 @@
 	"foxtailward.example/foxtailward/internal/state/fault"
 	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/settings"
+	"foxtailward.example/foxtailward/internal/transport/inbound"
 	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
@@ -72,6 +73,11 @@
 	DecodeConfig  func(data []byte) (*catalog.Config, error)
 	DecodeTarget  func(i store.Item, now time.Time) (*catalog.Target, error)
 	ParseTargetID func(key string) (id.Target, bool)
+	// RolloutPrefix begins with ConfigPrefix and is followed by a service. It, DecodeRollout
+	// and EncodeRolloutStatus are needed only if roll-outs are served.
+	RolloutPrefix       string
+	DecodeRollout       func(i store.Item) (catalog.RolloutOrder, error)
+	EncodeRolloutStatus func(service id.Service, state catalog.RolloutState, to id.SoftwareVersion) (key string, value []byte)
 }
 
 // Deps are the dependencies of an entry. All fields but the last four
@@ -115,6 +121,8 @@
 	streams  *origin.Registry
 	versions *origin.Versions
 	reports  *reportReader
+	// rollouts is nil if roll-outs are not served.
+	rollouts *rollouts
 	// versionSaves has the versions saved at which streams begin, and saver saves them.
 	versionSaves *versionSaves
 	saver        *stateSaver
@@ -122,10 +130,12 @@
 	startsNamed atomic.Bool
 	pool        *upstream.Pool
 	metrics     *entryMetrics
+	ownLoad     *ownLoad
 
 	retryBudgets *retryBudgets
 	limits       *targetLimits
 	places       *targetPlaces
+	lines        *waitingLines
 	withdrawn    *withdrawal.Tracker
 	// buffers holds the answers of targets, and bodies the bodies of requests.
 	buffers, bodies *bodyBuffers
@@ -134,7 +144,11 @@
 	pauses    pauseDetector
 	startedAt time.Time
 	// successors searches for the targets that replace lost ones.
-	successors   *successorFinder
+	successors *successorFinder
+	// moves has runs leave lost zones.
+	moves *zoneMoves
+	// signs asks silent targets whether they live.
+	signs        *signsOfLife
 	estimatorsMu sync.Mutex
 	estimators   map[id.Service]*pace.Estimator
 
@@ -144,6 +158,7 @@
 	metricsListener net.Listener
 	server          *http.Server
 	idle            *idleConns
+	inbound         *inbound.Guard
 
 	// targetsListed is set once the targets have been read. configured is closed
 	// once the configuration has been read too.
@@ -189,7 +204,7 @@
 	}
 	e.stopping, e.endStopping = context.WithCancel(context.Background())
 	e.working, e.endWorking = context.WithCancel(context.Background())
-	e.balancer.GroupSize = e.targetsIn
+	e.balancer.GroupSize, e.balancer.Ordered = e.targetsIn, cfg.Admission.Ordered
 	e.balancer.ReportAge = func() time.Duration { return updateInterval(e.roster.CountAlive(deps.Clock.Now())) }
 	e.quarantine = quarantine.NewShared(cfg.Name, quarantine.Activity{Target: e.balancer.HeardFrom, Zone: e.balancer.ZoneHeardFrom})
 	e.quarantine.Entries = func() int { return e.roster.LimitSharers(deps.Clock.Now()) }
@@ -201,13 +216,20 @@
 	e.versionSaves = newVersionSaves(e)
 	e.saver = &stateSaver{e: e}
 	e.storeWatcher = newStoreWatcher(e)
+	if cfg.Rollouts.Enabled() {
+		e.rollouts = newRollouts(e)
+	}
 	e.successors = newSuccessorFinder(e)
-	e.metrics = newEntryMetrics(e)
+	e.inbound = newInboundGuard(e)
+	e.moves = newZoneMoves(e)
+	e.signs = newSignsOfLife(e)
+	e.metrics, e.ownLoad = newEntryMetrics(e), newOwnLoad(e)
+	e.registerOwnLoad()
+	e.lines = newWaitingLines(e)
 	e.pool = upstream.NewPool(upstream.Options{Dial: deps.Dial, Clock: deps.Clock, OnConnect: e.metrics.targetConnected})
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         e.idle.stateChanged,
 		ConnContext:       withClientConn,
 	}
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -21,7 +21,6 @@
 // Limits of requests.
 const (
 	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
 	// maxBodyBytes limits the request body if the configuration sets no limit.
 	maxBodyBytes = 16 << 20
 	// defaultTimeout applies to requests without a timeout from their route or
@@ -73,8 +72,14 @@
 	trial *catalog.Target
 	// reservedPlace is the target at which the call has reserved a place; empty for none.
 	reservedPlace id.Target
+	// wait is how the call waits for room at a target.
+	wait waitState
 	// budgetExhausted is set if the retry budget did not allow another attempt.
 	budgetExhausted bool
+	// retryGranted is set while the call holds a retry that it has waited for.
+	retryGranted bool
+	// evidence is what showed the loss of the last attempt's target.
+	evidence balance.Evidence
 	// requestFingerprint identifies the content of the request. quarantineLeft is
 	// how much longer a request with this fingerprint is refused because it
 	// crashes targets; 0 if it is not quarantined.
@@ -97,6 +102,9 @@
 	// software is the version at which the request's stream goes on; nil before it has
 	// begun.
 	software *requiredSoftware
+	// drawn is set while the current attempt may be sent to the new version of a roll-out, and
+	// refusedNew if that version may not get it.
+	drawn, refusedNew bool
 	// releaseBuffers give back the memory of the request's body and of the buffered answers.
 	releaseBuffers []func()
 	// heldBack is set if the request may not start yet because requests with this
@@ -120,7 +128,9 @@
 	c.log(event.RequestAccepted, "route", c.route.Name, "service", c.service, "version", c.cfg.Version,
 		"promptTokens", c.meta.PromptTokens, "parts", joinParts(c.meta.PromptParts), "lastEvent", c.meta.LastEventID, "resumes", c.meta.Resumes, "protocol", c.r.Proto, "left", c.timeLeft())
 	defer c.endTrial()
+	defer c.endTurn()
 	defer c.endReservation()
+	defer c.returnRetry()
 	defer e.quarantine.End(c.content(), id.Request(c.meta.Attempt))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -161,6 +171,7 @@
 	c.requirements = balance.Request{
 		Engine:       c.engine(),
 		PromptTokens: c.meta.PromptTokens, OutputTokens: c.meta.OutputTokens, Prompt: string(c.meta.OwnPart()),
+		Kind: route.Name,
 	}
 	c.setDeadline()
 	if c.stopsFirst() {
@@ -253,7 +264,7 @@
 	m := direct.ForwardMetadata{Timeout: c.timeLeft(), Target: choice.Target.ID}
 	m.Account = c.accountName()
 	if c.requirements.Engine != nil {
-		priority := c.cfg.PriorityOf(c.route, c.account)
+		priority := c.priority()
 		m.Priority = &priority
 	}
 	if choice.Backup != nil {
@@ -287,6 +298,8 @@
 	now := c.now()
 	if c.sends == 0 {
 		c.e.retryBudgets.recordRequest(now, c.service)
+	} else if c.retryGranted {
+		c.retryGranted = false
 	} else if c.reached && !c.e.retryBudgets.tryRetry(now, c.service, c.e.roster.LimitShare(now), c.reportAge(now)) {
 		c.budgetExhausted = true
 		c.log(event.BudgetExhausted, "service", c.service, "entries", c.e.roster.LimitSharers(now))
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -8,6 +8,7 @@
 	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/coordination/origin"
 	"foxtailward.example/foxtailward/internal/state/catalog"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/meter"
 )
 
@@ -33,6 +34,8 @@
 		return age.Seconds()
 	})
 	m.set.RegisterGauge("peers", func() float64 { return float64(e.roster.LimitSharers(e.deps.Clock.Now()) - 1) })
+	m.set.RegisterGauge("clientConnections", func() float64 { return float64(e.inbound.Connections()) })
+	m.set.RegisterGauge("largeHeadBytes", func() float64 { return float64(e.inbound.HeadMemory()) })
 	m.set.RegisterGauge("logLinesDropped", func() float64 { return float64(e.deps.Log.Dropped()) })
 	return m
 }
@@ -57,6 +60,21 @@
 	outcomeBroken    = "streamBroken"
 )
 
+// registerWaiting registers the number of requests that wait for room at a service's targets.
+func (m *entryMetrics) registerWaiting(service id.Service, value func() float64) {
+	m.set.RegisterGauge("waitingRequests", value, meter.Label{Key: "service", Value: string(service)})
+}
+
+// waitEnded records how long a request waited for room.
+func (m *entryMetrics) waitEnded(service id.Service, waited time.Duration) {
+	m.set.Observe("roomWait", waited, meter.Label{Key: "service", Value: string(service)})
+}
+
+// roomRefused counts a request that was refused or displaced because there was too little room.
+func (m *entryMetrics) roomRefused(service id.Service, reason string) {
+	m.set.Count("roomRefusals", meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "reason", Value: reason})
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *entryMetrics) firstEvent(route *catalog.Route, took time.Duration) {
 	m.set.Observe("firstEvent", took, meter.Label{Key: "route", Value: route.Name})
@@ -72,6 +90,12 @@
 	m.set.Count("refusals", meter.Label{Key: "status", Value: strconv.Itoa(f.status)}, meter.Label{Key: "reason", Value: f.reason})
 }
 
+// clientRefused counts a client that was refused before its request was read, or whose
+// connection was closed.
+func (m *entryMetrics) clientRefused(listener, reason string) {
+	m.set.Count("clientsRefused", meter.Label{Key: "listener", Value: listener}, meter.Label{Key: "reason", Value: reason})
+}
+
 // sendEnded records the outcome of an attempt at a target.
 func (m *entryMetrics) sendEnded(t *catalog.Target, o balance.Outcome, took time.Duration) {
 	m.set.Observe("send", took, meter.Label{Key: "service", Value: string(t.Service)}, meter.Label{Key: "outcome", Value: string(o)})
@@ -110,6 +134,28 @@
 	m.set.Count("requestsCleared", meter.Label{Key: "outcome", Value: string(o)})
 }
 
+// silenceExplained counts runs whose silence a backlog explained.
+func (m *entryMetrics) silenceExplained(service id.Service) {
+	m.set.Count("silencesExplained", meter.Label{Key: "service", Value: string(service)})
+}
+
+// signAsked counts questions to targets whether they live.
+func (m *entryMetrics) signAsked(service id.Service, answered bool) {
+	m.set.Count("signsAsked", meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "answered", Value: strconv.FormatBool(answered)})
+}
+
+// waitingMoved counts the waiting runs that left a lost zone.
+func (m *entryMetrics) waitingMoved(service id.Service, n int) {
+	for range n {
+		m.set.Count("waitingMoved", meter.Label{Key: "service", Value: string(service)})
+	}
+}
+
+// retryWaited records how long a request waited for a retry.
+func (m *entryMetrics) retryWaited(service id.Service, result string, took time.Duration) {
+	m.set.Observe("retryWait", took, meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "result", Value: result})
+}
+
 // targetConnected counts a new connection to a target.
 func (m *entryMetrics) targetConnected() { m.set.Count("targetConnections") }
 
--- a/internal/transport/direct/peers.go
+++ b/internal/transport/direct/peers.go
@@ -141,7 +141,7 @@
 func (x *peerExchange) run(ctx context.Context) {
 	server := &http.Server{Handler: http.HandlerFunc(x.serve), ReadTimeout: readinessTimeout, WriteTimeout: readinessTimeout, IdleTimeout: 2 * peerIdleTimeout}
 	var wg sync.WaitGroup
-	wg.Go(func() { x.e.serveOn(server, x.listener) })
+	wg.Go(func() { x.e.serveOn(peersName, server, x.listener) })
 	wg.Go(func() { x.receiveLoop(ctx) })
 	wg.Go(func() { x.sendLoop(ctx) })
 	<-ctx.Done()
@@ -314,6 +314,7 @@
 		From: x.e.cfg.Name, Incarnation: x.incarnation, Sequence: x.sequence, Address: x.e.cfg.PeerAddress,
 		Version: x.e.configVersion(), Zone: x.e.cfg.Place.Zone,
 	}
+	u.Away = x.e.ownLoad.away.Load()
 	u.StoreReachable = x.e.targetsListed.Load() && !x.storeWatcher.storeUnavailable()
 	if start := x.e.drainStart.Load(); start != nil {
 		u.StopsInMS = max(1, x.e.drainEnd(*start).Sub(now).Milliseconds())
@@ -327,11 +328,13 @@
 	u := x.header(now)
 	u.Leaving = x.e.withdrawn.Reports(now)
 	u.Versions = x.takeVersionReport(now)
+	u.Waiting = x.e.lines.counts(now)
 	u.Retries, u.Turns, u.Limits = x.e.retryBudgets.counts(now), x.e.quarantine.Turns(), x.e.limits.reports(now)
 	for lost, age := range x.e.balancer.RecentLosses(now) {
-		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, AgeMS: age.Milliseconds()})
+		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Evidence: x.e.balancer.LossEvidence(lost), AgeMS: age.Milliseconds()})
 	}
-	u.Successors = x.e.successors.recentlyFound(now)
+	u.Successors, u.Paces = x.e.successors.recentlyFound(now), x.e.balancer.TakePaces(now)
+	u.Rollouts = x.e.rollouts.reports()
 	for lost, age := range x.e.balancer.RecentlyReplaced(now) {
 		u.Losses = append(u.Losses, direct.Loss{Target: lost.Target, Incarnation: lost.Incarnation, Replaced: true, AgeMS: age.Milliseconds()})
 	}
@@ -370,6 +373,7 @@
 		return
 	}
 	x.configs.observe(ctx, u.Address, u.Version)
+	x.e.ownLoad.applyPeer(now, u)
 	if u.Notice || !u.Announcement {
 		x.applyState(ctx, now, u)
 	}
@@ -384,12 +388,15 @@
 // applyState applies what a message says about its sender's state.
 func (x *peerExchange) applyState(ctx context.Context, now time.Time, u *direct.PeerUpdate) {
 	x.applyLoads(now, u)
+	x.e.balancer.ApplyPeerPaces(now, u.Paces)
 	x.e.retryBudgets.setPeerCounts(now, u.From, u.Retries)
+	x.e.lines.setPeer(now, u.From, u.Waiting)
 	x.e.limits.merge(now, u.Limits)
 	x.e.withdrawn.Merge(now, u.Leaving)
 	x.e.quarantine.Merge(now, u.Failures)
 	x.e.quarantine.MergeTurns(now, u.From, u.Turns)
 	x.mergeVersions(now, u.Versions)
+	x.e.rollouts.merge(now, u)
 	if !u.Notice {
 		x.e.handover.UpdateFromPeer(now, handover.Owner{Name: u.From, Incarnation: u.Incarnation}, u.Runs)
 	}
@@ -425,7 +432,13 @@
 		return
 	}
 	x.e.quarantine.TargetLost(now.Add(-l.Age()), t.Key(), t.Zone)
-	if x.e.balancer.ApplyPeerLoss(now, t, l.Age()) {
+	evidence := l.Evidence
+	if !x.e.competes(t.Service) {
+		evidence = balance.Untyped
+	}
+	zoneLost := x.e.balancer.ApplyPeerLossBy(now, t, l.Age(), evidence)
+	x.e.moves.targetLost(t.Service)
+	if zoneLost {
 		x.e.deps.Log.Emit(event.ZoneLost, "zone", t.Zone, "service", t.Service, "from", from, "ago", l.Age())
 	}
 }
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -38,12 +38,15 @@
 func (c *call) servePlain(ctx context.Context) {
 	var failed *bufferedAnswer
 	for c.sends < c.maxRuns()+extraSends && c.runs < c.maxRuns() && !c.expired() {
-		if c.stopsFirst() || !c.mayStart(ctx) {
+		if c.stopsFirst() || !c.awaitRetry(ctx, retryWait{c.claim, c.retryWaitEnd, c.stopsFirst}) || !c.awaitRoom(ctx) || !c.mayStart(ctx) {
 			break
 		}
 		choice, ok := c.choose(ctx)
 		if !ok {
 			c.notReached()
+			if c.lostRoom() {
+				continue
+			}
 			break
 		}
 		if c.stopsFirst() || !c.allowSend() {
@@ -62,7 +65,7 @@
 		case balance.Failed:
 			failed = answer
 		case balance.Refused:
-			c.targetBusy = true
+			c.refusedBy(choice.Target)
 		}
 	}
 	if failed != nil {
@@ -78,6 +81,7 @@
 	sent := c.now()
 	c.answer = answerRecord{}
 	run := c.e.balancer.Start(sent, choice, c.requirements, nil)
+	c.endReservation()
 	answer, outcome, err := c.roundTrip(ctx, choice)
 	if c.clientGone() || (outcome == balance.Lost && c.e.stopped()) {
 		outcome = balance.ClientCancelled
@@ -102,21 +106,32 @@
 	if outcome == balance.Unreachable {
 		c.notReached()
 	}
-	zoneLost := run.End(now, outcome)
+	c.evidence = c.lossEvidence(run, outcome, err)
+	zoneLost := run.EndWith(now, outcome, c.evidence)
 	c.updateQuarantine(now, sent, choice.Target, outcome, err)
-	if c.requirements.Engine != nil && (outcome == balance.Lost || outcome == balance.Unreachable) {
+	lost := c.evidence != balance.OverdueStart && (outcome == balance.Lost || outcome == balance.Unreachable)
+	if lost {
+		c.e.moves.targetLost(c.service)
+	}
+	if c.requirements.Engine != nil && lost {
 		// Only for engines: health checks of a plain service would take up slots of
 		// its few targets.
 		c.e.successors.start(choice.Target)
 	}
-	if c.requirements.Engine != nil && outcome == balance.Lost {
+	if c.requirements.Engine != nil && lost && outcome == balance.Lost {
 		// Other entries may have requests waiting for targets of the same zone.
 		c.e.updatePeers()
 	}
+	c.countOutcome(choice.Target, outcome, sent, now)
 	c.e.metrics.sendEnded(choice.Target, outcome, now.Sub(sent))
+	c.e.lines.sendEnded(c, outcome, now.Sub(sent))
 	c.e.metrics.answerEnded(c.route, &c.answer, outcome)
 	fields := []any{"target", choice.Target.ID, "process", choice.Target.Incarnation, "zone", choice.Target.Zone, "software", choice.Target.SoftwareText(), "reason", choice.Reason, "outcome", outcome, "took", now.Sub(sent)}
 	fields = append(fields, c.answer.fields()...)
+	if c.evidence != balance.Untyped {
+		fields = append(fields, "evidence", c.evidence)
+	}
+	fields = append(fields, c.paceFields(now, choice.Target, now.Sub(sent))...)
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
@@ -216,7 +231,9 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	c.w.WriteHeader(a.status)
-	if _, err := c.w.Write(a.body); err != nil && c.clientGone() {
+	n, err := c.w.Write(a.body)
+	c.e.ownLoad.sent.Add(int64(n))
+	if err != nil && c.clientGone() {
 		c.abandon()
 	}
 	c.e.metrics.requestEnded(c.route, outcomeAnswered, c.now().Sub(c.start))
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -101,12 +101,15 @@
 	}
 	defer s.endHandover()
 	for s.mayRunAgain() {
-		if s.stopsFirst() || !c.mayStart(ctx) {
+		if s.stopsFirst() || !c.awaitRetry(ctx, retryWait{s.claim, s.retryWaitEnd, s.stopsFirst}) || !c.awaitRoom(ctx) || !c.mayStart(ctx) {
 			break
 		}
 		a, ok := s.nextAttempt(ctx)
 		if !ok {
 			c.notReached()
+			if c.lostRoom() {
+				continue
+			}
 			break
 		}
 		if s.stopsFirst() || !c.allowSend() {
@@ -131,7 +134,7 @@
 // beginning.
 func (s *stream) nextAttempt(ctx context.Context) (attempt, bool) {
 	c := s.c
-	if a, ok := s.confirmEnd(ctx); ok {
+	if a, ok := s.confirmEnd(ctx); ok && c.takeShare(a.choice.Target) {
 		return a, true
 	}
 	if c.runs >= c.maxRuns() {
@@ -142,7 +145,7 @@
 	if c.sends == 0 && s.lastEventID != "" && c.route.Resumable {
 		s.inheritCopy(now, targets)
 	}
-	if t, ref := s.copyHolder(now, targets); t != nil && c.takePlace(ctx, t, resumeLimitWait) {
+	if t, ref := s.copyHolder(now, targets); t != nil && c.takeShare(t) && c.takePlace(ctx, t, resumeLimitWait) {
 		backup := c.e.balancer.BackupFor(c.now(), c.requirements, targets, t, c.tried)
 		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsBackup}, resumeFrom: ref}, true
 	}
@@ -190,6 +193,9 @@
 		reroute = nil
 	}
 	run := c.e.balancer.Start(sent, a.choice, requirements, reroute)
+	if reroute != nil && c.e.competes(c.service) {
+		run.SetClaim(s.claim())
+	}
 	c.endReservation()
 	c.e.loadChanged(a.choice.Target, true)
 	defer c.e.loadChanged(a.choice.Target, false)
@@ -210,7 +216,9 @@
 		// A copy can be used only after the prompt has been processed.
 		s.copyTracker.take()
 	}
-	c.targetBusy = c.targetBusy || outcome == balance.Refused
+	if outcome == balance.Refused {
+		c.refusedBy(a.choice.Target)
+	}
 	c.succeeded = outcome == balance.Succeeded
 	c.recordSend(run, a.choice, outcome, sent, err)
 	return outcome
@@ -226,7 +234,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	relay := &eventRelay{s: s, target: a.choice.Target, run: run, detector: detect.New(stallConfig(), c.now(), expected)}
-	relay.silence = newSilenceWatch(c.e.deps.Clock, s.silenceEnds(a.choice.Target), cancel)
+	relay.silence = newSilenceWatch(c.e.deps.Clock, s.judgeSilence(run, a.choice.Target, s.silenceEnds(a.choice.Target)), cancel)
 	if !a.confirmsEnd {
 		s.copyTracker.runStarted(a.choice.Backup, c.meta.Attempt)
 	}
@@ -283,6 +291,9 @@
 		case err != nil:
 			return balance.Lost, err
 		}
+		if c.attemptBegan.IsZero() {
+			c.countFirstEvent(r.target, sent, c.now())
+		}
 		r.recordEvent(packetLoss)
 		if goesOn {
 			if outcome, err := s.confirmTarget(ctx, r.target); outcome != balance.Succeeded {
@@ -416,7 +427,8 @@
 	if err := s.out.SetWriteDeadline(s.writeDeadline()); err != nil {
 		return err
 	}
-	_, err := s.c.w.Write(next.Raw)
+	n, err := s.c.w.Write(next.Raw)
+	s.c.e.ownLoad.sent.Add(int64(n))
 	return err
 }
 
