Roll-outs: an attempt that may not get its version gives its place back outside the lock

Cause: takeShare gave the reserved place back while it held the roll-outs' lock. Who waits for room looks for it then, and asks the roll-outs which targets it may use: the entry locked itself.

Change: the count is taken under the lock, places are given back after it.

Result: transport/direct passes with the race detector; no test brings the refusal about.

--- a/internal/transport/direct/rolloutcall.go
+++ b/internal/transport/direct/rolloutcall.go
@@ -47,26 +47,31 @@
 // takeShare counts an attempt at the target's version. It returns false if that version may not
 // get it; the targets that are chosen from change then.
 func (c *call) takeShare(t *catalog.Target) bool {
-	r := c.e.rollouts
-	if r == nil {
+	if c.e.rollouts == nil || c.e.rollouts.take(c, t) {
 		return true
 	}
+	c.drawn, c.refusedNew = false, true
+	// Who waits for room looks for it now, and asks the roll-outs which targets it may use.
+	c.endReservation()
+	c.endTrial()
+	return false
+}
+
+// take counts an attempt at the target's version, unless that version may not get it.
+func (r *rollouts) take(c *call, t *catalog.Target) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.states[c.service]
 	if st == nil {
 		return true
 	}
-	if st.Take(t.Software, c.software != nil, r.bound(c.now(), st)) {
-		if st.Stage != nil && st.Active() {
-			c.e.metrics.rolloutSend(c.service, st.Stage.Role(t.Software))
-		}
-		return true
+	if !st.Take(t.Software, c.software != nil, r.bound(c.now(), st)) {
+		return false
 	}
-	c.drawn, c.refusedNew = false, true
-	c.endReservation()
-	c.endTrial()
-	return false
+	if st.Stage != nil && st.Active() {
+		c.e.metrics.rolloutSend(c.service, st.Stage.Role(t.Software))
+	}
+	return true
 }
 
 // takeShareOrPlace does the same for a target at its limit, whose place it gives back if the
