Waiting: what starts at once is no pressure, and a returning request is expected when it was told to come

The line expected returns later than callers were told.

Change: a request counts once, when it finds no room; Item.MaxRetryAfter bounds what is told and expected.

--- a/internal/coordination/overload/line.go
+++ b/internal/coordination/overload/line.go
@@ -39,6 +39,8 @@
 	arrived time.Time
 	// latestStart is the latest time at which it must start.
 	latestStart time.Time
+	// offered is set once the request has found no room, so that it counts once as work that came.
+	offered bool
 }
 
 // late reports whether the request can no longer be on time.
@@ -122,12 +124,15 @@
 func (l *Line) Offer(p *Place, free bool, now time.Time) (Verdict, *Dropped) {
 	l.advance(now)
 	l.sort(now)
-	l.rate.offered += p.Item.Cost
 	at := l.position(p, now)
 	if free && at == 0 {
 		l.start(p)
 		return Verdict{Kind: Run, Reason: CapacityAvailable}, nil
 	}
+	if !p.offered {
+		p.offered = true
+		l.rate.offered += p.Item.Cost
+	}
 	wait, known := l.waitAt(at)
 	left := p.latestStart.Sub(now)
 	if left <= 0 || (known && wait > time.Duration(maxWaitPart*float64(left))) {
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -55,6 +55,8 @@
 	// for none.
 	Priority int
 	OnTimeBy time.Time
+	// MaxRetryAfter is the longest time after which the caller comes back; 0 for any.
+	MaxRetryAfter time.Duration
 }
 
 // Kind is the decision about an offered request.
--- a/internal/coordination/overload/returning.go
+++ b/internal/coordination/overload/returning.go
@@ -33,6 +33,9 @@
 	}
 	// What comes meanwhile takes its part of the room, and will probably for as long as it did.
 	wait = max(minRetryAfter, ceilToMillisecond(time.Duration(float64(wait)*l.rate.pressure())), l.refusedFor(now))
+	if p.Item.MaxRetryAfter > 0 {
+		wait = min(wait, p.Item.MaxRetryAfter)
+	}
 	if len(l.returning) < l.cfg.MaxQueued {
 		l.returning = append(l.returning, returning{at: now.Add(wait), priority: p.Item.Priority, cost: p.Item.Cost})
 	}
--- a/internal/transport/direct/waitingcall.go
+++ b/internal/transport/direct/waitingcall.go
@@ -134,14 +134,13 @@
 func (c *call) waitingItem(request id.Request, work time.Duration) overload.Item {
 	item := overload.Item{
 		Request: request, Contract: id.Contract(c.accountName()), Cost: float64(max(1, c.meta.PromptTokens+c.meta.OutputTokens)),
-		Priority: c.priority(), Deadline: c.deadline, ServiceTime: work,
+		Priority: c.priority(), Deadline: c.deadline, ServiceTime: work, MaxRetryAfter: c.timeLeft() / retryAfterPart,
 	}
 	untilAnswer := work
 	if c.route.Kind == catalog.Streaming {
 		untilAnswer = enginePromptDelay + time.Duration(c.meta.PromptTokens)*enginePerToken
 		item.ServiceTime = max(untilAnswer, enginePromptDelay+c.e.minStreamTime(c.service, &c.meta))
-		patience := max(minWriteTimeout, writeLatencyFactor*c.route.LatencyObjective, writeGapFactor*c.route.GapObjective)
-		if gone := c.start.Add(patience); gone.Add(-untilAnswer).Before(c.deadline.Add(-item.ServiceTime)) {
+		if gone := c.start.Add(clientPatience(c.route)); gone.Add(-untilAnswer).Before(c.deadline.Add(-item.ServiceTime)) {
 			item.Deadline, item.ServiceTime = gone, untilAnswer
 		}
 	}
