A loss during the last round of moves begins another one

Cause: between the end of a round and its note, a target that was lost began no round, and the runs with a claim that waited there were not moved.

Change: a loss while a round runs has another one follow.

--- a/internal/transport/direct/moves.go
+++ b/internal/transport/direct/moves.go
@@ -19,7 +19,8 @@
 	e *Entry
 
 	mu sync.Mutex
-	// scheduled holds the services for which another round follows.
+	// scheduled holds the services for which a round runs or follows. The value says that a
+	// target was lost since the last round began.
 	scheduled map[id.Service]bool
 }
 
@@ -36,16 +37,36 @@
 func (m *zoneMoves) schedule(service id.Service) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.scheduled[service] {
+	if _, runs := m.scheduled[service]; runs {
+		m.scheduled[service] = true
 		return false
 	}
-	m.scheduled[service] = true
+	m.scheduled[service] = false
+	return true
+}
+
+// begin records that a round begins.
+func (m *zoneMoves) begin(service id.Service) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.scheduled[service] = false
+}
+
+// end reports whether no other round follows: nobody waits on, and no target was lost meanwhile.
+func (m *zoneMoves) end(service id.Service, left int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if (left > 0 || m.scheduled[service]) && !m.e.stopped() {
+		return false
+	}
+	delete(m.scheduled, service)
 	return true
 }
 
 // round has as many runs leave as may now. If others wait on, another round follows.
 func (m *zoneMoves) round(service id.Service) {
 	e := m.e
+	m.begin(service)
 	now := e.deps.Clock.Now()
 	for _, t := range e.balancer.Stranded(now, service) {
 		if !e.signs.ask(t) {
@@ -61,13 +82,9 @@
 			"firstPriority", first.Priority, "firstBegun", first.Begun, "lastPriority", last.Priority)
 		e.metrics.waitingMoved(service, len(moves.Taken))
 	}
-	if moves.Left > 0 && !e.stopped() {
+	if !m.end(service, moves.Left) {
 		e.deps.Clock.AfterFunc(moveInterval, func() { m.round(service) })
-		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.scheduled, service)
 }
 
 // judgeSilence returns a function that reports whether silence may end a run that begins now: not
