A call has one turn at most, and none while it waits for a limit or for reports

Cause: a turn was not given back on the way of targets at their limits, and a second one was counted for the same call; so an entry with target limits took less and less room. A request that waited for the reports of other entries held room meanwhile. A look for room scanned all requests that were sent before.

Change: serviceLine.giveTurn; endTurn before such waits; a look ends after eight requests that were sent before and find no room. One constant for a target's queue, one function for the patience of clients; the words of targets that are gone are forgotten.

Result: transport/direct, balance and overload pass with the race detector (the first) and without.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -329,6 +329,7 @@
 	defer b.mu.Unlock()
 	b.forgetBacklogs(now)
 	for _, t := range gone {
+		delete(b.unreported, t.ID)
 		delete(b.targets, t.ID)
 	}
 }
--- a/internal/coordination/balance/room.go
+++ b/internal/coordination/balance/room.go
@@ -11,9 +11,9 @@
 	// plainRoom is how many requests a target of a plain service may have, in multiples of its
 	// slots: those that it runs, and as many that follow at once.
 	plainRoom = 2
-	// engineQueueDivisor is the divisor of an engine's slots that gives how many requests it
-	// may have beyond them.
-	engineQueueDivisor = 4
+	// QueueDivisor is the divisor of a target's slots that gives how many requests it may have
+	// beyond them.
+	QueueDivisor = 4
 	// engineBacklog is the number of prompt tokens that an engine may have yet to compute when
 	// it gets a request: less than a second's work.
 	engineBacklog = 6000
@@ -117,7 +117,7 @@
 	}
 	places := unboundedRoom
 	if t.Slots > 0 {
-		places = t.Slots + t.Slots/engineQueueDivisor - l.Running - reserved
+		places = t.Slots + t.Slots/QueueDivisor - l.Running - reserved
 	}
 	backlog := b.backlogOf(now, t.ID, l) + float64(reserved*request.PromptTokens)
 	if backlog > engineBacklog {
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -11,9 +11,6 @@
 	"foxtailward.example/foxtailward/internal/state/timing"
 )
 
-// queueDivisor is the divisor of a target's slots that gives how many requests it queues.
-const queueDivisor = 4
-
 // choose returns the target of the request's next attempt, and counts the attempt against
 // the target's limit. Targets at their limit are used only if there is no other one that
 // is not suspected.
@@ -28,6 +25,7 @@
 		choice, ok := c.e.balancer.Choose(now, c.requirements, free, c.tried)
 		if !ok || choice.Reason == balance.LastResort {
 			if first := c.firstInTime(full); first != nil {
+				c.endTurn()
 				if c.takePlace(ctx, first, c.maxLimitWait()) && c.takeShareOrPlace(first) {
 					return c.choiceAtLimit(first), true
 				}
--- a/internal/transport/direct/places.go
+++ b/internal/transport/direct/places.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"foxtailward.example/foxtailward/internal/coordination/balance"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
 )
@@ -28,7 +29,7 @@
 }
 
 func (p *targetPlaces) fullLocked(now time.Time, t *catalog.Target) bool {
-	return t.Slots > 0 && p.running(now, t)+p.reserved[t.ID] >= t.Slots+t.Slots/queueDivisor
+	return t.Slots > 0 && p.running(now, t)+p.reserved[t.ID] >= t.Slots+t.Slots/balance.QueueDivisor
 }
 
 // reserve takes a place at the target. It returns false if the target is full.
--- a/internal/transport/direct/quarantine.go
+++ b/internal/transport/direct/quarantine.go
@@ -203,6 +203,8 @@
 // long enough then.
 func (c *call) awaitReports(ctx context.Context, request id.Request) quarantine.Verdict {
 	c.e.updatePeers()
+	// Others use the room meanwhile.
+	c.endTurn()
 	if c.timeLeft() <= quarantine.SettleTime+c.e.quarantine.TrialTime(c.content()) || !timing.Sleep(ctx, c.e.deps.Clock, quarantine.SettleTime) {
 		return quarantine.HeldBack
 	}
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -146,6 +146,7 @@
 		s.inheritCopy(now, targets)
 	}
 	if t, ref := s.copyHolder(now, targets); t != nil && c.takeShare(t) && c.takePlace(ctx, t, resumeLimitWait) {
+		c.endTurn()
 		backup := c.e.balancer.BackupFor(c.now(), c.requirements, targets, t, c.tried)
 		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsBackup}, resumeFrom: ref}, true
 	}
@@ -435,8 +436,7 @@
 // writeDeadline returns the time by which the client must have accepted the next event.
 func (s *stream) writeDeadline() time.Time {
 	c := s.c
-	timeout := max(minWriteTimeout, writeLatencyFactor*c.route.LatencyObjective, writeGapFactor*c.route.GapObjective)
-	if end := c.now().Add(timeout); end.Before(c.deadline) {
+	if end := c.now().Add(clientPatience(c.route)); end.Before(c.deadline) {
 		return end
 	}
 	return c.deadline
--- a/internal/transport/direct/waiting.go
+++ b/internal/transport/direct/waiting.go
@@ -18,6 +18,8 @@
 	plainPollInterval  = 10 * time.Millisecond
 	// waitingReportTime is how long another entry's report of what waits there counts.
 	waitingReportTime = time.Second
+	// maxFailedLooks is how many requests that were sent before may find no room in one look.
+	maxFailedLooks = 8
 	// workSmoothing is the weight of the latest request in the usual time of a plain service's
 	// requests.
 	workSmoothing = 0.05
@@ -108,8 +110,7 @@
 	}
 	switch verdict.Kind {
 	case overload.Run:
-		s.turns++
-		c.wait.hasTurn = true
+		s.giveTurn(c)
 		return verdict, nil
 	case overload.Refused:
 		return verdict, nil
@@ -120,6 +121,14 @@
 	return verdict, w
 }
 
+// giveTurn lets a call choose a target. A call has one turn at most.
+func (s *serviceLine) giveTurn(c *call) {
+	if !c.wait.hasTurn {
+		c.wait.hasTurn = true
+		s.turns++
+	}
+}
+
 // endWait ends the wait of a request.
 func (s *serviceLine) endWait(request id.Request, end waitEnd) {
 	w := s.waiters[request]
@@ -203,11 +212,12 @@
 		s.endWait(d.Item.Request, waitEnd{dropped: &d})
 	}
 	// A request that was sent nowhere yet finds room wherever a less urgent one does.
-	exhausted := false
+	exhausted, failed := false, 0
 	hasRoom := func(item *overload.Item) bool {
 		c := s.waiters[item.Request].c
 		if exhausted || !l.hasRoom(now, s, c, 0) {
-			exhausted = exhausted || len(c.tried) == 0
+			failed++
+			exhausted = exhausted || len(c.tried) == 0 || failed >= maxFailedLooks
 			return false
 		}
 		return true
@@ -217,8 +227,7 @@
 		if next == nil {
 			break
 		}
-		s.turns++
-		s.waiters[next.Item.Request].c.wait.hasTurn = true
+		s.giveTurn(s.waiters[next.Item.Request].c)
 		s.endWait(next.Item.Request, waitEnd{passed: passed})
 	}
 	l.pollSoon(service, s)
