Roll-outs: back at the version that serves, a choice that waited, a decider that was paused

Change: an order back begins in the stage whole, which isn't judged and waits for all entries and for the runs at barred versions; Stage.served; Take asks the stage again; a step is dropped where the order or the finding has changed.

The case 'an order back to the old version' of TestDecide wanted 'completed' at once, which breaks what the users' page says of completed; it wants the stage whole now, and four cases say what that one waits for.

--- a/internal/coordination/rollout/decide.go
+++ b/internal/coordination/rollout/decide.go
@@ -99,7 +99,7 @@
 	case v.Stage == nil || v.Stage.Order != v.Order.Revision:
 		return v.begin()
 	}
-	if !v.Stage.Phase.Final() && v.Stage.Phase != Reverting && (v.Finding.Bad || v.ReportedBad) {
+	if !v.Stage.Phase.Final() && v.Stage.Phase != Reverting && !v.Stage.Serves() && (v.Finding.Bad || v.ReportedBad) {
 		return v.next(Reverting, 0, JudgedBad)
 	}
 	switch v.Stage.Phase {
@@ -122,6 +122,8 @@
 		return Step{Reason: IsFinal}
 	case v.Stage.Phase == Reverting:
 		return v.fromReverting()
+	case v.Stage.Serves():
+		return v.fromWhole()
 	}
 	return v.next(Reverting, 0, Withdrawn)
 }
@@ -142,8 +144,13 @@
 	s.Old = append(s.Old, v.Listed...)
 	s.Barred = withoutVersion(s.Barred, s.To, nil)
 	s.Old = withoutVersion(s.Old, s.To, s.Barred)
-	if len(v.Listed) > 0 && len(withoutVersion(slices.Clone(v.Listed), s.To, s.Barred)) == 0 {
-		// The version serves alone already, apart from those that may get nothing.
+	switch {
+	case len(v.Listed) == 0 || len(withoutVersion(slices.Clone(v.Listed), s.To, s.Barred)) > 0:
+	case len(withoutVersion(slices.Clone(v.Listed), s.To, nil)) > 0:
+		// It serves already, but the entries may not know yet that those of an unfinished
+		// order get nothing more.
+		s.Phase, s.Share, s.Reason = Whole, 1, NothingToMove
+	default:
 		s.Phase, s.Share, s.Reason = Completed, 1, NothingToMove
 	}
 	return Step{Next: s, Reason: s.Reason}
@@ -205,7 +212,7 @@
 	switch {
 	case v.NewSlots == 0:
 		return Step{Reason: NoTarget}
-	case !v.Finding.Good:
+	case !v.Finding.Good && !v.Stage.Serves():
 		return Step{Reason: FewAnswers}
 	}
 	return v.next(Completed, 1, Acknowledged)
--- a/internal/coordination/rollout/permit.go
+++ b/internal/coordination/rollout/permit.go
@@ -23,7 +23,7 @@
 // unstaged reports whether a version may get requests while the order's stage is not known.
 func (p *Permit) unstaged(v id.SoftwareVersion) bool {
 	if p.Order != nil && v == p.Order.To {
-		return false
+		return p.Stage.served(v)
 	}
 	// What an earlier order barred stays so.
 	return p.Stage == nil || p.Stage.unfinishedRole(v)
@@ -35,13 +35,18 @@
 	case BarredVersion:
 		return false
 	case NewVersion:
-		return s.Phase == Completed
+		return s.Phase == Completed || s.Serves()
 	case OldVersion:
 		return s.Phase != Completed
 	}
 	return true
 }
 
+// served reports whether the stage of an earlier order, or nil, shows that the version serves.
+func (s *Stage) served(v id.SoftwareVersion) bool {
+	return s != nil && s.Role(v) != Uninvolved && s.unfinishedRole(v)
+}
+
 // Allows reports whether targets of a version may get the request.
 func (p *Permit) Allows(v id.SoftwareVersion) bool {
 	if p.Stage == nil && p.Order == nil {
@@ -68,7 +73,7 @@
 
 func (p *Permit) allowsNew(goesOn bool) bool {
 	switch {
-	case p.Stage.Phase == Completed:
+	case p.Stage.Phase == Completed, p.Stage.Serves():
 		return true
 	case p.Stopped:
 		return false
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -81,6 +81,10 @@
 	BegunMS int64 `json:"begunMs"`
 }
 
+// Serves reports whether the new version served already when the order came, so that it is not
+// judged.
+func (s *Stage) Serves() bool { return s.Reason == NothingToMove }
+
 // Validate returns an error of kind Malformed for a stage that is none.
 func (s *Stage) Validate() error {
 	const op = "Stage.Validate"
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -199,6 +199,16 @@
 	})
 }
 
+// back returns the view after an order back to the old version has come while the new one had
+// all requests, and its first stage is known.
+func back(change func(v *rollout.View)) rollout.View {
+	return at(rollout.Whole, func(v *rollout.View) {
+		v.Order, v.Finding = order(v1, 9), rollout.Finding{}
+		v.Stage = &rollout.Stage{Number: 2, Order: 9, To: v1, Phase: rollout.Whole, Share: 1, Barred: []id.SoftwareVersion{v2}, Reason: rollout.NothingToMove}
+		change(v)
+	})
+}
+
 func TestDecide(t *testing.T) {
 	bad := rollout.Finding{Bad: true}
 	good := rollout.Finding{Good: true}
@@ -213,7 +223,11 @@
 		{"an order before any target is known", with(func(v *rollout.View) { v.Stage, v.Listed = nil, nil }), rollout.Canary, rollout.Ordered},
 		{"no order", rollout.View{}, "", rollout.NoOrder},
 		{"a second order", with(func(v *rollout.View) { v.Order = order(v3, 9) }), rollout.Canary, rollout.Ordered},
-		{"an order back to the old version", with(func(v *rollout.View) { v.Order = order(v1, 9) }), rollout.Completed, rollout.NothingToMove},
+		{"an order back to the old version", with(func(v *rollout.View) { v.Order = order(v1, 9) }), rollout.Whole, rollout.NothingToMove},
+		{"back at the old version, runs at the other", back(func(v *rollout.View) { v.Entries[1].AtOld = 4 }), "", rollout.RunsAtOld},
+		{"back at the old version, one has not acknowledged", back(func(v *rollout.View) { v.Entries[1].Stage = 1 }), "", rollout.UnknownByOne},
+		{"back at the old version, which is not judged", back(func(v *rollout.View) { v.Finding = bad }), rollout.Completed, rollout.Acknowledged},
+		{"back at the old version, withdrawn", back(func(v *rollout.View) { v.Order = nil }), rollout.Completed, rollout.Acknowledged},
 		{"withdrawn", with(func(v *rollout.View) { v.Order = nil }), rollout.Reverting, rollout.Withdrawn},
 		{"withdrawn when completed", at(rollout.Completed, func(v *rollout.View) { v.Order = nil }), "", rollout.IsFinal},
 		{"good too early", with(func(v *rollout.View) { v.Finding = good }), "", rollout.SwitchNotDue},
@@ -428,3 +442,39 @@
 	stopped, _ = s.Merge(now, from, rollout.Report{Counted: 8, Bad: true})
 	is.True(stopped && s.Stopped())
 }
+
+// TestTakeAfterWait guards against a request that waits for a target while the stage changes, and
+// is then sent to a version that may get nothing any more.
+func TestTakeAfterWait(t *testing.T) {
+	tests := []struct {
+		name    string
+		order   *rollout.Order
+		phase   rollout.Phase
+		reason  rollout.Reason
+		version id.SoftwareVersion
+		allowed bool
+	}{
+		{"the replaced version, completed", order(v2, 5), rollout.Completed, rollout.Acknowledged, v1, false},
+		{"the new version, withdrawn", nil, rollout.Whole, rollout.JudgedGood, v2, false},
+		{"the new version, reverted and withdrawn", nil, rollout.Reverted, rollout.Acknowledged, v2, false},
+		{"the new version, another order", order(v3, 9), rollout.Whole, rollout.JudgedGood, v2, false},
+		{"the old version, another order", order(v3, 9), rollout.Whole, rollout.JudgedGood, v1, true},
+		{"the new version, completed, ordered again", order(v2, 9), rollout.Completed, rollout.Acknowledged, v2, true},
+		{"the old version, ordered back", order(v1, 9), rollout.Whole, rollout.JudgedGood, v1, true},
+		{"another version that is ordered", order(v3, 9), rollout.Whole, rollout.JudgedGood, v3, false},
+		{"the new version, which served before", order(v2, 5), rollout.Whole, rollout.NothingToMove, v2, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			stage := &rollout.Stage{Number: 2, Order: 5, To: v2, Phase: tt.phase, Share: 1, Old: []id.SoftwareVersion{v1}, Reason: tt.reason}
+			s := rollout.NewState("m")
+			now := time.Unix(1000, 0)
+			s.SetOrder(now, tt.order)
+			s.Adopt(now, stage)
+			is.Equal(s.Take(tt.version, false, rollout.Bound{Share: 0.1, Tolerance: 50, Entries: 1}), tt.allowed)
+			p := rollout.Permit{Stage: stage, Order: tt.order, NewServes: true}
+			is.Equal(p.Allows(tt.version), tt.allowed)
+		})
+	}
+}
--- a/internal/coordination/rollout/state.go
+++ b/internal/coordination/rollout/state.go
@@ -196,16 +196,17 @@
 func (s *State) Take(v id.SoftwareVersion, goesOn bool, b Bound) bool {
 	isNew := s.Order != nil && v == s.Order.To
 	if !isNew {
-		if s.Stage == nil || s.Stage.Role(v) != BarredVersion {
-			s.ledger.Sent(false)
-			return true
+		// The stage may have changed since the target was chosen.
+		if s.Stage != nil && !s.Stage.unfinishedRole(v) {
+			return false
 		}
-		return false
+		s.ledger.Sent(false)
+		return true
 	}
 	switch {
 	case !s.inForce():
-		return false
-	case s.Stage.Phase == Completed:
+		return s.Stage.served(v)
+	case s.Stage.Phase == Completed, s.Stage.Serves():
 		return true
 	case s.Stopped() || s.Stage.Phase == Reverting || s.Stage.Phase == Reverted:
 		return false
--- a/internal/transport/direct/rollout.go
+++ b/internal/transport/direct/rollout.go
@@ -237,11 +237,11 @@
 	}
 	for _, t := range targets {
 		switch st.Stage.Role(t.Software) {
-		case rollout.OldVersion:
+		case rollout.OldVersion, rollout.BarredVersion:
 			atOld += r.e.balancer.LoadAt(t.ID).Running
 		case rollout.NewVersion:
 			atNew += r.e.balancer.LoadAt(t.ID).Running
-		case rollout.BarredVersion, rollout.Uninvolved:
+		case rollout.Uninvolved:
 		}
 	}
 	return atOld, atNew
--- a/internal/transport/direct/rolloutstore.go
+++ b/internal/transport/direct/rolloutstore.go
@@ -241,9 +241,30 @@
 	r.adopt(st, &stage, source)
 }
 
+// stillDue reports whether the order and the finding are those that a step was decided from: the
+// process may have been paused since. If not, the step is decided anew.
+func (r *rollouts) stillDue(st *rolloutState, next *rollout.Stage) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	writtenAgain := st.Stage != nil && st.Stage.Number == next.Number
+	sameOrder := st.Order != nil && st.Order.Revision == next.Order
+	if st.Order == nil {
+		sameOrder = next.Phase == rollout.Reverting || next.Phase == rollout.Reverted || next.Serves() || next.Phase == rollout.Completed
+	}
+	advances := next.Phase == rollout.Whole || next.Phase == rollout.Completed
+	if writtenAgain || (sameOrder && !(advances && st.Stopped() && !next.Serves())) {
+		return true
+	}
+	st.writing, st.dueSince = false, r.e.deps.Clock.Now()
+	return false
+}
+
 // write writes a stage and the operator's status, if the stage that the key-value service has
 // is still the one that the step was decided from.
 func (r *rollouts) write(ctx context.Context, st *rolloutState, next rollout.Stage, revision int64, era store.Era) {
+	if !r.stillDue(st, &next) {
+		return
+	}
 	key := store.RolloutPrefix + string(st.Service)
 	statusKey, status := r.e.deps.Codec.EncodeRolloutStatus(st.Service, next.Phase.State(), next.To)
 	value := encodeState(next)
