--- a/internal/coordination/rollout/state.go
+++ b/internal/coordination/rollout/state.go
@@ -1,13 +1,19 @@
 package rollout
 
 import (
+	"maps"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/id"
 )
 
-// minJudgeTime is how long an entry must have judged a version before it takes it for good.
-const minJudgeTime = 3 * time.Second
+const (
+	// minJudgeTime is how long an entry must have judged a version before it takes it for good.
+	minJudgeTime = 3 * time.Second
+	// reportRetention is the age from which the reports of processes are dropped when another
+	// order comes.
+	reportRetention = time.Minute
+)
 
 // Reporter identifies a process of an entry.
 type Reporter struct {
@@ -63,6 +69,7 @@
 	if s.counted != o.Revision {
 		s.counted, s.ledger, s.counts, s.judge = o.Revision, Ledger{}, Counts{}, NewJudge()
 		s.Finding, s.reportedBad = Finding{}, false
+		maps.DeleteFunc(s.peers, func(_ Reporter, p peerReport) bool { return now.Sub(p.at) > reportRetention })
 	}
 	return true
 }
--- a/internal/transport/direct/choose.go
+++ b/internal/transport/direct/choose.go
@@ -51,7 +51,7 @@
 			c.noteMemory(now, free)
 			return choice, false
 		}
-		if c.takeShare(choice.Target) && c.e.limits.take(now, choice.Target, 0) {
+		if c.e.limits.take(now, choice.Target, 0) && c.takeShareOrPlace(choice.Target) {
 			return choice, true
 		}
 		c.endReservation()
--- a/internal/transport/direct/rollout.go
+++ b/internal/transport/direct/rollout.go
@@ -65,6 +65,18 @@
 	dueSince time.Time
 	// writing is set while a step is written.
 	writing bool
+	// entries is the largest number of entries that shared the tolerance since the order with
+	// the revision entriesOf came. Those that are not heard of may have used their parts.
+	entries   int
+	entriesOf int64
+}
+
+// noteEntries records how many entries share the tolerance of the order now.
+func (st *rolloutState) noteEntries(n int) {
+	if st.entriesOf != st.Order.Revision {
+		st.entries, st.entriesOf = 0, st.Order.Revision
+	}
+	st.entries = max(st.entries, n)
 }
 
 func newRollouts(e *Entry) *rollouts {
--- a/internal/transport/direct/rolloutcall.go
+++ b/internal/transport/direct/rolloutcall.go
@@ -17,8 +17,13 @@
 		return rollout.Bound{}
 	}
 	tolerance := rollout.ToleranceAt(r.e.cfg.Rollouts.Tolerance, r.sinceOrder(now, st), st.Order.Duration())
+	if st.Stage != nil && r.e.startedAt.UnixMilli() > st.Stage.BegunMS {
+		// The process before this one may have used its part.
+		tolerance = 0
+	}
+	st.noteEntries(r.e.roster.LimitSharers(now))
 	return rollout.Bound{
-		Share: r.e.cfg.Rollouts.Share, Tolerance: tolerance, Entries: r.e.roster.LimitSharers(now),
+		Share: r.e.cfg.Rollouts.Share, Tolerance: tolerance, Entries: st.entries,
 		Rank: id.RendezvousRank("tolerance", r.e.cfg.PeerAddress, r.e.roster.Alive(now)),
 	}
 }
@@ -74,8 +79,8 @@
 	return true
 }
 
-// takeShareOrPlace does the same for a target at its limit, whose place it gives back if the
-// version may not get the attempt.
+// takeShareOrPlace does the same for a target whose limit counts the attempt already. It gives
+// that back if the version may not get the attempt.
 func (c *call) takeShareOrPlace(t *catalog.Target) bool {
 	if c.takeShare(t) {
 		return true
--- a/internal/transport/direct/stream.go
+++ b/internal/transport/direct/stream.go
@@ -145,7 +145,7 @@
 	if c.sends == 0 && s.lastEventID != "" && c.route.Resumable {
 		s.inheritCopy(now, targets)
 	}
-	if t, ref := s.copyHolder(now, targets); t != nil && c.takeShare(t) && c.takePlace(ctx, t, resumeLimitWait) {
+	if t, ref := s.copyHolder(now, targets); t != nil && c.takePlace(ctx, t, resumeLimitWait) && c.takeShareOrPlace(t) {
 		c.endTurn()
 		backup := c.e.balancer.BackupFor(c.now(), c.requirements, targets, t, c.tried)
 		return attempt{choice: balance.Choice{Target: t, Backup: backup, Reason: balance.HoldsBackup}, resumeFrom: ref}, true
