One question for a target's name, one lifetime of its word, one way of a loss that was told

Found on a last reading: signsOfLife asked for a target's name with its own copy of reportReader.nameAt; loadTime and countLifetime were the same figure for the same thing; ApplyPeerLoss went beside ApplyPeerLossBy; Line.Head and Rollouts.RevertTime had no caller.

--- a/internal/coordination/balance/peers.go
+++ b/internal/coordination/balance/peers.go
@@ -167,7 +167,7 @@
 // the target's group now counts as lost because of it. A loss that is reported
 // again is not counted twice.
 func (b *Balancer) ApplyPeerLoss(now time.Time, t *catalog.Target, ago time.Duration) bool {
-	return b.applyPeerLoss(now, t, ago, Untyped)
+	return b.ApplyPeerLossBy(now, t, ago, Untyped)
 }
 
 func (b *Balancer) applyPeerLoss(now time.Time, t *catalog.Target, ago time.Duration, evidence Evidence) bool {
--- a/internal/coordination/balance/room.go
+++ b/internal/coordination/balance/room.go
@@ -22,8 +22,6 @@
 	// fullTime is how long a target that refused a request as full gets no other one from this
 	// entry.
 	fullTime = 150 * time.Millisecond
-	// loadTime is how long a target's word on its load counts.
-	loadTime = 100 * time.Millisecond
 	// An entry's part of the room is rounded at random anew after plainDrawInterval, the usual
 	// time of a request of a plain service, and after engineDrawInterval, within which entries
 	// have told each other of a prompt.
@@ -170,7 +168,7 @@
 	if now.Before(r.fullUntil) {
 		return true
 	}
-	return r.load.Slots > 0 && now.Sub(r.loadAt) < loadTime && r.load.Waiting >= (plainRoom-1)*r.load.Slots
+	return r.load.Slots > 0 && now.Sub(r.loadAt) < countLifetime && r.load.Waiting >= (plainRoom-1)*r.load.Slots
 }
 
 // serviceDraw returns the random number by which this entry's part of a service's room is
--- a/internal/coordination/overload/line.go
+++ b/internal/coordination/overload/line.go
@@ -190,15 +190,6 @@
 	return nil, 0
 }
 
-// Head returns the request that goes first; nil if none waits.
-func (l *Line) Head(now time.Time) *Item {
-	l.sort(now)
-	if len(l.waiting) == 0 {
-		return nil
-	}
-	return &l.waiting[0].Item
-}
-
 // Remove removes a request whose caller has gone, and reports whether it waited.
 func (l *Line) Remove(request id.Request, now time.Time) bool {
 	l.advance(now)
--- a/internal/state/settings/direct.go
+++ b/internal/state/settings/direct.go
@@ -61,9 +61,6 @@
 // Enabled reports whether roll-outs are served.
 func (r *Rollouts) Enabled() bool { return r.Share > 0 }
 
-// RevertTime returns the time within which a bad version gets nothing more.
-func (r *Rollouts) RevertTime() time.Duration { return time.Duration(r.RevertMS) * time.Millisecond }
-
 // ProcessLimits holds the limits that a process runs under.
 type ProcessLimits struct {
 	// MemoryMB is the memory, in MB, above which the host kills the process.
--- a/internal/transport/direct/signs.go
+++ b/internal/transport/direct/signs.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/id"
-	"foxtailward.example/foxtailward/internal/transport/upstream"
 )
 
 // signTimeout is how long a target may take to answer whether it lives.
@@ -58,12 +56,6 @@
 
 // answers reports whether the target answers under its own name, whatever it says about its health.
 func (s *signsOfLife) answers(ctx context.Context, t *catalog.Target, path string) bool {
-	request := &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{}}
-	answer, err := s.e.pool.Do(ctx, t.Address, request, s.e.deps.Clock.Now().Add(signTimeout))
-	if err != nil {
-		return false
-	}
-	defer answer.Close()
-	name, ok := s.e.deps.Dialect.DecodeName(answer.Status, answer.Header)
-	return ok && name == t.ID
+	name, named, err := s.e.reports.nameAt(ctx, t, path, s.e.deps.Clock.Now().Add(signTimeout))
+	return err == nil && named && name == t.ID
 }
