--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +31,13 @@
 // transactions. It knows no leases, because the project's entries take none.
 type store struct {
 	address string
+	// down says that no call is answered: each connection is closed.
+	down atomic.Bool
+
+	// lose, unless nil, says that the answer to the next write is lost. late is closed when that write is done.
+	lose     chan struct{}
+	lateness time.Duration
+	late     chan struct{}
 
 	mu       sync.Mutex
 	revision int64
@@ -44,7 +54,7 @@
 		return nil, err
 	}
 	s.address = l.Addr().String()
-	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = server.Serve(l) }()
 	return s, nil
 }
@@ -97,6 +107,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.down.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case r.URL.Path == "/api/kv-range":
 		s.list(w, r)
@@ -110,6 +123,9 @@
 }
 
 func (s *store) answer(w http.ResponseWriter, status int, body any) {
+	if s.down.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
@@ -182,6 +198,9 @@
 			return
 		}
 	}
+	if s.losesWrite(txn.Write) {
+		panic(http.ErrAbortHandler)
+	}
 	s.mu.Lock()
 	current, held := []storeItem{}, true
 	for _, e := range txn.Expected {
@@ -263,3 +282,35 @@
 	r.mu.Unlock()
 	s.put("servers/"+r.id, entry)
 }
+
+// loseNext has the answer to the next write lost, and the write done a time later. The returned channel is closed
+// when it has come.
+func (s *store) loseNext(late time.Duration) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose, s.late, s.lateness = make(chan struct{}), make(chan struct{}), late
+	return s.lose
+}
+
+// awaitLate waits until the lost write is done.
+func (s *store) awaitLate() { <-s.late }
+
+// losesWrite reports whether the answer to a write is lost, and has it done later.
+func (s *store) losesWrite(items []storeItem) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose == nil {
+		return false
+	}
+	close(s.lose)
+	s.lose = nil
+	time.AfterFunc(s.lateness, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, i := range items {
+			s.writeLocked(i.Key, i.Data)
+		}
+		close(s.late)
+	})
+	return true
+}
