--- a/review/standin-2/partial.go
+++ b/review/standin-2/partial.go
@@ -22,7 +22,7 @@
 	crashTime = 1200 * time.Millisecond
 	// partTime is when a replica writes the first half of an answer, and wholeTime when it writes the rest.
 	partTime  = 60 * time.Millisecond
-	wholeTime = 700 * time.Millisecond
+	wholeTime = 1100 * time.Millisecond
 	// halfBytes is the length of half an answer.
 	halfBytes = 400
 	// bookingClients is the number of clients of each entry.
--- a/review/standin-2/restart.go
+++ b/review/standin-2/restart.go
@@ -97,8 +97,8 @@
 	t := w.newTraffic("order", "list")
 	for _, e := range w.entries {
 		for _, kind := range t.kinds {
-			// About 80 requests a second in all, as on the small sites.
-			t.every(2, 170*time.Millisecond, e, kind, func() request { return kindRequest(kind) })
+			// About 280 requests a second in all, as on the grown site.
+			t.every(7, 170*time.Millisecond, e, kind, func() request { return kindRequest(kind) })
 		}
 	}
 	time.Sleep(contactTime + time.Second)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -181,7 +181,7 @@
 	}
 	for _, e := range w.entries {
 		if !w.await(10*time.Second, func() bool {
-			a := send(e.address(), request{method: "GET", path: path, id: newID(), header: keyed(), timeout: time.Second})
+			a := send(e.address(), request{method: "GET", path: path, id: newID(), header: keyed(), timeout: 4 * time.Second})
 			return a.status == 200
 		}) {
 			return fmt.Errorf("%s does not serve", e.name)
