--- a/review/standin-2/late.go
+++ b/review/standin-2/late.go
@@ -21,7 +21,7 @@
 	eventGap     = 150 * time.Millisecond
 	streamEvents = 60
 	// streams is the number of streams that begin.
-	streams = 24
+	streams = 144
 	// restartTime is how long the entries are away.
 	restartTime = 500 * time.Millisecond
 )
@@ -100,7 +100,7 @@
 // lateWrite has the store do a write late whose answer was lost, just before all entries are killed.
 func lateWrite(w *world) (int, error) {
 	w.store.putConfig(1, keys, siteRoutes...)
-	if _, err := w.addEngines("v1", 3); err != nil {
+	if _, err := w.addEngines("v1", 24); err != nil {
 		return 0, err
 	}
 	if _, err := w.addReplicas("shop", 3, plainRun); err != nil {
--- a/review/standin-2/partial.go
+++ b/review/standin-2/partial.go
@@ -25,8 +25,10 @@
 	wholeTime = 1100 * time.Millisecond
 	// halfBytes is the length of half an answer.
 	halfBytes = 400
+	// bookingReplicas is the number of replicas on the sheet of zahnplan-ch-grown.
+	bookingReplicas = 7
 	// bookingClients is the number of clients of each entry.
-	bookingClients = 25
+	bookingClients = 45
 	// bookingTime is how long the clients wait, as on the sheet of zahnplan-ch-grown.
 	bookingTime = 4 * time.Second
 )
@@ -82,8 +84,8 @@
 func partialAnswers(w *world) (int, error) {
 	w.store.putConfig(1, keys, bookingRoutes...)
 	var shop []*replica
-	for i := range 3 {
-		r, err := w.startReplica(fmt.Sprintf("i-shop-%d", i), fmt.Sprintf("z%d", i), "127.0.0.1:0")
+	for i := range bookingReplicas {
+		r, err := w.startReplica(fmt.Sprintf("i-shop-%d", i), fmt.Sprintf("z%d", i%3), "127.0.0.1:0")
 		if err != nil {
 			return 0, err
 		}
