--- a/internal/coordination/withdrawal/withdrawal.go
+++ b/internal/coordination/withdrawal/withdrawal.go
@@ -7,13 +7,16 @@
 // answered.
 //
 // What a target has said holds for its process, whether it is listed or not: a record may
-// lapse and be back, or name the process's start only later.
+// lapse and be back, or name the process's start only later. If a record of a later process
+// arrives, that one may have said it, before its record was known. So it counts as leaving until it
+// has been asked. That is inferred only from what this process itself has heard: a report of
+// another entry names the process, but not when that was heard, and reports go on for some time.
 //
 // # Usage
 //
 //	t := withdrawal.New()
 //	if t.Observe(now, target.Key(), notice) { … report to the other entries … }
-//	t.Listed(now, target.Key())
+//	if t.Listed(now, target.Key()) { … ask it … t.Resolve(now, target.Key(), leaving) }
 //	usable := t.Usable(now, targets)
 //	t.Merge(now, received)
 package withdrawal
@@ -41,9 +44,11 @@
 	// maxTrials is the number of requests that try a target at the same time after its
 	// pause.
 	maxTrials = 2
-	// recordDelay is how late the record of a process may arrive. What was learned shortly
-	// before from the process that had its name may be from it already.
+	// recordDelay is how late the record of a process usually arrives. A pause that was requested
+	// shortly before, under the name of another process, may be its own already.
 	recordDelay = time.Second
+	// noticeDelay is the same for what a target has said about its leaving, after which its process is asked.
+	noticeDelay = 10 * time.Second
 )
 
 // Notice is what an answer of a target says about further requests.
@@ -64,13 +69,15 @@
 type state struct {
 	// incarnation is 0 while it is not known.
 	incarnation id.Incarnation
-	// saidAt is when the target said something last, and listedAt when it was last found
-	// among the targets to choose from.
-	saidAt, listedAt time.Time
+	// saidAt is when the target said something last, to this process or, as far as it has been reported, to another
+	// one. heardAt is when it said something to this one, and listedAt when it was last found among the targets to choose from.
+	saidAt, heardAt, listedAt time.Time
 	// leaving is set once the target is leaving, and toldAt when it told this process itself;
 	// zero if it did not.
 	leaving bool
 	toldAt  time.Time
+	// unsure is set if an earlier process under the target's name may have said that it is leaving.
+	unsure bool
 	// pausedUntil is the end of a pause, and trying is set from its begin until the target
 	// has answered a request after it.
 	pausedUntil time.Time
@@ -128,7 +135,7 @@
 	if s == nil {
 		return false
 	}
-	s.saidAt = now
+	s.saidAt, s.heardAt = now, now
 	if until := now.Add(min(n.Pause, maxPause)); n.Pause > 0 {
 		s.trying = true
 		if until.After(s.pausedUntil) {
@@ -138,32 +145,70 @@
 	if !n.Leaving {
 		return false
 	}
-	known := s.leaving
-	s.leaving, s.toldAt = true, now
+	known := s.leaving && !s.unsure
+	s.leaving, s.toldAt, s.unsure = true, now, false
 	return !known
 }
 
 // Listed records that a target is listed with an incarnation. A process that has started
-// under the name of another one may have answered before its record arrived.
-func (t *Tracker) Listed(now time.Time, key id.TargetIncarnation) {
+// under the name of another one may have answered before its record arrived. If it is not known which of them is
+// leaving, Listed returns true, and the listed one counts as leaving until Resolve is called.
+func (t *Tracker) Listed(now time.Time, key id.TargetIncarnation) (unsure bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.targets[key.Target]
-	if s == nil || key.Incarnation == 0 {
-		return
+	switch {
+	case s == nil || key.Incarnation == 0 || s.incarnation >= key.Incarnation:
+		return false
+	case s.incarnation == 0:
+		// The record names the start of the process only now.
+		s.incarnation = key.Incarnation
+	case s.heardAt.IsZero() || now.Sub(s.heardAt) > noticeDelay:
+		return false
+	default:
+		s.incarnation = key.Incarnation
+		if now.Sub(s.heardAt) > recordDelay {
+			s.pausedUntil, s.trying = time.Time{}, false
+		}
 	}
-	if s.incarnation.Matches(key.Incarnation) || now.Sub(s.saidAt) <= recordDelay {
-		s.incarnation = max(s.incarnation, key.Incarnation)
+	// Only the process itself can tell the others that it is leaving.
+	s.unsure, s.toldAt = s.leaving, time.Time{}
+	return s.unsure
+}
+
+// Unsure reports whether it is not known which process has said that it is leaving, that of the incarnation or an
+// earlier one.
+func (t *Tracker) Unsure(key id.TargetIncarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(key)
+	return s != nil && s.unsure
+}
+
+// Resolve records whether the process is leaving of which that was not known. It reports whether the process is
+// leaving, and the other entries are to be told.
+func (t *Tracker) Resolve(now time.Time, key id.TargetIncarnation, leaving bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.find(key)
+	if s == nil || !s.unsure {
+		return false
+	}
+	s.unsure, s.leaving = false, leaving
+	if leaving {
+		s.saidAt, s.heardAt, s.toldAt = now, now, now
 	}
+	return leaving
 }
 
-// Merge records the targets that are leaving according to another entry.
+// Merge records the targets that are leaving according to another entry. It says nothing about later processes under
+// their names.
 func (t *Tracker) Merge(now time.Time, reports []Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range reports {
 		if s := t.findOrAdd(id.TargetIncarnation(r)); s != nil {
-			s.leaving, s.saidAt = true, now
+			s.leaving, s.unsure, s.saidAt = true, false, now
 		}
 	}
 }
--- a/internal/coordination/withdrawal/withdrawal_test.go
+++ b/internal/coordination/withdrawal/withdrawal_test.go
@@ -65,6 +65,69 @@
 	}
 }
 
+// TestReportsOfEarlierProcess guards against a process that counts as leaving because others still report what the one before it
+// has said, and that is then reported as leaving itself.
+func TestReportsOfEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	first, second := id.TargetIncarnation{Target: "a", Incarnation: 1}, &catalog.Target{ID: "a", Incarnation: 2}
+	teller, tracker := withdrawal.New(), withdrawal.New()
+	teller.Observe(start, first, withdrawal.Notice{Leaving: true})
+	now := start
+	for ; now.Before(start.Add(10 * time.Second)); now = now.Add(150 * time.Millisecond) {
+		tracker.Merge(now, teller.Reports(now))
+		if now.Sub(start) >= 5*time.Second {
+			is.True(!tracker.Listed(now, second.Key()))
+			is.Equal(len(tracker.Usable(now, catalog.Targets{second})), 1)
+			is.Equal(len(tracker.Reports(now)), 0)
+		}
+	}
+	is.True(!teller.Listed(now.Add(time.Second), second.Key())) // it heard that long ago
+	is.Equal(len(teller.Usable(now, catalog.Targets{second})), 1)
+}
+
+// TestUnsure checks a process whose record arrives a short time after an answer under its name has said that it is leaving.
+func TestUnsure(t *testing.T) {
+	second := &catalog.Target{ID: "a", Incarnation: 2}
+	usable := func(tracker *withdrawal.Tracker, now time.Time) bool {
+		return len(tracker.Usable(now, catalog.Targets{second})) == 1
+	}
+	tests := []struct {
+		name    string
+		said    id.Incarnation
+		resolve func(tracker *withdrawal.Tracker, now time.Time)
+		usable  bool
+		reports int
+	}{
+		{"it is leaving", 1, func(tracker *withdrawal.Tracker, now time.Time) { tracker.Resolve(now, second.Key(), true) }, false, 1},
+		{"it is not leaving", 1, func(tracker *withdrawal.Tracker, now time.Time) { tracker.Resolve(now, second.Key(), false) }, true, 0},
+		{"it is not known", 1, func(*withdrawal.Tracker, time.Time) {}, false, 0},
+		{"it says so in another answer", 1, func(tracker *withdrawal.Tracker, now time.Time) {
+			tracker.Observe(now, second.Key(), withdrawal.Notice{Leaving: true})
+			tracker.Resolve(now, second.Key(), false) // asked before that
+		}, false, 1},
+		{"another entry has heard it", 1, func(tracker *withdrawal.Tracker, now time.Time) {
+			tracker.Merge(now, []withdrawal.Report{{Target: "a", Incarnation: 2}})
+			tracker.Resolve(now, second.Key(), false)
+		}, false, 0},
+		{"its start was not known, and it is not leaving", 0, func(tracker *withdrawal.Tracker, now time.Time) { tracker.Resolve(now, second.Key(), false) }, true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker, now := withdrawal.New(), start.Add(3*time.Second)
+			tracker.Observe(start, id.TargetIncarnation{Target: "a", Incarnation: tt.said}, withdrawal.Notice{Leaving: true})
+			is.True(tracker.Listed(now, second.Key()))
+			is.True(!tracker.Listed(now, second.Key())) // one check is enough
+			is.True(!usable(tracker, now))
+			tt.resolve(tracker, now)
+			is.Equal(usable(tracker, now), tt.usable)
+			is.Equal(len(tracker.Reports(now)), tt.reports)
+			third := id.TargetIncarnation{Target: "a", Incarnation: 3}
+			is.True(!tracker.Listed(now.Add(time.Minute), third)) // all that is long ago
+		})
+	}
+}
+
 // TestTrying checks that a target counts as tried from the end of its pause until it has
 // answered a request.
 func TestTrying(t *testing.T) {
--- a/internal/state/event/catalogue.go
+++ b/internal/state/event/catalogue.go
@@ -74,6 +74,7 @@
 	PauseDetected        = Event{408, "standstillSeen", Warn, "This process or its host did not run for a while.", "check the load of the host if this repeats"}
 	TargetsOutOfMemory   = Event{430, "targetsOutOfMemory", Warn, "No engine that is ready has the memory for a request beside the runs and copies that it has.", "add engines if it repeats"}
 	CapacityChanged      = Event{431, "capacityChanged", Warn, "An entry that callers compete for takes no new connections, because its processor or link is in use, or takes them again.", "give the entry more processor or bandwidth, or add entries, if it repeats"}
+	LeavingChecked       = Event{432, "leavingChecked", Info, "A target was asked whether it is leaving, because its record arrived a short time after an answer under its name had said so.", "none; result=listed says that it did not tell within 5 s and is used, as it is still listed as ready"}
 	ShareStale           = Event{405, "shareStale", Warn, "The owner of a limit does not respond; the last share of the limit stays in force.", "none"}
 )
 
@@ -132,7 +133,7 @@
 		RequestWaits, RequestGoesOn, RequestDisplaced, RoomRefused, ClientsRefused,
 		RouteChosen, RouteRefused, AttemptStarted, AttemptLost, AttemptStalled, AttemptResumed, FrameDropped, RecoveryChosen, RecoveryRefused, RequestSuspected, RequestQuarantined, HedgeStarted, BudgetExhausted, SendEnded, CopyOrdered, CopyNotFreed, TargetEndSeen, RequestCleared, TargetLimitChanged, TargetPaused, StreamOrigin, VersionSaved,
 		MemberChanged, ZoneLost, ZoneRecovered, HostListFailed, ShareStale, PeerUpdateRejected, StoreSnapshotAdopted, PauseDetected, PeerUpdateShortened,
-		SilenceExplained, WaitingMoved, RetryAwaited, RetryTooLate, TargetsOutOfMemory, CapacityChanged,
+		SilenceExplained, WaitingMoved, RetryAwaited, RetryTooLate, TargetsOutOfMemory, CapacityChanged, LeavingChecked,
 		StoreDown, StoreRecovered, StoreSlow, RevisionInForce, RevisionRefused, ClaimMade, ClaimRefused, ClaimUnknown, LeadershipGained, LeadershipLost, WatchEnded, RunsNotSaved, RunsNotLoaded, SuspectsNotLoaded, StoreRestored, StreamsNotLoaded, StreamsLoaded,
 		RolloutOrdered, RolloutStage, RolloutBad, RolloutWaits, RolloutNotWritten, RolloutRefused, RolloutVersionHeld,
 		PlacementChosen, PlacementBlocked, OrderApplied, OrderRefused, EngineUp, EngineDown, AttemptFenced, AttemptOrphaned, CallRun, CallRefused,
--- a/internal/transport/direct/env_test.go
+++ b/internal/transport/direct/env_test.go
@@ -203,6 +203,8 @@
 	ordered bool
 	// watch replaces the watch of targets unless it is nil.
 	watch func(ctx context.Context) error
+	// other is another entry; nil for none.
+	other *otherEntry
 	// changeStore changes the key-value service's calls unless it is nil.
 	changeStore func(s *store.Store)
 
@@ -227,6 +229,7 @@
 	clientAddress    = "10.0.0.1:8740"
 	readinessAddress = "10.0.0.1:8749"
 	metricsAddress   = "10.0.0.1:9464"
+	peerAddress      = "10.0.0.1:8741"
 	service          = id.Service("m")
 	// healthPath is where targets report their names.
 	healthPath = "/health"
@@ -292,6 +295,7 @@
 		Clock: clockwork.NewRealClock(), Log: event.NewLogfmtLog(io.MultiWriter(env.t.Output(), &env.log), clockwork.NewRealClock()),
 		Metrics: metrics.NewRegistry(), Store: kv, Codec: env.codec(), Dialect: dialect(),
 		Random: func() float64 { return 0 }, SinceBoot: env.sinceBoot, Listen: env.net.Listen, Dial: env.net.Dial,
+		ListenPacket: func(string) (net.PacketConn, error) { return env.other, nil },
 	})
 	env.is.NoErr(env.entry.Listen())
 	ctx, stop := context.WithCancel(context.Background())
@@ -327,6 +331,9 @@
 	if env.retries != nil {
 		s.Retries = *env.retries
 	}
+	if env.other != nil {
+		s.PeerAddress = peerAddress
+	}
 	s.Rollouts = env.rollouts
 	s.Admission.Ordered = env.ordered
 	s.SetDefaults()
--- a/internal/transport/direct/metrics.go
+++ b/internal/transport/direct/metrics.go
@@ -144,6 +144,11 @@
 	m.set.Count("signsAsked", meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "answered", Value: strconv.FormatBool(answered)})
 }
 
+// leavingChecked counts targets of which it was not known whether they are leaving.
+func (m *entryMetrics) leavingChecked(service id.Service, result string) {
+	m.set.Count("leavingChecks", meter.Label{Key: "service", Value: string(service)}, meter.Label{Key: "result", Value: result})
+}
+
 // waitingMoved counts the waiting runs that left a lost zone.
 func (m *entryMetrics) waitingMoved(service id.Service, n int) {
 	for range n {
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -144,7 +144,9 @@
 			w.e.startsNamed.Store(true)
 		}
 		delete(w.gone, t.Key())
-		w.e.withdrawn.Listed(now, t.Key())
+		if w.e.withdrawn.Listed(now, t.Key()) {
+			w.e.checkLeaving(t)
+		}
 		w.e.limits.listed(t.Key())
 	}
 }
