A late report of a successor does not replace a target that started again

Callers would see: a sound target that has started again under its id gets nothing from an entry, until its next start. An entry that learned of the restart first, and did not know the successor, took the new process out of its list, and remembered it as replaced. Change: the report names the incarnation that was replaced, and holds for it.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -231,13 +231,14 @@
 
 // AddSuccessor records that the unlisted target name answers at the address of
 // the target predecessor, and so has replaced it. It returns the new target, or
-// nil if the predecessor is not known, or if the new target is already known or
+// nil if the predecessor is not known, or has started again since, or if the new target is already known or
 // has already left.
-func (d *Directory) AddSuccessor(now time.Time, predecessor, name id.Target) *catalog.Target {
+func (d *Directory) AddSuccessor(now time.Time, replaced id.TargetIncarnation, name id.Target) *catalog.Target {
+	predecessor := replaced.Target
 	old, known := d.targets[predecessor]
 	_, exists := d.targets[name]
 	_, departed := d.departed[name]
-	if !known || exists || departed {
+	if !known || !old.Incarnation.Matches(replaced.Incarnation) || exists || departed {
 		return nil
 	}
 	t := *old
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -155,7 +155,7 @@
 	is := is.New(t)
 	d := directory.New()
 	d.Put(record("t1", catalog.Ready, 38))
-	is.True(d.AddSuccessor(start, "t1", "t2") != nil)
+	is.True(d.AddSuccessor(start, id.TargetIncarnation{Target: "t1"}, "t2") != nil)
 	d.Put(record("t2", catalog.Ready, 1))
 	d.Put(record("t2", catalog.Draining, 2))
 	is.Equal(d.View().Targets["m"].Find("t2").State, catalog.Draining)
@@ -167,12 +167,12 @@
 	is := is.New(t)
 	d := directory.New()
 	d.Put(target("t1"))
-	is.Equal(d.AddSuccessor(start, "t9", "t2"), nil) // the replaced target is not known
-	successor := d.AddSuccessor(start, "t1", "t2")
+	is.Equal(d.AddSuccessor(start, id.TargetIncarnation{Target: "t9"}, "t2"), nil) // the replaced target is not known
+	successor := d.AddSuccessor(start, id.TargetIncarnation{Target: "t1"}, "t2")
 	is.Equal(successor.ID, id.Target("t2"))
 	is.Equal(successor.Address, "10.0.0.1:80")
 	is.Equal(names(d), []id.Target{"t2"})
-	is.Equal(d.AddSuccessor(start, "t1", "t2"), nil) // it is already known
+	is.Equal(d.AddSuccessor(start, id.TargetIncarnation{Target: "t1"}, "t2"), nil) // it is already known
 	d.MarkStoreUnavailable()
 	is.Equal(len(d.RemoveMissing(start.Add(time.Minute))), 0)
 	d.Replace(start.Add(time.Minute), nil)
@@ -188,7 +188,7 @@
 	is := is.New(t)
 	d := directory.New()
 	d.Put(target("t1"))
-	d.AddSuccessor(start, "t1", "t2")
+	d.AddSuccessor(start, id.TargetIncarnation{Target: "t1"}, "t2")
 	d.Put(target("t2"))
 	is.Equal(len(d.RemoveMissing(start.Add(time.Minute))), 0)
 	is.Equal(names(d), []id.Target{"t2"})
@@ -201,11 +201,25 @@
 	is := is.New(t)
 	d := directory.New()
 	d.Put(target("t1"))
-	d.AddSuccessor(start, "t1", "t2")
+	d.AddSuccessor(start, id.TargetIncarnation{Target: "t1"}, "t2")
 	d.Put(target("t2"))
 	is.Equal(d.Remove(start.Add(time.Second), "t2").ID, id.Target("t2"))
 	d.Put(target("t1"))
-	is.Equal(d.AddSuccessor(start.Add(2*time.Second), "t1", "t2"), nil)
+	is.Equal(d.AddSuccessor(start.Add(2*time.Second), id.TargetIncarnation{Target: "t1"}, "t2"), nil)
+}
+
+// TestSuccessorOfEarlierProcess guards against a target that gets nothing for good after it has started again under its id, because
+// a report that another one had taken the place of the process before it arrived late.
+func TestSuccessorOfEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	restarted := target("t1")
+	restarted.Incarnation = 7
+	d.Put(restarted)
+	is.Equal(d.AddSuccessor(start, id.TargetIncarnation{Target: "t1", Incarnation: 3}, "t2"), nil)
+	d.Replace(start.Add(time.Second), catalog.Targets{restarted})
+	is.Equal(names(d), []id.Target{"t1"})
+	is.True(d.AddSuccessor(start.Add(time.Minute), id.TargetIncarnation{Target: "t1", Incarnation: 7}, "t2") != nil)
 }
 
 // The record of a replaced target may stay listed for a while. It must not
@@ -214,7 +228,7 @@
 	is := is.New(t)
 	d := directory.New()
 	d.Put(target("t1"))
-	d.AddSuccessor(start, "t1", "t2")
+	d.AddSuccessor(start, id.TargetIncarnation{Target: "t1"}, "t2")
 	d.Replace(start.Add(time.Second), catalog.Targets{target("t1"), target("t2")})
 	is.Equal(names(d), []id.Target{"t2"})
 	restarted := target("t1")
--- a/internal/protocol/direct/peerupdate.go
+++ b/internal/protocol/direct/peerupdate.go
@@ -128,6 +128,8 @@
 type Successor struct {
 	Target      id.Target `json:"target"`
 	Predecessor id.Target `json:"of"`
+	// Incarnation is that of the predecessor; 0 if it is not known.
+	Incarnation id.Incarnation `json:"ofIncarnation,omitempty"`
 }
 
 // Loss is the loss of a target.
--- a/internal/transport/direct/successor.go
+++ b/internal/transport/direct/successor.go
@@ -119,7 +119,7 @@
 		}
 		if identity.Target != t.ID && identity.Slots == t.Slots {
 			s.observeStart(ctx, t, identity.Target)
-			s.record(direct.Successor{Target: identity.Target, Predecessor: t.ID})
+			s.record(direct.Successor{Target: identity.Target, Predecessor: t.ID, Incarnation: t.Incarnation})
 		}
 		return
 	}
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -7,6 +7,7 @@
 	"foxtailward.example/foxtailward/internal/protocol/direct"
 	"foxtailward.example/foxtailward/internal/state/catalog"
 	"foxtailward.example/foxtailward/internal/state/event"
+	"foxtailward.example/foxtailward/internal/state/id"
 	"foxtailward.example/foxtailward/internal/state/timing"
 )
 
@@ -126,7 +127,7 @@
 func (w *storeWatcher) addSuccessor(s direct.Successor) bool {
 	var t *catalog.Target
 	w.withLock(func() {
-		if t = w.e.directory.AddSuccessor(w.e.deps.Clock.Now(), s.Predecessor, s.Target); t == nil {
+		if t = w.e.directory.AddSuccessor(w.e.deps.Clock.Now(), id.TargetIncarnation{Target: s.Predecessor, Incarnation: s.Incarnation}, s.Target); t == nil {
 			return
 		}
 		w.delistTargets(catalog.Targets{{ID: s.Predecessor, Service: t.Service, Address: t.Address, Zone: t.Zone}})
