An old record that is told late hides no target that has started again

Callers would see: an entry does not use a target that has started again under its id, or uses one whose record was removed, until it lists the records anew. A change of the process before, told late by an entry that was behind, replaced the new one's record, and one from before a removal brought the record back. Change: within one era of the store a record of a lower revision does not replace one of another process, nor a removal. A successor that was found by its health check starts without a revision.

--- a/internal/coordination/directory/absence.go
+++ b/internal/coordination/directory/absence.go
@@ -28,6 +28,8 @@
 	at          time.Time
 	incarnation id.Incarnation
 	version     recordVersion
+	// removed is the key-value service's revision at which its record was removed; 0 if that is not known.
+	removed int64
 }
 
 // markListed records that a target is listed.
@@ -52,6 +54,13 @@
 	return d.hasLeft(t) && d.departed[t.ID].at.Before(d.restoredAt)
 }
 
+// removedSince reports whether t is older than the removal of the target's record, of which another entry may tell later.
+func (d *Directory) removedSince(t *catalog.Target) bool {
+	left, departed := d.departed[t.ID]
+	return departed && !left.at.Before(d.restoredAt) && t.RecordedAt.Sub(left.at) <= departedRetention &&
+		t.Revision > 0 && t.Revision < left.removed
+}
+
 // StoreUnavailable reports whether the key-value service does not answer this
 // entry.
 func (d *Directory) StoreUnavailable() bool { return d.storeDown }
--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -172,17 +172,24 @@
 // Newest returns the record to use of a target that is listed as t: t itself, one that
 // is known and newer, or nil if the target has left.
 func (d *Directory) Newest(t *catalog.Target) *catalog.Target {
-	if d.leftBeforeReturn(t) {
+	if d.leftBeforeReturn(t) || d.removedSince(t) {
 		return nil
 	}
 	return d.newer(t)
 }
 
 // newer returns the known record of the same target if it is newer than t, and t
-// otherwise. A record of another version of the target's software is of another process.
+// otherwise. A record of another version of the target's software is of another process. Of those, revisions alone tell the
+// order: another entry may tell of a change after the target has started again.
 func (d *Directory) newer(t *catalog.Target) *catalog.Target {
 	known := d.targets[t.ID]
-	if known == nil || known.Incarnation != t.Incarnation || !known.SameSoftware(t) {
+	if known == nil {
+		return t
+	}
+	if known.Incarnation != t.Incarnation || !known.SameSoftware(t) {
+		if d.sameEra(versionOf(known)) && t.Revision > 0 && t.Revision < known.Revision {
+			return known
+		}
 		return t
 	}
 	if d.olderThan(t, versionOf(known)) {
@@ -211,7 +218,7 @@
 // target's sequence does, but not for long: anybody can write a sequence that no later
 // record of the target reaches.
 func (d *Directory) olderThan(t *catalog.Target, known recordVersion) bool {
-	sameEra := !known.recordedAt.Before(d.restoredAt)
+	sameEra := d.sameEra(known)
 	if sameEra && t.Revision > 0 && known.revision > 0 {
 		return t.Revision < known.revision
 	}
@@ -222,6 +229,9 @@
 	return t.Sequence < known.sequence && t.RecordedAt.Sub(since) <= sequenceTrustTime
 }
 
+// sameEra reports whether a record was read in the current era of the key-value service.
+func (d *Directory) sameEra(known recordVersion) bool { return !known.recordedAt.Before(d.restoredAt) }
+
 // hasSuccessor reports whether another target has taken the place of this
 // incarnation. The record of the replaced target expires only later.
 func (d *Directory) hasSuccessor(t *catalog.Target) bool {
@@ -242,7 +252,7 @@
 		return nil
 	}
 	t := *old
-	t.ID, t.State, t.Incarnation, t.Sequence = name, catalog.Ready, 0, 0
+	t.ID, t.State, t.Incarnation, t.Sequence, t.Revision = name, catalog.Ready, 0, 0, 0
 	// A target may be replaced by one of another version at the same address.
 	t.Software, t.SoftwareUnknown = "", true
 	d.replaced[predecessor], d.departed[predecessor] = old.Incarnation, departureOf(now, old)
@@ -254,10 +264,15 @@
 	return &t
 }
 
-// Remove records that a target is no longer listed. It returns the target if it
-// is gone immediately, and nil if it is kept or unknown.
-func (d *Directory) Remove(now time.Time, name id.Target) *catalog.Target {
+// Remove records that the record of a target was removed at a revision of the key-value service, 0 if that is not known. It returns
+// the target if it is gone immediately, and nil if it is kept or unknown.
+func (d *Directory) Remove(now time.Time, name id.Target, revision int64) *catalog.Target {
 	gone := d.delist(now, name)
+	if gone != nil {
+		left := d.departed[name]
+		left.removed = revision
+		d.departed[name] = left
+	}
 	d.publish()
 	return gone
 }
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -62,11 +62,11 @@
 		want  []id.Target
 	}{
 		{"no longer listed", func(d *directory.Directory) {
-			d.Remove(start, "t1")
+			d.Remove(start, "t1", 0)
 		}, []id.Target{"t2"}},
 		{"while the service is unavailable", func(d *directory.Directory) {
 			d.MarkStoreUnavailable()
-			d.Remove(start, "t1")
+			d.Remove(start, "t1", 0)
 		}, []id.Target{"t1", "t2"}},
 		{"right after the outage", func(d *directory.Directory) {
 			d.MarkStoreUnavailable()
@@ -92,7 +92,7 @@
 			leaving.State = catalog.Draining
 			d.Put(leaving)
 			d.MarkStoreUnavailable()
-			d.Remove(start, "t1")
+			d.Remove(start, "t1", 0)
 		}, []id.Target{"t2"}},
 	}
 	for _, tt := range tests {
@@ -127,7 +127,7 @@
 	d := directory.New()
 	d.Replace(start, older)
 	d.Put(record("t1", catalog.Draining, 5))
-	d.Remove(start, "t2")
+	d.Remove(start, "t2", 0)
 	d.MarkStoreUnavailable()
 	d.ReplaceFromPeer(older)
 	is.Equal(names(d), []id.Target{"t1"})
@@ -192,7 +192,7 @@
 	d.Put(target("t2"))
 	is.Equal(len(d.RemoveMissing(start.Add(time.Minute))), 0)
 	is.Equal(names(d), []id.Target{"t2"})
-	is.Equal(d.Remove(start, "t2").ID, id.Target("t2"))
+	is.Equal(d.Remove(start, "t2", 0).ID, id.Target("t2"))
 }
 
 // A successor that has left must not be added again because of a late message
@@ -203,7 +203,7 @@
 	d.Put(target("t1"))
 	d.AddSuccessor(start, id.TargetIncarnation{Target: "t1"}, "t2")
 	d.Put(target("t2"))
-	is.Equal(d.Remove(start.Add(time.Second), "t2").ID, id.Target("t2"))
+	is.Equal(d.Remove(start.Add(time.Second), "t2", 0).ID, id.Target("t2"))
 	d.Put(target("t1"))
 	is.Equal(d.AddSuccessor(start.Add(2*time.Second), id.TargetIncarnation{Target: "t1"}, "t2"), nil)
 }
@@ -249,7 +249,7 @@
 		d.Replace(start, copied)
 		d.Put(record("t2", catalog.Draining, 5))
 		d.Put(record("t4", catalog.Ready, 1))
-		d.Remove(start.Add(time.Second), "t3")
+		d.Remove(start.Add(time.Second), "t3", 0)
 		d.MarkStoreRestored(restored)
 		d.Replace(restored, copied)
 		return d
@@ -268,7 +268,7 @@
 			d.RemoveMissing(restored.Add(2 * time.Second))
 		}, []id.Target{"t1", "t2", "t4"}},
 		{"the departed target has expired", func(d *directory.Directory) {
-			d.Remove(restored.Add(time.Second), "t3")
+			d.Remove(restored.Add(time.Second), "t3", 0)
 			d.RemoveMissing(restored.Add(time.Minute))
 		}, []id.Target{"t1", "t2"}},
 		{"the departed target has written again", func(d *directory.Directory) {
@@ -301,6 +301,67 @@
 	return t
 }
 
+// TestOldRecordReportedLate guards against a target that is not used after it has started again under its id, or used after it has
+// left, because another entry told late of an older change of its record.
+func TestOldRecordReportedLate(t *testing.T) {
+	of := func(incarnation id.Incarnation, state catalog.TargetState, revision int64, at time.Time) *catalog.Target {
+		t := revised(state, 1, revision, at)
+		t.Incarnation = incarnation
+		return t
+	}
+	tests := []struct {
+		name string
+		// apply follows the record of the incarnation 7 at the revision 20.
+		apply func(d *directory.Directory)
+		want  catalog.TargetState // empty if the target is gone
+		inc   id.Incarnation
+	}{
+		{"an older process drains", func(d *directory.Directory) {
+			d.Put(of(3, catalog.Draining, 12, start))
+		}, catalog.Ready, 7},
+		{"an older process with a later time of day", func(d *directory.Directory) {
+			d.Put(of(9, catalog.Draining, 12, start))
+		}, catalog.Ready, 7},
+		{"a later process with an earlier time of day", func(d *directory.Directory) {
+			d.Put(of(3, catalog.Draining, 21, start))
+		}, catalog.Draining, 3},
+		{"after the service's return from an older copy", func(d *directory.Directory) {
+			d.MarkStoreRestored(start.Add(time.Second))
+			d.Put(of(9, catalog.Draining, 12, start.Add(2*time.Second)))
+		}, catalog.Draining, 9},
+		{"a record from before its removal", func(d *directory.Directory) {
+			d.Remove(start.Add(time.Second), "t1", 25)
+			d.Put(of(7, catalog.Ready, 22, start.Add(2*time.Second)))
+		}, "", 0},
+		{"a process that has started after the removal", func(d *directory.Directory) {
+			d.Remove(start.Add(time.Second), "t1", 25)
+			d.Put(of(9, catalog.Ready, 26, start.Add(2*time.Second)))
+		}, catalog.Ready, 9},
+		{"a removal of which the revision is not known", func(d *directory.Directory) {
+			d.Remove(start.Add(time.Second), "t1", 0)
+			d.Put(of(7, catalog.Ready, 20, start.Add(2*time.Second)))
+		}, catalog.Ready, 7},
+		{"long after the removal", func(d *directory.Directory) {
+			d.Remove(start.Add(time.Second), "t1", 25)
+			d.Put(of(9, catalog.Ready, 24, start.Add(2*time.Minute)))
+		}, catalog.Ready, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := directory.New()
+			d.Put(of(7, catalog.Ready, 20, start))
+			tt.apply(d)
+			got := d.View().Find("t1")
+			is.Equal(got != nil, tt.want != "")
+			if got != nil {
+				is.Equal(got.State, tt.want)
+				is.Equal(got.Incarnation, tt.inc)
+			}
+		})
+	}
+}
+
 // A record with a sequence that the target never reaches, which another writer left under
 // the target's key, must not hide the target's later records.
 func TestPutForeignSequence(t *testing.T) {
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -104,7 +104,7 @@
 			return
 		}
 		delete(w.targetItems, c.Item.Key)
-		if t := w.e.directory.Remove(now, name); t != nil {
+		if t := w.e.directory.Remove(now, name, c.Item.ModRevision); t != nil {
 			w.delistTargets(catalog.Targets{t})
 		}
 		return
