--- a/cmd/foxtailward/hostile_test.go
+++ b/cmd/foxtailward/hostile_test.go
@@ -40,6 +40,8 @@
 	holdPath     = "/s/hold"
 	// settleTime is how long the process reads what was sent before it is checked.
 	settleTime = time.Second
+	// contactTime is how long a process that is ready may take no new connection.
+	contactTime = 3 * time.Second
 	// holdTimeout is the timeout of the route. It is longer than the test waits.
 	holdTimeout = 2 * waitTimeout
 )
@@ -370,6 +372,32 @@
 	}
 }
 
+// TestHostileStalledBodies guards against ordinary clients that are shut off because others send the heads of requests and keep back
+// their bodies, on a path without a route, without a length, or where the request would be accepted.
+func TestHostileStalledBodies(t *testing.T) {
+	kinds := []struct{ name, path, framing string }{
+		{"noRoute", "/none", "Content-Length: 1000\r\n"},
+		{"chunks", "/none", "Transfer-Encoding: chunked\r\n"},
+		{"accepted", "/s/x", "Content-Length: 1000\r\n"},
+	}
+	h := startHostile(t)
+	for _, kind := range kinds {
+		var b bytes.Buffer
+		fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s", kind.path, shopHost, kind.framing)
+		is.New(t).NoErr(hostileHeader().Write(&b))
+		b.WriteString("\r\n")
+		leave := h.crowd("clients", hostileFDs, func(_ int, conn net.Conn) { _, _ = conn.Write(b.Bytes()) })
+		h.check(kind.name)
+		began := time.Now()
+		h.ordinary("during")
+		if took := time.Since(began); took > contactTime {
+			t.Errorf("%s: an ordinary request was served after %v, want within %v", kind.name, took, contactTime)
+		}
+		leave()
+		h.ordinary("after")
+	}
+}
+
 // One request of legal size that is made of very many short lines is served in calm.
 func TestShortLinesInCalm(t *testing.T) {
 	h := startHostile(t)
--- a/internal/coordination/clientlimit/clientlimit.go
+++ b/internal/coordination/clientlimit/clientlimit.go
@@ -9,7 +9,8 @@
 //	listener := ledger.NewListener(conns)
 //	c, closed, ok := listener.Open(now) // a connection; those in closed must be closed
 //	closed, ok = c.Charge(cost)         // the head of its request has grown
-//	c.Serve()                           // the head is complete
+//	c.Receive(now)                      // the head is complete, and a body follows
+//	ok = c.Serve()                      // the request is complete; false if it was closed
 //	c.Rest(now)                         // the request has ended
 //	c.Close()
 //
@@ -88,6 +89,8 @@
 const (
 	// reading means that the head of a request has not arrived completely.
 	reading phase = iota
+	// receiving means that the body of the request has not arrived completely.
+	receiving
 	serving
 	resting
 	closed
@@ -141,7 +144,7 @@
 }
 
 // Open adds a connection. If the listener has too many, the one that has waited the longest
-// for the rest of a head makes room, else the one that has been idle the longest; it is
+// for the rest of a head makes room, else for the rest of a body, else the one that has been idle the longest; it is
 // returned and must be closed. Open returns false if all others are being served.
 func (s *Listener) Open(now time.Time) (c, evicted *Conn, ok bool) {
 	s.ledger.mu.Lock()
@@ -174,7 +177,7 @@
 }
 
 // Charge sets the cost of the head of the connection's request. If the heads of all
-// connections take too much together, incomplete ones that take more than this one make room,
+// connections take too much together, those of incomplete requests that take more than this one make room,
 // the largest first; they are returned and must be closed. Charge returns false if that is not
 // enough: the request must be refused, and its head costs as much as before. A small head, and a large one without another large
 // one, are always accepted. The head of a connection that was closed meanwhile is not.
@@ -205,12 +208,12 @@
 	return cost <= smallHead || l.large == 0 || l.large+cost <= l.limits.HeadMemory
 }
 
-// largest returns the connection whose incomplete head takes the most, if that is more than a
+// largest returns the connection whose head takes the most, of those with an incomplete request, if that is more than a
 // cost.
 func (l *Ledger) largest(cost Bytes) *Conn {
 	var found *Conn
 	for c := range l.conns {
-		if c.phase == reading && c.cost > max(cost, smallHead) && (found == nil || c.cost > found.cost) {
+		if c.phase < serving && c.cost > max(cost, smallHead) && (found == nil || c.cost > found.cost) {
 			found = c
 		}
 	}
@@ -227,8 +230,11 @@
 	c.cost = cost
 }
 
-// Serve records that the head of the connection's request is complete.
-func (c *Conn) Serve() { c.enter(serving, nil) }
+// Serve records that the connection's request is complete. It returns false if the connection was closed before that.
+func (c *Conn) Serve() bool { return c.enter(serving, nil) }
+
+// Receive records that the head of the connection's request is complete, and that a body follows.
+func (c *Conn) Receive(now time.Time) { c.enter(receiving, &now) }
 
 // Read records that a request has begun to arrive.
 func (c *Conn) Read(now time.Time) { c.enter(reading, &now) }
@@ -236,13 +242,13 @@
 // Rest records that the connection's request has ended.
 func (c *Conn) Rest(now time.Time) { c.enter(resting, &now) }
 
-// enter changes the phase of the connection. A connection that rests costs nothing.
-func (c *Conn) enter(p phase, now *time.Time) {
+// enter changes the phase of the connection, unless it is closed. A connection that rests costs nothing.
+func (c *Conn) enter(p phase, now *time.Time) bool {
 	l := c.listener.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.phase == closed {
-		return
+		return false
 	}
 	c.phase = p
 	if now != nil {
@@ -251,6 +257,7 @@
 	if p == resting {
 		c.setCost(0)
 	}
+	return true
 }
 
 // Close removes the connection.
--- a/internal/coordination/clientlimit/clientlimit_test.go
+++ b/internal/coordination/clientlimit/clientlimit_test.go
@@ -44,6 +44,42 @@
 	open(t, l, 60)
 }
 
+// TestListenerOpenBesideBodies guards against new connections that are refused for as long as others keep back the bodies of their
+// requests.
+func TestListenerOpenBesideBodies(t *testing.T) {
+	is := is.New(t)
+	l := clientlimit.New(clientlimit.Limits{}).NewListener(4)
+	idle, late, early, reading := open(t, l, 0), open(t, l, 1), open(t, l, 2), open(t, l, 3)
+	is.True(idle.Serve())
+	idle.Rest(start)
+	late.Receive(start.Add(20 * time.Second))
+	early.Receive(start.Add(10 * time.Second))
+	for _, want := range []*clientlimit.Conn{reading, early, late, idle} {
+		c, evicted, ok := l.Open(start.Add(time.Minute))
+		is.True(ok)
+		is.Equal(evicted, want)
+		is.True(!evicted.Serve()) // its request was not complete
+		c.Receive(start.Add(time.Minute))
+		is.True(c.Serve())
+	}
+	_, _, ok := l.Open(start.Add(time.Minute))
+	is.True(!ok)
+}
+
+// TestConnChargeBesideBodies guards against heads that are refused for as long as others keep back the bodies of requests with large heads.
+func TestConnChargeBesideBodies(t *testing.T) {
+	is := is.New(t)
+	const large = 1 << 20
+	l := clientlimit.New(clientlimit.Limits{HeadMemory: large}).NewListener(100)
+	stalled := open(t, l, 0)
+	_, ok := stalled.Charge(large)
+	is.True(ok)
+	stalled.Receive(start)
+	evicted, ok := open(t, l, 1).Charge(large / 2)
+	is.True(ok)
+	is.Equal(evicted, []*clientlimit.Conn{stalled})
+}
+
 // Small heads always have room, a large one alone too. A smaller head takes the place of larger
 // incomplete ones, and of none that is being served.
 func TestConnCharge(t *testing.T) {
--- a/internal/transport/direct/handler.go
+++ b/internal/transport/direct/handler.go
@@ -105,6 +105,8 @@
 	// drawn is set while the current attempt may be sent to the new version of a roll-out, and
 	// refusedNew if that version may not get it.
 	drawn, refusedNew bool
+	// bodyRead is set once the request's body has been read, or could not be read.
+	bodyRead bool
 	// releaseBuffers give back the memory of the request's body and of the buffered answers.
 	releaseBuffers []func()
 	// heldBack is set if the request may not start yet because requests with this
@@ -220,6 +222,7 @@
 	stopLimiting := c.limitBodyTime()
 	body, release, err := c.e.bodies.read(http.MaxBytesReader(c.w, c.r.Body, limit), int(limit))
 	stopLimiting()
+	c.bodyRead = true
 	c.releaseBuffers = append(c.releaseBuffers, release)
 	var tooLong *http.MaxBytesError
 	switch {
--- a/internal/transport/direct/refuse.go
+++ b/internal/transport/direct/refuse.go
@@ -23,6 +23,9 @@
 	noTargetRetryAfter = 500 * time.Millisecond
 )
 
+// unreadBodyTime is how long a refused request's body may take to arrive. Most bodies come with their heads.
+const unreadBodyTime = 100 * time.Millisecond
+
 // statusNotRun promises that a request was not run and never will be.
 const statusNotRun = http.StatusServiceUnavailable
 
@@ -59,8 +62,13 @@
 	c.refuse(f)
 }
 
-// refuse answers the request with the refusal.
+// refuse answers the request with the refusal. The server reads the rest of a body before it answers; it closes the connection if
+// that does not come soon.
 func (c *call) refuse(f refusal) {
+	if !c.bodyRead && c.r.ContentLength != 0 {
+		// A connection that is closed is noticed by the server.
+		_ = http.NewResponseController(c.w).SetReadDeadline(c.now().Add(unreadBodyTime))
+	}
 	h := c.w.Header()
 	c.e.deps.Dialect.EncodeRefusal(h, c.meta.Attempt)
 	h.Set("Content-Type", "text/plain")
--- a/internal/transport/inbound/conn.go
+++ b/internal/transport/inbound/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -72,6 +73,29 @@
 // prefaceBytes is the length of the text that begins a connection of HTTP/2.
 const prefaceBytes = 24
 
+// receive returns the request with a body that tells when it is complete. net/http keeps the request itself.
+func (c *conn) receive(r *http.Request) *http.Request {
+	c.handle.Receive(c.listener.guard.opts.Clock.Now())
+	received := *r
+	received.Body = &body{r.Body, c.handle}
+	return &received
+}
+
+// body is the body of a request.
+type body struct {
+	io.ReadCloser
+	handle *clientlimit.Conn
+}
+
+// Read implements io.Reader. A body whose connection was closed before its end has no end.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.handle.Serve() {
+		return n, errRefused
+	}
+	return n, err
+}
+
 // readPreface records that a connection which does not speak HTTP/1 is in use once it has
 // begun.
 func (c *conn) readPreface() {
--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -11,7 +11,7 @@
 //
 // A refused request gets 431 if its head is too long and 503 if the process has no memory for
 // it, in both cases before it is read, so it was not run. A connection that makes room for
-// another one is closed without an answer, because no complete request came on it. The
+// another one is closed without an answer, because no complete request came on it: its head, or its body, had not arrived. The
 // decisions are made by coordination/clientlimit.
 package inbound
 
@@ -193,6 +193,9 @@
 			http.Error(w, string(HeadsFull), http.StatusServiceUnavailable)
 			return
 		}
+		if ok && r.Body != nil && r.Body != http.NoBody {
+			r = c.receive(r)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/transport/inbound/inbound_test.go
+++ b/internal/transport/inbound/inbound_test.go
@@ -162,3 +162,36 @@
 	close(s.release)
 	s.is.Equal(s.refused, map[inbound.Reason]int{inbound.Evicted: 1, inbound.TooManyConns: 1})
 }
+
+// TestStalledBodies guards against new connections that are refused because others keep back the bodies of their requests.
+func TestStalledBodies(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 1000\r\n", "Transfer-Encoding: chunked\r\n", "Content-Length: 1000\r\nExpect: 100-continue\r\n"} {
+		t.Run(framing, func(t *testing.T) {
+			s := newServer(t, 2)
+			for range 2 {
+				stalled, _ := s.dial("POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n")
+				defer stalled.Close()
+			}
+			for range 4 {
+				conn, r := s.dial(request("/", "", "3\r\nabc\r\n0\r\n\r\n"))
+				s.is.Equal(status(r), http.StatusOK)
+				_ = conn.Close()
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.is.True(s.refused[inbound.Evicted] > 0)
+			s.is.Equal(s.refused[inbound.TooManyConns], 0)
+		})
+	}
+}
+
+// TestBodyThatMadeRoom guards against a request that is served though its connection was closed before it was complete.
+func TestBodyThatMadeRoom(t *testing.T) {
+	s := newServer(t, 1)
+	stalled, r := s.dial("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab")
+	defer stalled.Close()
+	_, other := s.dial(request("/", "", ""))
+	s.is.Equal(status(other), http.StatusOK)
+	_, _ = io.WriteString(stalled, "c")
+	s.is.Equal(status(r), 0)
+}
