--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -66,8 +66,18 @@
 // the next read reports it.
 func (c *conn) setReadDeadline(deadline time.Time) { _ = c.SetReadDeadline(deadline) }
 
-// abort closes the connection, which makes the target cancel the request.
+// abort resets the connection, which makes the target cancel the request. What has not been delivered is lost. If the connection
+// were closed, the host would go on to deliver it: a request that was held up on the way would reach the target long after it was given up.
 func (c *conn) abort() {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// If the connection is closed already, there is nothing left to reset.
+		_ = socket.SetLinger(0)
+	}
+	c.close()
+}
+
+// close closes a connection on which nothing is under way.
+func (c *conn) close() {
 	// The connection is discarded, so an error doesn't matter.
 	_ = c.Close()
 }
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -96,7 +96,7 @@
 		if c.stillOpen(now) {
 			return c, nil
 		}
-		c.abort()
+		c.close()
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
@@ -136,7 +136,7 @@
 	}
 	p.mu.Unlock()
 	if full {
-		c.abort()
+		c.close()
 	}
 }
 
@@ -162,7 +162,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
-		c.abort()
+		c.close()
 	}
 }
 
@@ -178,7 +178,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closed {
-		c.abort()
+		c.close()
 	}
 }
 
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -104,7 +104,7 @@
 }
 
 // Do sends a request and reads the head of its answer until the deadline. When
-// ctx ends, Do closes the connection, which cancels the request at the target.
+// ctx ends, Do resets the connection, which cancels the request at the target.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, deadline time.Time) (*Answer, error) {
 	const op = "Pool.Do"
 	c, err := p.get(ctx, poolKey{address, r.Run}, r.Fresh)
@@ -154,19 +154,22 @@
 func (a *Answer) SetReadDeadline(deadline time.Time) { a.conn.setReadDeadline(deadline) }
 
 // Close releases the answer. The connection is returned to the pool if the
-// answer is complete and no bytes follow it. Otherwise it is closed, which
-// cancels the request at the target.
+// answer is complete and no bytes follow it. Otherwise it is closed; if the answer is not complete, or the request has not
+// been written, it is reset, which cancels the request at the target.
 func (a *Answer) Close() {
 	if a.closed {
 		return
 	}
 	a.closed = true
 	stopped := a.stop()
-	if stopped && a.complete && !a.res.Close && a.conn.reusable() {
+	switch {
+	case !stopped || !a.complete || !a.conn.reusable():
+		a.conn.abort()
+	case a.res.Close:
+		a.conn.close()
+	default:
 		a.pool.putIdle(a.conn, keepAliveTimeout(a.Header))
-		return
 	}
-	a.conn.abort()
 }
 
 // errEndsEarly means that the connection ended the answer while the request was being written.
