--- a/cmd/foxtailward/direct_test.go
+++ b/cmd/foxtailward/direct_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,13 +34,21 @@
 	service      *kv.Service
 	storeAddress string
 	peerPort     int
+	// storeAway says that the store closes the connection of each call.
+	storeAway atomic.Bool
 }
 
 func newDirectCluster(t *testing.T) *directCluster {
 	t.Helper()
 	c := &directCluster{cluster: newCluster(t), service: kv.New(kv.Options{}), peerPort: freePort(t)}
 	t.Cleanup(c.service.Close)
-	server := httptest.NewServer(platform.NewStoreHandler(c.service.Direct(), c.service.Era))
+	handler := platform.NewStoreHandler(c.service.Direct(), c.service.Era)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.storeAway.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
--- a/internal/transport/direct/plain.go
+++ b/internal/transport/direct/plain.go
@@ -165,7 +165,7 @@
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, meta: meta, body: body, framing: answer.Framing}
 	outcome := c.classify(buffered)
 	if outcome == balance.Succeeded && c.needsEvidence(buffered) {
-		outcome, err = c.confirmAnswer(ctx, choice.Target)
+		outcome, err = c.confirmAnswer(ctx, choice.Target, sent)
 	}
 	return buffered, outcome, err
 }
--- a/internal/transport/direct/reports.go
+++ b/internal/transport/direct/reports.go
@@ -37,25 +37,17 @@
 // report confirms all requests that were sent before it was asked for.
 type reportReader struct {
 	e *Entry
+	// reads are the questions to targets for reports, and checks those by health checks.
+	reads  joined[id.TargetIncarnation, processReport]
+	checks joined[id.TargetIncarnation, healthCheck]
+	// records are the questions to the key-value service whether a record is still that of the process.
+	records joined[id.TargetIncarnation, bool]
 
-	mu    sync.Mutex
-	reads map[id.TargetIncarnation]*reportRead
+	mu sync.Mutex
 	// surveys holds the questions to all targets of a service.
 	surveys map[id.Service]*survey
 }
 
-// reportRead is the reading of one target's reports. next is closed with the end of the
-// read that begins after the current one.
-type reportRead struct {
-	running bool
-	next    *reportResult
-}
-
-type reportResult struct {
-	done   chan struct{}
-	report processReport
-}
-
 // processReport says which process runs under a target's id.
 type processReport struct {
 	result confirmation
@@ -64,7 +56,7 @@
 }
 
 func newReportReader(e *Entry) *reportReader {
-	return &reportReader{e: e, reads: map[id.TargetIncarnation]*reportRead{}, surveys: map[id.Service]*survey{}}
+	return &reportReader{e: e, surveys: map[id.Service]*survey{}}
 }
 
 // confirm reports whether the target is still the process that its record describes, by
@@ -73,27 +65,11 @@
 	if t.Incarnation == 0 {
 		return r.confirmWithoutStart(ctx, t)
 	}
-	r.mu.Lock()
-	read := r.reads[t.Key()]
-	if read == nil {
-		read = &reportRead{}
-		r.reads[t.Key()] = read
-	}
-	if read.next == nil {
-		read.next = &reportResult{done: make(chan struct{})}
-	}
-	next := read.next
-	if !read.running {
-		read.running = true
-		go r.readAll(t, read)
-	}
-	r.mu.Unlock()
-	select {
-	case <-next.done:
-		return next.report
-	case <-ctx.Done():
+	report, ok := r.reads.ask(ctx, t.Key(), func() processReport { return r.read(t) })
+	if !ok {
 		return processReport{result: unconfirmed}
 	}
+	return report
 }
 
 // confirmWithoutStart does the same for a target whose record names no start. Where no record names one, each start has a new
@@ -114,24 +90,6 @@
 	return processReport{result: unconfirmed}
 }
 
-// readAll reads reports as long as requests wait for one.
-func (r *reportReader) readAll(t *catalog.Target, read *reportRead) {
-	for {
-		r.mu.Lock()
-		current := read.next
-		read.next = nil
-		if current == nil {
-			read.running = false
-			delete(r.reads, t.Key())
-			r.mu.Unlock()
-			return
-		}
-		r.mu.Unlock()
-		current.report = r.read(t)
-		close(current.done)
-	}
-}
-
 // ask requests from a target the time of its start, which is 0 if it does not report it. answered is false if it does not
 // answer, or wants a pause.
 func (r *reportReader) ask(ctx context.Context, t *catalog.Target) (start id.Incarnation, answered bool) {
--- a/internal/transport/direct/streamend.go
+++ b/internal/transport/direct/streamend.go
@@ -103,7 +103,7 @@
 	c := r.s.c
 	path := c.cfg.Services[c.service].HealthPath
 	if r.target.Incarnation == 0 && !resumable && path != "" {
-		return c.e.reports.processByHealth(ctx, r.target, path, c.now().Add(endCheckTimeout))
+		return c.e.reports.processByHealth(ctx, r.target, path, c.now())
 	}
 	return c.e.reports.processOf(ctx, r.target)
 }
--- a/internal/transport/direct/targetwatch.go
+++ b/internal/transport/direct/targetwatch.go
@@ -69,6 +69,18 @@
 	return listed
 }
 
+// keyOf returns the key of a target's item, or the prefix of all of them if it is not known.
+func (w *storeWatcher) keyOf(target id.Target) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key := range w.targetItems {
+		if name, ok := w.e.deps.Codec.ParseTargetID(key); ok && name == target {
+			return key
+		}
+	}
+	return w.e.deps.Codec.TargetPrefix
+}
+
 // knownTarget returns the known record of the target whose item has the key, or nil.
 func (w *storeWatcher) knownTarget(key string) *catalog.Target {
 	name, ok := w.e.deps.Codec.ParseTargetID(key)
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -20,6 +20,8 @@
 	key     poolKey
 	limiter *headLimiter
 	reader  *bufio.Reader
+	// openSince is when the connection was known to be open.
+	openSince time.Time
 	// writeDone is closed when the request has been written. writeErr is the error
 	// of the write and may be read only after that.
 	writeDone chan struct{}
@@ -29,9 +31,9 @@
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn, key poolKey) *conn {
+func newConn(c net.Conn, key poolKey, openSince time.Time) *conn {
 	limiter := &headLimiter{r: c, left: -1}
-	return &conn{Conn: c, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	return &conn{Conn: c, key: key, openSince: openSince, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // send writes a request. A long request is written while its answer is read,
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -107,7 +107,7 @@
 	if p.opts.OnConnect != nil {
 		p.opts.OnConnect()
 	}
-	return newConn(c, key), nil
+	return newConn(c, key, p.opts.Clock.Now()), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -153,6 +153,10 @@
 // SetReadDeadline sets a new deadline for reading the body.
 func (a *Answer) SetReadDeadline(deadline time.Time) { a.conn.setReadDeadline(deadline) }
 
+// OpenSince returns when the connection was opened on which the answer came. If that was before another request to the same address was
+// sent, the process that has answered is the one that had that request.
+func (a *Answer) OpenSince() time.Time { return a.conn.openSince }
+
 // Close releases the answer. The connection is returned to the pool if the
 // answer is complete and no bytes follow it. Otherwise it is closed; if the answer is not complete, or the request has not
 // been written, it is reset, which cancels the request at the target.
