--- a/internal/transport/direct/leavingcheck.go
+++ b/internal/transport/direct/leavingcheck.go
@@ -31,7 +31,7 @@
 	staysListed leavingResult = "listed"
 	// leavingUnknown means that it has not said it yet.
 	leavingUnknown leavingResult = "unknown"
-	// leavingMoot means that the process is no longer listed, or that other news have told.
+	// leavingMoot means that other news have told, or that a later process is listed.
 	leavingMoot leavingResult = "moot"
 )
 
@@ -72,10 +72,15 @@
 
 // result asks the target once.
 func (c *leavingCheck) result() leavingResult {
-	current := c.e.directory.View().Targets[c.t.Service].Find(c.t.ID)
-	if current == nil || current.Key() != c.t.Key() || !c.e.withdrawn.Unsure(c.t.Key()) {
+	if !c.e.withdrawn.Unsure(c.t.Key()) {
 		return leavingMoot
 	}
+	current := c.e.directory.View().Targets[c.t.Service].Find(c.t.ID)
+	if current == nil || current.Key() != c.t.Key() {
+		// Its record is about to be put in force, or has lapsed and may be back.
+		c.since = c.e.deps.Clock.Now()
+		return leavingUnknown
+	}
 	ctx, cancel := context.WithTimeout(c.e.stopping, leavingCheckTimeout)
 	defer cancel()
 	result := leavingUnknown
--- a/internal/transport/direct/leavingcheck_test.go
+++ b/internal/transport/direct/leavingcheck_test.go
@@ -199,3 +199,28 @@
 		}
 	}
 }
+
+// TestLeavingCheckOutlivesListing guards against a target that gets nothing for good, because its record lapsed, or was not in force yet,
+// when it was to be asked whether it is leaving.
+func TestLeavingCheckOutlivesListing(t *testing.T) {
+	for _, away := range []time.Duration{100 * time.Millisecond, 3 * time.Second, 20 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			withRestartable(t, func(env *testEnv, p *restartable) {
+				env.start()
+				p.leaving.Store(true)
+				env.is.Equal(env.restartableGets("a", 5), 1)
+				p.leaving.Store(false)
+				p.sick.Store(true)
+				p.start.Store(2)
+				env.list(softwareItem("t1", "10.0.1.1:80", "a", "v1", 2))
+				time.Sleep(time.Second)
+				env.unlist("t1")
+				time.Sleep(away)
+				p.sick.Store(false)
+				env.list(softwareItem("t1", "10.0.1.1:80", "a", "v1", 2))
+				time.Sleep(time.Second)
+				env.is.True(env.restartableGets("b", 20) > 0)
+			})
+		})
+	}
+}
