--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,6 +30,7 @@
 	"silence":  playSilence,
 	"readers":  playReaders,
 	"channels": playChannels,
+	"unframed": playUnframed,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -22,9 +22,11 @@
 	PauseMS    int `json:"pauseMs,omitempty"`
 	// EventBytes is the size of the data of an event; 0 for a few bytes.
 	EventBytes int `json:"eventBytes,omitempty"`
+	// Unframed says that the answer has neither a length nor chunks.
+	Unframed bool `json:"unframed,omitempty"`
 }
 
-// replica is a stand-in for a model replica. It follows the users' pages: it never breaks a run off.
+// replica is a stand-in for a replica. It follows the users' pages and breaks no run off, but for a crash.
 type replica struct {
 	w       *world
 	id      string
@@ -233,6 +235,10 @@
 	}
 	w.Header().Set("X-Foxtailward-Response-Signature", "signed-"+r.id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if j.Unframed {
+		// The server closes the connection after such an answer.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	out := http.NewResponseController(w)
 	for i := last + 1; i <= j.Events; i++ {
 		wait := time.Duration(j.GapMS) * time.Millisecond
