--- a/review/standin-3/replaced.go
+++ b/review/standin-3/replaced.go
@@ -11,13 +11,13 @@
 
 const (
 	// crashAt is when after its begin the replica of an answer crashes, and crashTime how long it is down.
-	crashAt, crashTime = 380 * time.Millisecond, 1200 * time.Millisecond
+	crashAt, crashTime = 380 * time.Millisecond, 450 * time.Millisecond
 	// lateWrite is how late the store does the write whose answer it has lost.
 	lateWrite = 2 * time.Second
 	// unsafeBudget is what clients give an unsafe request.
 	unsafeBudget = 4 * time.Second
 	// An answer has bodyParts parts, one every partTime.
-	bodyParts, partTime = 10, 60 * time.Millisecond
+	bodyParts, partTime = 10, 45 * time.Millisecond
 	lastPart            = " the last part."
 	// crashes is the number of crashes, one after the other, and perCrash that of requests beside each.
 	crashes, perCrash = 3, 4
@@ -26,7 +26,7 @@
 // unsafeRoute is a route for unsafe requests to the plain service, with the figures of the site's booking-write.
 func unsafeRoute() object {
 	return object{
-		"name": "r-unsafe", "host": routeHost, "path-prefix": "/pule252/", "kind": "unsafe", "timeout-ms": 4000, "target-latency-ms": 300,
+		"name": "r-unsafe", "host": routeHost, "path-prefix": "/pule252/", "kind": "unsafe", "timeout-ms": 2000, "target-latency-ms": 300,
 		"priority": 2, "service": plain, "max-attempts": 1, "public": false,
 	}
 }
